--- /dev/null
+++ b/cmd/silvergate/main.go
@@ -0,0 +1,15 @@
+// Command silvergate is a cluster scheduler: a few equal controllers that take
+// jobs, rent machines and run tasks on workers.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "silvergate:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/silvergate/serve.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"encoding/gob"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"silvergate/internal/config"
+	"silvergate/internal/coordination"
+	"silvergate/internal/protocol"
+	"silvergate/internal/transport"
+)
+
+// node wires the core to the transport. One lock orders everything that goes
+// into the core.
+type node struct {
+	mu     sync.Mutex
+	cfg    *config.Settings
+	log    *slog.Logger
+	core   *coordination.Core
+	start  time.Time
+	server *transport.Server
+	state  *transport.Pool
+	cloud  *transport.Pool
+	work   map[string]*transport.Pool
+	peers  map[string]*transport.OutLink
+}
+
+func newLogger(level string) *slog.Logger {
+	l := slog.LevelInfo
+	switch level {
+	case "error":
+		l = slog.LevelError
+	case "debug":
+		l = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+}
+
+func serve(cfg *config.Settings) error {
+	level := os.Getenv("LOG_LEVEL")
+	if level == "" {
+		level = cfg.Operator.LogLevel
+	}
+	// The collector keeps well below the limit at which the process would be
+	// killed; the rest is for stacks, the runtime and bursts.
+	debug.SetMemoryLimit(int64(cfg.Facts.Limits.RAMMB * 0.6 * (1 << 20)))
+	n := &node{cfg: cfg, log: newLogger(level).With("node", cfg.Node), start: time.Now(), work: map[string]*transport.Pool{}, peers: map[string]*transport.OutLink{}}
+	n.state = transport.NewPool(cfg.Services.State)
+	n.cloud = transport.NewPool(cfg.Services.Cloud)
+	for _, p := range cfg.Peers {
+		n.peers[p.Node] = transport.NewOutLink(cfg.Node, p.Addr)
+	}
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), uint64(n.start.UnixNano())))
+	n.core = coordination.New(cfg, n.log, rnd, n.start.UnixNano())
+	// Requests from outside may use most of the sockets; the rest is for the
+	// state service, the cloud, workers and peers.
+	n.server = transport.NewServer(&n.mu, n, 50*time.Millisecond, 10*time.Second, cfg.Facts.Limits.MaxSockets*8/10)
+	n.log.Info("serving", "bind", cfg.Listen, "back", cfg.Back)
+	if err := n.server.Run(cfg.Listen, cfg.Back); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func (n *node) clock() coordination.Clock {
+	now := time.Now()
+	return coordination.Clock{Steady: now.Sub(n.start), Wall: now}
+}
+
+// Serve takes a request from the server, which holds the lock.
+func (n *node) Serve(id uint64, r *transport.Request) {
+	n.do(n.core.Request(n.clock(), id, r.Method, r.Path, r.Body))
+}
+
+// Decode reads a peer's message.
+func (n *node) Decode(dec *gob.Decoder) (any, error) {
+	var m coordination.Message
+	err := dec.Decode(&m)
+	return m, err
+}
+
+// Message takes a peer's message; the server holds the lock.
+func (n *node) Message(from string, m any) {
+	n.do(n.core.Peer(n.clock(), from, m.(coordination.Message)))
+}
+
+// Tick lets time pass; the server holds the lock.
+func (n *node) Tick() { n.do(n.core.Tick(n.clock())) }
+
+func (n *node) do(e coordination.Effects) {
+	for _, a := range e.Answers {
+		n.server.Answer(a.ID, a.Status, a.Body, a.RetryAfter)
+	}
+	for _, s := range e.Sends {
+		if l := n.peers[s.To]; l != nil {
+			l.Send(s.Message)
+		}
+	}
+	for _, k := range e.Calls {
+		go n.fetch(k, n.pool(k))
+	}
+}
+
+func (n *node) pool(k protocol.Call) *transport.Pool {
+	switch k.Target {
+	case protocol.ToState:
+		return n.state
+	case protocol.ToCloud:
+		return n.cloud
+	}
+	p := n.work[k.Address]
+	if p == nil {
+		p = transport.NewPool(k.Address)
+		n.work[k.Address] = p
+	}
+	return p
+}
+
+func (n *node) fetch(k protocol.Call, p *transport.Pool) {
+	r, sent, err := p.Do(k.Method, k.Path, k.Body, k.Timeout)
+	rep := protocol.Reply{ID: k.ID, Sent: sent}
+	if err == nil {
+		rep.Status, rep.Body, rep.RetryAfter = r.Status, r.Body, r.RetryAfter
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.do(n.core.Reply(n.clock(), rep))
+}
--- /dev/null
+++ b/internal/bookkeeping/store.go
@@ -0,0 +1,369 @@
+// Package bookkeeping keeps silvergate's records in the state service: a watch
+// that mirrors them, conditional transactions, and the share of the service's
+// rates that this controller may use.
+package bookkeeping
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"silvergate/internal/config"
+	"silvergate/internal/protocol"
+)
+
+// Root is the prefix of every key.
+const Root = "sg/"
+
+// Class orders requests when the budget is short; the smaller goes first.
+type Class int
+
+// Classes.
+const (
+	Rules  Class = iota // leases, claims, endings, cancellations
+	Users               // answers that users wait for
+	Work                // placements and the fleet
+	Rest                // publications
+	nClass = 4
+)
+
+// Outcome is what came of a transaction.
+type Outcome int
+
+// Outcomes. Unknown means that it may have been, or may yet be, executed.
+const (
+	OK Outcome = iota
+	Conflict
+	Refused // not executed
+	NoLease
+	Unknown
+)
+
+// Store talks to the state service. It does no I/O: it hands out calls and
+// takes replies, and the time comes with them.
+type Store struct {
+	Send  func(protocol.Call, func(protocol.Reply))
+	Apply func(key string, data json.RawMessage, stamp uint64) // data is nil for a dropped key
+
+	now       time.Duration
+	reads     bucket
+	writes    bucket
+	queue     [nClass][]*request
+	inflight  int
+	pauseTill time.Duration
+
+	stamps   map[string]uint64
+	graves   map[string]uint64 // keys dropped by us, ahead of the watch
+	loading  bool
+	watching bool
+	loaded   bool
+	seen     map[string]bool
+	from     string
+	start    uint64
+	ledger   uint64
+	nextOpen time.Duration
+	spacing  time.Duration
+	block    time.Duration
+	fresh    time.Duration
+	contact  time.Duration
+	denied   time.Duration // since when nothing but refusals came; 0: not
+}
+
+type request struct {
+	class    Class
+	method   string
+	path     string
+	body     []byte
+	writes   float64
+	deadline time.Duration
+	done     func(protocol.Reply)
+}
+
+type bucket struct{ rate, burst, level float64 }
+
+func (b *bucket) fill(d time.Duration) {
+	b.level = min(b.burst, b.level+b.rate*d.Seconds())
+}
+
+const (
+	callTimeout  = 1500 * time.Millisecond
+	queueTimeout = 2 * time.Second
+	maxInflight  = 24
+)
+
+// NewStore makes a store that keeps to an equal share of the service's rates.
+func NewStore(f *config.Facts, controllers int) *Store {
+	n := float64(max(1, controllers))
+	s := &Store{stamps: map[string]uint64{}, graves: map[string]uint64{}}
+	s.reads = bucket{rate: f.State.RPS / n * 0.95, burst: f.State.RPS / n * 0.5}
+	s.writes = bucket{rate: f.State.WriteRPS / n * 0.95, burst: max(f.State.WriteRPS/n*0.5, float64(f.State.TxnOps))}
+	s.reads.level, s.writes.level = s.reads.burst, s.writes.burst
+	// Re-opening the watch may take a quarter of the request budget.
+	s.spacing = time.Duration(4 * n / f.State.RPS * float64(time.Second))
+	s.block = time.Second
+	return s
+}
+
+// Ready tells whether the records have been read.
+func (s *Store) Ready() bool { return s.loaded }
+
+// Ledger is the revision up to which the mirror is complete.
+func (s *Store) Ledger() uint64 { return s.ledger }
+
+// Fresh is the time at which the mirror was last known to be complete.
+func (s *Store) Fresh() time.Duration { return s.fresh }
+
+// Stamp is the mirrored version of a key, 0 if it does not exist.
+func (s *Store) Stamp(key string) uint64 { return s.stamps[key] }
+
+// Backlog is the number of requests that wait for the budget.
+func (s *Store) Backlog() int {
+	n := 0
+	for _, q := range s.queue {
+		n += len(q)
+	}
+	return n
+}
+
+func (s *Store) put(r *request) {
+	s.queue[r.class] = append(s.queue[r.class], r)
+}
+
+// Txn sends a transaction. After OK the mirror holds its changes.
+func (s *Store) Txn(class Class, conds []protocol.Cond, ops []protocol.Op, done func(Outcome, []string, uint64)) {
+	body, err := json.Marshal(protocol.Txn{If: conds, Then: ops})
+	if err != nil {
+		panic(err) // only our own types are marshalled
+	}
+	s.put(&request{class: class, method: http.MethodPost, path: protocol.PathTxn, body: body,
+		writes: float64(len(ops)), deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
+			var t protocol.TxnResult
+			switch r.Status {
+			case http.StatusOK:
+				if json.Unmarshal(r.Body, &t) != nil {
+					done(Unknown, nil, 0)
+					return
+				}
+				for _, o := range ops {
+					if o.Write != "" {
+						s.local(o.Write, o.Data, t.Ledger)
+					} else {
+						s.local(o.Drop, nil, t.Ledger)
+					}
+				}
+				done(OK, nil, t.Ledger)
+			case http.StatusConflict:
+				_ = json.Unmarshal(r.Body, &t)
+				done(Conflict, t.Failed, t.Ledger)
+			case http.StatusBadRequest:
+				done(NoLease, nil, 0)
+			case 0:
+				if r.Sent {
+					done(Unknown, nil, 0)
+				} else {
+					done(Refused, nil, 0)
+				}
+			default:
+				done(Refused, nil, 0)
+			}
+		}})
+}
+
+// Get reads one key afresh into the mirror; ok is false when that failed.
+func (s *Store) Get(class Class, key string, done func(ok bool)) {
+	s.put(&request{class: class, method: http.MethodGet, path: protocol.PathKeys + "/" + key,
+		deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
+			var e protocol.Entry
+			if (r.Status != http.StatusOK && r.Status != http.StatusNotFound) || json.Unmarshal(r.Body, &e) != nil {
+				done(false)
+				return
+			}
+			if r.Status == http.StatusOK {
+				s.local(key, e.Data, e.Stamp)
+			}
+			done(true)
+		}})
+}
+
+// Grant asks for a lease, Touch renews one.
+func (s *Store) Grant(ttl time.Duration, done func(permit uint64)) {
+	body, _ := json.Marshal(protocol.Grant{TTLMs: ttl.Milliseconds()})
+	s.put(&request{class: Rules, method: http.MethodPost, path: protocol.PathGrants, body: body,
+		deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
+			var g protocol.Granted
+			if r.Status == http.StatusOK {
+				_ = json.Unmarshal(r.Body, &g)
+			}
+			done(g.Permit)
+		}})
+}
+
+// Touch renews a lease. gone is true when it has ended.
+func (s *Store) Touch(permit uint64, done func(ok, gone bool)) {
+	s.put(&request{class: Rules, method: http.MethodPost,
+		path:     protocol.PathGrants + "/" + strconv.FormatUint(permit, 10) + "/" + protocol.PathTouch,
+		deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
+			done(r.Status == http.StatusOK, r.Status == http.StatusNotFound)
+		}})
+}
+
+// Tick sends what the budget allows.
+func (s *Store) Tick(now time.Duration) {
+	s.reads.fill(now - s.now)
+	s.writes.fill(now - s.now)
+	s.now = now
+	s.follow()
+	if now < s.pauseTill {
+		return
+	}
+	for c := range s.queue {
+		q := s.queue[c]
+		for len(q) > 0 && s.inflight < maxInflight {
+			r := q[0]
+			if now > r.deadline {
+				q = q[1:]
+				s.queue[c] = q
+				r.done(protocol.Reply{})
+				q = s.queue[c]
+				continue
+			}
+			if s.reads.level < 1 || s.writes.level < r.writes {
+				break
+			}
+			s.reads.level--
+			s.writes.level -= r.writes
+			q = q[1:]
+			s.queue[c] = q
+			s.dispatch(r)
+		}
+		if len(q) > 0 {
+			break // what goes first must not be starved by what comes later
+		}
+		s.queue[c] = nil
+	}
+}
+
+func (s *Store) dispatch(r *request) {
+	s.inflight++
+	s.Send(protocol.Call{Target: protocol.ToState, Method: r.method, Path: r.path, Body: r.body, Timeout: callTimeout}, func(rep protocol.Reply) {
+		s.inflight--
+		s.note(rep)
+		if (rep.Status == http.StatusTooManyRequests || rep.Status == http.StatusServiceUnavailable) && s.now < r.deadline {
+			// Not executed: it may be tried again within its time.
+			s.pauseTill = s.now + queueTimeout/20
+			s.queue[r.class] = append([]*request{r}, s.queue[r.class]...)
+			return
+		}
+		r.done(rep)
+	})
+}
+
+func (s *Store) note(rep protocol.Reply) {
+	if rep.Status != 0 && rep.Status != http.StatusServiceUnavailable && rep.Status != http.StatusTooManyRequests {
+		s.contact = s.now
+	}
+}
+
+// Contact is the time of the last real answer.
+func (s *Store) Contact() time.Duration { return s.contact }
+
+// follow keeps the mirror: reads all keys page by page, then watches.
+func (s *Store) follow() {
+	if s.loading || s.watching || s.now < s.nextOpen || s.reads.level < 1 {
+		return
+	}
+	s.reads.level--
+	sent := s.now
+	if s.seen == nil && !s.loaded {
+		s.seen, s.from, s.start = map[string]bool{}, "", 0
+	}
+	if s.seen != nil {
+		s.loading = true
+		s.Send(protocol.Call{Target: protocol.ToState, Method: http.MethodGet, Timeout: 2 * callTimeout,
+			Path: protocol.PathKeys + "?under=" + Root + "&from=" + url.QueryEscape(s.from) + "&page=1000"}, func(r protocol.Reply) {
+			s.loading = false
+			s.note(r)
+			var p protocol.EntryPage
+			if r.Status != http.StatusOK || json.Unmarshal(r.Body, &p) != nil {
+				s.nextOpen = s.now + callTimeout/5
+				return
+			}
+			if s.start == 0 {
+				s.start = p.Ledger
+			}
+			for _, e := range p.Entries {
+				s.seen[e.Key] = true
+				s.from = e.Key
+				s.local(e.Key, e.Data, e.Stamp)
+			}
+			if p.Truncated && len(p.Entries) > 0 {
+				return
+			}
+			for k, v := range s.stamps {
+				if !s.seen[k] && v <= s.start {
+					s.local(k, nil, s.start)
+				}
+			}
+			s.ledger, s.loaded, s.seen = max(s.ledger, s.start), true, nil
+		})
+		return
+	}
+	s.watching = true
+	s.Send(protocol.Call{Target: protocol.ToState, Method: http.MethodGet, Timeout: s.block + 2*callTimeout,
+		Path: protocol.PathWatch + "?under=" + Root + "&from=" + strconv.FormatUint(s.ledger, 10) +
+			"&blockMs=" + strconv.FormatInt(s.block.Milliseconds(), 10)}, func(r protocol.Reply) {
+		s.watching = false
+		s.note(r)
+		s.nextOpen = sent + s.spacing
+		switch r.Status {
+		case http.StatusOK:
+			var w protocol.WatchResult
+			if json.Unmarshal(r.Body, &w) != nil {
+				return
+			}
+			for _, n := range w.News {
+				if n.Write != "" {
+					s.local(n.Write, n.Data, n.Stamp)
+				} else {
+					s.local(n.Drop, nil, n.Stamp)
+				}
+			}
+			s.ledger = max(s.ledger, w.Ledger)
+			s.fresh = sent
+			for k, v := range s.graves {
+				if v <= s.ledger {
+					delete(s.graves, k)
+				}
+			}
+		case http.StatusGone:
+			s.seen, s.from, s.start = map[string]bool{}, "", 0
+		default:
+			s.nextOpen = s.now + callTimeout/5
+		}
+	})
+}
+
+// local brings one change into the mirror, unless a newer one is there.
+func (s *Store) local(key string, data json.RawMessage, stamp uint64) {
+	if old, ok := s.stamps[key]; ok && old >= stamp {
+		return
+	}
+	if s.graves[key] >= stamp {
+		return
+	}
+	if data == nil {
+		if stamp > s.ledger {
+			s.graves[key] = stamp
+		}
+		if _, ok := s.stamps[key]; !ok {
+			return
+		}
+		delete(s.stamps, key)
+		s.Apply(key, nil, stamp)
+		return
+	}
+	s.stamps[key] = stamp
+	s.Apply(key, data, stamp)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,254 @@
+// Package config reads what silvergate is told: the platform's JSON settings
+// file and the operators' own YAML file beside it.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// OperatorFile is the name of the operators' file, looked for in the folder
+// of the platform's settings file and then in deploy/.
+const OperatorFile = "silvergate.yaml"
+
+// Settings is the platform's settings file. Unknown fields are ignored.
+type Settings struct {
+	Node     string  `json:"node_name"`
+	Zone     string  `json:"site"`
+	Listen   string  `json:"bind"`
+	Back     string  `json:"back"`
+	Peers    []Peer  `json:"peers"`
+	Services Outside `json:"outside"`
+	Facts    Facts   `json:"facts"`
+
+	Operator Operator `json:"-"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Node string `json:"node_name"`
+	Zone string `json:"site"`
+	Addr string `json:"peer_addr"`
+}
+
+// Outside holds the addresses of the outside systems.
+type Outside struct {
+	Cloud string `json:"cloud"`
+	State string `json:"state"`
+}
+
+// Facts are the figures of the deployment.
+type Facts struct {
+	Count       int         `json:"count"`
+	Zones       []string    `json:"zones"`
+	Teams       []Team      `json:"teams"`
+	Objectives  []Objective `json:"objectives"`
+	Workers     Workers     `json:"workers"`
+	State       State       `json:"state"`
+	Cloud       Cloud       `json:"cloud"`
+	Limits      Limits      `json:"limits"`
+	TimeBoundMS float64     `json:"time_bound_ms"`
+}
+
+// Team has a guarantee and a limit; 0 means none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective restates an aim at starting or finishing.
+type Objective struct {
+	Kind   string  `json:"kind"`
+	Class  string  `json:"class"`
+	Within float64 `json:"within_s"`
+	Share  float64 `json:"share"`
+	Times  float64 `json:"times"`
+}
+
+// Workers holds the workers' periods, in seconds.
+type Workers struct {
+	Report   float64 `json:"report_s"`
+	Lease    float64 `json:"lease_s"`
+	GangWait float64 `json:"gang_wait_s"`
+	GangPeer float64 `json:"gang_peer_s"`
+	Cancel   float64 `json:"cancel_s"`
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Cloud holds the limits of the cloud's interface.
+type Cloud struct {
+	RPS     float64 `json:"rps"`
+	ListLag float64 `json:"list_lag_s"`
+}
+
+// Limits bound this process.
+type Limits struct {
+	CPU        float64 `json:"cpu"`
+	RAMMB      float64 `json:"ram_mb"`
+	MaxSockets int     `json:"max_sockets"`
+}
+
+// Operator holds the operators' own settings, from YAML. Unknown keys are
+// refused, so that a misspelt key does not go unnoticed.
+type Operator struct {
+	// Probes is the thesis's d: how many controllers a task may visit.
+	Probes int `yaml:"probes"`
+	// PublishInterval is the time between two publications of a list length.
+	PublishInterval time.Duration `yaml:"publish_interval"`
+	// EntryAge is how many report periods an idle entry lives unrenewed.
+	EntryAge float64 `yaml:"entry_age_reports"`
+	// LogLevel is used when LOG_LEVEL is not set.
+	LogLevel string `yaml:"log_level"`
+}
+
+// DefaultOperator returns the design's starting values.
+func DefaultOperator() Operator {
+	return Operator{Probes: 2, PublishInterval: 2 * time.Second, EntryAge: 3, LogLevel: "info"}
+}
+
+// Load reads and checks the settings file at path and the operators' file.
+func Load(path, operatorPath string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	candidates := []string{operatorPath}
+	if operatorPath == "" {
+		candidates = []string{filepath.Join(filepath.Dir(path), OperatorFile), filepath.Join("deploy", OperatorFile)}
+	}
+	for _, p := range candidates {
+		raw, err := os.ReadFile(p)
+		if errors.Is(err, fs.ErrNotExist) && operatorPath == "" {
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("operator settings: %w", err)
+		}
+		if s.Operator, err = ParseOperator(raw); err != nil {
+			return nil, fmt.Errorf("%s: %w", p, err)
+		}
+		break
+	}
+	return s, nil
+}
+
+// Parse reads the platform's settings and checks them.
+func Parse(raw []byte) (*Settings, error) {
+	s := &Settings{Operator: DefaultOperator()}
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+// ParseOperator reads the operators' YAML and checks it.
+func ParseOperator(raw []byte) (Operator, error) {
+	o := DefaultOperator()
+	dec := yaml.NewDecoder(bytes.NewReader(raw))
+	dec.KnownFields(true)
+	if err := dec.Decode(&o); err != nil && len(bytes.TrimSpace(raw)) > 0 && err.Error() != "EOF" {
+		return o, err
+	}
+	switch {
+	case o.Probes < 1:
+		return o, errors.New("probes: must be at least 1")
+	case o.PublishInterval < 100*time.Millisecond:
+		return o, errors.New("publish_interval: must be at least 100ms")
+	case !(o.EntryAge >= 1):
+		return o, errors.New("entry_age_reports: must be at least 1")
+	case o.LogLevel != "error" && o.LogLevel != "info" && o.LogLevel != "debug":
+		return o, errors.New("log_level: must be error, info or debug")
+	}
+	return o, nil
+}
+
+func (s *Settings) check() error {
+	addr := func(field, v string) error {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			return fmt.Errorf("%s: %q is not an IP address with a port", field, v)
+		}
+		return nil
+	}
+	positive := func(field string, v float64) error {
+		if !(v > 0) || math.IsInf(v, 0) {
+			return fmt.Errorf("%s: must be a positive number", field)
+		}
+		return nil
+	}
+	if s.Node == "" {
+		return errors.New("node_name: missing")
+	}
+	f := &s.Facts
+	errs := []error{
+		addr("bind", s.Listen), addr("back", s.Back),
+		addr("outside.cloud", s.Services.Cloud), addr("outside.state", s.Services.State),
+		positive("facts.workers.report_s", f.Workers.Report), positive("facts.workers.lease_s", f.Workers.Lease),
+		positive("facts.workers.cancel_s", f.Workers.Cancel), positive("facts.workers.gang_wait_s", f.Workers.GangWait),
+		positive("facts.workers.gang_peer_s", f.Workers.GangPeer),
+		positive("facts.state.rps", f.State.RPS), positive("facts.state.write_rps", f.State.WriteRPS),
+		positive("facts.state.value_kb", f.State.ValueKB),
+		positive("facts.cloud.rps", f.Cloud.RPS), positive("facts.cloud.list_lag_s", f.Cloud.ListLag),
+		positive("facts.limits.cpu", f.Limits.CPU), positive("facts.limits.ram_mb", f.Limits.RAMMB),
+	}
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	if f.State.TxnOps < 4 {
+		return errors.New("facts.state.txn_ops: must be at least 4")
+	}
+	if f.Workers.Cancel <= f.Workers.Lease {
+		return errors.New("facts.workers.cancel_s: must be above lease_s")
+	}
+	if f.Limits.MaxSockets < 16 {
+		return errors.New("facts.limits.max_sockets: must be at least 16")
+	}
+	seen := map[string]bool{s.Node: true}
+	for i, p := range s.Peers {
+		if p.Node == "" || seen[p.Node] {
+			return fmt.Errorf("peers[%d].node_name: missing or repeated", i)
+		}
+		seen[p.Node] = true
+		if err := addr(fmt.Sprintf("peers[%d].peer_addr", i), p.Addr); err != nil {
+			return err
+		}
+	}
+	names := map[string]bool{}
+	for i, t := range f.Teams {
+		if t.Name == "" || names[t.Name] {
+			return fmt.Errorf("facts.teams[%d].name: missing or repeated", i)
+		}
+		names[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				return fmt.Errorf("facts.teams[%d]: guarantee and limit must not be negative", i)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/core.go
@@ -0,0 +1,335 @@
+// Package coordination is silvergate's core: one state machine per controller.
+// Inputs go in with the time; answers, calls and peer messages come out.
+// There is no I/O, clock or goroutine in it.
+//
+// The state service is the truth. The core mirrors its records, decides from
+// the mirror, and changes records only by conditional transactions, so a stale
+// mirror costs a retry and never a rule.
+package coordination
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/config"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// Answer is the response to a request from outside.
+type Answer struct {
+	ID         uint64
+	Status     int
+	Body       []byte
+	RetryAfter int
+}
+
+// Send is a message for a peer.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Effects are what a step wants done.
+type Effects struct {
+	Answers []Answer
+	Calls   []protocol.Call
+	Sends   []Send
+}
+
+// Clock is the time that comes with an input: a steady clock that starts with
+// the process, and the time of day.
+type Clock struct {
+	Steady time.Duration
+	Wall   time.Time
+}
+
+// Core is one controller.
+type Core struct {
+	cfg   *config.Settings
+	log   *slog.Logger
+	rnd   *rand.Rand
+	now   time.Duration
+	wall  time.Time
+	life  int64 // tells this life of the process from earlier ones
+	out   Effects
+	store *bookkeeping.Store
+
+	nextCall uint64
+	calls    map[uint64]func(protocol.Reply)
+
+	jobs     map[string]*record
+	machines map[string]*machine
+	teams    map[string]*team
+	members  map[string]*member
+	drains   map[string]drain
+	dirty    map[*page]bool
+	orphans  map[string]orphan
+
+	catalogue map[string]protocol.Flavor
+	flavorsAt time.Duration
+	flavorsIn bool
+
+	idle    []string // machines with room, the idle list
+	line    []*waiter
+	waiting map[taskKey]*waiter
+	placed  map[taskKey]time.Duration // dispatched elsewhere, not before
+	polls   []poll
+	polling bool
+
+	permit    uint64
+	permitAt  time.Duration
+	granting  bool
+	published string
+	publishAt time.Duration
+	ttl       time.Duration
+	beats     map[string]beat
+	beatAt    time.Duration
+	sweepAt   time.Duration
+
+	fleet fleet
+	Stats Stats
+}
+
+// Stats counts what an operator wants to know.
+type Stats struct {
+	Submitted, Cancelled, Checkins, Claims, Placements, Endings, Conflicts, Forwards, Preemptions, Rented, Deleted, Unavailable uint64
+}
+
+type taskKey struct {
+	id    string
+	index int
+}
+
+// New makes a core. life must differ between two lives of the same controller.
+func New(cfg *config.Settings, log *slog.Logger, rnd *rand.Rand, life int64) *Core {
+	c := &Core{
+		cfg: cfg, log: log, rnd: rnd, life: life,
+		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
+		teams: map[string]*team{}, members: map[string]*member{}, drains: map[string]drain{}, dirty: map[*page]bool{},
+		orphans: map[string]orphan{}, catalogue: map[string]protocol.Flavor{}, waiting: map[taskKey]*waiter{},
+		placed: map[taskKey]time.Duration{}, beats: map[string]beat{},
+	}
+	for i := range cfg.Facts.Teams {
+		t := &cfg.Facts.Teams[i]
+		c.teams[t.Name] = &team{cfg: t}
+	}
+	c.ttl = seconds(cfg.Facts.Workers.Lease / 3)
+	c.fleet.init()
+	c.store = bookkeeping.NewStore(&cfg.Facts, 1+len(cfg.Peers))
+	c.store.Send = c.call
+	c.store.Apply = c.apply
+	return c
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (c *Core) call(k protocol.Call, done func(protocol.Reply)) {
+	c.nextCall++
+	k.ID = c.nextCall
+	c.calls[k.ID] = done
+	c.out.Calls = append(c.out.Calls, k)
+}
+
+// begin and end bracket every step.
+func (c *Core) begin(t Clock) {
+	c.now, c.wall = t.Steady, t.Wall
+}
+
+func (c *Core) end() Effects {
+	c.flush()
+	c.store.Tick(c.now)
+	c.sendPolls()
+	e := c.out
+	c.out = Effects{}
+	return e
+}
+
+// Request takes a request from a user, a worker or a health check.
+func (c *Core) Request(t Clock, id uint64, method, path string, body []byte) Effects {
+	c.begin(t)
+	c.route(id, method, path, body)
+	return c.end()
+}
+
+// Reply takes what came of a call.
+func (c *Core) Reply(t Clock, r protocol.Reply) Effects {
+	c.begin(t)
+	if done := c.calls[r.ID]; done != nil {
+		delete(c.calls, r.ID)
+		done(r)
+	}
+	return c.end()
+}
+
+// Peer takes a message from another controller.
+func (c *Core) Peer(t Clock, from string, m Message) Effects {
+	c.begin(t)
+	c.peerMessage(from, m)
+	return c.end()
+}
+
+// Tick lets time pass.
+func (c *Core) Tick(t Clock) Effects {
+	c.begin(t)
+	c.membership()
+	c.catalogueTick()
+	if c.store.Ready() && c.now >= c.sweepAt {
+		// The sweep's period is a fraction of the workers' report period.
+		c.sweepAt = c.now + seconds(c.cfg.Facts.Workers.Report/12)
+		c.watchMachines()
+		c.schedule()
+		c.fleetTick()
+	}
+	return c.end()
+}
+
+func (c *Core) answer(id uint64, status int, v any, retryAfter int) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // only our own types are marshalled
+	}
+	c.out.Answers = append(c.out.Answers, Answer{id, status, body, retryAfter})
+}
+
+func (c *Core) refuse(id uint64, status int, why string) {
+	retry := 0
+	if status == 503 {
+		retry = 1
+		c.Stats.Unavailable++
+	}
+	c.answer(id, status, protocol.Problem{Error: why}, retry)
+}
+
+func (c *Core) route(id uint64, method, path string, body []byte) {
+	switch {
+	case path == protocol.PathCheckin:
+		if method != "POST" {
+			c.refuse(id, 405, "use POST")
+			return
+		}
+		c.checkin(id, body)
+	case path == protocol.PathUp:
+		if method != "GET" {
+			c.refuse(id, 405, "use GET")
+			return
+		}
+		c.up(id)
+	case path == protocol.PathRuns:
+		if method != "POST" {
+			c.refuse(id, 405, "use POST")
+			return
+		}
+		c.submit(id, body)
+	case strings.HasPrefix(path, protocol.PathRuns+"/"):
+		ref, verb, hasVerb := strings.Cut(path[len(protocol.PathRuns)+1:], "/")
+		switch {
+		case hasVerb && verb != protocol.PathAbort:
+			c.refuse(id, 404, "no such path")
+		case hasVerb && method != "POST", !hasVerb && method != "GET":
+			c.refuse(id, 405, "method not allowed")
+		case !protocol.ValidRef(ref):
+			c.refuse(id, 404, "no such job")
+		case hasVerb:
+			c.cancel(id, ref, 0)
+		default:
+			c.poll(id, ref)
+		}
+	default:
+		c.refuse(id, 404, "no such path")
+	}
+}
+
+// Keys of the records.
+const (
+	keyJob     = bookkeeping.Root + "j/"
+	keyPage    = bookkeeping.Root + "p/"
+	keyClaim   = bookkeeping.Root + "c/"
+	keyTeam    = bookkeeping.Root + "q/"
+	keyMember  = bookkeeping.Root + "m/"
+	keyDrain   = bookkeeping.Root + "x/"
+	keyRental  = bookkeeping.Root + "h/"
+	keyFleet   = bookkeeping.Root + "fleet"
+	keyFlavors = bookkeeping.Root + "flavors"
+)
+
+// apply takes a change of the mirror.
+func (c *Core) apply(key string, data json.RawMessage, stamp uint64) {
+	kind := key
+	if i := strings.IndexByte(key[len(bookkeeping.Root):], '/'); i >= 0 {
+		kind = key[:len(bookkeeping.Root)+i+1]
+	}
+	name := key[len(kind):]
+	switch kind {
+	case keyJob:
+		c.applyJob(name, data, stamp)
+	case keyPage:
+		c.applyPage(name, data, stamp)
+	case keyClaim:
+		c.applyClaim(name, data, stamp)
+	case keyTeam:
+		c.applyTeam(name, data, stamp)
+	case keyMember:
+		c.applyMember(name, data)
+	case keyDrain:
+		c.applyDrain(name, data)
+	case keyRental:
+		c.fleet.applyRental(name, data)
+	case keyFleet:
+		c.fleet.applyLease(data, stamp)
+	case keyFlavors:
+		if len(c.catalogue) == 0 && data != nil {
+			var f protocol.Flavors
+			if json.Unmarshal(data, &f) == nil {
+				c.setCatalogue(&f)
+			}
+		}
+	}
+}
+
+func decode(log *slog.Logger, key string, data json.RawMessage, v any) bool {
+	if err := json.Unmarshal(data, v); err != nil {
+		log.Error("unreadable record", "key", key, "err", err)
+		return false
+	}
+	return true
+}
+
+func encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // only our own types are marshalled
+	}
+	return b
+}
+
+// horizon is how long workers may be answered on the strength of an old
+// mirror. A cancellation acknowledged elsewhere right after the last proof
+// must have its tasks gone cancel_s later, and a worker goes on for lease_s
+// after the last answer. A tenth is kept as margin for drift and delay.
+func (c *Core) horizon() time.Duration {
+	w := &c.cfg.Facts.Workers
+	return seconds((w.Cancel - w.Lease) * 0.9)
+}
+
+// leaseOver is how long after an answered report's arrival its worker has
+// certainly killed everything: lease_s and the most two clocks can drift.
+func (c *Core) leaseOver() time.Duration { return seconds(c.cfg.Facts.Workers.Lease * 1.01) }
+
+// pageTasks is how many tasks a page holds: a bound task takes less than 64
+// bytes with the usual names, and four times that never passes value_kb.
+func (c *Core) pageTasks() int { return max(1, int(c.cfg.Facts.State.ValueKB*1024/128)) }
+
+// unboundLimit tells whether the team has any limit at all.
+func limited(t *team) bool { return t.cfg.CPUsMax > 0 || t.cfg.GPUsMax > 0 }
+
+func (c *Core) spec(id string) *job.Spec {
+	if r := c.jobs[id]; r != nil {
+		return r.spec
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/fleet.go
@@ -0,0 +1,669 @@
+package coordination
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"sort"
+	"strconv"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// fleet rents and returns machines. One controller at a time does so, under a
+// lease in the state service; a deposed one can do no harm beyond cost, since
+// names of rentals are never reused and releases need evidence.
+type fleet struct {
+	owner    string
+	life     int64
+	stamp    uint64
+	rentals  map[string]*rental
+	taking   bool
+	seq      int
+	calls    bucket
+	lastFill time.Duration
+
+	listed   map[string]protocol.Listed
+	listing  map[string]protocol.Listed
+	listFrom string
+	listBusy bool
+	listAt   time.Duration // when the last whole list was asked for
+	listSent time.Duration
+	flavors  time.Duration
+
+	refused  map[place]time.Duration // no capacity, not to be asked before
+	strikes  map[place]int
+	gone     map[string]time.Duration
+	deleting map[string]bool
+	lost     map[string]time.Duration // claimed by the dead, since when
+	planAt   time.Duration
+	samples  map[string]*record // the latest job of a class with an aim at starting
+}
+
+type place struct {
+	rig   string
+	depot string
+	spot  bool
+}
+
+// rental is recorded before the request is sent, so that whoever leads next
+// sends the same request again instead of a new one.
+type rental struct {
+	Rig    string   `json:"t"`
+	Depot  string   `json:"z"`
+	Spot   bool     `json:"s,omitempty"`
+	Number int      `json:"n"`
+	At     int64    `json:"at"`
+	Names  []string `json:"names,omitempty"`
+	busy   bool
+	next   time.Duration
+}
+
+type bucket struct{ rate, level float64 }
+
+type lease struct {
+	Owner string `json:"o"`
+	Life  int64  `json:"l"`
+}
+
+func (f *fleet) init() {
+	f.rentals = map[string]*rental{}
+	f.refused, f.strikes = map[place]time.Duration{}, map[place]int{}
+	f.gone, f.deleting, f.lost = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
+	f.listed, f.listing = map[string]protocol.Listed{}, map[string]protocol.Listed{}
+	f.samples = map[string]*record{}
+}
+
+func (f *fleet) applyLease(data json.RawMessage, stamp uint64) {
+	f.owner, f.life, f.stamp = "", 0, 0
+	if data != nil {
+		var l lease
+		if json.Unmarshal(data, &l) == nil {
+			f.owner, f.life, f.stamp = l.Owner, l.Life, stamp
+		}
+	}
+}
+
+func (f *fleet) applyRental(name string, data json.RawMessage) {
+	if data == nil {
+		delete(f.rentals, name)
+		return
+	}
+	r := f.rentals[name]
+	if r == nil {
+		r = &rental{}
+		f.rentals[name] = r
+	}
+	r.Names = nil
+	_ = json.Unmarshal(data, r)
+}
+
+// catalogueTick keeps the machine types, on every controller: submissions
+// can't be judged without them.
+func (c *Core) catalogueTick() {
+	f := &c.fleet
+	if f.calls.rate == 0 {
+		f.calls.rate = c.cfg.Facts.Cloud.RPS / float64(1+len(c.cfg.Peers))
+		f.calls.level = f.calls.rate
+	}
+	rate := f.calls.rate
+	if c.leads() {
+		rate *= 1.5 // the others hardly call
+	}
+	f.calls.level = min(2*rate, f.calls.level+rate*(c.now-f.lastFill).Seconds())
+	f.lastFill = c.now
+	if c.flavorsIn || (len(c.catalogue) > 0 && (!c.leads() || c.now < c.flavorsAt)) || c.now < c.flavorsAt || f.calls.level < 1 {
+		return
+	}
+	c.flavorsIn = true
+	c.cloud(http.MethodGet, protocol.PathFlavors, nil, func(r protocol.Reply) {
+		c.flavorsIn = false
+		var v protocol.Flavors
+		if r.Status != http.StatusOK || json.Unmarshal(r.Body, &v) != nil || len(v.Rigs) == 0 {
+			c.flavorsAt = c.now + time.Second
+			return
+		}
+		c.flavorsAt = c.now + seconds(10*c.cfg.Facts.Workers.Report)
+		c.setCatalogue(&v)
+		if c.store.Ready() && c.store.Stamp(keyFlavors) == 0 {
+			c.store.Txn(bookkeeping.Rest, []protocol.Cond{{Key: keyFlavors}}, []protocol.Op{{Write: keyFlavors, Data: encode(v)}},
+				func(bookkeeping.Outcome, []string, uint64) {})
+		}
+	})
+}
+
+func (c *Core) cloud(method, path string, body any, done func(protocol.Reply)) {
+	c.fleet.calls.level--
+	var raw []byte
+	if body != nil {
+		raw = encode(body)
+	}
+	c.call(protocol.Call{Target: protocol.ToCloud, Method: method, Path: path, Body: raw, Timeout: 5 * time.Second}, done)
+}
+
+func (c *Core) leads() bool {
+	return c.fleet.stamp != 0 && c.fleet.owner == c.cfg.Node && c.fleet.life == c.life && c.permit != 0 && c.now-c.permitAt < c.ttl*9/10
+}
+
+// fleetTick takes the lease if it is free and acts while holding it.
+func (c *Core) fleetTick() {
+	f := &c.fleet
+	if f.stamp == 0 && c.permit != 0 && !f.taking {
+		f.taking = true
+		c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyFleet}},
+			[]protocol.Op{{Write: keyFleet, Data: encode(lease{c.cfg.Node, c.life}), Permit: c.permit}},
+			func(o bookkeeping.Outcome, _ []string, _ uint64) {
+				f.taking = false
+				if o == bookkeeping.OK {
+					c.log.Info("leading the fleet")
+				}
+			})
+	}
+	if !c.leads() || len(c.catalogue) == 0 {
+		return
+	}
+	c.list()
+	c.deletions()
+	c.sendRentals()
+	if c.now >= f.planAt {
+		f.planAt = c.now + seconds(c.cfg.Facts.Workers.Report/6)
+		c.plan()
+	}
+}
+
+// list reads the cloud's list, page by page.
+func (c *Core) list() {
+	f := &c.fleet
+	if f.listBusy || f.calls.level < 1 || (f.listFrom == "" && c.now < f.listAt) {
+		return
+	}
+	f.listBusy = true
+	if f.listFrom == "" {
+		f.listing = map[string]protocol.Listed{}
+		f.listAt = c.now + seconds(c.cfg.Facts.Cloud.ListLag/3)
+	}
+	c.cloud(http.MethodGet, protocol.PathRentals+"?from="+url.QueryEscape(f.listFrom)+"&page=500", nil, func(r protocol.Reply) {
+		f.listBusy = false
+		var l protocol.RentalList
+		if r.Status != http.StatusOK || json.Unmarshal(r.Body, &l) != nil {
+			f.listFrom = ""
+			return
+		}
+		for _, m := range l.Stokers {
+			f.listing[m.Ref] = m
+			f.listFrom = m.Ref
+		}
+		if !l.Truncated || len(l.Stokers) == 0 {
+			f.listed, f.listFrom = f.listing, ""
+			c.listIn()
+		}
+	})
+}
+
+// listIn looks at a whole list: failed machines are evidence, others that
+// nobody uses are strays.
+func (c *Core) listIn() {
+	f := &c.fleet
+	for id, l := range f.listed {
+		if t, ok := f.gone[id]; ok && c.now-t < seconds(4*c.cfg.Facts.Cloud.ListLag) {
+			continue
+		}
+		t, known := c.catalogue[l.Rig]
+		m := c.machines[id]
+		switch {
+		case l.Status == protocol.StatusFailed:
+			c.machineGone(id)
+			f.deleting[id] = true
+		case m != nil && m.stamp != 0:
+		case known && l.AgeS > 4*t.StartupS+c.cfg.Facts.Workers.Lease:
+			// Never came up, or came up and nobody hears it.
+			c.log.Info("returning a machine that never reported", "stoker", id, "ageS", l.AgeS)
+			f.deleting[id] = true
+		}
+	}
+}
+
+// machineGone releases everything on a machine of which the cloud has said
+// that it is no more.
+func (c *Core) machineGone(id string) {
+	m := c.machines[id]
+	if m == nil {
+		return
+	}
+	for k, rec := range m.bound {
+		t := rec.task(c, k.index)
+		if !c.ending(rec, k.index) {
+			c.propose(rec, k.index, change{machine: id, session: t.Session, try: t.Try})
+		}
+	}
+}
+
+// deletions returns machines: drained ones once nothing is bound to them,
+// silent and faulty ones at once. The cloud's 200 is the evidence that
+// whatever was on them is gone.
+func (c *Core) deletions() {
+	f := &c.fleet
+	for id, d := range c.drains {
+		m := c.machines[id]
+		if m == nil || m.stamp == 0 || len(m.bound) == 0 || d.Why == drainSilent || d.Why == drainFailed {
+			f.deleting[id] = true
+		}
+	}
+	for id, m := range c.machines {
+		// Machines of dead controllers that report to nobody else.
+		if m.stamp == 0 || (c.alive(m.claim.Owner) && (c.members[m.claim.Owner] == nil || c.members[m.claim.Owner].Life == m.claim.Life)) {
+			delete(f.lost, id)
+			continue
+		}
+		if f.lost[id] == 0 {
+			f.lost[id] = c.now
+		} else if c.now-f.lost[id] > c.leaseOver() {
+			f.deleting[id] = true
+		}
+	}
+	if len(f.deleting) == 0 || f.calls.level < 1 {
+		return
+	}
+	var names []string
+	for id := range f.deleting {
+		if t, ok := f.gone[id]; !ok || c.now-t > seconds(2*c.cfg.Facts.Cloud.ListLag) || c.drains[id].Why != "" {
+			names = append(names, id)
+		}
+	}
+	sort.Strings(names)
+	if len(names) > 100 {
+		names = names[:100]
+	}
+	for _, id := range names {
+		delete(f.deleting, id)
+	}
+	if len(names) == 0 {
+		clear(f.deleting)
+		return
+	}
+	for _, id := range names {
+		f.gone[id] = c.now // not again while this is under way
+	}
+	c.cloud(http.MethodPost, protocol.PathDelete, protocol.Names{Stokers: names}, func(r protocol.Reply) {
+		if r.Status != http.StatusOK {
+			for _, id := range names {
+				f.deleting[id] = true
+			}
+			return
+		}
+		c.Stats.Deleted += uint64(len(names))
+		c.log.Info("machines returned", "stokers", names)
+		for _, id := range names {
+			c.machineGone(id)
+			c.forgetMachine(id)
+		}
+	})
+}
+
+// forgetMachine drops the records of a machine that is gone. Tasks still
+// bound to it are being released in their own transactions.
+func (c *Core) forgetMachine(id string) {
+	var conds []protocol.Cond
+	var ops []protocol.Op
+	for _, key := range []string{keyClaim + id, keyDrain + id} {
+		if s := c.store.Stamp(key); s != 0 {
+			conds = append(conds, protocol.Cond{Key: key, Stamp: s})
+			ops = append(ops, protocol.Op{Drop: key})
+		}
+	}
+	if len(ops) > 0 {
+		c.store.Txn(bookkeeping.Rest, conds, ops, func(bookkeeping.Outcome, []string, uint64) {})
+	}
+}
+
+// sendRentals sends recorded requests until each has got an answer.
+func (c *Core) sendRentals() {
+	f := &c.fleet
+	for name, r := range f.rentals {
+		if r.Names != nil {
+			c.settleRental(name, r)
+			continue
+		}
+		if r.busy || c.now < r.next || f.calls.level < 1 {
+			continue
+		}
+		r.busy = true
+		where := place{r.Rig, r.Depot, r.Spot}
+		c.cloud(http.MethodPost, protocol.PathRentals, protocol.Rental{Hire: name, Rig: r.Rig, Depot: r.Depot, Casual: r.Spot, Number: r.Number}, func(rep protocol.Reply) {
+			r.busy = false
+			var n protocol.Names
+			switch {
+			case rep.Status == http.StatusOK && json.Unmarshal(rep.Body, &n) == nil:
+				c.Stats.Rented += uint64(len(n.Stokers))
+				c.log.Info("rented", "hire", name, "rig", r.Rig, "depot", r.Depot, "casual", r.Spot, "stokers", n.Stokers)
+				if len(n.Stokers) < r.Number {
+					c.noCapacity(where)
+				} else {
+					f.strikes[where] = 0
+				}
+				if len(n.Stokers) == 0 {
+					c.dropRental(name)
+					return
+				}
+				r.Names = n.Stokers
+				c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyRental + name, Stamp: c.store.Stamp(keyRental + name)}},
+					[]protocol.Op{{Write: keyRental + name, Data: encode(r)}}, func(bookkeeping.Outcome, []string, uint64) {})
+			case rep.Status == http.StatusServiceUnavailable && string(rep.Body) != "" && !isTrouble(rep.Body):
+				c.noCapacity(where)
+				c.dropRental(name)
+			case rep.Status == http.StatusBadRequest:
+				c.log.Error("the cloud calls a rental malformed", "hire", name)
+				c.dropRental(name)
+			default:
+				r.next = c.now + time.Second
+			}
+		})
+	}
+}
+
+func isTrouble(body []byte) bool {
+	var p protocol.Problem
+	return json.Unmarshal(body, &p) != nil || p.Error != "no capacity"
+}
+
+func (c *Core) noCapacity(p place) {
+	f := &c.fleet
+	f.strikes[p]++
+	f.refused[p] = c.now + seconds(2*c.cfg.Facts.Workers.Report)*time.Duration(min(f.strikes[p], 5))
+}
+
+func (c *Core) dropRental(name string) {
+	c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyRental + name, Stamp: c.store.Stamp(keyRental + name)}},
+		[]protocol.Op{{Drop: keyRental + name}}, func(bookkeeping.Outcome, []string, uint64) {})
+}
+
+// settleRental drops a rental's record once its machines have all reported,
+// been returned, or been given up.
+func (c *Core) settleRental(name string, r *rental) {
+	t := c.catalogue[r.Rig]
+	late := float64(c.wall.UnixMilli()-r.At)/1000 > 4*t.StartupS+c.cfg.Facts.Workers.Lease
+	open := false
+	for _, id := range r.Names {
+		if !c.expected(id) {
+			continue
+		}
+		open = true
+		if late {
+			c.fleet.deleting[id] = true
+		}
+	}
+	if !open && !r.busy {
+		r.busy = true
+		c.dropRental(name)
+	}
+}
+
+// expected tells whether a rented machine has yet to report.
+func (c *Core) expected(id string) bool {
+	if _, gone := c.fleet.gone[id]; gone {
+		return false
+	}
+	m := c.machines[id]
+	return m == nil || m.stamp == 0
+}
+
+// shape of a machine in a plan.
+type slot struct {
+	id    string
+	where place
+	cpus  float64
+	gpus  float64
+	ram   float64
+	bound bool
+	used  bool
+	fresh bool
+}
+
+func (s *slot) takes(sp *job.Spec) bool {
+	if !sp.TypeAllowed(s.where.rig) || (sp.Zone != "" && sp.Zone != s.where.depot) || (s.where.spot && !sp.Spot) {
+		return false
+	}
+	return sp.CPUs <= s.cpus+tolerance && sp.GPUs <= s.gpus+tolerance && sp.MemoryGB <= s.ram+tolerance
+}
+
+func (s *slot) put(sp *job.Spec) {
+	s.cpus -= sp.CPUs
+	s.gpus -= sp.GPUs
+	s.ram -= sp.MemoryGB
+	s.used = true
+}
+
+// plan packs what waits, and a reserve, onto the machines there are and those
+// that are booting. What does not fit is rented for; what is not used is
+// returned after a while.
+func (c *Core) plan() {
+	f := &c.fleet
+	var slots []*slot
+	boot := 0
+	add := func(id string, where place, m *machine) {
+		t, ok := c.catalogue[where.rig]
+		if !ok {
+			return
+		}
+		s := &slot{id: id, where: where, cpus: t.CPUs, gpus: t.GPUs, ram: t.RAM}
+		if m != nil {
+			s.cpus, s.gpus, s.ram, s.bound = t.CPUs-m.cpus, t.GPUs-m.gpus, t.RAM-m.ram, len(m.bound) > 0
+		}
+		slots = append(slots, s)
+	}
+	known := map[string]bool{}
+	for id, m := range c.machines {
+		known[id] = m.stamp != 0
+		if _, drained := c.drains[id]; drained || m.stamp == 0 || m.draining {
+			continue
+		}
+		add(id, place{m.claim.Type, m.claim.Zone, m.claim.Spot}, m)
+	}
+	for id, l := range f.listed {
+		if _, gone := f.gone[id]; gone || known[id] || l.Status == protocol.StatusFailed {
+			continue
+		}
+		known[id] = true
+		boot++
+		add(id, place{l.Rig, l.Depot, l.Casual}, nil)
+	}
+	for name, r := range f.rentals {
+		for i := 0; i < r.Number; i++ {
+			id := name + "#" + strconv.Itoa(i)
+			if r.Names != nil {
+				if i >= len(r.Names) {
+					break
+				}
+				id = r.Names[i]
+				if known[id] || !c.expected(id) {
+					continue
+				}
+				known[id] = true
+			}
+			boot++
+			add(id, place{r.Rig, r.Depot, r.Spot}, nil)
+		}
+	}
+	// Fuller machines first, so that empty ones can be returned.
+	sort.Slice(slots, func(i, j int) bool {
+		a, b := slots[i], slots[j]
+		if a.bound != b.bound {
+			return a.bound
+		}
+		if a.where.spot != b.where.spot {
+			return a.where.spot // what may use spot machines leaves the others alone
+		}
+		return a.id < b.id
+	})
+	want := map[place]int{}
+	unmet := 0
+	put := func(sp *job.Spec, n int, avoid map[string]int) {
+		for ; n > 0; n-- {
+			ok := false
+			for _, s := range slots {
+				if s.takes(sp) && (avoid == nil || avoid[s.where.depot] < sp.SpreadLimit()) {
+					s.put(sp)
+					if avoid != nil {
+						avoid[s.where.depot]++
+					}
+					ok = true
+					break
+				}
+			}
+			if ok {
+				continue
+			}
+			w, found := c.bestPlace(sp, want, avoid)
+			if !found {
+				unmet += n
+				return
+			}
+			t := c.catalogue[w.rig]
+			s := &slot{where: w, cpus: t.CPUs, gpus: t.GPUs, ram: t.RAM, fresh: true}
+			s.put(sp)
+			slots = append(slots, s)
+			want[w]++
+			if avoid != nil {
+				avoid[w.depot]++
+			}
+		}
+	}
+	uses := map[string]usage{}
+	for _, r := range c.openJobs() {
+		f.samples[r.spec.Class] = r
+		tm := c.teams[r.spec.Team]
+		if tm == nil {
+			continue
+		}
+		u, ok := uses[r.spec.Team]
+		if !ok {
+			u = tm.use
+		}
+		n := 0
+		for pending := r.spec.Tasks - r.bound - r.finished; n < pending && tm.within(u.plus(r.spec, 1)); n++ {
+			u = u.plus(r.spec, 1)
+		}
+		uses[r.spec.Team] = u
+		if n == 0 {
+			continue
+		}
+		var avoid map[string]int
+		if r.spec.Spread {
+			avoid = map[string]int{}
+			for z, k := range r.zones {
+				avoid[z] = k
+			}
+		}
+		put(r.spec, n, avoid)
+	}
+	for _, o := range c.cfg.Facts.Objectives {
+		if s := f.samples[o.Class]; o.Kind == "wait" && s != nil && s.spec.Priority >= job.High {
+			if s.spec.Shape != job.Gang {
+				put(s.spec, 2, nil)
+			}
+		}
+	}
+	c.rent(want)
+	idle := 0.75
+	for _, s := range slots {
+		m := c.machines[s.id]
+		if m == nil || s.fresh {
+			continue
+		}
+		if s.used || s.bound || m.gpus > 0 || m.cpus > 0 {
+			m.idleAt = c.now
+			continue
+		}
+		if c.now-m.idleAt > seconds(idle*c.catalogue[m.claim.Type].StartupS) {
+			c.drain(m, drainIdle)
+		}
+	}
+	c.log.Debug("plan", "machines", len(slots), "booting", boot, "renting", len(want), "unmet", unmet)
+}
+
+// bestPlace picks where to rent for a task: the cheapest type and kind per
+// task that has not just been refused, in the zone with the fewest planned.
+func (c *Core) bestPlace(s *job.Spec, want map[place]int, avoid map[string]int) (place, bool) {
+	var best place
+	bestCost, bestLoad, found := 0.0, 0, false
+	for _, sku := range c.rigs() {
+		t := c.catalogue[sku]
+		if !s.TypeAllowed(sku) || !holds(&t, s) {
+			continue
+		}
+		fit := 1e9
+		for _, d := range [][2]float64{{t.CPUs, s.CPUs}, {t.GPUs, s.GPUs}, {t.RAM, s.MemoryGB}} {
+			if d[1] > 0 {
+				fit = min(fit, float64(int(d[0]/d[1]+tolerance)))
+			}
+		}
+		for _, spot := range []bool{true, false} {
+			if spot && !s.Spot {
+				continue
+			}
+			price := t.Hourly
+			if spot {
+				price = t.SpotPrice
+			}
+			for _, z := range t.Depots {
+				w := place{sku, z, spot}
+				if (s.Zone != "" && s.Zone != z) || c.now < c.fleet.refused[w] || (avoid != nil && avoid[z] >= s.SpreadLimit()) {
+					continue
+				}
+				cost, load := price/fit, want[w]
+				for _, m := range c.machines {
+					if m.stamp != 0 && m.claim.Zone == z {
+						load++
+					}
+				}
+				if !found || cost < bestCost*0.999 || (cost < bestCost*1.001 && load < bestLoad) {
+					best, bestCost, bestLoad, found = w, cost, load, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+func (c *Core) rigs() []string {
+	var out []string
+	for n := range c.catalogue {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// rent records new rentals; sendRentals sends them once recorded.
+func (c *Core) rent(want map[place]int) {
+	f := &c.fleet
+	pending := map[place]bool{}
+	for _, r := range f.rentals {
+		if r.Names == nil {
+			pending[place{r.Rig, r.Depot, r.Spot}] = true
+		}
+	}
+	var places []place
+	for w := range want {
+		places = append(places, w)
+	}
+	sort.Slice(places, func(i, j int) bool {
+		a, b := places[i], places[j]
+		return a.rig+a.depot < b.rig+b.depot || (a.rig+a.depot == b.rig+b.depot && !a.spot && b.spot)
+	})
+	for _, w := range places {
+		if pending[w] || f.taking {
+			continue
+		}
+		f.seq++
+		// The stamp of our tenure's lease key never comes again.
+		name := "r-" + strconv.FormatUint(f.stamp, 10) + "-" + strconv.Itoa(f.seq)
+		r := rental{Rig: w.rig, Depot: w.depot, Spot: w.spot, Number: min(want[w], 50), At: c.wall.UnixMilli()}
+		c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyRental + name}, {Key: keyFleet, Stamp: f.stamp}},
+			[]protocol.Op{{Write: keyRental + name, Data: encode(r)}}, func(bookkeeping.Outcome, []string, uint64) {})
+		f.refused[w] = max(f.refused[w], c.now+time.Second) // until the record shows
+	}
+}
--- /dev/null
+++ b/internal/coordination/members.go
@@ -0,0 +1,146 @@
+package coordination
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/protocol"
+)
+
+// member is a controller's published state: its life and the length of its
+// idle list, which is the thesis's probe.
+type member struct {
+	Life     int64 `json:"l"`
+	Idle     int   `json:"i"`
+	Machines int   `json:"m"`
+}
+
+// Message is what controllers tell each other. It only saves time.
+type Message struct {
+	Beat    *Beat
+	Forward *Forward
+}
+
+// Beat tells peers how old the sender's last proof of a fresh mirror is.
+type Beat struct{ FreshMS int64 }
+
+// Forward hands tasks of a job to a peer, which places them or keeps them in
+// its lines.
+type Forward struct {
+	Job   string
+	Tasks []int
+}
+
+type beat struct {
+	at    time.Duration
+	fresh time.Duration
+}
+
+func (c *Core) applyMember(name string, data json.RawMessage) {
+	if data == nil {
+		delete(c.members, name)
+		return
+	}
+	var m member
+	if decode(c.log, name, data, &m) {
+		c.members[name] = &m
+	}
+}
+
+// alive tells whether a controller holds its member key.
+func (c *Core) alive(name string) bool { return name == c.cfg.Node || c.members[name] != nil }
+
+// membership keeps our lease, publishes our list length and tells the peers.
+func (c *Core) membership() {
+	if c.now >= c.beatAt {
+		c.beatAt = c.now + seconds(c.cfg.Facts.Workers.Report/3)
+		age := c.now - c.store.Fresh()
+		if !c.store.Ready() {
+			age = time.Hour
+		}
+		for _, p := range c.cfg.Peers {
+			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds()}}})
+		}
+	}
+	if !c.store.Ready() || c.granting {
+		return
+	}
+	if c.permit == 0 {
+		c.granting = true
+		at := c.now
+		c.store.Grant(c.ttl, func(p uint64) {
+			c.granting = false
+			if p != 0 {
+				c.permit, c.permitAt, c.published = p, at, ""
+			} else {
+				c.permitAt = c.now
+			}
+		})
+		return
+	}
+	if c.now-c.permitAt > c.ttl/3 {
+		c.granting = true
+		at := c.now
+		c.store.Touch(c.permit, func(ok, gone bool) {
+			c.granting = false
+			if ok {
+				c.permitAt = at
+			}
+			if gone {
+				c.permit = 0
+			}
+		})
+	}
+	mine := 0
+	for _, m := range c.machines {
+		if c.mine(m) {
+			mine++
+		}
+	}
+	data := encode(member{c.life, len(c.idle), mine})
+	if string(data) != c.published && c.now >= c.publishAt {
+		c.publishAt = c.now + c.cfg.Operator.PublishInterval
+		c.published = string(data)
+		c.store.Txn(bookkeeping.Rest, nil, []protocol.Op{{Write: keyMember + c.cfg.Node, Data: data, Permit: c.permit}},
+			func(o bookkeeping.Outcome, _ []string, _ uint64) {
+				if o == bookkeeping.NoLease {
+					c.permit = 0
+				}
+				if o != bookkeeping.OK {
+					c.published = ""
+				}
+			})
+	}
+}
+
+func (c *Core) peerMessage(from string, m Message) {
+	switch {
+	case m.Beat != nil:
+		c.beats[from] = beat{c.now, time.Duration(m.Beat.FreshMS) * time.Millisecond}
+	case m.Forward != nil && c.store.Ready():
+		c.receive(m.Forward)
+	}
+}
+
+// successor names the controller that looks after a job: the one that took
+// it while that lives, else the next living one by name.
+func (c *Core) successor(home string) string {
+	if c.alive(home) {
+		return home
+	}
+	names := []string{c.cfg.Node}
+	for n := range c.members {
+		if n != c.cfg.Node {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		if n > home {
+			return n
+		}
+	}
+	return names[0]
+}
--- /dev/null
+++ b/internal/coordination/place.go
@@ -0,0 +1,453 @@
+package coordination
+
+import (
+	"sort"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// waiter is a task in a machine's line. The lines of our machines live in one
+// slice, ordered by priority and then age; each entry names its machine.
+type waiter struct {
+	key     taskKey
+	rec     *record
+	machine string
+	until   time.Duration // handed over by a peer: kept until then
+}
+
+// join puts a machine with room into the idle list, after it has taken the
+// oldest tasks that it can hold from any line.
+func (c *Core) join(m *machine) {
+	if c.barred(m) {
+		c.unlist(m)
+		return
+	}
+	c.drawLine(m)
+	if !c.hasRoom(m) {
+		c.unlist(m)
+		return
+	}
+	m.joined = c.now
+	if !m.listed {
+		m.listed = true
+		c.idle = append(c.idle, m.id)
+	}
+}
+
+func (c *Core) unlist(m *machine) {
+	if !m.listed {
+		return
+	}
+	m.listed = false
+	for i, id := range c.idle {
+		if id == m.id {
+			c.idle = append(c.idle[:i], c.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *Core) freed(id string) {
+	if m := c.machines[id]; m != nil && c.mine(m) && m.shown && c.now-m.heard < seconds(c.cfg.Facts.Workers.Report*c.cfg.Operator.EntryAge) {
+		c.join(m)
+	}
+}
+
+// hasRoom tells whether any task could use what is left.
+func (c *Core) hasRoom(m *machine) bool {
+	f, ok := c.catalogue[m.claim.Type]
+	if !ok {
+		return false
+	}
+	if f.GPUs > 0 {
+		return f.GPUs-m.gpus >= 1-1e-6 || m.gpus < 1e-6
+	}
+	return f.CPUs-m.cpus > 1e-6
+}
+
+const tolerance = 1e-6
+
+// fits tells whether a machine may and can hold a task now.
+func (c *Core) fits(r *record, m *machine) bool {
+	s := r.spec
+	f, ok := c.catalogue[m.claim.Type]
+	if !ok || !s.TypeAllowed(m.claim.Type) || (s.Zone != "" && s.Zone != m.claim.Zone) || (m.claim.Spot && !s.Spot) {
+		return false
+	}
+	if m.cpus+s.CPUs > f.CPUs+tolerance || m.gpus+s.GPUs > f.GPUs+tolerance || m.ram+s.MemoryGB > f.RAM+tolerance {
+		return false
+	}
+	return c.zoneOK(r, m.claim.Zone)
+}
+
+func (c *Core) zoneOK(r *record, zone string) bool {
+	if r.spec.OneZone {
+		for z, n := range r.zones {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return !r.spec.Spread || r.zones[zone] < r.spec.SpreadLimit()
+}
+
+// couldHold tells whether a machine could hold the task if it were empty.
+func (c *Core) couldHold(r *record, m *machine) bool {
+	s := r.spec
+	f, ok := c.catalogue[m.claim.Type]
+	return ok && s.TypeAllowed(m.claim.Type) && (s.Zone == "" || s.Zone == m.claim.Zone) && (!m.claim.Spot || s.Spot) && holds(&f, s)
+}
+
+// pop takes a random entry of the idle list whose remaining room holds the
+// task. Exception "warm image": entries that have the image go first.
+func (c *Core) pop(r *record) *machine {
+	var pick *machine
+	n, warm := 0, false
+	for _, id := range c.idle {
+		m := c.machines[id]
+		if m == nil || c.barred(m) || !c.fits(r, m) {
+			continue
+		}
+		w := m.images[r.spec.Image]
+		if w && !warm {
+			warm, n = true, 0
+		}
+		if w != warm {
+			continue
+		}
+		n++
+		if c.rnd.IntN(n) == 0 {
+			pick = m
+		}
+	}
+	return pick
+}
+
+// assign binds a task to a machine of ours.
+func (c *Core) assign(r *record, index int, m *machine) {
+	c.reserve(r, index, m)
+	c.propose(r, index, change{place: true, machine: m.id, session: m.session, try: c.nextTry(r)})
+	c.unline(taskKey{r.spec.ID, index})
+	if !c.hasRoom(m) {
+		c.unlist(m)
+	}
+	c.log.Debug("placing", "load", job.TaskName(r.spec.ID, index), "stoker", m.id)
+}
+
+// nextTry is the attempt of a gang's next start. The tasks of one attempt
+// find one another by it, so all of them get the same.
+func (c *Core) nextTry(r *record) int {
+	if r.spec.Shape != job.Gang {
+		return 0
+	}
+	if r.bound > 0 {
+		return r.last
+	}
+	return r.last + 1
+}
+
+// placeable tells whether a task may be placed now at all.
+func (c *Core) placeable(r *record, index int) bool {
+	if r == nil || r.final() || c.now < r.backoff {
+		return false
+	}
+	t := r.task(c, index)
+	if t == nil || t.Phase != job.Pending || r.held[index] != nil {
+		return false
+	}
+	tm := c.teams[r.spec.Team]
+	return tm != nil && tm.within(tm.use.plus(r.spec, 1))
+}
+
+// gangReady tells whether a gang of several tasks may start: none of the
+// earlier attempt is left.
+func multi(r *record) bool { return r.spec.Shape == job.Gang && r.spec.Tasks > 1 }
+
+// dispatchJob sends a job's pending tasks on their way.
+func (c *Core) dispatchJob(r *record) {
+	if r == nil || r.final() {
+		return
+	}
+	if multi(r) {
+		c.startGang(r)
+		return
+	}
+	var left []int
+	for i := 0; i < r.spec.Tasks; i++ {
+		if t := r.task(c, i); t.Phase != job.Pending {
+			continue
+		}
+		k := taskKey{r.spec.ID, i}
+		if c.waiting[k] != nil || c.now < c.placed[k] || !c.placeable(r, i) {
+			continue
+		}
+		if m := c.pop(r); m != nil { // step 2
+			c.assign(r, i, m)
+			continue
+		}
+		left = append(left, i)
+	}
+	if len(left) > 0 {
+		c.probe(r, left)
+	}
+}
+
+// probe is steps 3 and 4: up to d-2 random peers are checked by their
+// published list length; if none has entries, one more random controller
+// takes the task unchecked.
+func (c *Core) probe(r *record, tasks []int) {
+	var peers []string
+	for _, p := range c.cfg.Peers {
+		if c.members[p.Node] != nil {
+			peers = append(peers, p.Node)
+		}
+	}
+	sort.Strings(peers)
+	c.rnd.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	to := ""
+	checked := 0
+	for checked < len(peers) && checked < c.cfg.Operator.Probes-2 {
+		if m := c.members[peers[checked]]; m.Idle > 0 {
+			to = peers[checked]
+			break
+		}
+		checked++
+	}
+	if to == "" && checked < len(peers) {
+		to = peers[checked]
+		// A line needs a machine to be bound to: a controller without any
+		// that fits can't take the task.
+		if c.members[to].Machines == 0 {
+			to = ""
+		}
+	}
+	if to == "" {
+		c.enqueue(r, tasks, 0)
+		return
+	}
+	again := c.now + 2*c.cfg.Operator.PublishInterval
+	for _, i := range tasks {
+		c.placed[taskKey{r.spec.ID, i}] = again
+	}
+	c.Stats.Forwards += uint64(len(tasks))
+	for len(tasks) > 0 {
+		n := min(len(tasks), 1024)
+		c.out.Sends = append(c.out.Sends, Send{to, Message{Forward: &Forward{r.spec.ID, tasks[:n]}}})
+		tasks = tasks[n:]
+	}
+}
+
+// receive takes tasks from a peer: pop, or else a line.
+func (c *Core) receive(f *Forward) {
+	r := c.jobs[f.Job]
+	if r == nil || r.final() {
+		return // the mirror lags; the sender will try again
+	}
+	var left []int
+	for _, i := range f.Tasks {
+		if !c.placeable(r, i) {
+			continue
+		}
+		if m := c.pop(r); m != nil {
+			c.assign(r, i, m)
+		} else {
+			left = append(left, i)
+		}
+	}
+	c.enqueue(r, left, c.now+3*c.cfg.Operator.PublishInterval)
+}
+
+// enqueue binds tasks to the line of a random machine of ours that could hold
+// them.
+func (c *Core) enqueue(r *record, tasks []int, until time.Duration) {
+	if len(tasks) == 0 {
+		return
+	}
+	var fit []string
+	for _, m := range c.machines {
+		if c.mine(m) && !c.barred(m) && c.couldHold(r, m) {
+			fit = append(fit, m.id)
+		}
+	}
+	sort.Strings(fit)
+	for _, i := range tasks {
+		k := taskKey{r.spec.ID, i}
+		if w := c.waiting[k]; w != nil {
+			w.until = max(w.until, until)
+			continue
+		}
+		w := &waiter{key: k, rec: r, until: until}
+		if len(fit) > 0 {
+			w.machine = fit[c.rnd.IntN(len(fit))]
+		} else if until > 0 {
+			continue // nothing here could hold it: the sender keeps it
+		}
+		c.waiting[k] = w
+		at := sort.Search(len(c.line), func(j int) bool { return before(w, c.line[j]) })
+		c.line = append(c.line, nil)
+		copy(c.line[at+1:], c.line[at:])
+		c.line[at] = w
+	}
+}
+
+// before orders a line. Exception "urgency": the design's line is first-in
+// first-out; here a higher priority goes first, and within it the older job.
+func before(a, b *waiter) bool {
+	x, y := a.rec, b.rec
+	switch {
+	case x.spec.Priority != y.spec.Priority:
+		return x.spec.Priority > y.spec.Priority
+	case x.at != y.at:
+		return x.at < y.at
+	case a.key.id != b.key.id:
+		return a.key.id < b.key.id
+	}
+	return a.key.index < b.key.index
+}
+
+func (c *Core) unline(k taskKey) {
+	w := c.waiting[k]
+	if w == nil {
+		return
+	}
+	delete(c.waiting, k)
+	for i := range c.line {
+		if c.line[i] == w {
+			c.line = append(c.line[:i], c.line[i+1:]...)
+			return
+		}
+	}
+}
+
+// drawLine is step 5: a joining machine takes the oldest tasks it can hold,
+// from its own line or another's.
+func (c *Core) drawLine(m *machine) {
+	for i := 0; i < len(c.line); {
+		w := c.line[i]
+		if !c.hasRoom(m) {
+			return
+		}
+		if c.placeable(w.rec, w.key.index) && c.fits(w.rec, m) {
+			c.assign(w.rec, w.key.index, m) // takes w out of the line
+			continue
+		}
+		i++
+	}
+}
+
+// schedule sends every pending task that is ours to look after on its way
+// again, and clears the lines of what has been placed or is over.
+func (c *Core) schedule() {
+	for i := 0; i < len(c.line); {
+		w := c.line[i]
+		t := w.rec.task(c, w.key.index)
+		if w.rec.final() || t.Phase != job.Pending || (w.until > 0 && c.now > w.until) {
+			c.unline(w.key)
+			continue
+		}
+		i++
+	}
+	for _, id := range c.idle {
+		if m := c.machines[id]; m != nil && len(c.line) > 0 && !c.barred(m) {
+			c.drawLine(m)
+		}
+	}
+	for _, r := range c.openJobs() {
+		if r.bound+r.finished+len(r.held) < r.spec.Tasks && c.successor(r.home) == c.cfg.Node {
+			c.dispatchJob(r)
+		}
+	}
+	// Our own line's tasks look elsewhere again after a while: machines may
+	// have become free at other controllers.
+	for i := 0; i < len(c.line); {
+		w := c.line[i]
+		if w.until == 0 && c.now >= c.placed[w.key]+c.cfg.Operator.PublishInterval {
+			c.placed[w.key] = c.now
+			c.unline(w.key)
+			c.probe(w.rec, []int{w.key.index})
+			if c.waiting[w.key] != nil {
+				i++
+			}
+			continue
+		}
+		i++
+	}
+}
+
+// openJobs lists the unfinished jobs, most urgent first.
+func (c *Core) openJobs() []*record {
+	var out []*record
+	for _, r := range c.jobs {
+		if !r.final() {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.spec.Priority != b.spec.Priority {
+			return a.spec.Priority > b.spec.Priority
+		}
+		if a.at != b.at {
+			return a.at < b.at
+		}
+		return a.spec.ID < b.spec.ID
+	})
+	return out
+}
+
+// startGang starts a gang whole, once places for all its tasks are at hand
+// and nothing of an earlier attempt is left.
+func (c *Core) startGang(r *record) {
+	if r.bound > 0 || len(r.held) > 0 || c.now < r.backoff {
+		return
+	}
+	tm := c.teams[r.spec.Team]
+	need := float64(r.spec.Tasks - r.finished)
+	if tm == nil || !tm.within(tm.use.plus(r.spec, need)) {
+		return
+	}
+	zones := []string{""}
+	if r.spec.OneZone {
+		zones = c.cfg.Facts.Zones
+	}
+	for _, z := range zones {
+		var picked []int
+		for i := 0; i < r.spec.Tasks; i++ {
+			if r.task(c, i).Phase != job.Pending {
+				continue
+			}
+			var best *machine
+			for _, id := range c.idle {
+				m := c.machines[id]
+				if m != nil && !c.barred(m) && (z == "" || m.claim.Zone == z) && c.fits(r, m) {
+					best = m
+					break
+				}
+			}
+			if best == nil {
+				break
+			}
+			c.reserve(r, i, best)
+			picked = append(picked, i)
+		}
+		if len(picked) == int(need) {
+			for _, i := range picked {
+				m := c.machines[r.held[i].machine]
+				c.propose(r, i, change{place: true, machine: m.id, session: m.session, try: r.last + 1})
+			}
+			return
+		}
+		for _, i := range picked {
+			c.unreserve(r, i)
+		}
+	}
+}
+
+// setCatalogue takes the machine types.
+func (c *Core) setCatalogue(f *protocol.Flavors) {
+	for _, t := range f.Rigs {
+		c.catalogue[t.SKU] = t
+	}
+}
--- /dev/null
+++ b/internal/coordination/records.go
@@ -0,0 +1,397 @@
+package coordination
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/config"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// record is a mirrored job.
+type record struct {
+	spec     *job.Spec
+	status   job.Status
+	at       int64 // submission, milliseconds of the day's clock
+	home     string
+	stamp    uint64
+	pages    []*page
+	bound    int
+	finished int
+	last     int // the highest attempt
+	backoff  time.Duration
+	failedOn map[string]bool
+	zones    map[string]int       // bound and reserved tasks by zone
+	held     map[int]*reservation // tasks being placed by this controller
+}
+
+type reservation struct{ machine string }
+
+type storedJob struct {
+	Spec   *job.Spec  `json:"spec"`
+	Status job.Status `json:"st"`
+	At     int64      `json:"at"`
+	Home   string     `json:"home"`
+}
+
+// page is a run of a job's tasks, kept under one key. A page that does not
+// exist holds pending tasks only.
+type page struct {
+	rec   *record
+	id    string
+	num   int
+	stamp uint64
+	tasks []job.Task
+	queue []change
+	busy  bool
+	retry time.Duration
+}
+
+type orphan struct {
+	data  json.RawMessage
+	stamp uint64
+}
+
+func pageKey(id string, num int) string { return keyPage + id + "/" + strconv.Itoa(num) }
+
+func (r *record) final() bool { return r.status != job.Open }
+
+func (r *record) task(c *Core, i int) *job.Task {
+	if i < 0 || i >= r.spec.Tasks {
+		return nil
+	}
+	n := c.pageTasks()
+	return &r.pages[i/n].tasks[i%n]
+}
+
+func (c *Core) applyJob(id string, data json.RawMessage, stamp uint64) {
+	if data == nil {
+		return // job records are kept for ever
+	}
+	var s storedJob
+	if !decode(c.log, id, data, &s) || s.Spec == nil {
+		return
+	}
+	r := c.jobs[id]
+	if r == nil {
+		r = &record{spec: s.Spec, zones: map[string]int{}}
+		n := c.pageTasks()
+		for k := 0; k*n < s.Spec.Tasks; k++ {
+			r.pages = append(r.pages, &page{rec: r, id: id, num: k, tasks: make([]job.Task, min(n, s.Spec.Tasks-k*n))})
+		}
+		c.jobs[id] = r
+	}
+	r.status, r.at, r.home, r.stamp = s.Status, s.At, s.Home, stamp
+	for k := range r.pages {
+		key := id + "/" + strconv.Itoa(k)
+		if o, ok := c.orphans[key]; ok {
+			delete(c.orphans, key)
+			c.applyPage(key, o.data, o.stamp)
+		}
+	}
+}
+
+func (c *Core) applyPage(name string, data json.RawMessage, stamp uint64) {
+	id, num, _ := strings.Cut(name, "/")
+	k, err := strconv.Atoi(num)
+	r := c.jobs[id]
+	if r == nil {
+		c.orphans[name] = orphan{data, stamp}
+		return
+	}
+	if err != nil || k < 0 || k >= len(r.pages) || data == nil {
+		return
+	}
+	var tasks []job.Task
+	if !decode(c.log, name, data, &tasks) {
+		return
+	}
+	p := r.pages[k]
+	p.stamp = stamp
+	base := k * c.pageTasks()
+	for i := range p.tasks {
+		t := job.Task{}
+		if i < len(tasks) {
+			t = tasks[i]
+		}
+		old := p.tasks[i]
+		if old == t {
+			continue
+		}
+		c.unindex(r, taskKey{id, base + i}, &old)
+		p.tasks[i] = t
+		c.index(r, taskKey{id, base + i}, &t)
+	}
+}
+
+func (c *Core) index(r *record, k taskKey, t *job.Task) {
+	r.last = max(r.last, t.Try)
+	switch t.Phase {
+	case job.Bound:
+		r.bound++
+		m := c.machine(t.Machine)
+		m.bound[k] = r
+		m.use(r.spec, 1)
+		r.zones[m.claim.Zone]++
+		m.images[r.spec.Image] = true
+		delete(c.placed, k)
+		c.unline(k)
+	case job.Finished:
+		r.finished++
+	}
+}
+
+func (c *Core) unindex(r *record, k taskKey, t *job.Task) {
+	switch t.Phase {
+	case job.Bound:
+		r.bound--
+		m := c.machine(t.Machine)
+		delete(m.bound, k)
+		delete(m.sent, k)
+		m.use(r.spec, -1)
+		r.zones[m.claim.Zone]--
+	case job.Finished:
+		r.finished--
+	}
+}
+
+// team is a team's mirrored use.
+type team struct {
+	cfg   *config.Team
+	use   usage
+	stamp uint64
+	busy  bool
+}
+
+type usage struct {
+	CPUs float64 `json:"c"`
+	GPUs float64 `json:"g"`
+}
+
+func (u usage) plus(s *job.Spec, n float64) usage {
+	return usage{u.CPUs + n*s.CPUs, u.GPUs + n*s.GPUs}
+}
+
+// within tells whether u keeps to the limit; sums of decimal amounts get a
+// tolerance far below any amount that a user would give.
+func (t *team) within(u usage) bool {
+	const eps = 1e-6
+	return (t.cfg.CPUsMax == 0 || u.CPUs <= t.cfg.CPUsMax+eps) && (t.cfg.GPUsMax == 0 || u.GPUs <= t.cfg.GPUsMax+eps)
+}
+
+func (c *Core) applyTeam(name string, data json.RawMessage, stamp uint64) {
+	t := c.teams[name]
+	if t == nil || data == nil {
+		return
+	}
+	if decode(c.log, name, data, &t.use) {
+		t.stamp = stamp
+	}
+}
+
+// change is a wanted change of one task.
+type change struct {
+	index   int // in the page
+	place   bool
+	machine string
+	session uint64
+	try     int
+	done    bool
+	failed  bool
+	guard   bool // the evidence holds only under our claim
+}
+
+// propose queues a change of a task; the page's next transaction carries it.
+func (c *Core) propose(r *record, index int, ch change) {
+	n := c.pageTasks()
+	p := r.pages[index/n]
+	ch.index = index % n
+	for i := range p.queue {
+		if p.queue[i].index == ch.index && p.queue[i].place == ch.place {
+			p.queue[i] = ch
+			c.dirty[p] = true
+			return
+		}
+	}
+	p.queue = append(p.queue, ch)
+	c.dirty[p] = true
+}
+
+// flush sends a transaction for every page that has changes and none under
+// way. A team's record is in one transaction of ours at a time.
+func (c *Core) flush() {
+	if !c.store.Ready() {
+		return
+	}
+	for p := range c.dirty {
+		if !p.busy && c.now >= p.retry {
+			c.flushPage(p)
+		}
+	}
+}
+
+func (c *Core) flushPage(p *page) {
+	r := p.rec
+	tm := c.teams[r.spec.Team]
+	charge := tm != nil && limited(tm)
+	if charge && tm.busy {
+		return
+	}
+	tasks := append([]job.Task(nil), p.tasks...)
+	base := p.num * c.pageTasks()
+	conds := []protocol.Cond{{Key: keyJob + p.id, Stamp: r.stamp}, {Key: pageKey(p.id, p.num), Stamp: p.stamp}}
+	room := 4*c.cfg.Facts.State.TxnOps - 4
+	machines := map[string]bool{}
+	var use usage
+	if tm != nil {
+		use = tm.use
+	}
+	var taken, rest []change
+	class := bookkeeping.Work
+	for _, ch := range p.queue {
+		t := &tasks[ch.index]
+		k := taskKey{p.id, base + ch.index}
+		if ch.place {
+			m := c.machines[ch.machine]
+			ok := t.Phase == job.Pending && !r.final() && m != nil && c.mine(m) && m.session == ch.session && !c.barred(m)
+			u := use.plus(r.spec, 1)
+			if ok && charge && !tm.within(u) {
+				ok = false
+			}
+			if !ok {
+				c.unreserve(r, k.index)
+				continue
+			}
+			if !machines[m.id] {
+				if len(conds)+2 > room {
+					rest = append(rest, ch)
+					continue
+				}
+				machines[m.id] = true
+				conds = append(conds, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}, protocol.Cond{Key: keyDrain + m.id})
+			}
+			use = u
+			*t = job.Task{Phase: job.Bound, Try: t.Try + 1, Machine: m.id, Session: ch.session, Fails: t.Fails}
+			if r.spec.Shape == job.Gang {
+				t.Try = max(t.Try, ch.try)
+			}
+			taken = append(taken, ch)
+			continue
+		}
+		if t.Phase != job.Bound || t.Machine != ch.machine || t.Session != ch.session || t.Try != ch.try {
+			continue // overtaken
+		}
+		if ch.guard {
+			m := c.machines[ch.machine]
+			if m == nil || !c.mine(m) {
+				continue
+			}
+			if !machines[m.id] {
+				if len(conds)+2 > room {
+					rest = append(rest, ch)
+					continue
+				}
+				machines[m.id] = true
+				conds = append(conds, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp})
+			}
+		}
+		class = bookkeeping.Rules
+		use = use.plus(r.spec, -1)
+		nt := job.Task{Try: t.Try, Fails: t.Fails}
+		if ch.done {
+			nt.Phase = job.Finished
+		} else if ch.failed {
+			nt.Fails++
+		}
+		*t = nt
+		taken = append(taken, ch)
+	}
+	p.queue = rest
+	if len(rest) == 0 {
+		delete(c.dirty, p)
+	}
+	if len(taken) == 0 {
+		return
+	}
+	ops := []protocol.Op{{Write: pageKey(p.id, p.num), Data: encode(tasks)}}
+	if charge {
+		conds = append(conds, protocol.Cond{Key: keyTeam + r.spec.Team, Stamp: tm.stamp})
+		ops = append(ops, protocol.Op{Write: keyTeam + r.spec.Team, Data: encode(use)})
+		tm.busy = true
+	}
+	finished := r.finished
+	for i := range tasks {
+		if tasks[i].Phase == job.Finished && p.tasks[i].Phase != job.Finished {
+			finished++
+		}
+	}
+	spansPages := len(r.pages) > 1 && (r.spec.OneZone || r.spec.Spread)
+	switch {
+	case finished == r.spec.Tasks && r.status == job.Open:
+		// Finished tasks stay finished, so the other pages need no condition.
+		ops = append(ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, job.Done, r.at, r.home})})
+	case spansPages:
+		// Zones are judged over all pages; rewriting the job record makes
+		// placements of different pages exclude one another.
+		ops = append(ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, r.status, r.at, r.home})})
+	}
+	p.busy = true
+	c.store.Txn(class, conds, ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
+		p.busy = false
+		if charge {
+			tm.busy = false
+		}
+		for _, ch := range taken {
+			if ch.place {
+				c.unreserve(r, base+ch.index)
+			}
+		}
+		if o == bookkeeping.OK {
+			for _, ch := range taken {
+				if ch.place {
+					c.Stats.Placements++
+				} else {
+					c.Stats.Endings++
+					c.freed(ch.machine)
+				}
+			}
+			return
+		}
+		if o == bookkeeping.Conflict {
+			c.Stats.Conflicts++
+		}
+		c.log.Debug("transaction failed", "job", p.id, "page", p.num, "outcome", int(o), "failed", failed)
+		// Endings are proposed again; placements look for a place again. The
+		// mirror needs a moment to catch up with whoever was faster, and an
+		// unknown outcome shows in it.
+		p.retry = c.now + seconds(0.05+0.1*c.rnd.Float64())
+		for _, ch := range taken {
+			if !ch.place {
+				p.queue = append(p.queue, ch)
+				c.dirty[p] = true
+			}
+		}
+	})
+}
+
+func (c *Core) reserve(r *record, index int, m *machine) {
+	if r.held == nil {
+		r.held = map[int]*reservation{}
+	}
+	r.held[index] = &reservation{m.id}
+	m.use(r.spec, 1)
+	r.zones[m.claim.Zone]++
+}
+
+func (c *Core) unreserve(r *record, index int) {
+	if h := r.held[index]; h != nil {
+		delete(r.held, index)
+		m := c.machine(h.machine)
+		m.use(r.spec, -1)
+		r.zones[m.claim.Zone]--
+	}
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,278 @@
+package coordination
+
+import (
+	"fmt"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// poll is a user's question that waits for a fresh look at the state service.
+type poll struct {
+	id    uint64
+	ref   string
+	since time.Duration
+	known bool // a repeated submission: the answer is 200 or nothing
+}
+
+const maxPolls = 512
+
+func (c *Core) up(id uint64) {
+	switch {
+	case !c.store.Ready() || len(c.catalogue) == 0:
+		c.refuse(id, 503, "starting")
+	case c.isolated():
+		c.refuse(id, 503, "cut off from the state service")
+	default:
+		c.answer(id, 200, struct{}{}, 0)
+	}
+}
+
+// isolated tells whether the state service is out of reach for this
+// controller but not for its peers. In an outage that all see, leaving the
+// load balancer's list would only delay the return.
+func (c *Core) isolated() bool {
+	limit := seconds(c.cfg.Facts.Workers.Report)
+	if c.now-c.store.Fresh() < limit {
+		return false
+	}
+	for _, b := range c.beats {
+		if c.now-b.at < limit && b.fresh < limit/2 {
+			return true
+		}
+	}
+	return c.now-c.store.Fresh() > c.horizon()
+}
+
+func (c *Core) state(r *record) protocol.RunState {
+	s := protocol.RunState{Ref: r.spec.ID, Status: string(r.status)}
+	done, running := r.finished, r.bound
+	switch r.status {
+	case job.Done:
+		done, running = r.spec.Tasks, 0
+	case job.Open:
+		s.Status = "queued"
+		if running > 0 {
+			s.Status = "running"
+		}
+	}
+	s.Done, s.Running = &done, &running
+	return s
+}
+
+func (c *Core) poll(id uint64, ref string) {
+	if r := c.jobs[ref]; r != nil && r.final() {
+		c.answer(id, 200, c.state(r), 0) // final states never change
+		return
+	}
+	c.ask(poll{id: id, ref: ref, since: c.now})
+}
+
+func (c *Core) ask(p poll) {
+	if !c.store.Ready() || len(c.polls) >= maxPolls {
+		c.refuse(p.id, 503, "the job's state can't be read now")
+		return
+	}
+	c.polls = append(c.polls, p)
+}
+
+// sendPolls proves the mirror fresh for a batch of questions with one
+// comparing transaction. Whatever does not match is read.
+func (c *Core) sendPolls() {
+	if c.polling || len(c.polls) == 0 {
+		return
+	}
+	c.polling = true
+	batch := c.polls
+	limit := 4 * c.cfg.Facts.State.TxnOps
+	if len(batch) > limit {
+		batch, c.polls = batch[:limit:limit], append([]poll(nil), batch[limit:]...)
+	} else {
+		c.polls = nil
+	}
+	seen := map[string]bool{}
+	var conds []protocol.Cond
+	for _, p := range batch {
+		if !seen[p.ref] {
+			seen[p.ref] = true
+			conds = append(conds, protocol.Cond{Key: keyJob + p.ref, Stamp: c.store.Stamp(keyJob + p.ref)})
+		}
+	}
+	c.store.Txn(bookkeeping.Users, conds, nil, func(o bookkeeping.Outcome, failed []string, _ uint64) {
+		c.polling = false
+		stale := map[string]bool{}
+		for _, k := range failed {
+			stale[k] = true
+		}
+		for _, p := range batch {
+			switch {
+			case o == bookkeeping.OK:
+				c.tell(p)
+			case o == bookkeeping.Conflict && stale[keyJob+p.ref]:
+				c.store.Get(bookkeeping.Users, keyJob+p.ref, func(ok bool) {
+					if ok {
+						c.tell(p)
+					} else {
+						c.refuse(p.id, 503, "the job's state can't be read now")
+					}
+				})
+			case o == bookkeeping.Conflict:
+				c.polls = append(c.polls, p)
+			default:
+				c.refuse(p.id, 503, "the job's state can't be read now")
+			}
+		}
+	})
+	c.store.Tick(c.now)
+}
+
+func (c *Core) tell(p poll) {
+	r := c.jobs[p.ref]
+	switch {
+	case r != nil:
+		c.answer(p.id, 200, c.state(r), 0)
+	case p.known:
+		c.refuse(p.id, 503, "the outcome is not known yet")
+	default:
+		c.refuse(p.id, 404, "no such job")
+	}
+}
+
+func (c *Core) submit(id uint64, body []byte) {
+	ref, err := protocol.RunRef(body)
+	if err != nil {
+		c.refuse(id, 400, err.Error())
+		return
+	}
+	if !c.store.Ready() {
+		c.refuse(id, 503, "starting")
+		return
+	}
+	if r := c.jobs[ref]; r != nil {
+		c.poll(id, ref)
+		return
+	}
+	spec, err := protocol.ParseRun(body)
+	status := 400
+	if err == nil {
+		if len(c.catalogue) == 0 {
+			c.refuse(id, 503, "the machine types are not known yet")
+			return
+		}
+		status, err = 422, c.feasible(spec)
+	}
+	if err != nil {
+		// A known job is never refused, whatever its repetition says: the
+		// mirror may lag, so the record itself decides.
+		c.store.Get(bookkeeping.Users, keyJob+ref, func(ok bool) {
+			switch r := c.jobs[ref]; {
+			case !ok:
+				c.refuse(id, 503, "can't tell now")
+			case r != nil:
+				c.answer(id, 200, c.state(r), 0)
+			default:
+				c.refuse(id, status, err.Error())
+			}
+		})
+		return
+	}
+	key := keyJob + ref
+	rec := storedJob{spec, job.Open, c.wall.UnixMilli(), c.cfg.Node}
+	c.store.Txn(bookkeeping.Users, []protocol.Cond{{Key: key}}, []protocol.Op{{Write: key, Data: encode(rec)}},
+		func(o bookkeeping.Outcome, _ []string, _ uint64) {
+			switch o {
+			case bookkeeping.OK:
+				c.Stats.Submitted++
+				c.answer(id, 201, protocol.RunState{Ref: ref, Status: "queued"}, 0)
+				c.dispatchJob(c.jobs[ref])
+			case bookkeeping.Conflict, bookkeeping.Unknown:
+				// Known already, or the answer was lost: the record tells.
+				c.store.Get(bookkeeping.Users, key, func(ok bool) {
+					if r := c.jobs[ref]; ok && r != nil {
+						c.answer(id, 200, c.state(r), 0)
+					} else {
+						c.refuse(id, 503, "the outcome is not known yet")
+					}
+				})
+			default:
+				c.refuse(id, 503, "the state service can't be written now")
+			}
+		})
+}
+
+// feasible tells why a job can never run.
+func (c *Core) feasible(s *job.Spec) error {
+	t := c.teams[s.Team]
+	if t == nil {
+		return fmt.Errorf("crew: unknown team %q", s.Team)
+	}
+	fits := false
+	for name := range c.catalogue {
+		f := c.catalogue[name]
+		if !s.TypeAllowed(name) || !holds(&f, s) {
+			continue
+		}
+		for _, z := range f.Depots {
+			fits = fits || s.Zone == "" || s.Zone == z
+		}
+	}
+	if !fits {
+		return fmt.Errorf("no allowed machine type holds a task")
+	}
+	n := 1.0
+	if s.Shape != job.Array {
+		n = float64(s.Tasks)
+	}
+	if !t.within(usage{}.plus(s, n)) {
+		return fmt.Errorf("the job needs more than the limit of team %q", s.Team)
+	}
+	return nil
+}
+
+func holds(f *protocol.Flavor, s *job.Spec) bool {
+	return s.CPUs <= f.CPUs && s.GPUs <= f.GPUs && s.MemoryGB <= f.RAM
+}
+
+func (c *Core) cancel(id uint64, ref string, tries int) {
+	if !c.store.Ready() || tries > 4 {
+		c.refuse(id, 503, "can't cancel now")
+		return
+	}
+	r := c.jobs[ref]
+	if r != nil && r.final() {
+		c.answer(id, 200, protocol.RunState{Ref: ref, Status: string(r.status)}, 0)
+		return
+	}
+	key := keyJob + ref
+	reread := func() {
+		c.store.Get(bookkeeping.Rules, key, func(ok bool) {
+			switch {
+			case !ok:
+				c.refuse(id, 503, "can't cancel now")
+			case c.jobs[ref] == nil:
+				c.refuse(id, 404, "no such job")
+			default:
+				c.cancel(id, ref, tries+1)
+			}
+		})
+	}
+	if r == nil {
+		reread()
+		return
+	}
+	rec := storedJob{r.spec, job.Cancelled, r.at, r.home}
+	c.store.Txn(bookkeeping.Rules, []protocol.Cond{{Key: key, Stamp: r.stamp}}, []protocol.Op{{Write: key, Data: encode(rec)}},
+		func(o bookkeeping.Outcome, _ []string, _ uint64) {
+			switch o {
+			case bookkeeping.OK:
+				c.Stats.Cancelled++
+				c.answer(id, 200, protocol.RunState{Ref: ref, Status: string(job.Cancelled)}, 0)
+			case bookkeeping.Conflict, bookkeeping.Unknown:
+				reread()
+			default:
+				c.refuse(id, 503, "can't cancel now")
+			}
+		})
+}
--- /dev/null
+++ b/internal/coordination/workers.go
@@ -0,0 +1,418 @@
+package coordination
+
+import (
+	"encoding/json"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// claim is the record that makes a worker ours; its stamp is the worker's
+// token. It is rewritten only to take a new token.
+type claim struct {
+	Owner   string `json:"o"`
+	Life    int64  `json:"l"`
+	Address string `json:"a"`
+	Type    string `json:"t"`
+	Zone    string `json:"z"`
+	Spot    bool   `json:"s,omitempty"`
+}
+
+// drain bars a machine from new work; placements are conditioned on its
+// absence.
+type drain struct {
+	Why string `json:"w"`
+}
+
+// Reasons for a drain.
+const (
+	drainIdle   = "idle"
+	drainSilent = "silent"
+	drainRecall = "recall"
+	drainFaulty = "faulty"
+	drainFailed = "failed"
+)
+
+type machine struct {
+	id     string
+	claim  claim
+	stamp  uint64
+	bound  map[taskKey]*record
+	cpus   float64 // in use or reserved
+	gpus   float64
+	ram    float64
+	images map[string]bool // fetched or being fetched, as far as is known
+
+	// What the holder knows.
+	session  uint64
+	tally    uint64
+	shown    bool // a report carried our token
+	heard    time.Duration
+	answered time.Duration // arrival of the last report answered with 200
+	released bool          // its lease is over and its tasks were given up
+	recalled bool
+	claiming bool
+	sent     map[taskKey]uint64 // tally of the report whose answer launched
+	stops    map[taskKey]stop
+	errors   map[string]bool // jobs whose tasks failed here
+	listed   bool
+	joined   time.Duration
+	idleAt   time.Duration // since when nothing is bound, for the fleet
+	draining bool          // a drain is being written
+}
+
+type stop struct {
+	grace float64
+	why   string
+	at    time.Duration
+}
+
+func (c *Core) machine(id string) *machine {
+	m := c.machines[id]
+	if m == nil {
+		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]bool{}, sent: map[taskKey]uint64{},
+			stops: map[taskKey]stop{}, errors: map[string]bool{}, idleAt: c.now}
+		c.machines[id] = m
+	}
+	return m
+}
+
+func (m *machine) use(s *job.Spec, n float64) {
+	m.cpus += n * s.CPUs
+	m.gpus += n * s.GPUs
+	m.ram += n * s.MemoryGB
+}
+
+func (c *Core) mine(m *machine) bool {
+	return m.stamp != 0 && m.claim.Owner == c.cfg.Node && m.claim.Life == c.life
+}
+
+// barred tells whether new work may not go to the machine.
+func (c *Core) barred(m *machine) bool {
+	_, drained := c.drains[m.id]
+	return drained || m.draining || m.recalled || m.released || m.claiming || !m.shown
+}
+
+func (c *Core) applyClaim(id string, data json.RawMessage, stamp uint64) {
+	m := c.machine(id)
+	if data == nil {
+		m.stamp = 0
+		m.shown = false
+		c.unlist(m)
+		if len(m.bound) == 0 {
+			delete(c.machines, id)
+		}
+		return
+	}
+	var k claim
+	if !decode(c.log, id, data, &k) {
+		return
+	}
+	m.claim, m.stamp = k, stamp
+	m.shown, m.released = false, false
+	clear(m.sent)
+	if !c.mine(m) {
+		c.unlist(m)
+		clear(m.stops)
+	}
+}
+
+func (c *Core) applyDrain(id string, data json.RawMessage) {
+	if data == nil {
+		delete(c.drains, id)
+		return
+	}
+	var d drain
+	if decode(c.log, id, data, &d) {
+		c.drains[id] = d
+		if m := c.machines[id]; m != nil {
+			c.unlist(m)
+		}
+	}
+}
+
+// checkin takes a worker's report.
+func (c *Core) checkin(id uint64, body []byte) {
+	c.Stats.Checkins++
+	r, err := protocol.ParseReport(body)
+	if err != nil {
+		c.refuse(id, 400, err.Error())
+		return
+	}
+	if !c.store.Ready() {
+		c.refuse(id, 503, "starting")
+		return
+	}
+	if peer := c.betterPlaced(); peer != "" {
+		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
+		return
+	}
+	if c.now-c.store.Fresh() > c.horizon() {
+		// A cancellation may have been acknowledged that we can't see.
+		c.refuse(id, 503, "cut off from the state service")
+		return
+	}
+	m := c.machine(r.Stoker)
+	if c.mine(m) && r.Baton <= m.stamp {
+		c.accept(id, m, r)
+		return
+	}
+	if m.claiming {
+		c.refuse(id, 503, "being claimed")
+		return
+	}
+	c.take(m, r, 0, func(ok bool) {
+		if !ok {
+			c.refuse(id, 503, "the claim failed")
+			return
+		}
+		c.accept(id, m, r)
+	})
+}
+
+// take writes the claim for a new token.
+func (c *Core) take(m *machine, r *protocol.Report, tries int, done func(bool)) {
+	m.claiming = true
+	k := claim{c.cfg.Node, c.life, r.Address, r.Rig, r.Depot, r.Casual}
+	c.store.Txn(bookkeeping.Rules, []protocol.Cond{{Key: keyClaim + m.id, Stamp: m.stamp}},
+		[]protocol.Op{{Write: keyClaim + m.id, Data: encode(k)}}, func(o bookkeeping.Outcome, _ []string, _ uint64) {
+			m.claiming = false
+			switch {
+			case o == bookkeeping.OK:
+				c.Stats.Claims++
+				c.machines[m.id] = m
+				m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
+				done(true)
+			case (o == bookkeeping.Conflict || o == bookkeeping.Unknown) && tries < 1:
+				m.claiming = true
+				c.store.Get(bookkeeping.Rules, keyClaim+m.id, func(ok bool) {
+					m.claiming = false
+					switch {
+					case !ok:
+						done(false)
+					default:
+						c.take(m, r, tries+1, done)
+					}
+				})
+			default:
+				done(false)
+			}
+		})
+}
+
+// accept answers a report under our claim.
+func (c *Core) accept(id uint64, m *machine, r *protocol.Report) {
+	if !c.mine(m) {
+		c.refuse(id, 503, "the claim was lost")
+		return
+	}
+	if r.Shift < m.session || (r.Shift == m.session && r.Tally <= m.tally) {
+		// A report that was held back: its list is old and its sender has
+		// given up on it.
+		c.refuse(id, 503, "an older report")
+		return
+	}
+	m.session, m.tally, m.heard = r.Shift, r.Tally, c.now
+	m.recalled = r.RecallS != nil
+	if r.Baton == m.stamp {
+		m.shown = true
+	}
+	ans := protocol.CheckinAnswer{Baton: m.stamp, Orders: []protocol.Order{}}
+	// Our token in the report shows that no earlier holder's answer counts
+	// any more; the mirror must also contain all that they committed, which
+	// was conditioned on their claim and so came before ours.
+	if m.shown && r.Baton == m.stamp && c.store.Ledger() >= m.stamp {
+		ans.Orders = c.orders(m, r)
+		m.released = false
+		if m.recalled {
+			c.drain(m, drainRecall)
+		}
+		c.join(m)
+	}
+	m.answered = c.now
+	c.answer(id, 200, ans, 0)
+}
+
+// orders compares a report with the records: what should be on the machine is
+// launched, what should not be is stopped, and endings are proposed for commit
+// and forgotten once committed.
+func (c *Core) orders(m *machine, r *protocol.Report) []protocol.Order {
+	orders := []protocol.Order{}
+	listed := map[taskKey]bool{}
+	zero := 0.0
+	for i := range r.Loads {
+		l := &r.Loads[i]
+		id, index, err := job.SplitTaskName(l.Load)
+		if err != nil {
+			continue
+		}
+		k := taskKey{id, index}
+		rec := c.jobs[id]
+		var t *job.Task
+		if rec != nil {
+			t = rec.task(c, index)
+		}
+		if t == nil || t.Phase != job.Bound || t.Machine != m.id || t.Session != r.Shift || t.Try != l.Try {
+			// Not an attempt of ours, or one whose ending is committed.
+			if l.Status == protocol.LoadEnded {
+				orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Load: l.Load, Try: l.Try})
+			} else {
+				orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
+			}
+			continue
+		}
+		listed[k] = true
+		if l.Status == protocol.LoadEnded {
+			c.ended(m, rec, k, t, l)
+			continue
+		}
+		if rec.final() {
+			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
+		} else if s, ok := m.stops[k]; ok && l.Status != protocol.LoadSaving {
+			grace := s.grace
+			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &grace})
+		}
+	}
+	for k, rec := range m.bound {
+		t := rec.task(c, k.index)
+		if listed[k] {
+			continue
+		}
+		gone := change{machine: m.id, session: t.Session, try: t.Try}
+		if t.Session < r.Shift {
+			c.propose(rec, k.index, gone) // its session is over
+			continue
+		}
+		if t.Session > r.Shift {
+			continue
+		}
+		_, stopping := m.stops[k]
+		if rec.final() || stopping || m.recalled {
+			// Launched only by answers: an answer to an earlier report has
+			// been executed or dropped by now, so what this newer report
+			// lacks is not there and nothing under way can bring it.
+			if at, ok := m.sent[k]; !ok || at < r.Tally {
+				gone.guard = true
+				c.propose(rec, k.index, gone)
+				delete(m.stops, k)
+			}
+			continue
+		}
+		if c.ending(rec, k.index) {
+			continue // never launch what is about to be committed as ended
+		}
+		m.sent[k] = r.Tally
+		orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: t.Try})
+	}
+	for k := range m.stops {
+		if m.bound[k] == nil {
+			delete(m.stops, k)
+		}
+	}
+	return orders
+}
+
+// ending tells whether an ending of the task is queued or under way.
+func (c *Core) ending(r *record, index int) bool {
+	n := c.pageTasks()
+	p := r.pages[index/n]
+	for i := range p.queue {
+		if p.queue[i].index == index%n && !p.queue[i].place {
+			return true
+		}
+	}
+	return p.busy
+}
+
+func (c *Core) ended(m *machine, rec *record, k taskKey, t *job.Task, l *protocol.Load) {
+	ch := change{machine: m.id, session: t.Session, try: t.Try, done: l.Cause == protocol.CauseDone, failed: l.Cause == protocol.CauseError}
+	if ch.failed {
+		m.errors[k.id] = true
+		if rec.failedOn == nil {
+			rec.failedOn = map[string]bool{}
+		}
+		rec.failedOn[m.id] = true
+		// One machine's errors point to the machine, one job's errors on
+		// several machines point to the job, which then waits longer and
+		// longer so that it does not churn healthy machines.
+		if n := len(rec.failedOn); n > 1 {
+			rec.backoff = c.now + seconds(c.cfg.Facts.Workers.Report*float64(int(1)<<min(t.Fails, 6)))
+		}
+		if len(m.errors) > 1 {
+			c.drain(m, drainFaulty)
+		}
+		c.log.Info("task failed", "load", l.Load, "stoker", m.id, "fails", t.Fails+1)
+	}
+	c.propose(rec, k.index, ch)
+}
+
+// drain writes a machine's drain record.
+func (c *Core) drain(m *machine, why string) {
+	if old, ok := c.drains[m.id]; m.draining || ok && old.Why == why {
+		return
+	}
+	m.draining = true
+	c.unlist(m)
+	c.log.Debug("draining", "stoker", m.id, "why", why)
+	c.store.Txn(bookkeeping.Rules, []protocol.Cond{{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}},
+		[]protocol.Op{{Write: keyDrain + m.id, Data: encode(drain{why})}}, func(bookkeeping.Outcome, []string, uint64) {
+			m.draining = false
+		})
+}
+
+// watchMachines looks for machines of ours that have gone silent.
+func (c *Core) watchMachines() {
+	w := &c.cfg.Facts.Workers
+	entryAge := seconds(w.Report * c.cfg.Operator.EntryAge)
+	// A worker gives up on an answer after 4 s; three reports and one such
+	// wait without a word, while others are heard, is a machine in trouble.
+	silent := seconds(3*w.Report + 4)
+	heard, mine := 0, 0
+	for _, m := range c.machines {
+		if c.mine(m) {
+			mine++
+			if c.now-m.heard < silent {
+				heard++
+			}
+		}
+	}
+	for _, m := range c.machines {
+		if !c.mine(m) {
+			continue
+		}
+		if c.now-m.heard > entryAge {
+			c.unlist(m)
+		}
+		if m.shown && m.answered > 0 && c.now-m.answered > c.leaseOver() {
+			// The worker has killed everything: its lease is over.
+			m.released = true
+			for k, rec := range m.bound {
+				t := rec.task(c, k.index)
+				if t.Session <= m.session && !c.ending(rec, k.index) {
+					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, guard: true})
+				}
+			}
+		}
+		if c.now-m.heard > silent && (heard*2 >= mine || c.now-m.heard > c.leaseOver()) {
+			c.drain(m, drainSilent)
+		}
+	}
+}
+
+// betterPlaced names a peer that can serve workers while we can't reach the
+// state service.
+func (c *Core) betterPlaced() string {
+	limit := seconds(c.cfg.Facts.Workers.Report)
+	if c.now-c.store.Fresh() < limit {
+		return ""
+	}
+	best := ""
+	for name, b := range c.beats {
+		if c.now-b.at < limit && b.fresh < limit/2 && (best == "" || name < best) {
+			best = name
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/transport/link.go
@@ -0,0 +1,132 @@
+package transport
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// A peer link carries gob values one way, each in a frame with its length in
+// front. One encoder and one decoder serve a link for its whole life, so that
+// type descriptions cross once. The first frame is a greeting with the
+// sender's name.
+
+const maxFrame = 1 << 20
+
+type inLink struct {
+	buf  []byte
+	data bytes.Buffer
+	dec  *gob.Decoder
+	from string
+}
+
+func newInLink() *inLink {
+	l := &inLink{}
+	l.dec = gob.NewDecoder(&l.data)
+	return l
+}
+
+func (l *inLink) feed(in []byte, h Handler) error {
+	l.buf = append(l.buf, in...)
+	for len(l.buf) >= 4 {
+		n := int(binary.BigEndian.Uint32(l.buf))
+		if n > maxFrame {
+			return errors.New("frame too large")
+		}
+		if len(l.buf) < 4+n {
+			return nil
+		}
+		l.data.Reset()
+		l.data.Write(l.buf[4 : 4+n])
+		l.buf = append(l.buf[:0], l.buf[4+n:]...)
+		if l.from == "" {
+			if err := l.dec.Decode(&l.from); err != nil || l.from == "" {
+				return errors.New("bad greeting")
+			}
+			continue
+		}
+		m, err := h.Decode(l.dec)
+		if err != nil {
+			return err
+		}
+		h.Message(l.from, m)
+	}
+	return nil
+}
+
+// OutLink is the sending side of a peer link. It connects by itself and drops
+// what it can't send: peer messages only save time.
+type OutLink struct {
+	self, addr string
+	mu         sync.Mutex
+	queue      []any
+	wake       chan struct{}
+}
+
+// NewOutLink starts a link from self to the peer at addr.
+func NewOutLink(self, addr string) *OutLink {
+	l := &OutLink{self: self, addr: addr, wake: make(chan struct{}, 1)}
+	go l.run()
+	return l
+}
+
+// Send queues a message, unless too many wait already.
+func (l *OutLink) Send(m any) {
+	l.mu.Lock()
+	if len(l.queue) < 256 {
+		l.queue = append(l.queue, m)
+	}
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *OutLink) run() {
+	var c net.Conn
+	var enc *gob.Encoder
+	var buf bytes.Buffer
+	put := func(m any) error {
+		buf.Reset()
+		buf.Write([]byte{0, 0, 0, 0})
+		if err := enc.Encode(m); err != nil {
+			return err
+		}
+		b := buf.Bytes()
+		binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+		_ = c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		_, err := c.Write(b)
+		return err
+	}
+	for range l.wake {
+		l.mu.Lock()
+		q := l.queue
+		l.queue = nil
+		l.mu.Unlock()
+		for _, p := range q {
+			if c == nil {
+				var err error
+				if c, err = net.DialTimeout("tcp4", l.addr, time.Second); err != nil {
+					c = nil
+					break
+				}
+				enc = gob.NewEncoder(&buf)
+				if put(l.self) != nil {
+					c.Close()
+					c = nil
+					break
+				}
+			}
+			if put(p) != nil {
+				c.Close()
+				c = nil
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,176 @@
+package transport
+
+import (
+	"encoding/gob"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tidwall/evio"
+)
+
+// Handler is what the server calls, always with the server's lock held.
+type Handler interface {
+	// Serve takes a request; its answer goes to Server.Answer under id, at
+	// once or later.
+	Serve(id uint64, r *Request)
+	// Decode reads one message from a peer link's gob stream.
+	Decode(dec *gob.Decoder) (any, error)
+	// Message takes a message from a peer link.
+	Message(from string, m any)
+	// Tick is called every tick interval.
+	Tick()
+}
+
+// Server is one evio loop with two addresses: HTTP and peer links. Everything
+// it calls runs under one lock, shared with whoever steps the core.
+type Server struct {
+	mu       *sync.Mutex
+	handler  Handler
+	interval time.Duration
+	patience time.Duration
+	maxConns int
+	conns    map[uint64]*conn
+	http     int
+	next     uint64
+	ticks    int
+}
+
+type conn struct {
+	ev      evio.Conn
+	id      uint64 // the id of the request being served, or 0
+	in      []byte
+	out     []byte
+	peer    *inLink
+	inside  bool // the loop is in this connection's Data call
+	busy    bool
+	last    bool // close after the answer
+	closing bool
+	started time.Time // when the pending bytes began to arrive
+}
+
+// NewServer makes a server. Slow senders are cut off after patience, and HTTP
+// connections beyond maxConns are closed on arrival.
+func NewServer(mu *sync.Mutex, h Handler, tick, patience time.Duration, maxConns int) *Server {
+	return &Server{mu: mu, handler: h, interval: tick, patience: patience, maxConns: maxConns, conns: map[uint64]*conn{}}
+}
+
+// Run serves until the loop fails.
+func (s *Server) Run(httpAddr, peerAddr string) error {
+	open := map[*conn]bool{}
+	ev := evio.Events{NumLoops: 1}
+	ev.Opened = func(c evio.Conn) ([]byte, evio.Options, evio.Action) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		k := &conn{ev: c}
+		c.SetContext(k)
+		open[k] = true
+		if c.AddrIndex() == 1 {
+			k.peer = newInLink()
+		} else if s.http++; s.http > s.maxConns {
+			return AppendResponse(nil, http.StatusServiceUnavailable, []byte(`{"error":"too many connections"}`), 1, true), evio.Options{}, evio.Close
+		}
+		return nil, evio.Options{ReuseInputBuffer: true}, evio.None
+	}
+	ev.Closed = func(c evio.Conn, _ error) evio.Action {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if k, ok := c.Context().(*conn); ok {
+			if k.peer == nil {
+				s.http--
+			}
+			delete(s.conns, k.id)
+			delete(open, k)
+			k.closing = true
+		}
+		return evio.None
+	}
+	ev.Data = func(c evio.Conn, in []byte) ([]byte, evio.Action) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		k := c.Context().(*conn)
+		if k.peer != nil {
+			if err := k.peer.feed(in, s.handler); err != nil {
+				return nil, evio.Close
+			}
+			return nil, evio.None
+		}
+		return s.data(k, in)
+	}
+	ev.Tick = func() (time.Duration, evio.Action) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.handler.Tick()
+		if s.ticks++; s.ticks%20 == 0 {
+			now := time.Now()
+			for k := range open {
+				if k.peer == nil && !k.busy && len(k.in) > 0 && now.Sub(k.started) > s.patience {
+					k.out = AppendResponse(k.out, http.StatusRequestTimeout, []byte(`{"error":"request too slow"}`), 0, true)
+					k.closing = true
+					k.ev.Wake()
+				}
+			}
+		}
+		return s.interval, evio.None
+	}
+	if err := evio.Serve(ev, "tcp4://"+httpAddr, "tcp4://"+peerAddr); err != nil {
+		return err
+	}
+	return errors.New("event loop ended")
+}
+
+func (s *Server) data(k *conn, in []byte) ([]byte, evio.Action) {
+	k.inside = true
+	if len(in) > 0 && !k.closing {
+		if len(k.in) == 0 {
+			k.started = time.Now()
+		}
+		k.in = append(k.in, in...)
+	}
+	for !k.busy && !k.closing && len(k.in) > 0 {
+		r, n, err := ParseRequest(k.in)
+		if err != nil {
+			k.out = AppendResponse(k.out, err.Status, []byte(`{"error":"`+err.Reason+`"}`), 0, true)
+			k.closing = true
+			break
+		}
+		if n == 0 {
+			break
+		}
+		s.next++
+		k.id, k.busy = s.next, true
+		s.conns[k.id] = k
+		k.last = r.Close
+		s.handler.Serve(k.id, r)
+		k.in = append(k.in[:0], k.in[n:]...)
+		if cap(k.in) > 8<<10 && len(k.in) == 0 {
+			k.in = nil
+		}
+	}
+	if k.busy && len(k.in) > maxHead+maxBody {
+		k.closing = true // floods while a request is being served
+	}
+	k.inside = false
+	out := k.out
+	k.out = nil
+	if k.closing {
+		return out, evio.Close
+	}
+	return out, evio.None
+}
+
+// Answer sends the response to request id. The server's lock must be held.
+func (s *Server) Answer(id uint64, status int, body []byte, retryAfter int) {
+	k := s.conns[id]
+	if k == nil {
+		return
+	}
+	delete(s.conns, id)
+	k.busy = false
+	k.out = AppendResponse(k.out, status, body, retryAfter, k.last)
+	k.closing = k.closing || k.last
+	if !k.inside {
+		k.ev.Wake()
+	}
+}
