Launch by direct orders after the commit

Cause: a launch waited for the next report, half a report period on average. An unanswered direct launch taints the machine until a new token is seen there.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -81,6 +81,8 @@
 	polls   []poll
 	polling bool
 
+	launching []*machine
+
 	permit    uint64
 	permitAt  time.Duration
 	granting  bool
@@ -144,6 +146,7 @@
 	c.flush()
 	c.store.Tick(c.now)
 	c.sendPolls()
+	c.sendLaunches()
 	e := c.out
 	c.out = Effects{}
 	return e
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -354,6 +354,7 @@
 			for _, ch := range taken {
 				if ch.place {
 					c.Stats.Placements++
+					c.launchSoon(ch.machine, taskKey{p.id, base + ch.index}, tasks[ch.index].Try)
 				} else {
 					c.Stats.Endings++
 					c.freed(ch.machine)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -55,6 +55,9 @@
 	recalled bool
 	claiming bool
 	sent     map[taskKey]uint64 // tally of the report whose answer launched
+	direct   map[taskKey]int    // launches sent to /orders and not answered yet, with their attempt
+	tainted  bool               // such a launch got no answer: it may be executed until a new token is seen
+	soon     []protocol.Order   // launches for the next direct call
 	stops    map[taskKey]stop
 	errors   map[string]bool // jobs whose tasks failed here
 	listed   bool
@@ -73,7 +76,7 @@
 	m := c.machines[id]
 	if m == nil {
 		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]bool{}, sent: map[taskKey]uint64{},
-			stops: map[taskKey]stop{}, errors: map[string]bool{}, idleAt: c.now}
+			stops: map[taskKey]stop{}, direct: map[taskKey]int{}, errors: map[string]bool{}, idleAt: c.now}
 		c.machines[id] = m
 	}
 	return m
@@ -113,6 +116,7 @@
 	m.claim, m.stamp = k, stamp
 	m.shown, m.released = false, false
 	clear(m.sent)
+	m.soon = nil
 	if !c.mine(m) {
 		c.unlist(m)
 		clear(m.stops)
@@ -155,7 +159,7 @@
 		return
 	}
 	m := c.machine(r.Stoker)
-	if c.mine(m) && r.Baton <= m.stamp {
+	if c.mine(m) && r.Baton <= m.stamp && !(m.tainted && r.Baton == m.stamp) {
 		c.accept(id, m, r)
 		return
 	}
@@ -181,6 +185,10 @@
 			m.claiming = false
 			switch {
 			case o == bookkeeping.OK:
+				// Whatever was sent under the old token is void once this
+				// one is seen, and nothing is believed before that.
+				m.tainted = false
+				clear(m.direct)
 				c.Stats.Claims++
 				c.machines[m.id] = m
 				m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
@@ -257,6 +265,11 @@
 		if t == nil || t.Phase != job.Bound || t.Machine != m.id || t.Session != r.Shift || t.Try != l.Try {
 			// Not an attempt of ours, or one whose ending is committed.
 			if l.Status == protocol.LoadEnded {
+				// A launch still on its way would start a forgotten attempt
+				// again, so it is forgotten after the answer to that.
+				if try, under := m.direct[k]; under && try == l.Try {
+					continue
+				}
 				orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Load: l.Load, Try: l.Try})
 			} else {
 				orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
@@ -290,9 +303,12 @@
 		}
 		_, stopping := m.stops[k]
 		if rec.final() || stopping || m.recalled {
-			// Launched only by answers: an answer to an earlier report has
-			// been executed or dropped by now, so what this newer report
-			// lacks is not there and nothing under way can bring it.
+			// An answer to an earlier report has been executed or dropped by
+			// now, and no direct launch is under way, so what this newer
+			// report lacks is not there and nothing can bring it.
+			if _, under := m.direct[k]; under {
+				continue
+			}
 			if at, ok := m.sent[k]; !ok || at < r.Tally {
 				gone.guard = true
 				c.propose(rec, k.index, gone)
@@ -416,3 +432,51 @@
 	}
 	return best
 }
+
+// launchSoon sends a committed launch straight to its worker with the step's
+// other launches, which saves the wait for the next report.
+func (c *Core) launchSoon(id string, k taskKey, try int) {
+	m := c.machines[id]
+	if m == nil || !c.mine(m) || !m.shown || m.tainted || m.claim.Address == "" {
+		return // the answer to its next report launches it
+	}
+	if len(m.soon) == 0 {
+		c.launching = append(c.launching, m)
+	}
+	m.soon = append(m.soon, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: try})
+	m.direct[k] = try
+}
+
+// sendLaunches makes one direct call for every machine with launches.
+//
+// Guards against late execution: a direct command may be carried out minutes
+// after we gave up on it, as long as token and session match. Until its answer
+// the attempt is neither forgotten nor released for being absent; without an
+// answer the machine is tainted, and its next report gets a new token.
+func (c *Core) sendLaunches() {
+	for _, m := range c.launching {
+		orders := m.soon
+		m.soon = nil
+		if len(orders) == 0 || !c.mine(m) {
+			continue
+		}
+		token := m.stamp
+		body := encode(protocol.DirectOrders{Baton: token, Shift: m.session, Orders: orders})
+		c.call(protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: "POST", Path: protocol.PathOrders,
+			Body: body, Timeout: seconds(c.cfg.Facts.Workers.Report / 2)}, func(r protocol.Reply) {
+			if m.stamp != token {
+				return // a newer token was taken meanwhile
+			}
+			if r.Status == 0 && r.Sent {
+				m.tainted = true
+				return
+			}
+			for _, o := range orders {
+				if id, i, err := job.SplitTaskName(o.Load); err == nil {
+					delete(m.direct, taskKey{id, i})
+				}
+			}
+		})
+	}
+	c.launching = c.launching[:0]
+}
