--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -8,6 +8,7 @@
 package coordination
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
@@ -82,6 +83,7 @@
 	polling bool
 
 	launching []*machine
+	verbose   bool // debug lines are wanted; saves building them
 
 	permit    uint64
 	permitAt  time.Duration
@@ -120,6 +122,7 @@
 		t := &cfg.Facts.Teams[i]
 		c.teams[t.Name] = &team{cfg: t}
 	}
+	c.verbose = log.Enabled(context.Background(), slog.LevelDebug)
 	c.ttl = seconds(cfg.Facts.Workers.Lease / 3)
 	c.fleet.init()
 	c.store = bookkeeping.NewStore(&cfg.Facts, 1+len(cfg.Peers))
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -185,6 +185,7 @@
 			switch o {
 			case bookkeeping.OK:
 				c.Stats.Submitted++
+				c.log.Debug("accepted", "job", ref, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
 				c.answer(id, 201, protocol.RunState{Ref: ref, Status: "queued"}, 0)
 				c.dispatchJob(c.jobs[ref])
 			case bookkeeping.Conflict, bookkeeping.Unknown:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -277,6 +277,9 @@
 			continue
 		}
 		listed[k] = true
+		if c.verbose {
+			c.log.Debug("reported", "load", l.Load, "try", l.Try, "status", l.Status, "cause", l.Cause, "stoker", m.id)
+		}
 		if l.Status == protocol.LoadEnded {
 			c.ended(m, rec, k, t, l)
 			continue
