--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -189,6 +189,7 @@
 		c.sweepAt = c.now + seconds(c.cfg.Facts.Workers.Report/12)
 		c.watchMachines()
 		c.schedule()
+		c.preempt()
 		c.fleetTick()
 	}
 	return c.end()
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -15,6 +15,7 @@
 	rec     *record
 	machine string
 	until   time.Duration // handed over by a peer: kept until then
+	stopped time.Duration // stops were ordered for it: no others before
 }
 
 // join puts a machine with room into the idle list, after it has taken the
--- /dev/null
+++ b/internal/coordination/preempt.go
@@ -0,0 +1,198 @@
+package coordination
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// Exception "preemption": the thesis's tasks never leave a server before they
+// are done. Here a waiting task of higher priority stops lower ones on one
+// machine of ours, chosen so that the least work is lost.
+
+// preempt looks for room for the waiters that nothing free can hold.
+func (c *Core) preempt() {
+	var open map[*machine]bool // machines with stops under way
+	for _, w := range c.line {
+		r := w.rec
+		if r.spec.Priority <= job.Low || c.now < w.stopped || multi(r) || !c.placeable(r, w.key.index) {
+			continue
+		}
+		if open == nil {
+			open = map[*machine]bool{}
+			for _, m := range c.machines {
+				if c.mine(m) && len(m.stops) > 0 {
+					open[m] = true
+				}
+			}
+		}
+		m, victims := c.victims(r, open)
+		if m == nil {
+			continue
+		}
+		open[m] = true
+		// The victims' exits are reported at once; should that fail, another
+		// machine is tried after a report period.
+		w.stopped = c.now + seconds(c.cfg.Facts.Workers.Report)
+		for _, k := range victims {
+			c.stop(m, k, "preempted")
+			c.Stats.Preemptions++
+		}
+		c.log.Debug("preempting", "for", r.spec.ID, "stoker", m.id, "victims", len(victims))
+	}
+}
+
+// victims finds the machine where room for the task costs least, and what to
+// stop there.
+func (c *Core) victims(r *record, open map[*machine]bool) (*machine, []taskKey) {
+	var best *machine
+	var bestSet []taskKey
+	bestCost := 0.0
+	for _, id := range c.owned() {
+		m := c.machines[id]
+		if open[m] || c.barred(m) || !c.couldHold(r, m) || !c.zoneOK(r, m.claim.Zone) {
+			continue
+		}
+		set, cost, ok := c.evict(r, m)
+		if !ok {
+			continue
+		}
+		cost += c.fetchTime(r.spec, m)
+		if best == nil || cost < bestCost {
+			best, bestSet, bestCost = m, set, cost
+		}
+	}
+	return best, bestSet
+}
+
+// evict picks the tasks of lower priority to stop on a machine, cheapest
+// first, and tells what work that loses in seconds of task time.
+func (c *Core) evict(r *record, m *machine) (set []taskKey, cost float64, ok bool) {
+	type victim struct {
+		k    taskKey
+		rec  *record
+		cost float64
+	}
+	var all []victim
+	for k, v := range m.bound {
+		if v.spec.Priority >= r.spec.Priority || multi(v) || v.final() {
+			continue
+		}
+		all = append(all, victim{k, v, c.lossOf(m, k, v)})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		if a.rec.spec.Priority != b.rec.spec.Priority {
+			return a.rec.spec.Priority < b.rec.spec.Priority
+		}
+		if a.cost != b.cost {
+			return a.cost < b.cost
+		}
+		return a.k.id < b.k.id || (a.k.id == b.k.id && a.k.index < b.k.index)
+	})
+	f := c.catalogue[m.claim.Type]
+	s := r.spec
+	cpus, gpus, ram := m.cpus, m.gpus, m.ram
+	for _, v := range all {
+		if cpus+s.CPUs <= f.CPUs+tolerance && gpus+s.GPUs <= f.GPUs+tolerance && ram+s.MemoryGB <= f.RAM+tolerance {
+			break
+		}
+		cpus, gpus, ram = cpus-v.rec.spec.CPUs, gpus-v.rec.spec.GPUs, ram-v.rec.spec.MemoryGB
+		set, cost = append(set, v.k), cost+v.cost
+	}
+	ok = len(set) > 0 && cpus+s.CPUs <= f.CPUs+tolerance && gpus+s.GPUs <= f.GPUs+tolerance && ram+s.MemoryGB <= f.RAM+tolerance
+	return set, cost, ok
+}
+
+// lossOf is the work that stopping a task loses: what it has done since its
+// start or its last checkpoint.
+func (c *Core) lossOf(m *machine, k taskKey, r *record) float64 {
+	at, ok := m.begun[k]
+	if !ok {
+		return 0
+	}
+	ran := (c.now - at).Seconds()
+	if r.spec.Checkpoint > 0 {
+		return min(ran, r.spec.Checkpoint)
+	}
+	return ran
+}
+
+// fetchTime is how long a task would wait for its image on a machine.
+func (c *Core) fetchTime(s *job.Spec, m *machine) float64 {
+	f := c.catalogue[m.claim.Type]
+	if m.images[s.Image] || f.PullRate <= 0 {
+		return 0
+	}
+	return s.ImageGB / f.PullRate
+}
+
+// owned lists our machines by name.
+func (c *Core) owned() []string {
+	var out []string
+	for id, m := range c.machines {
+		if c.mine(m) {
+			out = append(out, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// stop tells a worker to stop a task, directly and with every answer until it
+// has. A stop that is carried out late does no harm: it names the attempt.
+func (c *Core) stop(m *machine, k taskKey, why string) {
+	rec := m.bound[k]
+	if rec == nil || !c.mine(m) {
+		return
+	}
+	t := rec.task(c, k.index)
+	grace := 0.0
+	if rec.spec.Checkpoint > 0 {
+		grace = rec.spec.Save * 2
+	}
+	m.stops[k] = stop{grace, why, c.now}
+	if m.claim.Address == "" || !m.shown {
+		return
+	}
+	token := m.stamp
+	body := encode(protocol.DirectOrders{Baton: token, Shift: m.session, Orders: []protocol.Order{
+		{Verb: protocol.VerbKill, Load: job.TaskName(k.id, k.index), Try: t.Try, WindDownS: &grace}}})
+	c.call(protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: http.MethodPost, Path: protocol.PathOrders,
+		Body: body, Timeout: seconds(c.cfg.Facts.Workers.Report / 2)}, func(r protocol.Reply) { c.observe(m, token, r) })
+}
+
+// observe takes the report in the answer to direct commands. Only endings are
+// read from it: they stay true however late it comes.
+func (c *Core) observe(m *machine, token uint64, r protocol.Reply) {
+	var rep protocol.Report
+	if r.Status != http.StatusOK || m.stamp != token || json.Unmarshal(r.Body, &rep) != nil || rep.Baton != token || c.store.Ledger() < token {
+		return
+	}
+	for i := range rep.Loads {
+		l := &rep.Loads[i]
+		id, index, err := job.SplitTaskName(l.Load)
+		if l.Status != protocol.LoadEnded || err != nil {
+			continue
+		}
+		k := taskKey{id, index}
+		rec := m.bound[k]
+		if rec == nil {
+			continue
+		}
+		if t := rec.task(c, index); t.Phase == job.Bound && t.Machine == m.id && t.Session == rep.Shift && t.Try == l.Try && !c.ending(rec, index) {
+			c.ended(m, rec, k, t, l)
+		}
+	}
+}
+
+// began notes when a task was first seen running.
+func (m *machine) began(k taskKey, at time.Duration) {
+	if _, ok := m.begun[k]; !ok {
+		m.begun[k] = at
+	}
+}
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -152,6 +152,8 @@
 		m := c.machine(t.Machine)
 		delete(m.bound, k)
 		delete(m.sent, k)
+		delete(m.begun, k)
+		delete(m.stops, k)
 		m.use(r.spec, -1)
 		r.zones[m.claim.Zone]--
 	case job.Finished:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -54,10 +54,11 @@
 	released bool          // its lease is over and its tasks were given up
 	recalled bool
 	claiming bool
-	sent     map[taskKey]uint64 // tally of the report whose answer launched
-	direct   map[taskKey]int    // launches sent to /orders and not answered yet, with their attempt
-	tainted  bool               // such a launch got no answer: it may be executed until a new token is seen
-	soon     []protocol.Order   // launches for the next direct call
+	sent     map[taskKey]uint64        // tally of the report whose answer launched
+	direct   map[taskKey]int           // launches sent to /orders and not answered yet, with their attempt
+	tainted  bool                      // such a launch got no answer: it may be executed until a new token is seen
+	soon     []protocol.Order          // launches for the next direct call
+	begun    map[taskKey]time.Duration // first seen running
 	stops    map[taskKey]stop
 	errors   map[string]bool // jobs whose tasks failed here
 	listed   bool
@@ -76,7 +77,7 @@
 	m := c.machines[id]
 	if m == nil {
 		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]bool{}, sent: map[taskKey]uint64{},
-			stops: map[taskKey]stop{}, direct: map[taskKey]int{}, errors: map[string]bool{}, idleAt: c.now}
+			stops: map[taskKey]stop{}, direct: map[taskKey]int{}, begun: map[taskKey]time.Duration{}, errors: map[string]bool{}, idleAt: c.now}
 		c.machines[id] = m
 	}
 	return m
@@ -284,6 +285,9 @@
 			c.ended(m, rec, k, t, l)
 			continue
 		}
+		if l.Status == protocol.LoadRunning {
+			m.began(k, c.now)
+		}
 		if rec.final() {
 			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
 		} else if s, ok := m.stops[k]; ok && l.Status != protocol.LoadSaving {
@@ -474,6 +478,7 @@
 				m.tainted = true
 				return
 			}
+			c.observe(m, token, r)
 			for _, o := range orders {
 				if id, i, err := job.SplitTaskName(o.Load); err == nil {
 					delete(m.direct, taskKey{id, i})
