--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -269,7 +269,7 @@
 	}
 	var names []string
 	for id := range f.deleting {
-		if t, ok := f.gone[id]; !ok || c.now-t > seconds(2*c.cfg.Facts.Cloud.ListLag) || c.drains[id].Why != "" {
+		if t, ok := f.gone[id]; !ok || c.now-t > seconds(2*c.cfg.Facts.Cloud.ListLag) {
 			names = append(names, id)
 		}
 	}
@@ -277,11 +277,8 @@
 	if len(names) > 100 {
 		names = names[:100]
 	}
-	for _, id := range names {
-		delete(f.deleting, id)
-	}
+	clear(f.deleting)
 	if len(names) == 0 {
-		clear(f.deleting)
 		return
 	}
 	for _, id := range names {
@@ -291,6 +288,7 @@
 		if r.Status != http.StatusOK {
 			for _, id := range names {
 				f.deleting[id] = true
+				delete(f.gone, id)
 			}
 			return
 		}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -101,21 +101,22 @@
 	return ok && s.TypeAllowed(m.claim.Type) && (s.Zone == "" || s.Zone == m.claim.Zone) && (!m.claim.Spot || s.Spot) && holds(&f, s)
 }
 
-// pop takes a random entry of the idle list whose remaining room holds the
-// task. Exception "warm image": entries that have the image go first.
+// pop takes an entry of the idle list whose remaining room holds the task: a
+// random one of those that suit it best.
 func (c *Core) pop(r *record) *machine {
 	var pick *machine
-	n, warm := 0, false
+	var best rank
+	n := 0
 	for _, id := range c.idle {
 		m := c.machines[id]
 		if m == nil || c.barred(m) || !c.fits(r, m) {
 			continue
 		}
-		w := m.images[r.spec.Image]
-		if w && !warm {
-			warm, n = true, 0
-		}
-		if w != warm {
+		k := c.rank(r, m)
+		switch {
+		case n == 0 || k.before(best):
+			best, n = k, 0
+		case best.before(k):
 			continue
 		}
 		n++
@@ -126,6 +127,38 @@
 	return pick
 }
 
+// rank orders entries for a task. The thesis pops at random among servers
+// that are all alike; ours differ, hence three exceptions:
+// "soonest start": a machine that has the image, or fetches it faster;
+// "spot first": what may use cheap machines leaves the ordinary ones;
+// "best fit": the fullest machine, so that whole blocks stay for gangs.
+type rank struct {
+	fetch int // in report periods
+	plain bool
+	free  int // tenths of the machine
+}
+
+func (a rank) before(b rank) bool {
+	if a.fetch != b.fetch {
+		return a.fetch < b.fetch
+	}
+	if a.plain != b.plain {
+		return b.plain
+	}
+	return a.free < b.free
+}
+
+func (c *Core) rank(r *record, m *machine) rank {
+	f := c.catalogue[m.claim.Type]
+	k := rank{fetch: int(c.fetchTime(r.spec, m)/c.cfg.Facts.Workers.Report + 0.99), plain: r.spec.Spot && !m.claim.Spot}
+	if f.GPUs > 0 {
+		k.free = int(10 * (f.GPUs - m.gpus) / f.GPUs)
+	} else if f.CPUs > 0 {
+		k.free = int(10 * (f.CPUs - m.cpus) / f.CPUs)
+	}
+	return k
+}
+
 // assign binds a task to a machine of ours.
 func (c *Core) assign(r *record, index int, m *machine) {
 	c.reserve(r, index, m)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -379,7 +379,9 @@
 	m.draining = true
 	c.unlist(m)
 	c.log.Debug("draining", "stoker", m.id, "why", why)
-	c.store.Txn(bookkeeping.Rules, []protocol.Cond{{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}},
+	// The claim is a condition too: a controller that was cut off must not
+	// judge machines that have long reported to another.
+	c.store.Txn(bookkeeping.Rules, []protocol.Cond{{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}, {Key: keyClaim + m.id, Stamp: m.stamp}},
 		[]protocol.Op{{Write: keyDrain + m.id, Data: encode(drain{why})}}, func(bookkeeping.Outcome, []string, uint64) {
 			m.draining = false
 		})
@@ -392,6 +394,7 @@
 	// A worker gives up on an answer after 4 s; three reports and one such
 	// wait without a word, while others are heard, is a machine in trouble.
 	silent := seconds(3*w.Report + 4)
+	blind := c.now-c.store.Fresh() > seconds(w.Report)
 	heard, mine := 0, 0
 	for _, m := range c.machines {
 		if c.mine(m) {
@@ -418,7 +421,7 @@
 				}
 			}
 		}
-		if c.now-m.heard > silent && (heard*2 >= mine || c.now-m.heard > c.leaseOver()) {
+		if !blind && c.now-m.heard > silent && (heard*2 >= mine || c.now-m.heard > c.leaseOver()) {
 			c.drain(m, drainSilent)
 		}
 	}
