--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -131,7 +131,8 @@
 // that are all alike; ours differ, hence three exceptions:
 // "soonest start": a machine that has the image, or fetches it faster;
 // "spot first": what may use cheap machines leaves the ordinary ones;
-// "best fit": the fullest machine, so that whole blocks stay for gangs.
+// "best fit": the fullest machine, so that whole blocks stay for gangs, or
+// for services the one with the least that services do not hold.
 type rank struct {
 	fetch int // in report periods
 	plain bool
@@ -150,6 +151,11 @@
 
 func (c *Core) rank(r *record, m *machine) rank {
 	f := c.catalogue[m.claim.Type]
+	if r.spec.Shape == job.Service {
+		// Services outlive everything else: they gather on the machines
+		// that services hold already, so that the others can be returned.
+		return rank{fetch: int(c.fetchTime(r.spec, m)/c.cfg.Facts.Workers.Report + 0.99), free: int(10 * (f.GPUs - m.steady))}
+	}
 	k := rank{fetch: int(c.fetchTime(r.spec, m)/c.cfg.Facts.Workers.Report + 0.99), plain: r.spec.Spot && !m.claim.Spot}
 	if f.GPUs > 0 {
 		k.free = int(10 * (f.GPUs - m.gpus) / f.GPUs)
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -52,6 +52,7 @@
 	var best *machine
 	var bestSet []taskKey
 	bestCost := 0.0
+	var bestRank rank
 	for _, id := range c.owned() {
 		m := c.machines[id]
 		if open[m] || c.barred(m) || !c.couldHold(r, m) || !c.zoneOK(r, m.claim.Zone) {
@@ -62,8 +63,12 @@
 			continue
 		}
 		cost += c.fetchTime(r.spec, m)
-		if best == nil || cost < bestCost {
-			best, bestSet, bestCost = m, set, cost
+		k := rank{}
+		if r.spec.Shape == job.Service {
+			k = c.rank(r, m)
+		}
+		if best == nil || k.before(bestRank) || (k == bestRank && cost < bestCost) {
+			best, bestSet, bestCost, bestRank = m, set, cost, k
 		}
 	}
 	return best, bestSet
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -43,6 +43,7 @@
 	cpus   float64 // in use or reserved
 	gpus   float64
 	ram    float64
+	steady float64         // what services hold: accelerators, or processors where they use none
 	images map[string]bool // fetched or being fetched, as far as is known
 
 	// What the holder knows.
@@ -87,6 +88,9 @@
 	m.cpus += n * s.CPUs
 	m.gpus += n * s.GPUs
 	m.ram += n * s.MemoryGB
+	if s.Shape == job.Service {
+		m.steady += n * max(s.GPUs, s.CPUs/1e3)
+	}
 }
 
 func (c *Core) mine(m *machine) bool {
