--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -333,18 +333,81 @@
 }
 
 // before orders a line. Exception "urgency": the design's line is first-in
-// first-out; here a higher priority goes first, and within it the older job.
+// first-out; here a higher priority goes first, and within it the job whose
+// turn comes earlier.
 func before(a, b *waiter) bool {
-	x, y := a.rec, b.rec
+	if a.rec != b.rec {
+		return sooner(a.rec, b.rec)
+	}
+	return a.key.index < b.key.index
+}
+
+func sooner(x, y *record) bool {
 	switch {
 	case x.spec.Priority != y.spec.Priority:
 		return x.spec.Priority > y.spec.Priority
+	case x.turn != y.turn:
+		return x.turn < y.turn
 	case x.at != y.at:
 		return x.at < y.at
-	case a.key.id != b.key.id:
-		return a.key.id < b.key.id
 	}
-	return a.key.index < b.key.index
+	return x.spec.ID < y.spec.ID
+}
+
+// updateTurns computes when each job's turn comes among jobs of its priority:
+// the latest time at which it can start and still meet its deadline or its
+// class's aim at finishing, put back by a multiple of the time the fleet would
+// need for what is left of it, so that large jobs do not hold up many small
+// ones. A job that is late already lets those go first that can still be in
+// time. Time passes for all alike, so no job waits for ever.
+func (c *Core) updateTurns(open []*record) {
+	gpus, cpus := 0.0, 0.0
+	for _, m := range c.machines {
+		if m.stamp != 0 {
+			f := c.catalogue[m.claim.Type]
+			gpus, cpus = gpus+f.GPUs, cpus+f.CPUs
+		}
+	}
+	now := float64(c.wall.UnixMilli()) / 1000
+	for _, r := range open {
+		s := r.spec
+		due := c.within(s)
+		left := float64(s.Tasks-r.finished-r.bound) * s.Estimate
+		share := 0.0
+		if s.GPUs > 0 && gpus > 0 {
+			share = left * s.GPUs / gpus
+		} else if cpus > 0 {
+			share = left * s.CPUs / cpus
+		}
+		last := float64(r.at)/1000 + due - s.Estimate
+		r.turn = last + sizeWeight*share
+		if now > last {
+			r.turn += due
+		}
+	}
+}
+
+// sizeWeight is how much longer than its share of the fleet's time a job
+// waits for smaller ones.
+const sizeWeight = 8
+
+// within is the time a job has to finish: its deadline, or the tightest aim of
+// its class, or the loosest of all.
+func (c *Core) within(s *job.Spec) float64 {
+	if s.Deadline != nil {
+		return *s.Deadline
+	}
+	tight, loose := 0.0, 0.0
+	for _, o := range c.cfg.Facts.Objectives {
+		loose = max(loose, o.Within)
+		if o.Class == s.Class && (o.Kind == "finished" || o.Kind == "wait") && (tight == 0 || o.Within < tight) {
+			tight = o.Within
+		}
+	}
+	if tight > 0 {
+		return tight
+	}
+	return loose
 }
 
 func (c *Core) unline(k taskKey) {
@@ -380,6 +443,8 @@
 // schedule sends every pending task that is ours to look after on its way
 // again, and clears the lines of what has been placed or is over.
 func (c *Core) schedule() {
+	open := c.openJobs()
+	sort.SliceStable(c.line, func(i, j int) bool { return before(c.line[i], c.line[j]) })
 	for i := 0; i < len(c.line); {
 		w := c.line[i]
 		t := w.rec.task(c, w.key.index)
@@ -394,7 +459,7 @@
 			c.drawLine(m)
 		}
 	}
-	for _, r := range c.openJobs() {
+	for _, r := range open {
 		if r.bound+r.finished+len(r.held) < r.spec.Tasks && c.successor(r.home) == c.cfg.Node {
 			c.dispatchJob(r)
 		}
@@ -424,16 +489,8 @@
 			out = append(out, r)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i], out[j]
-		if a.spec.Priority != b.spec.Priority {
-			return a.spec.Priority > b.spec.Priority
-		}
-		if a.at != b.at {
-			return a.at < b.at
-		}
-		return a.spec.ID < b.spec.ID
-	})
+	c.updateTurns(out)
+	sort.Slice(out, func(i, j int) bool { return sooner(out[i], out[j]) })
 	return out
 }
 
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -24,6 +24,7 @@
 	finished int
 	last     int // the highest attempt
 	backoff  time.Duration
+	turn     float64 // see updateTurns
 	failedOn map[string]bool
 	zones    map[string]int       // bound and reserved tasks by zone
 	held     map[int]*reservation // tasks being placed by this controller
