Gather services; hold cleared room; give the leader most of the cloud's rate

Cause: after a busy stretch services kept machines half empty, and the victims of a preemption took back the very room cleared for a gang.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -82,6 +82,7 @@
 	polls   []poll
 	polling bool
 
+	moving    time.Duration // no other service is moved before
 	launching []*machine
 	verbose   bool // debug lines are wanted; saves building them
 
@@ -190,6 +191,7 @@
 		c.watchMachines()
 		c.schedule()
 		c.preempt()
+		c.gather()
 		c.fleetTick()
 	}
 	return c.end()
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -106,14 +106,14 @@
 func (c *Core) catalogueTick() {
 	f := &c.fleet
 	if f.calls.rate == 0 {
-		f.calls.rate = c.cfg.Facts.Cloud.RPS / float64(1+len(c.cfg.Peers))
-		f.calls.level = f.calls.rate
+		f.calls.rate = c.cfg.Facts.Cloud.RPS / 10
+		f.calls.level = 1
 	}
 	rate := f.calls.rate
 	if c.leads() {
-		rate *= 1.5 // the others hardly call
+		rate *= 7 // the others call only until they know the machine types
 	}
-	f.calls.level = min(2*rate, f.calls.level+rate*(c.now-f.lastFill).Seconds())
+	f.calls.level = min(max(1, rate), f.calls.level+rate*(c.now-f.lastFill).Seconds())
 	f.lastFill = c.now
 	if c.flavorsIn || (len(c.catalogue) > 0 && (!c.leads() || c.now < c.flavorsAt)) || c.now < c.flavorsAt || f.calls.level < 1 {
 		return
@@ -565,7 +565,6 @@
 		}
 	}
 	c.rent(want)
-	idle := 0.75
 	for _, s := range slots {
 		m := c.machines[s.id]
 		if m == nil || s.fresh {
@@ -575,7 +574,7 @@
 			m.idleAt = c.now
 			continue
 		}
-		if c.now-m.idleAt > seconds(idle*c.catalogue[m.claim.Type].StartupS) {
+		if c.now-m.idleAt > seconds(idleShare*c.catalogue[m.claim.Type].StartupS) {
 			c.drain(m, drainIdle)
 		}
 	}
@@ -592,12 +591,7 @@
 		if !s.TypeAllowed(sku) || !holds(&t, s) {
 			continue
 		}
-		fit := 1e9
-		for _, d := range [][2]float64{{t.CPUs, s.CPUs}, {t.GPUs, s.GPUs}, {t.RAM, s.MemoryGB}} {
-			if d[1] > 0 {
-				fit = min(fit, float64(int(d[0]/d[1]+tolerance)))
-			}
-		}
+		fit := perMachine(&t, s)
 		for _, spot := range []bool{true, false} {
 			if spot && !s.Spot {
 				continue
@@ -665,3 +659,18 @@
 		f.refused[w] = max(f.refused[w], c.now+time.Second) // until the record shows
 	}
 }
+
+// perMachine is how many such tasks a machine of a type holds.
+func perMachine(t *protocol.Flavor, s *job.Spec) float64 {
+	fit := 1e9
+	for _, d := range [][2]float64{{t.CPUs, s.CPUs}, {t.GPUs, s.GPUs}, {t.RAM, s.MemoryGB}} {
+		if d[1] > 0 {
+			fit = min(fit, float64(int(d[0]/d[1]+tolerance)))
+		}
+	}
+	return max(fit, 1)
+}
+
+// idleShare is how long a machine may stand idle, as a share of the time it
+// took to boot.
+const idleShare = 0.75
--- /dev/null
+++ b/internal/coordination/gather.go
@@ -0,0 +1,110 @@
+package coordination
+
+import (
+	"sort"
+
+	"silvergate/internal/job"
+)
+
+// Exception "gathering": the thesis's tasks end by themselves, services do
+// not. Left alone, a few of them keep many machines half empty. When nothing
+// waits, the services of our sparsest machine move, one at a time, to machines
+// of ours that hold more of them, have their images and have room.
+func (c *Core) gather() {
+	if len(c.line) > 0 {
+		for _, m := range c.machines {
+			m.emptying = false // the room is wanted
+		}
+		return
+	}
+	var from *machine
+	for _, id := range c.owned() {
+		m := c.machines[id]
+		if m.emptying {
+			if len(m.bound) == 0 || !c.room(m) {
+				m.emptying = len(m.bound) == 0 // stays out of use until it is returned
+				continue
+			}
+			c.moveOne(m)
+			return
+		}
+		if !c.sparse(m) {
+			m.sparseAt = 0
+			continue
+		}
+		if m.sparseAt == 0 {
+			m.sparseAt = c.now
+		}
+		// As long as the return of an idle machine is awaited.
+		if c.now-m.sparseAt > seconds(idleShare*c.catalogue[m.claim.Type].StartupS) && (from == nil || m.steady < from.steady) {
+			from = m
+		}
+	}
+	if from != nil && c.room(from) {
+		from.emptying = true
+		c.unlist(from)
+		c.log.Debug("gathering", "from", from.id, "services", len(from.bound))
+	}
+}
+
+// sparse tells whether a machine holds services alone, and few of them.
+func (c *Core) sparse(m *machine) bool {
+	f := c.catalogue[m.claim.Type]
+	if c.barred(m) || len(m.bound) == 0 || len(m.stops) > 0 || m.steady > f.GPUs/2 {
+		return false
+	}
+	for _, r := range m.bound {
+		if r.spec.Shape != job.Service || r.spec.OneZone || r.spec.Spread && r.spec.Tasks > 1 || r.final() {
+			return false
+		}
+	}
+	return true
+}
+
+// target finds a better machine of ours for a service on m.
+func (c *Core) target(r *record, m *machine, used map[*machine]usage) *machine {
+	for _, id := range c.owned() {
+		t := c.machines[id]
+		if t == m || c.barred(t) || t.steady < tolerance || t.steady < m.steady || (t.steady == m.steady && t.id > m.id) ||
+			!t.images[r.spec.Image] || !c.couldHold(r, t) {
+			continue
+		}
+		f := c.catalogue[t.claim.Type]
+		u := used[t]
+		if t.cpus+u.CPUs+r.spec.CPUs <= f.CPUs+tolerance && t.gpus+u.GPUs+r.spec.GPUs <= f.GPUs+tolerance &&
+			t.ram+r.spec.MemoryGB <= f.RAM+tolerance {
+			return t
+		}
+	}
+	return nil
+}
+
+// room tells whether all services on m have a place elsewhere.
+func (c *Core) room(m *machine) bool {
+	used := map[*machine]usage{}
+	for _, r := range m.bound {
+		t := c.target(r, m, used)
+		if t == nil {
+			return false
+		}
+		used[t] = used[t].plus(r.spec, 1)
+	}
+	return true
+}
+
+// moveOne stops one service on m, if none is on its way already.
+func (c *Core) moveOne(m *machine) {
+	if len(m.stops) > 0 || c.moving > c.now {
+		return
+	}
+	var keys []taskKey
+	for k := range m.bound {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		return keys[i].id < keys[j].id || (keys[i].id == keys[j].id && keys[i].index < keys[j].index)
+	})
+	// The moved one should run again before the next is stopped.
+	c.moving = c.now + seconds(c.cfg.Facts.Workers.Report)
+	c.stop(m, keys[0], "moved")
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -77,6 +77,9 @@
 	if !ok || !s.TypeAllowed(m.claim.Type) || (s.Zone != "" && s.Zone != m.claim.Zone) || (m.claim.Spot && !s.Spot) {
 		return false
 	}
+	if m.holdFor != s.ID && c.now < m.holdTill {
+		return false
+	}
 	if m.cpus+s.CPUs > f.CPUs+tolerance || m.gpus+s.GPUs > f.GPUs+tolerance || m.ram+s.MemoryGB > f.RAM+tolerance {
 		return false
 	}
@@ -134,9 +137,9 @@
 // "best fit": the fullest machine, so that whole blocks stay for gangs, or
 // for services the one with the least that services do not hold.
 type rank struct {
-	fetch int // in report periods
-	plain bool
-	free  int // tenths of the machine
+	fetch int  // in report periods
+	plain bool // the job may use a spot machine and this is none
+	free  int  // tenths of the machine, or of a unit that services do not hold
 }
 
 func (a rank) before(b rank) bool {
@@ -170,6 +173,9 @@
 	c.reserve(r, index, m)
 	c.propose(r, index, change{place: true, machine: m.id, session: m.session, try: c.nextTry(r)})
 	c.unline(taskKey{r.spec.ID, index})
+	if m.holdFor == r.spec.ID {
+		m.holdTill = 0
+	}
 	if !c.hasRoom(m) {
 		c.unlist(m)
 	}
@@ -548,3 +554,14 @@
 		c.catalogue[t.SKU] = t
 	}
 }
+
+// again looks for a new place for a task that was stopped or lost, at once
+// and here; failing that, its job's keeper sends it on its way.
+func (c *Core) again(r *record, index int) {
+	if multi(r) || !c.placeable(r, index) {
+		return
+	}
+	if m := c.pop(r); m != nil {
+		c.assign(r, index, m)
+	}
+}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -38,6 +38,7 @@
 		// The victims' exits are reported at once; should that fail, another
 		// machine is tried after a report period.
 		w.stopped = c.now + seconds(c.cfg.Facts.Workers.Report)
+		m.holdFor, m.holdTill = r.spec.ID, w.stopped
 		for _, k := range victims {
 			c.stop(m, k, "preempted")
 			c.Stats.Preemptions++
@@ -55,7 +56,7 @@
 	var bestRank rank
 	for _, id := range c.owned() {
 		m := c.machines[id]
-		if open[m] || c.barred(m) || !c.couldHold(r, m) || !c.zoneOK(r, m.claim.Zone) {
+		if open[m] || c.now < m.holdTill || c.barred(m) || !c.couldHold(r, m) || !c.zoneOK(r, m.claim.Zone) {
 			continue
 		}
 		set, cost, ok := c.evict(r, m)
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -361,6 +361,9 @@
 				} else {
 					c.Stats.Endings++
 					c.freed(ch.machine)
+					if !ch.done {
+						c.again(r, base+ch.index)
+					}
 				}
 			}
 			return
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -65,7 +65,11 @@
 	listed   bool
 	joined   time.Duration
 	idleAt   time.Duration // since when nothing is bound, for the fleet
+	holdFor  string        // the job for which others were stopped here
+	holdTill time.Duration // and how long nothing else may take the room
 	draining bool          // a drain is being written
+	emptying bool          // its services are being gathered elsewhere
+	sparseAt time.Duration // since when it holds few services and nothing else; 0: not
 }
 
 type stop struct {
@@ -100,7 +104,7 @@
 // barred tells whether new work may not go to the machine.
 func (c *Core) barred(m *machine) bool {
 	_, drained := c.drains[m.id]
-	return drained || m.draining || m.recalled || m.released || m.claiming || !m.shown
+	return drained || m.draining || m.recalled || m.released || m.emptying || m.claiming || !m.shown
 }
 
 func (c *Core) applyClaim(id string, data json.RawMessage, stamp uint64) {
