--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,7 +123,7 @@
 
 // DefaultOperator returns the design's starting values.
 func DefaultOperator() Operator {
-	return Operator{Probes: 2, PublishInterval: 2 * time.Second, EntryAge: 3, LogLevel: "info"}
+	return Operator{Probes: 3, PublishInterval: 2 * time.Second, EntryAge: 3, LogLevel: "info"}
 }
 
 // Load reads and checks the settings file at path and the operators' file.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -474,7 +474,7 @@
 	// have become free at other controllers.
 	for i := 0; i < len(c.line); {
 		w := c.line[i]
-		if w.until == 0 && c.now >= c.placed[w.key]+c.cfg.Operator.PublishInterval {
+		if w.until == 0 && c.now >= w.stopped && c.now >= c.placed[w.key]+c.cfg.Operator.PublishInterval {
 			c.placed[w.key] = c.now
 			c.unline(w.key)
 			c.probe(w.rec, []int{w.key.index})
