--- /dev/null
+++ b/internal/coordination/checker_test.go
@@ -0,0 +1,186 @@
+package coordination
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// simUser is the user of one job.
+type simUser struct {
+	s         *sim
+	spec      *job.Spec
+	body      []byte
+	runs      float64
+	done      []bool
+	accepted  bool
+	cancelled time.Duration // when the user was told
+	asked     bool          // to cancel
+	final     string
+	inVain    time.Duration
+}
+
+func (s *sim) submit(sp *job.Spec, runs float64, cancelAfter time.Duration) *simUser {
+	u := &simUser{s: s, spec: sp, runs: runs, done: make([]bool, sp.Tasks)}
+	names := map[job.Shape]string{job.Array: "batch", job.Gang: "ensemble", job.Service: "standing"}
+	prio := []string{"idle", "standard", "urgent", "prod"}
+	var depot any
+	if sp.Zone != "" {
+		depot = sp.Zone
+	}
+	u.body, _ = json.Marshal(map[string]any{"ref": sp.ID, "jobclass": sp.Class, "crew": sp.Team, "shape": names[sp.Shape], "urgency": prio[sp.Priority],
+		"loads": sp.Tasks, "cpus": sp.CPUs, "accelerators": sp.GPUs, "ramGb": sp.MemoryGB, "kit": "img", "sizeGb": 1.0, "rigs": sp.Types, "depot": depot,
+		"oneZone": sp.OneZone, "apart": sp.Spread, "casual": sp.Spot, "etaS": runs, "waypointS": 0.0, "stowS": 0.0, "dueS": nil})
+	s.users[sp.ID] = u
+	u.send()
+	if cancelAfter > 0 {
+		s.after(cancelAfter, u.cancel)
+	}
+	return u
+}
+
+func (s *sim) anyNode() *simNode { return s.nodes[s.rnd.IntN(len(s.nodes))] }
+
+func (u *simUser) send() {
+	s := u.s
+	s.anyNode().request("users", "POST", protocol.PathRuns, u.body, func(st int, body []byte) {
+		switch st {
+		case 200, 201:
+			u.hear(body)
+			u.accepted = true
+			s.after(s.ms(500, 5000), u.poll)
+			if s.rnd.IntN(8) == 0 { // a late repetition
+				s.after(s.ms(1000, 90_000), u.send)
+			}
+		case 400, 422:
+			if u.accepted {
+				s.breaks("forgotten", "%s repeated: %d %s", u.spec.ID, st, body)
+			} else {
+				s.breaks("refused", "%s: %d %s", u.spec.ID, st, body)
+			}
+		default:
+			s.after(time.Second, u.send)
+		}
+	})
+}
+
+func (u *simUser) hear(body []byte) {
+	var r protocol.RunState
+	if json.Unmarshal(body, &r) != nil || r.Ref != u.spec.ID {
+		u.s.breaks("format", "%s: %q", u.spec.ID, body)
+		return
+	}
+	all := true
+	for _, d := range u.done {
+		all = all && d
+	}
+	if u.final != "" && r.Status != u.final {
+		u.s.breaks("went_back", "%s was %s, is %s", u.spec.ID, u.final, r.Status)
+	}
+	switch r.Status {
+	case "done":
+		if !all {
+			u.s.breaks("not_done", "%s", u.spec.ID)
+		}
+		u.final = "done"
+	case "cancelled":
+		if !u.asked {
+			u.s.breaks("went_back", "%s cancelled by nobody", u.spec.ID)
+		}
+		u.final = "cancelled"
+		if u.cancelled == 0 {
+			u.cancelled = u.s.now
+		}
+	}
+}
+
+func (u *simUser) poll() {
+	s := u.s
+	s.anyNode().request("users", "GET", protocol.PathRuns+"/"+u.spec.ID, nil, func(st int, body []byte) {
+		switch st {
+		case 200:
+			u.hear(body)
+		case 404:
+			s.breaks("forgotten", "%s", u.spec.ID)
+		}
+		if u.final == "" || s.rnd.IntN(4) == 0 {
+			s.after(s.ms(2000, 5000), u.poll)
+		}
+	})
+}
+
+func (u *simUser) cancel() {
+	s := u.s
+	u.asked = true
+	s.anyNode().request("users", "POST", protocol.PathRuns+"/"+u.spec.ID+"/abort", nil, func(st int, body []byte) {
+		if st == 200 {
+			u.hear(body)
+			return
+		}
+		s.after(time.Second, u.cancel)
+	})
+}
+
+// stranger asks about jobs that nobody has submitted.
+func (s *sim) stranger() {
+	id := fmt.Sprintf("wk-%06d", 900000+s.rnd.IntN(1000))
+	s.anyNode().request("users", "GET", protocol.PathRuns+"/"+id, nil, func(st int, _ []byte) {
+		if st == 200 {
+			s.breaks("invented", "%s", id)
+		}
+	})
+	s.after(s.ms(3000, 9000), s.stranger)
+}
+
+// checkStart judges the rules that a start can break.
+func (s *sim) checkStart(w *simWorker, u *simUser, l *simLoad) {
+	sp := u.spec
+	name := fmt.Sprintf("%s/%d try %d on %s", l.id, l.index, l.try, w.name)
+	zones := map[string]int{}
+	gpus := sp.GPUs
+	for _, o := range s.work {
+		for _, x := range o.loads {
+			if !x.on() {
+				continue
+			}
+			xs := s.users[x.id].spec
+			if x.id == l.id {
+				zones[o.zone]++
+				if x.index == l.index {
+					s.breaks("ran_twice", "%s is on %s", name, o.name)
+				}
+			}
+			if xs.Team == sp.Team {
+				gpus += xs.GPUs
+			}
+		}
+	}
+	for _, t := range s.facts.Teams {
+		if t.Name == sp.Team && t.GPUsMax > 0 && gpus > t.GPUsMax+1e-6 {
+			s.breaks("quota", "%s: team %s uses %v", name, t.Name, gpus)
+		}
+	}
+	if !sp.TypeAllowed(w.rig) || (w.spot && !sp.Spot) || (sp.Zone != "" && sp.Zone != w.zone) ||
+		(sp.Spread && zones[w.zone]+1 > sp.SpreadLimit()) || (sp.OneZone && len(zones) > 0 && zones[w.zone] == 0) {
+		s.breaks("wrong_place", "%s", name)
+	}
+	if u.cancelled > 0 && s.now-u.cancelled > seconds(s.facts.Workers.Cancel) {
+		s.breaks("ran_cancelled", "%s starts", name)
+	}
+}
+
+// watchCancelled judges what is still on machines.
+func (s *sim) watchCancelled() {
+	for _, w := range s.work {
+		for _, x := range w.loads {
+			u := s.users[x.id]
+			if u != nil && x.on() && u.cancelled > 0 && s.now-u.cancelled > seconds(s.facts.Workers.Cancel) {
+				s.breaks("ran_cancelled", "%s/%d is on %s", x.id, x.index, w.name)
+			}
+		}
+	}
+	s.after(500*time.Millisecond, s.watchCancelled)
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -82,6 +82,9 @@
 	polls   []poll
 	polling bool
 
+	gang      gangLease
+	marking   bool
+	drawAt    time.Duration
 	moving    time.Duration // no other service is moved before
 	launching []*machine
 	verbose   bool // debug lines are wanted; saves building them
@@ -263,6 +266,7 @@
 	keyDrain   = bookkeeping.Root + "x/"
 	keyRental  = bookkeeping.Root + "h/"
 	keyFleet   = bookkeeping.Root + "fleet"
+	keyGang    = bookkeeping.Root + "gang"
 	keyFlavors = bookkeeping.Root + "flavors"
 )
 
@@ -290,6 +294,8 @@
 		c.fleet.applyRental(name, data)
 	case keyFleet:
 		c.fleet.applyLease(data, stamp)
+	case keyGang:
+		c.applyGang(data)
 	case keyFlavors:
 		if len(c.catalogue) == 0 && data != nil {
 			var f protocol.Flavors
--- /dev/null
+++ b/internal/coordination/core_test.go
@@ -0,0 +1,285 @@
+package coordination
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"silvergate/internal/config"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+func newSim(seed uint64, noise float64) *sim {
+	s := &sim{rnd: rand.New(rand.NewPCG(seed, 7)), work: map[string]*simWorker{}, users: map[string]*simUser{}, noise: noise}
+	s.facts = config.Facts{Count: 3, Zones: []string{"a", "b", "c"},
+		Teams:      []config.Team{{Name: "red", GPUs: 4, GPUsMax: 10}, {Name: "blue"}},
+		Objectives: []config.Objective{{Kind: "wait", Class: "svc", Within: 5}, {Kind: "finished", Class: "arr", Within: 60}},
+		Workers:    config.Workers{Report: 3, Lease: 18, GangWait: 30, GangPeer: 4, Cancel: 48},
+		State:      config.State{RPS: 300, WriteRPS: 120, ValueKB: 16, TxnOps: 12},
+		Cloud:      config.Cloud{RPS: 10, ListLag: 4}, Limits: config.Limits{CPU: 1, RAMMB: 100, MaxSockets: 100}}
+	s.told = s.facts
+	s.kv = &simState{s: s, keys: map[string]simKey{}, rev: 1, leases: map[uint64]time.Duration{}, ttls: map[uint64]time.Duration{}}
+	s.cloud = &simCloud{s: s, free: map[place]int{}, hires: map[string][]string{}, all: map[string]*simWorker{}, types: map[string]protocol.Flavor{
+		"small": {SKU: "small", CPUs: 16, GPUs: 2, RAM: 64, PullRate: 1, Hourly: 4, SpotPrice: 1.5, StartupS: 8, Depots: []string{"a", "b", "c"}},
+		"large": {SKU: "large", CPUs: 64, GPUs: 8, RAM: 256, PullRate: 1, Hourly: 12, SpotPrice: 4, StartupS: 12, Depots: []string{"a", "b"}}}}
+	for _, z := range []string{"a", "b", "c"} {
+		for _, spot := range []bool{true, false} {
+			s.cloud.free[place{"small", z, spot}] = 2
+			s.cloud.free[place{"large", z, spot}] = 1
+		}
+	}
+	s.cloud.snapshot()
+	for i := range 3 {
+		s.nodes = append(s.nodes, &simNode{s: s, name: fmt.Sprintf("n%d", i), cut: map[string]time.Duration{}})
+	}
+	var expire func()
+	expire = func() { s.kv.expire(); s.after(100*time.Millisecond, expire) }
+	expire()
+	for _, n := range s.nodes {
+		s.after(s.ms(0, 500), n.start)
+	}
+	s.watchCancelled()
+	s.stranger()
+	return s
+}
+
+// load lets users submit jobs of all shapes until the time given.
+func (s *sim) load(until time.Duration) {
+	n := 0
+	var next func()
+	next = func() {
+		if s.now > until {
+			return
+		}
+		sp := &job.Spec{ID: fmt.Sprintf("wk-%06d", n), Class: "arr", Team: []string{"red", "blue"}[s.rnd.IntN(2)], Shape: job.Array,
+			Priority: job.Priority(s.rnd.IntN(3)), Tasks: 1 + s.rnd.IntN(6), CPUs: 4, GPUs: 1, MemoryGB: 8, Spot: s.rnd.IntN(2) == 0}
+		n++
+		runs, cancel := 3+12*s.rnd.Float64(), time.Duration(0)
+		switch s.rnd.IntN(5) {
+		case 0:
+			sp.Shape, sp.Class, sp.Priority, sp.Tasks = job.Service, "svc", job.Production, 1+s.rnd.IntN(2)
+			cancel = s.ms(5_000, 60_000)
+		case 1:
+			sp.Shape, sp.Class, sp.Tasks = job.Gang, "gng", 1+s.rnd.IntN(3)
+			sp.GPUs = 2
+		}
+		switch s.rnd.IntN(6) {
+		case 0:
+			sp.OneZone = true
+		case 1:
+			sp.Spread = true
+		case 2:
+			sp.Zone = []string{"a", "b"}[s.rnd.IntN(2)]
+		case 3:
+			sp.Types = []string{"small", "large"}
+		}
+		if cancel == 0 && s.rnd.IntN(6) == 0 {
+			cancel = s.ms(100, 20_000)
+		}
+		s.submit(sp, runs, cancel)
+		s.after(s.ms(300, 3500), next)
+	}
+	next()
+}
+
+// trouble draws faults from a list until the time given.
+func (s *sim) trouble(until time.Duration) {
+	if s.now > until {
+		return
+	}
+	n := s.anyNode()
+	long := s.ms(3_000, 50_000)
+	worker := func() *simWorker {
+		for _, w := range s.cloud.sorted() {
+			if w.up && s.rnd.IntN(4) == 0 {
+				return w
+			}
+		}
+		return nil
+	}
+	switch s.rnd.IntN(9) {
+	case 0:
+		n.crash(s.ms(1_000, 5_000))
+	case 1:
+		for _, o := range s.nodes {
+			o.crash(s.ms(500, 6_000))
+		}
+	case 2:
+		n.cut["state"] = s.now + long
+	case 3:
+		n.cut["workers"] = s.now + long
+	case 4:
+		for _, k := range []string{"state", "workers", "peers", "users", "cloud"} {
+			n.cut[k] = s.now + long
+		}
+	case 5:
+		n.refused = s.now + long
+	case 6:
+		s.kv.down = s.now + s.ms(2_000, 40_000)
+	case 7:
+		if w := worker(); w != nil {
+			w.hung = s.now + s.ms(2_000, 60_000)
+		}
+	case 8:
+		if w := worker(); w != nil {
+			switch s.rnd.IntN(3) {
+			case 0: // stops, and is listed as failed
+				w.die()
+				w.failed = true
+			case 1: // taken without a notice, and listed a while longer
+				w.die()
+				w.taken = true
+				name := w.name
+				s.after(30*time.Second, func() { delete(s.cloud.all, name) })
+			case 2:
+				w.faulty = true
+			}
+		}
+	}
+	s.after(s.ms(4_000, 25_000), func() { s.trouble(until) })
+}
+
+func (c *simCloud) sorted() []*simWorker {
+	var out []*simWorker
+	for i := 0; i < c.next; i++ {
+		if w := c.all[fmt.Sprintf("i-%06d", i)]; w != nil {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// finish lets everything calm down and then demands that every job that can
+// be done is done: safety without progress would be no use.
+func (s *sim) finish(t *testing.T, until time.Duration) {
+	s.noise = 0
+	s.run(until)
+	for _, n := range s.nodes {
+		if n.core == nil {
+			n.start()
+		}
+	}
+	for _, u := range s.users {
+		if u.spec.Shape == job.Service && !u.asked {
+			u.cancel()
+		}
+	}
+	s.run(until + 6*time.Minute)
+	open := 0
+	for _, u := range s.users {
+		if u.final == "" {
+			open++
+			t.Logf("%s (%s of %d, team %s) has not ended: %v", u.spec.ID, u.spec.Shape, u.spec.Tasks, u.spec.Team, u.done)
+		}
+	}
+	if open > 0 {
+		t.Errorf("%d of %d jobs have not ended six minutes after the troubles", open, len(s.users))
+	}
+}
+
+func (s *sim) report(t *testing.T) {
+	t.Helper()
+	for _, b := range s.broken {
+		t.Error(b)
+	}
+	if s.starts == 0 {
+		t.Error("nothing ran")
+	}
+}
+
+func TestQuietDayEndsEverything(t *testing.T) {
+	s := newSim(1, 0)
+	s.load(2 * time.Minute)
+	s.finish(t, 3*time.Minute)
+	s.report(t)
+}
+
+// TestRulesHoldUnderTrouble plays days with drawn faults: lost, late and
+// half-executed messages, crashes, cuts, outages, hangs, faulty and dying
+// machines, alone and together.
+func TestRulesHoldUnderTrouble(t *testing.T) {
+	days := uint64(12)
+	if testing.Short() {
+		days = 3
+	}
+	for seed := uint64(100); seed < 100+days; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(seed, 0.004)
+			s.load(4 * time.Minute)
+			s.after(20*time.Second, func() { s.trouble(4 * time.Minute) })
+			s.finish(t, 5*time.Minute)
+			s.report(t)
+		})
+	}
+}
+
+// TestCheckerCatchesBrokenVariants shows that the checker can fail: each
+// variant breaks one pillar of the design, by telling the controllers
+// something untrue or by a state service that ignores conditions.
+func TestCheckerCatchesBrokenVariants(t *testing.T) {
+	for _, v := range []struct {
+		name, rule string
+		seeds      uint64
+		spoil      func(s *sim)
+		during     func(s *sim)
+	}{
+		{"state service ignores conditions", "", 3, func(s *sim) { s.kv.blind = true }, nil},
+		{"leases believed shorter than they are", "ran_twice", 6, func(s *sim) { s.told.Workers.Lease = 2 }, func(s *sim) {
+			for _, w := range s.cloud.sorted() {
+				s.nodes[w.node].cut["workers"] = s.now + 15*time.Second
+			}
+		}},
+		{"a limit believed higher than it is", "quota", 3, func(s *sim) {
+			s.told.Teams = []config.Team{{Name: "red", GPUsMax: 100}, {Name: "blue"}}
+		}, nil},
+		{"cancellations believed to have ages", "ran_cancelled", 6, func(s *sim) { s.told.Workers.Cancel = 1000 }, func(s *sim) {
+			// One controller keeps its workers but not the state service.
+			s.nodes[0].cut["state"] = s.now + 100*time.Second
+			s.nodes[0].cut["peers"] = s.now + 100*time.Second
+		}},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= v.seeds; seed++ {
+				s := newSim(seed, 0.002)
+				v.spoil(s)
+				s.load(2 * time.Minute)
+				if v.during != nil {
+					s.after(40*time.Second, func() { v.during(s) })
+				}
+				s.run(3 * time.Minute)
+				for _, b := range s.broken {
+					if strings.Contains(b, v.rule) {
+						return
+					}
+				}
+			}
+			t.Errorf("the checker saw no broken rule %q", v.rule)
+		})
+	}
+}
+
+// TestCutOffControllerDoesNotCondemnMachines guards against a fault found on
+// carbura-iasi's day "troubles": a controller that could not reach the state
+// service saw its workers move to its peers, called them silent from its stale
+// mirror, and had the healthy machines deleted once it was back.
+func TestCutOffControllerDoesNotCondemnMachines(t *testing.T) {
+	s := newSim(5, 0)
+	s.load(time.Minute)
+	s.run(50 * time.Second)
+	up := len(s.cloud.sorted())
+	s.nodes[1].cut["state"] = s.now + 35*time.Second
+	s.run(95 * time.Second)
+	for key, v := range s.kv.keys {
+		if strings.HasPrefix(key, keyDrain) && strings.Contains(string(v.data), drainSilent) {
+			t.Errorf("%s: %s", key, v.data)
+		}
+	}
+	if up == 0 {
+		t.Fatal("no machines were rented")
+	}
+	s.report(t)
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -555,7 +555,11 @@
 				avoid[z] = k
 			}
 		}
-		put(r.spec, n, avoid)
+		sp := r.spec
+		if sp.OneZone && sp.Zone == "" && n > 1 {
+			sp = c.pinZone(r, n, slots, want)
+		}
+		put(sp, n, avoid)
 	}
 	for _, o := range c.cfg.Facts.Objectives {
 		if s := f.samples[o.Class]; o.Kind == "wait" && s != nil && s.spec.Priority >= job.High {
@@ -674,3 +678,27 @@
 // idleShare is how long a machine may stand idle, as a share of the time it
 // took to boot.
 const idleShare = 0.75
+
+// pinZone picks the zone in which a one-zone job's tasks are planned: where
+// some are already, or else where most of them find room.
+func (c *Core) pinZone(r *record, n int, slots []*slot, want map[place]int) *job.Spec {
+	best, bestFit := r.spec, -1
+	for _, z := range c.cfg.Facts.Zones {
+		sp := *r.spec
+		sp.Zone = z
+		fit := 0
+		for _, s := range slots {
+			for room := *s; fit < n && room.takes(&sp); fit++ {
+				room.put(&sp)
+			}
+		}
+		_, rentable := c.bestPlace(&sp, want, nil)
+		if r.zones[z] > 0 {
+			return &sp
+		}
+		if (fit == n || rentable) && fit > bestFit {
+			best, bestFit = &sp, fit
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/coordination/gang.go
@@ -0,0 +1,230 @@
+package coordination
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// A gang of several tasks starts whole: its keeper binds all tasks in one
+// transaction, on machines of its own and on such as peers have offered. A
+// lease in the state service marks one waiting gang. Only that gang keeps the
+// room it has found and draws from peers; others look for room and let go.
+
+// gangLease is the record that marks the waiting gang.
+type gangLease struct {
+	Job   string `json:"j"`
+	Owner string `json:"o"`
+	Life  int64  `json:"l"`
+}
+
+// Draw asks a peer for room for a gang, Offer answers.
+type Draw struct{ Job string }
+
+// Offer names machines that the sender holds back for a gang for a while.
+type Offer struct {
+	Job      string
+	Machines []Offered
+}
+
+// Offered is a machine with the session its holder knows.
+type Offered struct {
+	Machine string
+	Session uint64
+}
+
+type offer struct {
+	session uint64
+	stamp   uint64
+	until   time.Duration
+}
+
+func (c *Core) applyGang(data json.RawMessage) {
+	c.gang = gangLease{}
+	if data != nil {
+		_ = json.Unmarshal(data, &c.gang)
+	}
+}
+
+// holdTime is how long room is held back: until it must have been asked for
+// again.
+func (c *Core) holdTime() time.Duration { return 2 * c.cfg.Operator.PublishInterval }
+
+// usable tells whether the job may be bound to a machine in a session now:
+// the machine is ours, or its holder has offered it under the present claim.
+func (c *Core) usable(r *record, m *machine, session uint64) bool {
+	if c.mine(m) {
+		return m.session == session && !c.barred(m)
+	}
+	_, drained := c.drains[m.id]
+	o, ok := r.offers[m.id]
+	return ok && !drained && o.stamp == m.stamp && o.session == session && c.now < o.until
+}
+
+// startGang starts a gang if all its tasks find room and nothing of an
+// earlier attempt is left.
+func (c *Core) startGang(r *record) {
+	if r.bound > 0 || len(r.held) > 0 || c.now < r.backoff {
+		return
+	}
+	tm := c.teams[r.spec.Team]
+	need := r.spec.Tasks - r.finished
+	if tm == nil || !tm.within(tm.use.plus(r.spec, float64(need))) {
+		return
+	}
+	zones := []string{""}
+	if r.spec.OneZone {
+		zones = c.cfg.Facts.Zones
+	}
+	best := 0
+	var bestZone string
+	for _, z := range zones {
+		picked := c.cover(r, z)
+		if len(picked) == need {
+			for _, i := range picked {
+				m := c.machines[r.held[i].machine]
+				session := m.session
+				if !c.mine(m) {
+					session = r.offers[m.id].session
+				}
+				c.propose(r, i, change{place: true, machine: m.id, session: session, try: r.last + 1})
+			}
+			c.log.Debug("starting gang", "job", r.spec.ID, "tasks", need)
+			return
+		}
+		for _, i := range picked {
+			c.unreserve(r, i)
+		}
+		if len(picked) > best {
+			best, bestZone = len(picked), z
+		}
+	}
+	if c.gang.Job != r.spec.ID || c.gang.Owner != c.cfg.Node {
+		return
+	}
+	// The marked gang keeps what it has found and asks the peers for more.
+	picked := c.cover(r, bestZone)
+	for _, i := range picked {
+		m := c.machines[r.held[i].machine]
+		m.holdFor, m.holdTill = r.spec.ID, c.now+c.holdTime()
+	}
+	for _, i := range picked {
+		c.unreserve(r, i)
+	}
+	if c.now >= c.drawAt {
+		c.drawAt = c.now + c.cfg.Operator.PublishInterval
+		for _, p := range c.cfg.Peers {
+			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Draw: &Draw{r.spec.ID}}})
+		}
+	}
+}
+
+// cover reserves room for as many of a gang's tasks as it finds in a zone.
+func (c *Core) cover(r *record, zone string) []int {
+	ids := append([]string(nil), c.idle...)
+	for id, o := range r.offers {
+		if c.now < o.until {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	var picked []int
+	for i := 0; i < r.spec.Tasks; i++ {
+		if r.task(c, i).Phase != job.Pending {
+			continue
+		}
+		var best *machine
+		for _, id := range ids {
+			m := c.machines[id]
+			if m == nil || (zone != "" && m.claim.Zone != zone) || !c.fits(r, m) {
+				continue
+			}
+			session := m.session
+			if !c.mine(m) {
+				session = r.offers[id].session
+			}
+			if c.usable(r, m, session) {
+				best = m
+				break
+			}
+		}
+		if best == nil {
+			break
+		}
+		c.reserve(r, i, best)
+		picked = append(picked, i)
+	}
+	return picked
+}
+
+// drawFor offers a peer's gang room on our idle machines.
+func (c *Core) drawFor(from string, d *Draw) {
+	r := c.jobs[d.Job]
+	if r == nil || r.final() || r.bound > 0 {
+		return
+	}
+	o := &Offer{Job: d.Job}
+	for _, id := range c.idle {
+		m := c.machines[id]
+		if m != nil && !c.barred(m) && c.fits(r, m) && len(o.Machines) < r.spec.Tasks {
+			m.holdFor, m.holdTill = d.Job, c.now+c.holdTime()
+			o.Machines = append(o.Machines, Offered{id, m.session})
+		}
+	}
+	if len(o.Machines) > 0 {
+		c.out.Sends = append(c.out.Sends, Send{from, Message{Offer: o}})
+	}
+}
+
+func (c *Core) offered(o *Offer) {
+	r := c.jobs[o.Job]
+	if r == nil || r.final() {
+		return
+	}
+	if r.offers == nil {
+		r.offers = map[string]offer{}
+	}
+	for _, x := range o.Machines {
+		if m := c.machines[x.Machine]; m != nil && m.stamp != 0 {
+			r.offers[x.Machine] = offer{x.Session, m.stamp, c.now + c.holdTime()}
+		}
+	}
+	c.startGang(r)
+}
+
+// markGang takes the lease for the first waiting gang, if that is ours to
+// look after, and gives it back once it no longer waits.
+func (c *Core) markGang(open []*record) {
+	if c.marking || c.permit == 0 {
+		return
+	}
+	if c.gang.Job != "" {
+		r := c.jobs[c.gang.Job]
+		if c.gang.Owner == c.cfg.Node && (c.gang.Life != c.life || r == nil || r.final() || r.bound > 0) {
+			c.marking = true
+			c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang, Stamp: c.store.Stamp(keyGang)}}, []protocol.Op{{Drop: keyGang}},
+				func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
+		}
+		return
+	}
+	for _, r := range open {
+		if !multi(r) || r.bound > 0 || len(r.held) > 0 || c.now < r.backoff {
+			continue
+		}
+		tm := c.teams[r.spec.Team]
+		if tm == nil || !tm.within(tm.use.plus(r.spec, float64(r.spec.Tasks))) {
+			continue
+		}
+		if c.successor(r.home) == c.cfg.Node {
+			c.marking = true
+			c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang}},
+				[]protocol.Op{{Write: keyGang, Data: encode(gangLease{r.spec.ID, c.cfg.Node, c.life}), Permit: c.permit}},
+				func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
+		}
+		return
+	}
+}
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -21,6 +21,8 @@
 type Message struct {
 	Beat    *Beat
 	Forward *Forward
+	Draw    *Draw
+	Offer   *Offer
 }
 
 // Beat tells peers how old the sender's last proof of a fresh mirror is.
@@ -121,6 +123,10 @@
 		c.beats[from] = beat{c.now, time.Duration(m.Beat.FreshMS) * time.Millisecond}
 	case m.Forward != nil && c.store.Ready():
 		c.receive(m.Forward)
+	case m.Draw != nil && c.store.Ready():
+		c.drawFor(from, m.Draw)
+	case m.Offer != nil && c.store.Ready():
+		c.offered(m.Offer)
 	}
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -207,8 +207,7 @@
 	return tm != nil && tm.within(tm.use.plus(r.spec, 1))
 }
 
-// gangReady tells whether a gang of several tasks may start: none of the
-// earlier attempt is left.
+// multi tells whether a job must start several tasks at once.
 func multi(r *record) bool { return r.spec.Shape == job.Gang && r.spec.Tasks > 1 }
 
 // dispatchJob sends a job's pending tasks on their way.
@@ -465,6 +464,7 @@
 			c.drawLine(m)
 		}
 	}
+	c.markGang(open)
 	for _, r := range open {
 		if r.bound+r.finished+len(r.held) < r.spec.Tasks && c.successor(r.home) == c.cfg.Node {
 			c.dispatchJob(r)
@@ -500,54 +500,6 @@
 	return out
 }
 
-// startGang starts a gang whole, once places for all its tasks are at hand
-// and nothing of an earlier attempt is left.
-func (c *Core) startGang(r *record) {
-	if r.bound > 0 || len(r.held) > 0 || c.now < r.backoff {
-		return
-	}
-	tm := c.teams[r.spec.Team]
-	need := float64(r.spec.Tasks - r.finished)
-	if tm == nil || !tm.within(tm.use.plus(r.spec, need)) {
-		return
-	}
-	zones := []string{""}
-	if r.spec.OneZone {
-		zones = c.cfg.Facts.Zones
-	}
-	for _, z := range zones {
-		var picked []int
-		for i := 0; i < r.spec.Tasks; i++ {
-			if r.task(c, i).Phase != job.Pending {
-				continue
-			}
-			var best *machine
-			for _, id := range c.idle {
-				m := c.machines[id]
-				if m != nil && !c.barred(m) && (z == "" || m.claim.Zone == z) && c.fits(r, m) {
-					best = m
-					break
-				}
-			}
-			if best == nil {
-				break
-			}
-			c.reserve(r, i, best)
-			picked = append(picked, i)
-		}
-		if len(picked) == int(need) {
-			for _, i := range picked {
-				m := c.machines[r.held[i].machine]
-				c.propose(r, i, change{place: true, machine: m.id, session: m.session, try: r.last + 1})
-			}
-			return
-		}
-		for _, i := range picked {
-			c.unreserve(r, i)
-		}
-	}
-}
-
 // setCatalogue takes the machine types.
 func (c *Core) setCatalogue(f *protocol.Flavors) {
 	for _, t := range f.Rigs {
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -28,6 +28,7 @@
 	failedOn map[string]bool
 	zones    map[string]int       // bound and reserved tasks by zone
 	held     map[int]*reservation // tasks being placed by this controller
+	offers   map[string]offer     // machines that peers hold back for this gang
 }
 
 type reservation struct{ machine string }
@@ -141,6 +142,9 @@
 		m.images[r.spec.Image] = true
 		delete(c.placed, k)
 		c.unline(k)
+		if t.Session == m.session {
+			c.launchSoon(m.id, k, t.Try) // also when a peer's gang was bound to our machine
+		}
 	case job.Finished:
 		r.finished++
 	}
@@ -254,19 +258,21 @@
 		use = tm.use
 	}
 	var taken, rest []change
+	spoilt := false // a gang starts whole or not at all
 	class := bookkeeping.Work
 	for _, ch := range p.queue {
 		t := &tasks[ch.index]
 		k := taskKey{p.id, base + ch.index}
 		if ch.place {
 			m := c.machines[ch.machine]
-			ok := t.Phase == job.Pending && !r.final() && m != nil && c.mine(m) && m.session == ch.session && !c.barred(m)
+			ok := t.Phase == job.Pending && !r.final() && m != nil && c.usable(r, m, ch.session)
 			u := use.plus(r.spec, 1)
 			if ok && charge && !tm.within(u) {
 				ok = false
 			}
 			if !ok {
 				c.unreserve(r, k.index)
+				spoilt = multi(r)
 				continue
 			}
 			if !machines[m.id] {
@@ -313,6 +319,19 @@
 		*t = nt
 		taken = append(taken, ch)
 	}
+	if spoilt {
+		for _, ch := range append(taken, rest...) {
+			if ch.place {
+				c.unreserve(r, base+ch.index)
+			}
+		}
+		// Only endings remain; the next flush takes them.
+		p.queue = withoutPlaces(append(taken, rest...))
+		if len(p.queue) == 0 {
+			delete(c.dirty, p)
+		}
+		return
+	}
 	p.queue = rest
 	if len(rest) == 0 {
 		delete(c.dirty, p)
@@ -357,7 +376,6 @@
 			for _, ch := range taken {
 				if ch.place {
 					c.Stats.Placements++
-					c.launchSoon(ch.machine, taskKey{p.id, base + ch.index}, tasks[ch.index].Try)
 				} else {
 					c.Stats.Endings++
 					c.freed(ch.machine)
@@ -402,3 +420,13 @@
 		r.zones[m.claim.Zone]--
 	}
 }
+
+func withoutPlaces(q []change) []change {
+	var out []change
+	for _, ch := range q {
+		if !ch.place {
+			out = append(out, ch)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/sim_test.go
@@ -0,0 +1,785 @@
+package coordination
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"silvergate/internal/config"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// The simulation runs whole controllers' cores against stand-ins for the state
+// service, the cloud, workers and users, written from the protocol, in
+// simulated time and with generated faults. A checker watches every rule.
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+type sim struct {
+	rnd    *rand.Rand
+	now    time.Duration
+	seq    int
+	q      events
+	facts  config.Facts // what is true
+	told   config.Facts // what the controllers are told
+	nodes  []*simNode
+	kv     *simState
+	cloud  *simCloud
+	work   map[string]*simWorker
+	users  map[string]*simUser
+	broken []string
+	starts int
+	noise  float64 // probability that a message is lost, late or loses its answer
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.q, &event{s.now + d, s.seq, do})
+}
+
+func (s *sim) run(until time.Duration) {
+	for len(s.q) > 0 && s.q[0].at <= until && len(s.broken) < 20 {
+		e := heap.Pop(&s.q).(*event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+func (s *sim) breaks(rule, format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf("%8.3f %s: ", s.now.Seconds(), rule)+fmt.Sprintf(format, args...))
+}
+
+func (s *sim) ms(lo, hi float64) time.Duration { return seconds((lo + (hi-lo)*s.rnd.Float64()) / 1000) }
+
+// ---- controllers
+
+type simNode struct {
+	s       *sim
+	name    string
+	core    *Core
+	started time.Duration
+	life    int64
+	cut     map[string]time.Duration // "state", "workers", "peers", "users": cut off until
+	refused time.Duration            // by the state service alone
+	reqs    map[uint64]func(status int, body []byte)
+	nextReq uint64
+}
+
+func (n *simNode) start() {
+	s := n.s
+	n.life++
+	n.started = s.now
+	n.reqs = map[uint64]func(int, []byte){}
+	cfg := &config.Settings{Node: n.name, Zone: "a", Facts: s.told, Operator: config.DefaultOperator()}
+	for _, o := range s.nodes {
+		if o != n {
+			cfg.Peers = append(cfg.Peers, config.Peer{Node: o.name})
+		}
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n.core = New(cfg, log, rand.New(rand.NewPCG(s.rnd.Uint64(), 1)), n.life*1000+s.now.Milliseconds()+1)
+	n.tick(n.life)
+}
+
+func (n *simNode) tick(life int64) {
+	if n.core == nil || n.life != life {
+		return
+	}
+	n.effects(n.core.Tick(n.clock()))
+	n.s.after(50*time.Millisecond, func() { n.tick(life) })
+}
+
+func (n *simNode) clock() Clock {
+	return Clock{n.s.now - n.started, time.UnixMilli(1_700_000_000_000 + n.s.now.Milliseconds())}
+}
+
+func (n *simNode) crash(down time.Duration) {
+	n.core = nil
+	n.life++
+	n.s.after(down, func() {
+		if n.core == nil {
+			n.start()
+		}
+	})
+}
+
+// request delivers a request; done is called with status 0 when nothing comes.
+func (n *simNode) request(who, method, path string, body []byte, done func(int, []byte)) {
+	s := n.s
+	answered := false
+	once := func(st int, b []byte) {
+		if !answered {
+			answered = true
+			done(st, b)
+		}
+	}
+	s.after(4*time.Second, func() { once(0, nil) })
+	if n.cut[who] > s.now || s.rnd.Float64() < s.noise/4 {
+		if who == "workers" && s.rnd.IntN(2) == 0 { // held back and delivered late
+			s.after(s.ms(1000, 60_000), func() { n.deliver(method, path, body, func(int, []byte) {}) })
+		}
+		return
+	}
+	s.after(s.ms(0.2, 3), func() { n.deliver(method, path, body, once) })
+}
+
+func (n *simNode) deliver(method, path string, body []byte, done func(int, []byte)) {
+	if n.core == nil {
+		return
+	}
+	n.nextReq++
+	id := n.nextReq
+	life := n.life
+	n.reqs[id] = func(st int, b []byte) {
+		n.s.after(n.s.ms(0.2, 3), func() {
+			if n.life == life {
+				done(st, b)
+			}
+		})
+	}
+	n.effects(n.core.Request(n.clock(), id, method, path, body))
+}
+
+func (n *simNode) effects(e Effects) {
+	s := n.s
+	life := n.life
+	for _, a := range e.Answers {
+		if done := n.reqs[a.ID]; done != nil {
+			delete(n.reqs, a.ID)
+			done(a.Status, a.Body)
+		}
+	}
+	for _, m := range e.Sends {
+		for _, o := range s.nodes {
+			if o.name != m.To || n.cut["peers"] > s.now || o.cut["peers"] > s.now || s.rnd.Float64() < s.noise {
+				continue
+			}
+			msg := m.Message
+			s.after(s.ms(0.2, 5), func() {
+				if o.core != nil {
+					o.effects(o.core.Peer(o.clock(), n.name, msg))
+				}
+			})
+		}
+	}
+	for _, k := range e.Calls {
+		answered := false
+		reply := func(st int, body []byte) {
+			if answered || n.core == nil || n.life != life {
+				return
+			}
+			answered = true
+			n.effects(n.core.Reply(n.clock(), protocol.Reply{ID: k.ID, Status: st, Sent: true, Body: body}))
+		}
+		s.after(k.Timeout, func() { reply(0, nil) })
+		who := [...]string{"state", "cloud", "workers"}[k.Target]
+		serve := func(reply func(int, []byte)) {
+			switch k.Target {
+			case protocol.ToState:
+				s.kv.serve(n, k, reply)
+			case protocol.ToCloud:
+				s.cloud.serve(k, reply)
+			case protocol.ToWorker:
+				if w := s.work[k.Address]; w != nil {
+					w.direct(k, reply)
+				}
+			}
+		}
+		watch := strings.HasPrefix(k.Path, protocol.PathWatch)
+		switch luck := s.rnd.Float64(); {
+		case n.cut[who] > s.now || luck < s.noise:
+			switch s.rnd.IntN(3) { // lost, or executed late
+			case 0:
+			case 1:
+				s.after(s.ms(10, 60_000), func() { serve(func(int, []byte) {}) })
+			case 2:
+				s.after(s.ms(1, 20), func() { serve(func(int, []byte) {}) })
+			}
+		case watch:
+			s.after(s.ms(1, 5), func() { serve(reply) })
+		default:
+			s.after(s.ms(1, 5), func() {
+				serve(func(st int, b []byte) { s.after(s.ms(1, 5), func() { reply(st, b) }) })
+			})
+		}
+	}
+}
+
+// ---- state service
+
+type simKey struct {
+	data   json.RawMessage
+	stamp  uint64
+	permit uint64
+}
+
+type simState struct {
+	s       *sim
+	keys    map[string]simKey
+	rev     uint64
+	news    []protocol.News
+	leases  map[uint64]time.Duration
+	ttls    map[uint64]time.Duration
+	next    uint64
+	down    time.Duration
+	watches []*simWatch
+	blind   bool // broken on purpose: ignores conditions
+}
+
+type simWatch struct {
+	from  uint64
+	until time.Duration
+	node  *simNode
+	reply func(int, []byte)
+	done  bool
+}
+
+func (k *simState) expire() {
+	if k.down > k.s.now {
+		for p := range k.leases {
+			k.leases[p] = k.down + k.ttls[p]
+		}
+	}
+	for p, at := range k.leases {
+		if at > k.s.now {
+			continue
+		}
+		delete(k.leases, p)
+		for _, key := range k.sorted("") {
+			if k.keys[key].permit == p {
+				k.change(key, nil, 0, k.rev+1)
+			}
+		}
+		k.rev++
+	}
+	k.wake()
+}
+
+func (k *simState) sorted(after string) []string {
+	var out []string
+	for key := range k.keys {
+		if key > after {
+			out = append(out, key)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (k *simState) change(key string, data json.RawMessage, permit, rev uint64) {
+	if data == nil {
+		delete(k.keys, key)
+		k.news = append(k.news, protocol.News{Drop: key, Stamp: rev})
+	} else {
+		k.keys[key] = simKey{data, rev, permit}
+		k.news = append(k.news, protocol.News{Write: key, Data: data, Stamp: rev})
+	}
+}
+
+func (k *simState) wake() {
+	if k.down > k.s.now {
+		return
+	}
+	rest := k.watches[:0]
+	for _, w := range k.watches {
+		if w.node.refused > k.s.now {
+			rest = append(rest, w)
+			continue
+		}
+		if w.from == k.rev && k.s.now < w.until {
+			rest = append(rest, w)
+			continue
+		}
+		r := protocol.WatchResult{Ledger: k.rev}
+		for _, n := range k.news {
+			if n.Stamp > w.from {
+				r.News = append(r.News, n)
+			}
+		}
+		reply := w.reply
+		k.s.after(k.s.ms(1, 5), func() { reply(200, encode(r)) })
+	}
+	k.watches = rest
+}
+
+func (k *simState) serve(n *simNode, c protocol.Call, reply func(int, []byte)) {
+	if k.down > k.s.now || n.refused > k.s.now {
+		reply(503, nil)
+		return
+	}
+	u, _ := url.Parse(c.Path)
+	q := u.Query()
+	switch {
+	case u.Path == protocol.PathWatch:
+		from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
+		block, _ := strconv.Atoi(q.Get("blockMs"))
+		if len(k.news) > 300 { // a short memory, so that 410 is met often
+			k.news = append([]protocol.News(nil), k.news[200:]...)
+		}
+		if len(k.news) > 0 && from+1 < k.news[0].Stamp && from < k.rev {
+			reply(410, nil)
+			return
+		}
+		d := time.Duration(block) * time.Millisecond
+		k.watches = append(k.watches, &simWatch{from: from, until: k.s.now + d, node: n, reply: reply})
+		k.s.after(d, k.wake)
+		k.wake()
+	case u.Path == protocol.PathTxn:
+		var t protocol.Txn
+		_ = json.Unmarshal(c.Body, &t)
+		if len(t.Then) > k.s.facts.State.TxnOps || len(t.If) > 4*k.s.facts.State.TxnOps || len(c.Body) > 64<<10 {
+			k.s.breaks("state limits", "%d ops, %d conditions, %d bytes", len(t.Then), len(t.If), len(c.Body))
+		}
+		var failed []string
+		for _, f := range t.If {
+			if k.keys[f.Key].stamp != f.Stamp && !k.blind {
+				failed = append(failed, f.Key)
+			}
+		}
+		for _, o := range t.Then {
+			if len(o.Data) > int(k.s.facts.State.ValueKB*1024) {
+				k.s.breaks("state limits", "value of %d bytes at %s", len(o.Data), o.Write)
+			}
+			if _, ok := k.leases[o.Permit]; o.Permit != 0 && !ok {
+				reply(400, nil)
+				return
+			}
+		}
+		if failed != nil {
+			reply(409, encode(protocol.TxnResult{Failed: failed, Ledger: k.rev}))
+			return
+		}
+		if len(t.Then) > 0 {
+			for _, o := range t.Then {
+				if o.Write != "" {
+					k.change(o.Write, o.Data, o.Permit, k.rev+1)
+				} else if _, ok := k.keys[o.Drop]; ok {
+					k.change(o.Drop, nil, 0, k.rev+1)
+				}
+			}
+			k.rev++
+		}
+		reply(200, encode(protocol.TxnResult{Ledger: k.rev}))
+		k.wake()
+	case u.Path == protocol.PathKeys:
+		page, _ := strconv.Atoi(q.Get("page"))
+		r := protocol.EntryPage{Ledger: k.rev}
+		for _, key := range k.sorted(q.Get("from")) {
+			if !strings.HasPrefix(key, q.Get("under")) {
+				continue
+			}
+			if len(r.Entries) == min(page, 40) { // small pages, so that paging is met
+				r.Truncated = true
+				break
+			}
+			r.Entries = append(r.Entries, protocol.Entry{Key: key, Data: k.keys[key].data, Stamp: k.keys[key].stamp})
+		}
+		reply(200, encode(r))
+	case strings.HasPrefix(u.Path, protocol.PathKeys+"/"):
+		key := u.Path[len(protocol.PathKeys)+1:]
+		if v, ok := k.keys[key]; ok {
+			reply(200, encode(protocol.Entry{Key: key, Data: v.data, Stamp: v.stamp, Permit: v.permit}))
+		} else {
+			reply(404, encode(protocol.EntryPage{Ledger: k.rev}))
+		}
+	case u.Path == protocol.PathGrants:
+		var g protocol.Grant
+		_ = json.Unmarshal(c.Body, &g)
+		k.next++
+		k.ttls[k.next] = time.Duration(g.TTLMs) * time.Millisecond
+		k.leases[k.next] = k.s.now + k.ttls[k.next]
+		reply(200, encode(protocol.Granted{Permit: k.next}))
+	case strings.HasSuffix(u.Path, "/"+protocol.PathTouch):
+		p, _ := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
+		if _, ok := k.leases[p]; !ok {
+			reply(404, nil)
+			return
+		}
+		k.leases[p] = k.s.now + k.ttls[p]
+		reply(200, nil)
+	default:
+		k.s.breaks("state limits", "unknown request %s %s", c.Method, c.Path)
+	}
+}
+
+// ---- cloud
+
+type simCloud struct {
+	s     *sim
+	types map[string]protocol.Flavor
+	free  map[place]int
+	hires map[string][]string
+	next  int
+	all   map[string]*simWorker // by name
+	hist  []listSnap
+}
+
+type listSnap struct {
+	at   time.Duration
+	list []protocol.Listed
+}
+
+func (c *simCloud) snapshot() {
+	var l []protocol.Listed
+	for _, w := range c.all {
+		st := protocol.StatusRunning
+		if w.failed {
+			st = protocol.StatusFailed
+		} else if !w.up {
+			st = protocol.StatusBooting
+		}
+		l = append(l, protocol.Listed{Ref: w.name, Address: w.addr, Rig: w.rig, Depot: w.zone, Casual: w.spot, Status: st, AgeS: (c.s.now - w.rented).Seconds()})
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].Ref < l[j].Ref })
+	c.hist = append(c.hist, listSnap{c.s.now, l})
+	if len(c.hist) > 60 {
+		c.hist = c.hist[20:]
+	}
+	c.s.after(time.Second, c.snapshot)
+}
+
+func (c *simCloud) serve(k protocol.Call, reply func(int, []byte)) {
+	s := c.s
+	switch {
+	case k.Path == protocol.PathFlavors:
+		var f protocol.Flavors
+		for _, t := range c.types {
+			f.Rigs = append(f.Rigs, t)
+		}
+		reply(200, encode(f))
+	case k.Path == protocol.PathDelete:
+		var n protocol.Names
+		_ = json.Unmarshal(k.Body, &n)
+		for _, name := range n.Stokers {
+			if w := c.all[name]; w != nil {
+				w.die()
+				delete(c.all, name)
+				if !w.taken {
+					c.free[place{w.rig, w.zone, w.spot}]++
+				}
+			}
+		}
+		reply(200, []byte("{}"))
+	case strings.HasPrefix(k.Path, protocol.PathRentals+"?"):
+		lag := seconds(s.facts.Cloud.ListLag * (1 + s.rnd.Float64()))
+		r := protocol.RentalList{Stokers: []protocol.Listed{}}
+		u, _ := url.Parse(k.Path)
+		for i := len(c.hist) - 1; i >= 0; i-- {
+			if c.hist[i].at <= s.now-lag {
+				for _, l := range c.hist[i].list {
+					if l.Ref > u.Query().Get("from") {
+						if len(r.Stokers) == 7 { // small pages
+							r.Truncated = true
+							break
+						}
+						r.Stokers = append(r.Stokers, l)
+					}
+				}
+				break
+			}
+		}
+		reply(200, encode(r))
+	case k.Path == protocol.PathRentals:
+		var r protocol.Rental
+		_ = json.Unmarshal(k.Body, &r)
+		if old, ok := c.hires[r.Hire]; ok {
+			reply(200, encode(protocol.Names{Stokers: old}))
+			return
+		}
+		p := place{r.Rig, r.Depot, r.Casual}
+		n := min(r.Number, c.free[p])
+		if n == 0 {
+			reply(503, []byte(`{"error":"no capacity"}`))
+			return
+		}
+		c.free[p] -= n
+		names := []string{}
+		for i := 0; i < n; i++ {
+			w := &simWorker{s: s, name: fmt.Sprintf("i-%06d", c.next), rig: r.Rig, zone: r.Depot, spot: r.Casual, rented: s.now, loads: map[string]*simLoad{}}
+			c.next++
+			w.addr = "w:" + w.name
+			s.work[w.addr] = w
+			c.all[w.name] = w
+			names = append(names, w.name)
+			if s.rnd.IntN(20) > 0 {
+				s.after(seconds(c.types[r.Rig].StartupS*(0.6+0.9*s.rnd.Float64())), w.boot)
+			}
+		}
+		c.hires[r.Hire] = names
+		reply(200, encode(protocol.Names{Stokers: names}))
+	}
+}
+
+// ---- workers
+
+type simLoad struct {
+	id     string
+	index  int
+	try    int
+	status string
+	cause  string
+	gen    int
+}
+
+func (l *simLoad) on() bool {
+	return l.status == protocol.LoadRunning || l.status == protocol.LoadWaiting
+}
+
+type simWorker struct {
+	s        *sim
+	name     string
+	addr     string
+	rig      string
+	zone     string
+	spot     bool
+	rented   time.Duration
+	up       bool
+	dead     bool
+	failed   bool
+	taken    bool
+	hung     time.Duration
+	shift    uint64
+	tally    uint64
+	baton    uint64
+	began    time.Duration // of the session
+	answered time.Duration // sending time of the last answered report
+	node     int
+	loads    map[string]*simLoad
+	inFlight bool
+	faulty   bool
+	pending  []func()
+}
+
+func (w *simWorker) die() {
+	w.dead = true
+	w.up = false
+	for _, l := range w.loads {
+		l.status, l.gen = protocol.LoadEnded, l.gen+1
+	}
+	w.loads = map[string]*simLoad{}
+}
+
+func (w *simWorker) boot() {
+	if w.dead {
+		return
+	}
+	w.up, w.shift, w.began, w.answered = true, 1, w.s.now, w.s.now
+	w.node = w.s.rnd.IntN(len(w.s.nodes))
+	w.report()
+	w.leaseLoop()
+}
+
+func (w *simWorker) leaseLoop() {
+	if w.dead {
+		return
+	}
+	if w.s.now >= w.hung && w.s.now-max(w.answered, w.began) > seconds(w.s.facts.Workers.Lease) {
+		for _, l := range w.loads {
+			l.status, l.gen = protocol.LoadEnded, l.gen+1
+		}
+		w.loads = map[string]*simLoad{}
+		w.shift++
+		w.began = w.s.now
+	}
+	w.s.after(50*time.Millisecond, w.leaseLoop)
+}
+
+func (w *simWorker) state() protocol.Report {
+	w.tally++
+	r := protocol.Report{Stoker: w.name, Address: w.addr, Rig: w.rig, Depot: w.zone, Casual: w.spot, Shift: w.shift, Tally: w.tally, Baton: w.baton, Loads: []protocol.Load{}}
+	var names []string
+	for n := range w.loads {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		l := w.loads[n]
+		r.Loads = append(r.Loads, protocol.Load{Load: l.id + "/" + strconv.Itoa(l.index), Try: l.try, Status: l.status, Cause: l.cause})
+	}
+	return r
+}
+
+func (w *simWorker) report() {
+	s := w.s
+	if w.dead {
+		return
+	}
+	if s.now < w.hung {
+		s.after(w.hung-s.now, w.report)
+		return
+	}
+	rep := w.state()
+	shift, sent := w.shift, s.now
+	n := s.nodes[w.node]
+	n.request("workers", "POST", protocol.PathCheckin, encode(rep), func(st int, body []byte) {
+		if w.dead {
+			return
+		}
+		next := seconds(s.facts.Workers.Report * (0.75 + 0.5*s.rnd.Float64()))
+		switch {
+		case st == 200:
+			var a protocol.CheckinAnswer
+			_ = json.Unmarshal(body, &a)
+			// A hung machine takes nothing in, and drops what is over 4 s old.
+			if s.now >= w.hung && a.Baton >= w.baton && a.Baton > 0 && shift == w.shift && s.now-sent <= 4*time.Second {
+				if a.Baton > w.baton {
+					next = 500 * time.Millisecond
+				}
+				w.baton, w.answered = a.Baton, sent
+				w.execute(a.Orders)
+			}
+		case st == 421:
+			var r protocol.Redirect
+			_ = json.Unmarshal(body, &r)
+			w.node = (w.node + 1) % len(s.nodes)
+			for i, o := range s.nodes {
+				if o.name == r.Dispatcher {
+					w.node = i
+				}
+			}
+			next = s.ms(0, 500)
+		default:
+			w.node = (w.node + 1) % len(s.nodes)
+			next = time.Second
+		}
+		s.after(next, w.report)
+	})
+}
+
+func (w *simWorker) direct(k protocol.Call, reply func(int, []byte)) {
+	if w.dead || !w.up {
+		return
+	}
+	if w.s.now < w.hung { // taken in when the machine goes on
+		w.s.after(w.hung-w.s.now+time.Millisecond, func() { w.direct(k, reply) })
+		return
+	}
+	var d protocol.DirectOrders
+	_ = json.Unmarshal(k.Body, &d)
+	if d.Baton < w.baton || d.Shift != w.shift {
+		reply(409, encode(w.state()))
+		return
+	}
+	w.baton = d.Baton
+	w.execute(d.Orders)
+	reply(200, encode(w.state()))
+}
+
+func (w *simWorker) execute(orders []protocol.Order) {
+	s := w.s
+	for _, o := range orders {
+		key := o.Load + "#" + strconv.Itoa(o.Try)
+		id, index, err := job.SplitTaskName(o.Load)
+		if err != nil {
+			continue
+		}
+		switch o.Verb {
+		case protocol.VerbLaunch:
+			if w.loads[key] != nil {
+				continue
+			}
+			l := &simLoad{id: id, index: index, try: o.Try, status: protocol.LoadPulling}
+			u := s.users[id]
+			if u == nil {
+				l.status, l.cause = protocol.LoadEnded, protocol.CauseUnknown
+				w.loads[key] = l
+				continue
+			}
+			if !w.room(u.spec) {
+				l.status, l.cause = protocol.LoadEnded, protocol.CauseNoRoom
+				w.loads[key] = l
+				continue
+			}
+			w.loads[key] = l
+			gen := l.gen
+			s.after(s.ms(200, 4000), func() { w.begin(u, l, gen) })
+		case protocol.VerbKill:
+			if l := w.loads[key]; l != nil && l.status != protocol.LoadEnded {
+				l.status, l.cause, l.gen = protocol.LoadEnded, protocol.CauseStopped, l.gen+1
+			}
+		case protocol.VerbForget:
+			if l := w.loads[key]; l != nil && l.status == protocol.LoadEnded {
+				delete(w.loads, key)
+			}
+		}
+	}
+}
+
+func (w *simWorker) room(sp *job.Spec) bool {
+	t := w.s.cloud.types[w.rig]
+	g, c := sp.GPUs, sp.CPUs
+	for _, l := range w.loads {
+		if l.status != protocol.LoadEnded {
+			g, c = g+w.s.users[l.id].spec.GPUs, c+w.s.users[l.id].spec.CPUs
+		}
+	}
+	return g <= t.GPUs && c <= t.CPUs
+}
+
+// begin is the moment from which a task is on its machine.
+func (w *simWorker) begin(u *simUser, l *simLoad, gen int) {
+	s := w.s
+	if w.dead || l.gen != gen || l.status != protocol.LoadPulling {
+		return
+	}
+	if s.now < w.hung {
+		s.after(w.hung-s.now+time.Millisecond, func() { w.begin(u, l, gen) })
+		return
+	}
+	s.starts++
+	s.checkStart(w, u, l)
+	l.status = protocol.LoadRunning
+	if u.done[l.index] {
+		l.status, l.cause = protocol.LoadEnded, protocol.CauseDone
+		return
+	}
+	if w.faulty {
+		l.status, l.cause = protocol.LoadEnded, protocol.CauseError
+		return
+	}
+	if u.spec.Shape == job.Service {
+		return
+	}
+	s.after(seconds(u.runs), func() { w.finish(u, l, l.gen) })
+}
+
+func (w *simWorker) finish(u *simUser, l *simLoad, gen int) {
+	if w.dead || l.gen != gen || l.status != protocol.LoadRunning {
+		return
+	}
+	if w.s.now < w.hung {
+		w.s.after(w.hung-w.s.now+time.Millisecond, func() { w.finish(u, l, gen) })
+		return
+	}
+	l.status, l.cause = protocol.LoadEnded, protocol.CauseDone
+	if u.spec.Shape == job.Gang { // the tasks of a gang complete together
+		for i := range u.done {
+			u.done[i] = true
+		}
+	}
+	u.done[l.index] = true
+}
--- /dev/null
+++ b/internal/transport/server_test.go
@@ -0,0 +1,194 @@
+package transport
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+type echo struct {
+	server *Server
+	mu     sync.Mutex
+	got    chan string
+	later  chan uint64
+}
+
+func (e *echo) Serve(id uint64, r *Request) {
+	if r.Path == "/later" {
+		e.later <- id
+		return
+	}
+	e.server.Answer(id, 200, []byte(r.Method+r.Path+string(r.Body)), 0)
+}
+func (e *echo) Decode(dec *gob.Decoder) (any, error) {
+	var s string
+	err := dec.Decode(&s)
+	return s, err
+}
+func (e *echo) Message(from string, m any) { e.got <- fmt.Sprint(from, ":", m) }
+func (e *echo) Tick()                      {}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startEcho serves until the test process ends: evio has no stop from outside.
+func startEcho(t *testing.T, patience time.Duration, conns int) (e *echo, httpAddr, peerAddr string) {
+	e = &echo{got: make(chan string, 64), later: make(chan uint64, 1)}
+	e.server = NewServer(&e.mu, e, 5*time.Millisecond, patience, conns)
+	httpAddr, peerAddr = freeAddr(t), freeAddr(t)
+	go e.server.Run(httpAddr, peerAddr)
+	for i := 0; ; i++ {
+		c, err := net.Dial("tcp4", httpAddr)
+		if err == nil {
+			c.Close()
+			return e, httpAddr, peerAddr
+		}
+		if i > 200 {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestServerAnswersInOrderAndLater(t *testing.T) {
+	e, addr, _ := startEcho(t, time.Minute, 100)
+	p := NewPool(addr)
+	for i := 0; i < 5; i++ {
+		body := strings.Repeat("x", i*9000)
+		r, _, err := p.Do("POST", "/a", []byte(body), 5*time.Second)
+		if err != nil || r.Status != 200 || string(r.Body) != "POST/a"+body {
+			t.Fatalf("request %d: %v %v", i, r, err)
+		}
+	}
+	done := make(chan string)
+	go func() {
+		r, _, err := p.Do("GET", "/later", nil, 5*time.Second)
+		if err != nil {
+			done <- err.Error()
+			return
+		}
+		done <- string(r.Body)
+	}()
+	id := <-e.later
+	e.mu.Lock()
+	e.server.Answer(id, 200, []byte("late"), 0)
+	e.mu.Unlock()
+	if got := <-done; got != "late" {
+		t.Fatal(got)
+	}
+	// Two requests at once are served one after the other.
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n")
+	all, _ := io.ReadAll(c)
+	if i, j := bytes.Index(all, []byte("GET/1")), bytes.Index(all, []byte("GET/2")); i < 0 || j < i {
+		t.Fatalf("%q", all)
+	}
+}
+
+func TestServerCutsOffSlowAndExcessConnections(t *testing.T) {
+	_, addr, _ := startEcho(t, 50*time.Millisecond, 3)
+	slow, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(slow, "GET /x HT")
+	all, _ := io.ReadAll(slow)
+	if !bytes.HasPrefix(all, []byte("HTTP/1.1 408 ")) {
+		t.Fatalf("a slow sender got %q", all)
+	}
+	var conns []net.Conn
+	refused := 0
+	for i := 0; i < 6; i++ {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+		fmt.Fprint(c, "GET /x HTTP/1.1\r\n\r\n")
+		line := make([]byte, 12)
+		if _, err := io.ReadFull(c, line); err != nil || string(line) == "HTTP/1.1 503" {
+			refused++
+		}
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	if refused != 3 {
+		t.Fatalf("%d of 6 connections refused with a limit of 3", refused)
+	}
+}
+
+func TestPeerLinkDeliversInOrder(t *testing.T) {
+	e, _, addr := startEcho(t, time.Minute, 10)
+	l := NewOutLink("me", addr)
+	for i := 0; i < 20; i++ {
+		l.Send(fmt.Sprint("m", i))
+	}
+	for i := 0; i < 20; i++ {
+		if got, want := <-e.got, fmt.Sprint("me:m", i); got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	}
+}
+
+type collect struct {
+	echo
+	all []string
+}
+
+func (c *collect) Message(from string, m any) { c.all = append(c.all, fmt.Sprint(from, ":", m)) }
+
+func TestInLinkSplitAnywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		msgs := rapid.SliceOfN(rapid.String(), 0, 8).Draw(t, "msgs")
+		var wire, buf bytes.Buffer
+		enc := gob.NewEncoder(&buf)
+		for _, m := range append([]string{"peer"}, msgs...) {
+			buf.Reset()
+			if err := enc.Encode(m); err != nil {
+				t.Fatal(err)
+			}
+			_ = binary.Write(&wire, binary.BigEndian, uint32(buf.Len()))
+			wire.Write(buf.Bytes())
+		}
+		c := &collect{}
+		l := newInLink()
+		for b := wire.Bytes(); len(b) > 0; {
+			n := rapid.IntRange(1, len(b)).Draw(t, "piece")
+			if err := l.feed(b[:n], c); err != nil {
+				t.Fatal(err)
+			}
+			b = b[n:]
+		}
+		if len(c.all) != len(msgs) {
+			t.Fatalf("%d of %d messages came", len(c.all), len(msgs))
+		}
+		for i, m := range msgs {
+			if c.all[i] != "peer:"+m {
+				t.Fatalf("message %d is %q", i, c.all[i])
+			}
+		}
+		if err := newInLink().feed([]byte{0xff, 0xff, 0xff, 0xff, 1}, c); err == nil {
+			t.Fatal("a huge frame passed")
+		}
+	})
+}
