--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -84,6 +84,7 @@
 
 	gang      gangLease
 	marking   bool
+	markedAt  time.Duration
 	drawAt    time.Duration
 	moving    time.Duration // no other service is moved before
 	launching []*machine
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -36,7 +36,8 @@
 
 	refused  map[place]time.Duration // no capacity, not to be asked before
 	strikes  map[place]int
-	gone     map[string]time.Duration
+	gone     map[string]time.Duration // deletion asked for
+	fenced   map[string]bool          // and answered
 	deleting map[string]bool
 	lost     map[string]time.Duration // claimed by the dead, since when
 	planAt   time.Duration
@@ -72,6 +73,7 @@
 func (f *fleet) init() {
 	f.rentals = map[string]*rental{}
 	f.refused, f.strikes = map[place]time.Duration{}, map[place]int{}
+	f.fenced = map[string]bool{}
 	f.gone, f.deleting, f.lost = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	f.listed, f.listing = map[string]protocol.Listed{}, map[string]protocol.Listed{}
 	f.samples = map[string]*record{}
@@ -207,7 +209,8 @@
 // nobody uses are strays.
 func (c *Core) listIn() {
 	f := &c.fleet
-	for id, l := range f.listed {
+	for _, id := range sortedKeys(f.listed) {
+		l := f.listed[id]
 		if t, ok := f.gone[id]; ok && c.now-t < seconds(4*c.cfg.Facts.Cloud.ListLag) {
 			continue
 		}
@@ -233,7 +236,8 @@
 	if m == nil {
 		return
 	}
-	for k, rec := range m.bound {
+	for _, k := range m.tasks() {
+		rec := m.bound[k]
 		t := rec.task(c, k.index)
 		if !c.ending(rec, k.index) {
 			c.propose(rec, k.index, change{machine: id, session: t.Session, try: t.Try})
@@ -252,7 +256,21 @@
 			f.deleting[id] = true
 		}
 	}
-	for id, m := range c.machines {
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		if t, ok := f.gone[id]; ok && (m.stamp != 0 || len(m.bound) > 0) && f.fenced[id] && c.now-t < seconds(2*c.cfg.Facts.Cloud.ListLag) {
+			// Known to be gone: releases that failed are proposed again, and
+			// the records go once nothing is bound any more.
+			c.machineGone(id)
+			c.forgetMachine(id)
+			continue
+		}
+		// Guards against tasks bound for ever: whoever deleted the machine
+		// may have died before their release was committed.
+		if m.stamp == 0 && len(m.bound) > 0 {
+			f.deleting[id] = true
+			continue
+		}
 		// Machines of dead controllers that report to nobody else.
 		if m.stamp == 0 || (c.alive(m.claim.Owner) && (c.members[m.claim.Owner] == nil || c.members[m.claim.Owner].Life == m.claim.Life)) {
 			delete(f.lost, id)
@@ -260,7 +278,9 @@
 		}
 		if f.lost[id] == 0 {
 			f.lost[id] = c.now
-		} else if c.now-f.lost[id] > c.leaseOver() {
+		} else if c.now-f.lost[id] > c.horizon()+seconds(3*c.cfg.Facts.Workers.Report) {
+			// A controller that is only cut off sends its workers on when
+			// its horizon is reached; what has not moved by then is lost.
 			f.deleting[id] = true
 		}
 	}
@@ -283,6 +303,7 @@
 	}
 	for _, id := range names {
 		f.gone[id] = c.now // not again while this is under way
+		delete(f.fenced, id)
 	}
 	c.cloud(http.MethodPost, protocol.PathDelete, protocol.Names{Stokers: names}, func(r protocol.Reply) {
 		if r.Status != http.StatusOK {
@@ -295,15 +316,21 @@
 		c.Stats.Deleted += uint64(len(names))
 		c.log.Info("machines returned", "stokers", names)
 		for _, id := range names {
+			f.fenced[id] = true
 			c.machineGone(id)
 			c.forgetMachine(id)
 		}
 	})
 }
 
-// forgetMachine drops the records of a machine that is gone. Tasks still
-// bound to it are being released in their own transactions.
+// forgetMachine drops the records of a machine that is gone, once nothing is
+// bound to it.
 func (c *Core) forgetMachine(id string) {
+	if m := c.machines[id]; m != nil && (len(m.bound) > 0 || m.forgetting > c.now) {
+		return
+	} else if m != nil {
+		m.forgetting = c.now + time.Second
+	}
 	var conds []protocol.Cond
 	var ops []protocol.Op
 	for _, key := range []string{keyClaim + id, keyDrain + id} {
@@ -320,7 +347,8 @@
 // sendRentals sends recorded requests until each has got an answer.
 func (c *Core) sendRentals() {
 	f := &c.fleet
-	for name, r := range f.rentals {
+	for _, name := range sortedKeys(f.rentals) {
+		r := f.rentals[name]
 		if r.Names != nil {
 			c.settleRental(name, r)
 			continue
@@ -590,7 +618,7 @@
 func (c *Core) bestPlace(s *job.Spec, want map[place]int, avoid map[string]int) (place, bool) {
 	var best place
 	bestCost, bestLoad, found := 0.0, 0, false
-	for _, sku := range c.rigs() {
+	for _, sku := range sortedKeys(c.catalogue) {
 		t := c.catalogue[sku]
 		if !s.TypeAllowed(sku) || !holds(&t, s) {
 			continue
@@ -624,15 +652,6 @@
 	return best, found
 }
 
-func (c *Core) rigs() []string {
-	var out []string
-	for n := range c.catalogue {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
-}
-
 // rent records new rentals; sendRentals sends them once recorded.
 func (c *Core) rent(want map[place]int) {
 	f := &c.fleet
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -204,8 +204,15 @@
 	}
 	if c.gang.Job != "" {
 		r := c.jobs[c.gang.Job]
-		if c.gang.Owner == c.cfg.Node && (c.gang.Life != c.life || r == nil || r.final() || r.bound > 0) {
+		// Guards against a mark that nobody acts on: a controller that stood
+		// in for the job's keeper gives it back when the keeper returns. A
+		// gang that finds no room for long lets others try.
+		tired := c.now-c.markedAt > seconds(2*c.cfg.Facts.Workers.GangWait)
+		if c.gang.Owner == c.cfg.Node && (c.gang.Life != c.life || r == nil || r.final() || r.bound > 0 || tired || c.successor(r.home) != c.cfg.Node) {
 			c.marking = true
+			if tired && r != nil {
+				r.backoff = c.now + seconds(c.cfg.Facts.Workers.GangWait/2)
+			}
 			c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang, Stamp: c.store.Stamp(keyGang)}}, []protocol.Op{{Drop: keyGang}},
 				func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
 		}
@@ -220,7 +227,7 @@
 			continue
 		}
 		if c.successor(r.home) == c.cfg.Node {
-			c.marking = true
+			c.marking, c.markedAt = true, c.now
 			c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang}},
 				[]protocol.Op{{Write: keyGang, Data: encode(gangLease{r.spec.ID, c.cfg.Node, c.life}), Permit: c.permit}},
 				func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -1,10 +1,6 @@
 package coordination
 
-import (
-	"sort"
-
-	"silvergate/internal/job"
-)
+import "silvergate/internal/job"
 
 // Exception "gathering": the thesis's tasks end by themselves, services do
 // not. Left alone, a few of them keep many machines half empty. When nothing
@@ -82,7 +78,8 @@
 // room tells whether all services on m have a place elsewhere.
 func (c *Core) room(m *machine) bool {
 	used := map[*machine]usage{}
-	for _, r := range m.bound {
+	for _, k := range m.tasks() {
+		r := m.bound[k]
 		t := c.target(r, m, used)
 		if t == nil {
 			return false
@@ -97,14 +94,7 @@
 	if len(m.stops) > 0 || c.moving > c.now {
 		return
 	}
-	var keys []taskKey
-	for k := range m.bound {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(i, j int) bool {
-		return keys[i].id < keys[j].id || (keys[i].id == keys[j].id && keys[i].index < keys[j].index)
-	})
 	// The moved one should run again before the next is stopped.
 	c.moving = c.now + seconds(c.cfg.Facts.Workers.Report)
-	c.stop(m, keys[0], "moved")
+	c.stop(m, m.tasks()[0], "moved")
 }
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -98,7 +98,7 @@
 		if a.cost != b.cost {
 			return a.cost < b.cost
 		}
-		return a.k.id < b.k.id || (a.k.id == b.k.id && a.k.index < b.k.index)
+		return a.k.before(b.k)
 	})
 	f := c.catalogue[m.claim.Type]
 	s := r.spec
@@ -140,12 +140,11 @@
 // owned lists our machines by name.
 func (c *Core) owned() []string {
 	var out []string
-	for id, m := range c.machines {
-		if c.mine(m) {
+	for _, id := range sortedKeys(c.machines) {
+		if c.mine(c.machines[id]) {
 			out = append(out, id)
 		}
 	}
-	sort.Strings(out)
 	return out
 }
 
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -234,7 +235,7 @@
 	if !c.store.Ready() {
 		return
 	}
-	for p := range c.dirty {
+	for _, p := range sortedPages(c.dirty) {
 		if !p.busy && c.now >= p.retry {
 			c.flushPage(p)
 		}
@@ -430,3 +431,46 @@
 	}
 	return out
 }
+
+// The order of what a step does must not depend on map order: the same inputs
+// give the same outputs.
+
+func sortedPages(m map[*page]bool) []*page {
+	if len(m) == 0 {
+		return nil
+	}
+	out := make([]*page, 0, len(m))
+	for p := range m {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.rec != b.rec {
+			return sooner(a.rec, b.rec)
+		}
+		return a.num < b.num
+	})
+	return out
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (k taskKey) before(o taskKey) bool {
+	return k.id < o.id || (k.id == o.id && k.index < o.index)
+}
+
+func (m *machine) tasks() []taskKey {
+	out := make([]taskKey, 0, len(m.bound))
+	for k := range m.bound {
+		out = append(out, k)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
+	return out
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -47,29 +47,30 @@
 	images map[string]bool // fetched or being fetched, as far as is known
 
 	// What the holder knows.
-	session  uint64
-	tally    uint64
-	shown    bool // a report carried our token
-	heard    time.Duration
-	answered time.Duration // arrival of the last report answered with 200
-	released bool          // its lease is over and its tasks were given up
-	recalled bool
-	claiming bool
-	sent     map[taskKey]uint64        // tally of the report whose answer launched
-	direct   map[taskKey]int           // launches sent to /orders and not answered yet, with their attempt
-	tainted  bool                      // such a launch got no answer: it may be executed until a new token is seen
-	soon     []protocol.Order          // launches for the next direct call
-	begun    map[taskKey]time.Duration // first seen running
-	stops    map[taskKey]stop
-	errors   map[string]bool // jobs whose tasks failed here
-	listed   bool
-	joined   time.Duration
-	idleAt   time.Duration // since when nothing is bound, for the fleet
-	holdFor  string        // the job for which others were stopped here
-	holdTill time.Duration // and how long nothing else may take the room
-	draining bool          // a drain is being written
-	emptying bool          // its services are being gathered elsewhere
-	sparseAt time.Duration // since when it holds few services and nothing else; 0: not
+	session    uint64
+	tally      uint64
+	shown      bool // a report carried our token
+	heard      time.Duration
+	answered   time.Duration // arrival of the last report answered with 200
+	released   bool          // its lease is over and its tasks were given up
+	recalled   bool
+	claiming   bool
+	sent       map[taskKey]uint64        // tally of the report whose answer launched
+	direct     map[taskKey]int           // launches sent to /orders and not answered yet, with their attempt
+	tainted    bool                      // such a launch got no answer: it may be executed until a new token is seen
+	soon       []protocol.Order          // launches for the next direct call
+	begun      map[taskKey]time.Duration // first seen running
+	stops      map[taskKey]stop
+	errors     map[string]bool // jobs whose tasks failed here
+	listed     bool
+	joined     time.Duration
+	idleAt     time.Duration // since when nothing is bound, for the fleet
+	holdFor    string        // the job for which others were stopped here
+	holdTill   time.Duration // and how long nothing else may take the room
+	draining   bool          // a drain is being written
+	forgetting time.Duration // its records are being dropped: not again before
+	emptying   bool          // its services are being gathered elsewhere
+	sparseAt   time.Duration // since when it holds few services and nothing else; 0: not
 }
 
 type stop struct {
@@ -303,7 +304,8 @@
 			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &grace})
 		}
 	}
-	for k, rec := range m.bound {
+	for _, k := range m.tasks() {
+		rec := m.bound[k]
 		t := rec.task(c, k.index)
 		if listed[k] {
 			continue
@@ -412,17 +414,16 @@
 			}
 		}
 	}
-	for _, m := range c.machines {
-		if !c.mine(m) {
-			continue
-		}
+	for _, id := range c.owned() {
+		m := c.machines[id]
 		if c.now-m.heard > entryAge {
 			c.unlist(m)
 		}
 		if m.shown && m.answered > 0 && c.now-m.answered > c.leaseOver() {
 			// The worker has killed everything: its lease is over.
 			m.released = true
-			for k, rec := range m.bound {
+			for _, k := range m.tasks() {
+				rec := m.bound[k]
 				t := rec.task(c, k.index)
 				if t.Session <= m.session && !c.ending(rec, k.index) {
 					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, guard: true})
