--- /dev/null
+++ b/cmd/silvergate/root_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func runCommand(args ...string) (string, error) {
+	var out bytes.Buffer
+	cmd := root()
+	cmd.SetArgs(args)
+	cmd.SetOut(&out)
+	cmd.SetErr(&out)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+func TestCommandsExplainThemselves(t *testing.T) {
+	out, err := runCommand("--help")
+	if err != nil || !strings.Contains(out, "submit") || !strings.Contains(out, "--config") {
+		t.Fatalf("%q %v", out, err)
+	}
+	for _, args := range [][]string{{}, {"validate"}, {"validate", "--config", "/nonexistent.json"}, {"show"}, {"show", "job-1"}, {"nonsense"}} {
+		if out, err := runCommand(args...); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %q %v", args, out, err)
+		}
+	}
+}
+
+func TestClientCommands(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method + r.URL.Path {
+		case "GET/v2/runs/wk-000001":
+			w.Write([]byte(`{"ref":"wk-000001","status":"running"}`))
+		case "POST/v2/runs/wk-000001/abort":
+			w.Write([]byte(`{"ref":"wk-000001","status":"cancelled"}`))
+		case "POST/v2/runs":
+			w.Header().Set("Retry-After", "7")
+			w.WriteHeader(503)
+			w.Write([]byte(`{"error":"starting"}`))
+		default:
+			w.WriteHeader(404)
+			w.Write([]byte(`{"error":"no such job"}`))
+		}
+	}))
+	defer srv.Close()
+	addr := srv.Listener.Addr().(*net.TCPAddr).String()
+	if out, err := runCommand("show", "--address", addr, "wk-000001"); err != nil || !strings.Contains(out, "running") {
+		t.Errorf("show: %q %v", out, err)
+	}
+	if out, err := runCommand("cancel", "--address", addr, "wk-000001"); err != nil || !strings.Contains(out, "cancelled") {
+		t.Errorf("cancel: %q %v", out, err)
+	}
+	if _, err := runCommand("show", "--address", addr, "wk-000002"); err == nil || !strings.Contains(err.Error(), "404: no such job") {
+		t.Errorf("show: %v", err)
+	}
+	file := filepath.Join(t.TempDir(), "job.json")
+	body := `{"ref":"wk-000001","jobclass":"a","crew":"b","shape":"batch","urgency":"idle","loads":1,"cpus":1,"accelerators":0,"ramGb":1,"kit":"i","sizeGb":1,
+	 "oneZone":false,"apart":false,"casual":false,"etaS":1,"waypointS":0,"stowS":0}`
+	if err := os.WriteFile(file, []byte(body), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := runCommand("submit", "--address", addr, file); err == nil || !strings.Contains(err.Error(), "try again in 7 s") {
+		t.Errorf("submit: %v", err)
+	}
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -15,6 +15,8 @@
 	"strings"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/config"
 	"silvergate/internal/job"
@@ -88,6 +90,7 @@
 	drawAt    time.Duration
 	moving    time.Duration // no other service is moved before
 	launching []*machine
+	latency   map[string]*hdrhistogram.Histogram
 	verbose   bool // debug lines are wanted; saves building them
 
 	permit    uint64
@@ -106,7 +109,18 @@
 
 // Stats counts what an operator wants to know.
 type Stats struct {
-	Submitted, Cancelled, Checkins, Claims, Placements, Endings, Conflicts, Forwards, Preemptions, Rented, Deleted, Unavailable uint64
+	Submitted   uint64 `json:"submitted"`
+	Cancelled   uint64 `json:"cancelled"`
+	Checkins    uint64 `json:"checkins"`
+	Claims      uint64 `json:"claims"`
+	Placements  uint64 `json:"placements"`
+	Endings     uint64 `json:"endings"`
+	Conflicts   uint64 `json:"conflicts"`
+	Forwards    uint64 `json:"forwards"`
+	Preemptions uint64 `json:"preemptions"`
+	Rented      uint64 `json:"rented"`
+	Deleted     uint64 `json:"deleted"`
+	Unavailable uint64 `json:"unavailable"`
 }
 
 type taskKey struct {
@@ -121,7 +135,7 @@
 		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
 		teams: map[string]*team{}, members: map[string]*member{}, drains: map[string]drain{}, dirty: map[*page]bool{},
 		orphans: map[string]orphan{}, catalogue: map[string]protocol.Flavor{}, waiting: map[taskKey]*waiter{},
-		placed: map[taskKey]time.Duration{}, beats: map[string]beat{},
+		placed: map[taskKey]time.Duration{}, beats: map[string]beat{}, latency: map[string]*hdrhistogram.Histogram{},
 	}
 	for i := range cfg.Facts.Teams {
 		t := &cfg.Facts.Teams[i]
@@ -143,6 +157,13 @@
 	k.ID = c.nextCall
 	c.calls[k.ID] = done
 	c.out.Calls = append(c.out.Calls, k)
+	if name := [...]string{"state", "cloud", "worker"}[k.Target]; !strings.HasPrefix(k.Path, protocol.PathWatch) {
+		at := c.now
+		c.calls[k.ID] = func(r protocol.Reply) {
+			c.measure(name, c.now-at)
+			done(r)
+		}
+	}
 }
 
 // begin and end bracket every step.
@@ -232,6 +253,12 @@
 			return
 		}
 		c.up(id)
+	case path == PathStats:
+		if method != "GET" {
+			c.refuse(id, 405, "use GET")
+			return
+		}
+		c.answer(id, 200, c.stats(), 0)
 	case path == protocol.PathRuns:
 		if method != "POST" {
 			c.refuse(id, 405, "use POST")
@@ -257,6 +284,56 @@
 	}
 }
 
+// PathStats is where operators read the counters.
+const PathStats = "/stats"
+
+// stats is what operators see of a controller.
+func (c *Core) stats() any {
+	mine, waiting, open := 0, len(c.line), 0
+	for _, m := range c.machines {
+		if c.mine(m) {
+			mine++
+		}
+	}
+	for _, r := range c.jobs {
+		if !r.final() {
+			open++
+		}
+	}
+	type latency struct {
+		Count           int64
+		P50, P95, P99MS float64
+	}
+	lat := map[string]latency{}
+	for name, h := range c.latency {
+		lat[name] = latency{h.TotalCount(), float64(h.ValueAtQuantile(50)) / 1000, float64(h.ValueAtQuantile(95)) / 1000, float64(h.ValueAtQuantile(99)) / 1000}
+	}
+	return struct {
+		Node       string             `json:"node"`
+		UptimeS    float64            `json:"uptimeS"`
+		StateAgeS  float64            `json:"stateAgeS"`
+		Leading    bool               `json:"leading"`
+		Machines   int                `json:"machines"`
+		Idle       int                `json:"idleList"`
+		Waiting    int                `json:"waitingTasks"`
+		OpenJobs   int                `json:"openJobs"`
+		StateQueue int                `json:"stateQueue"`
+		Counters   Stats              `json:"counters"`
+		Latency    map[string]latency `json:"latency"`
+	}{c.cfg.Node, c.now.Seconds(), (c.now - c.store.Fresh()).Seconds(), c.leads(), mine, len(c.idle), waiting, open, c.store.Backlog(), c.Stats, lat}
+}
+
+// measure records how long a call took, in a histogram that covers a minute
+// to two digits.
+func (c *Core) measure(name string, d time.Duration) {
+	h := c.latency[name]
+	if h == nil {
+		h = hdrhistogram.New(1, time.Minute.Microseconds(), 2)
+		c.latency[name] = h
+	}
+	_ = h.RecordValue(min(max(1, d.Microseconds()), time.Minute.Microseconds()))
+}
+
 // Keys of the records.
 const (
 	keyJob     = bookkeeping.Root + "j/"
