--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -52,6 +52,9 @@
 	shown      bool // a report carried our token
 	heard      time.Duration
 	answered   time.Duration // arrival of the last report answered with 200
+	asking     bool          // asked for its status
+	askAt      time.Duration // not again before
+	mute       bool          // and did not answer
 	released   bool          // its lease is over and its tasks were given up
 	recalled   bool
 	claiming   bool
@@ -232,7 +235,7 @@
 		c.refuse(id, 503, "an older report")
 		return
 	}
-	m.session, m.tally, m.heard = r.Shift, r.Tally, c.now
+	m.session, m.tally, m.heard, m.mute = r.Shift, r.Tally, c.now, false
 	m.recalled = r.RecallS != nil
 	if r.Baton == m.stamp {
 		m.shown = true
@@ -405,13 +408,16 @@
 	// wait without a word, while others are heard, is a machine in trouble.
 	silent := seconds(3*w.Report + 4)
 	blind := c.now-c.store.Fresh() > seconds(w.Report)
-	heard, mine := 0, 0
+	heard, recent, mine := 0, 0, 0
 	for _, m := range c.machines {
 		if c.mine(m) {
 			mine++
 			if c.now-m.heard < silent {
 				heard++
 			}
+			if c.now-m.heard < seconds(1.25*w.Report) {
+				recent++
+			}
 		}
 	}
 	for _, id := range c.owned() {
@@ -430,12 +436,34 @@
 				}
 			}
 		}
-		if !blind && c.now-m.heard > silent && (heard*2 >= mine || c.now-m.heard > c.leaseOver()) {
+		// Two reports are overdue, the machine does not answer us either, and
+		// most others were heard within one report period, so it is not we
+		// who are cut off: that is enough. (Cut off from all workers, nobody
+		// would have been heard for so long, and they need a report period,
+		// 4 s and 1 s to find another controller.)
+		quiet := c.now - m.heard
+		if quiet > seconds(1.75*w.Report) && !m.asking && c.now >= m.askAt {
+			c.askStatus(m)
+		}
+		fast := quiet > seconds(2.5*w.Report) && m.mute && recent*2 >= mine
+		if !blind && (fast || quiet > silent && (heard*2 >= mine || quiet > c.leaseOver())) {
 			c.drain(m, drainSilent)
 		}
 	}
 }
 
+// askStatus asks an overdue worker for its state. An answer shows that it is
+// up, silence that it probably is not.
+func (c *Core) askStatus(m *machine) {
+	m.asking, m.askAt = true, c.now+seconds(c.cfg.Facts.Workers.Report)
+	at := m.heard
+	c.call(protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: "GET", Path: protocol.PathStatus,
+		Timeout: seconds(c.cfg.Facts.Workers.Report / 2)}, func(r protocol.Reply) {
+		m.asking = false
+		m.mute = r.Status == 0 && m.heard == at
+	})
+}
+
 // betterPlaced names a peer that can serve workers while we can't reach the
 // state service.
 func (c *Core) betterPlaced() string {
