--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -134,7 +134,8 @@
 				w.die()
 				w.taken = true
 				name := w.name
-				s.after(30*time.Second, func() { delete(s.cloud.all, name) })
+				p := place{w.rig, w.zone, w.spot}
+				s.after(30*time.Second, func() { delete(s.cloud.all, name); s.cloud.free[p]++ })
 			case 2:
 				w.faulty = true
 			}
@@ -171,9 +172,10 @@
 	}
 	s.run(until + 6*time.Minute)
 	open := 0
+	n := s.nodes[0]
 	for _, id := range sortedKeys(s.users) {
 		if u := s.users[id]; u.final == "" {
-			if open++; open < 3 {
+			if open++; open < 2 || n.core.gang.Job == id {
 				s.dump(t, id)
 			}
 			t.Logf("%s (%s of %d, team %s) has not ended: %v", u.spec.ID, u.spec.Shape, u.spec.Tasks, u.spec.Team, u.done)
@@ -196,6 +198,9 @@
 		t.Logf("%s: %+v status %s home %s bound %d held %d zones %v backoff %v failed on %v tasks %v queue %d busy %v leads %v gang %v team %+v idle %v offers %v",
 			n.name, *r.spec, r.status, r.home, r.bound, len(r.held), r.zones, r.backoff-c.now, r.failedOn, r.pages[0].tasks, len(r.pages[0].queue),
 			r.pages[0].busy, c.leads(), c.gang, c.teams[r.spec.Team].use, c.idle, r.offers)
+		if c.leads() {
+			t.Logf("  rentals %+v refused %v now %v free %v listed %d gone %v drains %v", c.fleet.rentals, c.fleet.refused, c.now, s.cloud.free, len(c.fleet.listed), c.fleet.gone, c.drains)
+		}
 		for _, mid := range sortedKeys(c.machines) {
 			if m := c.machines[mid]; c.mine(m) || m.stamp == 0 {
 				t.Logf("    %s %v barred %v shown %v drain %v use %v %v bound %v held for %q", mid, m.claim, c.barred(m), m.shown, c.drains[mid], m.cpus, m.gpus, m.tasks(), m.holdFor)
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -210,8 +210,9 @@
 		tired := c.now-c.markedAt > seconds(2*c.cfg.Facts.Workers.GangWait)
 		if c.gang.Owner == c.cfg.Node && (c.gang.Life != c.life || r == nil || r.final() || r.bound > 0 || tired || c.successor(r.home) != c.cfg.Node) {
 			c.marking = true
-			if tired && r != nil {
-				r.backoff = c.now + seconds(c.cfg.Facts.Workers.GangWait/2)
+			if tired && r != nil && c.gang.Life == c.life {
+				r.tired = min(r.tired+1, 4)
+				r.unmarked = c.now + seconds(c.cfg.Facts.Workers.GangWait*float64(r.tired))
 			}
 			c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang, Stamp: c.store.Stamp(keyGang)}}, []protocol.Op{{Drop: keyGang}},
 				func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
@@ -219,7 +220,7 @@
 		return
 	}
 	for _, r := range open {
-		if !multi(r) || r.bound > 0 || len(r.held) > 0 || c.now < r.backoff {
+		if !multi(r) || r.bound > 0 || len(r.held) > 0 || c.now < r.backoff || c.now < r.unmarked {
 			continue
 		}
 		tm := c.teams[r.spec.Team]
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -351,6 +351,8 @@
 	switch {
 	case x.spec.Priority != y.spec.Priority:
 		return x.spec.Priority > y.spec.Priority
+	case x.entitled != y.entitled:
+		return x.entitled
 	case x.turn != y.turn:
 		return x.turn < y.turn
 	case x.at != y.at:
@@ -373,6 +375,20 @@
 			gpus, cpus = gpus+f.GPUs, cpus+f.CPUs
 		}
 	}
+	// What a team asks for within its guarantee goes before what others
+	// borrow, at the same priority.
+	byAge := append([]*record(nil), open...)
+	sort.Slice(byAge, func(i, j int) bool {
+		a, b := byAge[i], byAge[j]
+		return a.at < b.at || (a.at == b.at && a.spec.ID < b.spec.ID)
+	})
+	need := map[string]usage{}
+	for _, r := range byAge {
+		u := need[r.spec.Team].plus(r.spec, float64(r.spec.Tasks-r.finished))
+		need[r.spec.Team] = u
+		tm := c.teams[r.spec.Team]
+		r.entitled = tm != nil && tm.guarantees(u)
+	}
 	now := float64(c.wall.UnixMilli()) / 1000
 	for _, r := range open {
 		s := r.spec
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -25,7 +25,10 @@
 	finished int
 	last     int // the highest attempt
 	backoff  time.Duration
-	turn     float64 // see updateTurns
+	turn     float64       // see updateTurns
+	entitled bool          // fits into its team's guarantee with the team's earlier jobs
+	tired    int           // how often it was marked in vain, as a gang
+	unmarked time.Duration // and is not to be marked before
 	failedOn map[string]bool
 	zones    map[string]int       // bound and reserved tasks by zone
 	held     map[int]*reservation // tasks being placed by this controller
@@ -136,6 +139,9 @@
 	switch t.Phase {
 	case job.Bound:
 		r.bound++
+		if tm := c.teams[r.spec.Team]; tm != nil {
+			tm.runs = tm.runs.plus(r.spec, 1)
+		}
 		m := c.machine(t.Machine)
 		m.bound[k] = r
 		m.use(r.spec, 1)
@@ -155,6 +161,9 @@
 	switch t.Phase {
 	case job.Bound:
 		r.bound--
+		if tm := c.teams[r.spec.Team]; tm != nil {
+			tm.runs = tm.runs.plus(r.spec, -1)
+		}
 		m := c.machine(t.Machine)
 		delete(m.bound, k)
 		delete(m.sent, k)
@@ -170,7 +179,8 @@
 // team is a team's mirrored use.
 type team struct {
 	cfg   *config.Team
-	use   usage
+	use   usage // as charged; only limited teams have a record
+	runs  usage // bound tasks, from the mirror
 	stamp uint64
 	busy  bool
 }
@@ -191,6 +201,16 @@
 	return (t.cfg.CPUsMax == 0 || u.CPUs <= t.cfg.CPUsMax+eps) && (t.cfg.GPUsMax == 0 || u.GPUs <= t.cfg.GPUsMax+eps)
 }
 
+// guarantees tells whether u is within the team's guarantee; what a team uses
+// of a kind that it has no guarantee for does not count against it.
+func (t *team) guarantees(u usage) bool {
+	const eps = 1e-6
+	if t.cfg.CPUs == 0 && t.cfg.GPUs == 0 {
+		return false
+	}
+	return (t.cfg.CPUs == 0 || u.CPUs <= t.cfg.CPUs+eps) && (t.cfg.GPUs == 0 || u.GPUs <= t.cfg.GPUs+eps)
+}
+
 func (c *Core) applyTeam(name string, data json.RawMessage, stamp uint64) {
 	t := c.teams[name]
 	if t == nil || data == nil {
