--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -84,14 +84,15 @@
 	polls   []poll
 	polling bool
 
-	gang      gangLease
-	marking   bool
-	markedAt  time.Duration
-	drawAt    time.Duration
-	moving    time.Duration // no other service is moved before
-	launching []*machine
-	latency   map[string]*hdrhistogram.Histogram
-	verbose   bool // debug lines are wanted; saves building them
+	gang       gangLease
+	marking    bool
+	markedAt   time.Duration
+	drawAt     time.Duration
+	restarting time.Duration
+	moving     time.Duration // no other service is moved before
+	launching  []*machine
+	latency    map[string]*hdrhistogram.Histogram
+	verbose    bool // debug lines are wanted; saves building them
 
 	permit    uint64
 	permitAt  time.Duration
@@ -217,6 +218,7 @@
 		c.schedule()
 		c.preempt()
 		c.gather()
+		c.restart()
 		c.fleetTick()
 	}
 	return c.end()
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -62,7 +62,7 @@
 	for _, id := range c.owned() {
 		t := c.machines[id]
 		if t == m || c.barred(t) || t.steady < tolerance || t.steady < m.steady || (t.steady == m.steady && t.id > m.id) ||
-			!t.images[r.spec.Image] || !c.couldHold(r, t) {
+			c.fetchTime(r.spec, t) > 0 || !c.couldHold(r, t) {
 			continue
 		}
 		f := c.catalogue[t.claim.Type]
@@ -98,3 +98,34 @@
 	c.moving = c.now + seconds(c.cfg.Facts.Workers.Report)
 	c.stop(m, m.tasks()[0], "moved")
 }
+
+// Exception "second start": the thesis binds a task once. A service that waits
+// for its image on a slow machine moves to one of ours where it can start much
+// sooner; it has done nothing yet, so nothing is lost.
+func (c *Core) restart() {
+	if c.restarting > c.now {
+		return
+	}
+	for _, id := range c.owned() {
+		m := c.machines[id]
+		if len(m.pulling) == 0 {
+			continue
+		}
+		for _, k := range m.tasks() {
+			r := m.bound[k]
+			if !m.pulling[k] || r.spec.Shape != job.Service || r.final() || len(m.stops) > 0 {
+				continue
+			}
+			left := max(c.fetchTime(r.spec, m), r.spec.ImageGB/c.catalogue[m.claim.Type].PullRate-(c.now-m.boundAt[k]).Seconds())
+			t := c.pop(r)
+			if t == nil || t == m || c.fetchTime(r.spec, t)+c.cfg.Facts.Workers.Report/2 > left/2 {
+				continue
+			}
+			c.restarting = c.now + seconds(c.cfg.Facts.Workers.Report/2)
+			t.holdFor, t.holdTill = r.spec.ID, c.restarting
+			c.log.Debug("second start", "load", job.TaskName(k.id, k.index), "from", m.id, "to", t.id, "leftS", left)
+			c.stop(m, k, "slow image")
+			return
+		}
+	}
+}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -128,13 +128,30 @@
 	return ran
 }
 
-// fetchTime is how long a task would wait for its image on a machine.
+// fetchTime is how long a task would wait for its image on a machine, in
+// seconds. Fetches under way share the machine's rate.
 func (c *Core) fetchTime(s *job.Spec, m *machine) float64 {
 	f := c.catalogue[m.claim.Type]
-	if m.images[s.Image] || f.PullRate <= 0 {
+	if at, ok := m.images[s.Image]; ok {
+		return max(0, (at - c.now).Seconds())
+	}
+	if f.PullRate <= 0 {
 		return 0
 	}
-	return s.ImageGB / f.PullRate
+	busy := 1.0
+	for _, at := range m.images {
+		if at > c.now {
+			busy++
+		}
+	}
+	return busy * s.ImageGB / f.PullRate
+}
+
+// fetching notes that a machine will have an image, and when.
+func (c *Core) fetching(m *machine, s *job.Spec) {
+	if _, ok := m.images[s.Image]; !ok {
+		m.images[s.Image] = c.now + seconds(c.fetchTime(s, m))
+	}
 }
 
 // owned lists our machines by name.
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -146,7 +146,8 @@
 		m.bound[k] = r
 		m.use(r.spec, 1)
 		r.zones[m.claim.Zone]++
-		m.images[r.spec.Image] = true
+		m.boundAt[k] = c.now
+		c.fetching(m, r.spec)
 		delete(c.placed, k)
 		c.unline(k)
 		if t.Session == m.session {
@@ -168,6 +169,8 @@
 		delete(m.bound, k)
 		delete(m.sent, k)
 		delete(m.begun, k)
+		delete(m.pulling, k)
+		delete(m.boundAt, k)
 		delete(m.stops, k)
 		m.use(r.spec, -1)
 		r.zones[m.claim.Zone]--
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -43,8 +43,8 @@
 	cpus   float64 // in use or reserved
 	gpus   float64
 	ram    float64
-	steady float64         // what services hold: accelerators, or processors where they use none
-	images map[string]bool // fetched or being fetched, as far as is known
+	steady float64                  // what services hold: accelerators, or processors where they use none
+	images map[string]time.Duration // when each will be there, as far as is known
 
 	// What the holder knows.
 	session    uint64
@@ -63,6 +63,8 @@
 	tainted    bool                      // such a launch got no answer: it may be executed until a new token is seen
 	soon       []protocol.Order          // launches for the next direct call
 	begun      map[taskKey]time.Duration // first seen running
+	boundAt    map[taskKey]time.Duration // first seen bound
+	pulling    map[taskKey]bool          // last reported as waiting for the image
 	stops      map[taskKey]stop
 	errors     map[string]bool // jobs whose tasks failed here
 	listed     bool
@@ -85,8 +87,8 @@
 func (c *Core) machine(id string) *machine {
 	m := c.machines[id]
 	if m == nil {
-		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]bool{}, sent: map[taskKey]uint64{},
-			stops: map[taskKey]stop{}, direct: map[taskKey]int{}, begun: map[taskKey]time.Duration{}, errors: map[string]bool{}, idleAt: c.now}
+		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]time.Duration{}, sent: map[taskKey]uint64{},
+			stops: map[taskKey]stop{}, direct: map[taskKey]int{}, begun: map[taskKey]time.Duration{}, pulling: map[taskKey]bool{}, boundAt: map[taskKey]time.Duration{}, errors: map[string]bool{}, idleAt: c.now}
 		c.machines[id] = m
 	}
 	return m
@@ -297,8 +299,16 @@
 			c.ended(m, rec, k, t, l)
 			continue
 		}
-		if l.Status == protocol.LoadRunning {
+		switch l.Status {
+		case protocol.LoadRunning:
 			m.began(k, c.now)
+			m.images[rec.spec.Image] = min(m.images[rec.spec.Image], c.now)
+			delete(m.pulling, k)
+		case protocol.LoadPulling:
+			m.pulling[k] = true
+			if at := c.now + seconds(c.cfg.Facts.Workers.Report); m.images[rec.spec.Image] < at {
+				m.images[rec.spec.Image] = at // it takes longer than expected
+			}
 		}
 		if rec.final() {
 			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
