--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -41,7 +41,6 @@
 	deleting map[string]bool
 	lost     map[string]time.Duration // claimed by the dead, since when
 	planAt   time.Duration
-	samples  map[string]*record // the latest job of a class with an aim at starting
 }
 
 type place struct {
@@ -76,7 +75,6 @@
 	f.fenced = map[string]bool{}
 	f.gone, f.deleting, f.lost = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	f.listed, f.listing = map[string]protocol.Listed{}, map[string]protocol.Listed{}
-	f.samples = map[string]*record{}
 }
 
 func (f *fleet) applyLease(data json.RawMessage, stamp uint64) {
@@ -462,7 +460,7 @@
 	s.used = true
 }
 
-// plan packs what waits, and a reserve, onto the machines there are and those
+// plan packs what waits onto the machines there are and those
 // that are booting. What does not fit is rented for; what is not used is
 // returned after a while.
 func (c *Core) plan() {
@@ -559,7 +557,6 @@
 	}
 	uses := map[string]usage{}
 	for _, r := range c.openJobs() {
-		f.samples[r.spec.Class] = r
 		tm := c.teams[r.spec.Team]
 		if tm == nil {
 			continue
@@ -589,13 +586,6 @@
 		}
 		put(sp, n, avoid)
 	}
-	for _, o := range c.cfg.Facts.Objectives {
-		if s := f.samples[o.Class]; o.Kind == "wait" && s != nil && s.spec.Priority >= job.High {
-			if s.spec.Shape != job.Gang {
-				put(s.spec, 2, nil)
-			}
-		}
-	}
 	c.rent(want)
 	for _, s := range slots {
 		m := c.machines[s.id]
