--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -101,6 +101,7 @@
 	publishAt time.Duration
 	ttl       time.Duration
 	beats     map[string]beat
+	vouches   map[string]time.Duration // see proof
 	beatAt    time.Duration
 	sweepAt   time.Duration
 
@@ -136,7 +137,7 @@
 		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
 		teams: map[string]*team{}, members: map[string]*member{}, drains: map[string]drain{}, dirty: map[*page]bool{},
 		orphans: map[string]orphan{}, catalogue: map[string]protocol.Flavor{}, waiting: map[taskKey]*waiter{},
-		placed: map[taskKey]time.Duration{}, beats: map[string]beat{}, latency: map[string]*hdrhistogram.Histogram{},
+		placed: map[taskKey]time.Duration{}, beats: map[string]beat{}, vouches: map[string]time.Duration{}, latency: map[string]*hdrhistogram.Histogram{},
 	}
 	for i := range cfg.Facts.Teams {
 		t := &cfg.Facts.Teams[i]
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -230,7 +230,7 @@
 // half-executed messages, crashes, cuts, outages, hangs, faulty and dying
 // machines, alone and together.
 func TestRulesHoldUnderTrouble(t *testing.T) {
-	days := uint64(24)
+	days := uint64(40)
 	if testing.Short() {
 		days = 3
 	}
@@ -343,3 +343,41 @@
 	}
 	s.report(t)
 }
+
+// TestLongOutageKeepsTasksRunning guards the vouching between controllers: in
+// an outage of the state service that all of them see, no cancellation can be
+// acknowledged, so workers are answered however long it lasts.
+func TestLongOutageKeepsTasksRunning(t *testing.T) {
+	s := newSim(11, 0)
+	for i := range 6 {
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-8%05d", i), Class: "svc", Team: "blue", Shape: job.Service, Tasks: 1,
+			Priority: job.Production, CPUs: 1, GPUs: 1, MemoryGB: 1}, 0, 0)
+	}
+	s.run(60 * time.Second)
+	on := func() (n int) {
+		for _, w := range s.cloud.sorted() {
+			for _, l := range w.loads {
+				if l.on() {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	if on() != 6 {
+		t.Fatalf("%d of 6 run before the outage", on())
+	}
+	starts := s.starts
+	s.kv.down = s.now + 3*time.Minute
+	s.run(s.now + 2*time.Minute)
+	if on() != 6 || s.starts != starts {
+		t.Errorf("%d of 6 run two minutes into the outage, %d were started again", on(), s.starts-starts)
+	}
+	// With one controller gone nobody can vouch for it.
+	s.nodes[2].crash(time.Hour)
+	s.run(s.now + 55*time.Second)
+	if on() != 0 {
+		t.Errorf("%d tasks still run although a controller can't be asked", on())
+	}
+	s.report(t)
+}
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
 
@@ -20,6 +21,8 @@
 // Message is what controllers tell each other. It only saves time.
 type Message struct {
 	Beat    *Beat
+	Ask     *Ask
+	Vouch   *Vouch
 	Forward *Forward
 	Draw    *Draw
 	Offer   *Offer
@@ -28,6 +31,20 @@
 // Beat tells peers how old the sender's last proof of a fresh mirror is.
 type Beat struct{ FreshMS int64 }
 
+// Ask asks a peer which cancellations it knows of that the asker's mirror,
+// complete up to Ledger, does not hold. At is the asker's steady clock and comes
+// back with the answer, so that a message that was held back proves nothing new.
+type Ask struct {
+	At     time.Duration
+	Ledger uint64
+}
+
+// Vouch answers with all of them.
+type Vouch struct {
+	At        time.Duration
+	Cancelled []string
+}
+
 // Forward hands tasks of a job to a peer, which places them or keeps them in
 // its lines.
 type Forward struct {
@@ -62,7 +79,11 @@
 		if !c.store.Ready() {
 			age = time.Hour
 		}
+		blind := c.store.Ready() && c.now-c.store.Fresh() > seconds(c.cfg.Facts.Workers.Report)
 		for _, p := range c.cfg.Peers {
+			if blind {
+				c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Ask: &Ask{c.now, c.store.Ledger()}}})
+			}
 			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds()}}})
 		}
 	}
@@ -121,6 +142,18 @@
 	switch {
 	case m.Beat != nil:
 		c.beats[from] = beat{c.now, time.Duration(m.Beat.FreshMS) * time.Millisecond}
+	case m.Ask != nil && c.store.Ready():
+		// Not before the records are read: an earlier life of ours may have
+		// told users what this one does not know yet.
+		v := &Vouch{At: m.Ask.At}
+		for _, id := range sortedKeys(c.jobs) {
+			if r := c.jobs[id]; r.status == job.Cancelled && r.stamp > m.Ask.Ledger {
+				v.Cancelled = append(v.Cancelled, id)
+			}
+		}
+		c.out.Sends = append(c.out.Sends, Send{from, Message{Vouch: v}})
+	case m.Vouch != nil:
+		c.vouched(from, m.Vouch)
 	case m.Forward != nil && c.store.Ready():
 		c.receive(m.Forward)
 	case m.Draw != nil && c.store.Ready():
@@ -150,3 +183,27 @@
 	}
 	return names[0]
 }
+
+// vouched takes a peer's word on cancellations: as of the question, it has
+// told users of none beside those that we have seen and those it names.
+func (c *Core) vouched(from string, v *Vouch) {
+	for _, id := range v.Cancelled {
+		if r := c.jobs[id]; r != nil && !r.final() {
+			r.status = job.Cancelled // committed, as the peer knows of it
+		}
+	}
+	if v.At <= c.now && v.At > c.vouches[from] {
+		c.vouches[from] = v.At
+	}
+}
+
+// proof is the time of the last proof that no cancellation was acknowledged
+// which we don't know of: our own complete mirror, or the word of every peer.
+// Nobody else tells users anything.
+func (c *Core) proof() time.Duration {
+	oldest := c.now
+	for _, p := range c.cfg.Peers {
+		oldest = min(oldest, c.vouches[p.Node])
+	}
+	return max(c.store.Fresh(), oldest)
+}
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -294,6 +294,10 @@
 			if ok && charge && !tm.within(u) {
 				ok = false
 			}
+			// Guards against a peer's placement that came into the mirror
+			// after this one was proposed: zones are judged again with what
+			// the transaction is conditional on.
+			ok = ok && c.zoneStillOK(r, p, tasks, m.claim.Zone)
 			if !ok {
 				c.unreserve(r, k.index)
 				spoilt = multi(r)
@@ -445,6 +449,33 @@
 	}
 }
 
+// zoneStillOK judges a job's zones by its records alone, with page p replaced
+// by the tasks that the transaction will write.
+func (c *Core) zoneStillOK(r *record, p *page, tasks []job.Task, zone string) bool {
+	if !r.spec.OneZone && !r.spec.Spread {
+		return true
+	}
+	here := 0
+	for _, q := range r.pages {
+		list := q.tasks
+		if q == p {
+			list = tasks
+		}
+		for i := range list {
+			if list[i].Phase != job.Bound {
+				continue
+			}
+			z := c.machine(list[i].Machine).claim.Zone
+			if z == zone {
+				here++
+			} else if r.spec.OneZone {
+				return false
+			}
+		}
+	}
+	return !r.spec.Spread || here < r.spec.SpreadLimit()
+}
+
 func withoutPlaces(q []change) []change {
 	var out []change
 	for _, ch := range q {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -43,7 +43,7 @@
 			return true
 		}
 	}
-	return c.now-c.store.Fresh() > c.horizon()
+	return c.now-c.proof() > c.horizon()
 }
 
 func (c *Core) state(r *record) protocol.RunState {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -168,7 +168,7 @@
 		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
 		return
 	}
-	if c.now-c.store.Fresh() > c.horizon() {
+	if c.now-c.proof() > c.horizon() {
 		// A cancellation may have been acknowledged that we can't see.
 		c.refuse(id, 503, "cut off from the state service")
 		return
