--- a/cmd/silvergate/serve.go
+++ b/cmd/silvergate/serve.go
@@ -62,10 +62,7 @@
 	// state service, the cloud, workers and peers.
 	n.server = transport.NewServer(&n.mu, n, 50*time.Millisecond, 10*time.Second, cfg.Facts.Limits.MaxSockets*8/10)
 	n.log.Info("serving", "bind", cfg.Listen, "back", cfg.Back)
-	if err := n.server.Run(cfg.Listen, cfg.Back); err != nil {
-		return fmt.Errorf("serve: %w", err)
-	}
-	return nil
+	return fmt.Errorf("serve: %w", n.server.Run(cfg.Listen, cfg.Back))
 }
 
 func (n *node) clock() coordination.Clock {
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -68,7 +68,6 @@
 	block    time.Duration
 	fresh    time.Duration
 	contact  time.Duration
-	denied   time.Duration // since when nothing but refusals came; 0: not
 }
 
 type request struct {
--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -20,7 +20,6 @@
 	cancelled time.Duration // when the user was told
 	asked     bool          // to cancel
 	final     string
-	inVain    time.Duration
 }
 
 func (s *sim) submit(sp *job.Spec, runs float64, cancelAfter time.Duration) *simUser {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -19,7 +19,6 @@
 
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/config"
-	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
 
@@ -420,12 +419,5 @@
 // bytes with the usual names, and four times that never passes value_kb.
 func (c *Core) pageTasks() int { return max(1, int(c.cfg.Facts.State.ValueKB*1024/128)) }
 
-// unboundLimit tells whether the team has any limit at all.
+// limited tells whether the team has any limit at all.
 func limited(t *team) bool { return t.cfg.CPUsMax > 0 || t.cfg.GPUsMax > 0 }
-
-func (c *Core) spec(id string) *job.Spec {
-	if r := c.jobs[id]; r != nil {
-		return r.spec
-	}
-	return nil
-}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -31,8 +31,6 @@
 	listFrom string
 	listBusy bool
 	listAt   time.Duration // when the last whole list was asked for
-	listSent time.Duration
-	flavors  time.Duration
 
 	refused  map[place]time.Duration // no capacity, not to be asked before
 	strikes  map[place]int
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -267,7 +267,6 @@
 	until time.Duration
 	node  *simNode
 	reply func(int, []byte)
-	done  bool
 }
 
 func (k *simState) expire() {
@@ -581,9 +580,7 @@
 	answered time.Duration // sending time of the last answered report
 	node     int
 	loads    map[string]*simLoad
-	inFlight bool
 	faulty   bool
-	pending  []func()
 }
 
 func (w *simWorker) die() {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -54,11 +54,8 @@
 	wrong := []any{-1.5, "x", "", true, []int{1}, map[string]int{"a": 1}, 1e300}
 	rapid.Check(t, func(t *rapid.T) {
 		m := validRun()
-		var fields []string
-		for _, f := range []string{"ref", "jobclass", "crew", "shape", "urgency", "loads", "cpus", "accelerators", "ramGb", "kit", "sizeGb",
-			"rigs", "depot", "oneZone", "apart", "casual", "etaS", "waypointS", "stowS", "dueS"} {
-			fields = append(fields, f)
-		}
+		fields := []string{"ref", "jobclass", "crew", "shape", "urgency", "loads", "cpus", "accelerators", "ramGb", "kit", "sizeGb",
+			"rigs", "depot", "oneZone", "apart", "casual", "etaS", "waypointS", "stowS", "dueS"}
 		f := rapid.SampledFrom(fields).Draw(t, "field")
 		if !nullable[f] && rapid.Bool().Draw(t, "absent") {
 			delete(m, f)
