--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -303,8 +303,10 @@
 		}
 	}
 	type latency struct {
-		Count           int64
-		P50, P95, P99MS float64
+		Count int64   `json:"count"`
+		P50   float64 `json:"p50Ms"`
+		P95   float64 `json:"p95Ms"`
+		P99   float64 `json:"p99Ms"`
 	}
 	lat := map[string]latency{}
 	for name, h := range c.latency {
