--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -47,9 +47,13 @@
 	busy    bool
 	last    bool // close after the answer
 	closing bool
-	started time.Time // when the pending bytes began to arrive
+	started time.Time // when the pending or the last request began to arrive
 }
 
+// idlePatience is how many times longer than a slow request a connection may
+// stay open without any.
+const idlePatience = 60
+
 // NewServer makes a server. Slow senders are cut off after patience, and HTTP
 // connections beyond maxConns are closed on arrival.
 func NewServer(mu *sync.Mutex, h Handler, tick, patience time.Duration, maxConns int) *Server {
@@ -63,7 +67,7 @@
 	ev.Opened = func(c evio.Conn) ([]byte, evio.Options, evio.Action) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		k := &conn{ev: c}
+		k := &conn{ev: c, started: time.Now()}
 		c.SetContext(k)
 		open[k] = true
 		if c.AddrIndex() == 1 {
@@ -109,6 +113,11 @@
 					k.out = AppendResponse(k.out, http.StatusRequestTimeout, []byte(`{"error":"request too slow"}`), 0, true)
 					k.closing = true
 					k.ev.Wake()
+				} else if k.peer == nil && !k.busy && !k.closing && now.Sub(k.started) > idlePatience*s.patience {
+					// Guards against connections whose other end is gone
+					// without a word: they would fill the limit in time.
+					k.closing = true
+					k.ev.Wake()
 				}
 			}
 		}
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -137,6 +137,17 @@
 	}
 }
 
+func TestServerClosesIdleConnections(t *testing.T) {
+	_, addr, _ := startEcho(t, 2*time.Millisecond, 10)
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if all, err := io.ReadAll(c); err != nil || len(all) != 0 {
+		t.Fatalf("%q %v", all, err)
+	}
+}
+
 func TestPeerLinkDeliversInOrder(t *testing.T) {
 	e, _, addr := startEcho(t, time.Minute, 10)
 	l := NewOutLink("me", addr)
