--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -564,7 +564,8 @@
 			u = tm.use
 		}
 		n := 0
-		for pending := r.spec.Tasks - r.bound - r.finished; n < pending && tm.within(u.plus(r.spec, 1)); n++ {
+		// More than a page's worth at a time need not be planned for.
+		for pending := min(r.spec.Tasks-r.bound-r.finished, 2*c.pageTasks()); n < pending && tm.within(u.plus(r.spec, 1)); n++ {
 			u = u.plus(r.spec, 1)
 		}
 		uses[r.spec.Team] = u
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -220,10 +220,14 @@
 		return
 	}
 	var left []int
-	for i := 0; i < r.spec.Tasks; i++ {
+	// Guards against the largest jobs: a page's worth of tasks on their way
+	// at a time is plenty, and 100,000 would fill lines and messages.
+	under := 0
+	for i := 0; i < r.spec.Tasks && under < c.pageTasks(); i++ {
 		if t := r.task(c, i); t.Phase != job.Pending {
 			continue
 		}
+		under++
 		k := taskKey{r.spec.ID, i}
 		if c.waiting[k] != nil || c.now < c.placed[k] || !c.placeable(r, i) {
 			continue
