--- a/cmd/silvergate/root.go
+++ b/cmd/silvergate/root.go
@@ -80,7 +80,7 @@
 	var address string
 	var timeout time.Duration
 	do := func(c *cobra.Command, method, path string, body []byte) error {
-		r, _, err := transport.NewPool(address).Do(method, path, body, timeout)
+		r, _, err := transport.NewPool(1).Do(address, method, path, body, timeout)
 		if err != nil {
 			return fmt.Errorf("%s: %w", address, err)
 		}
--- a/cmd/silvergate/serve.go
+++ b/cmd/silvergate/serve.go
@@ -27,7 +27,7 @@
 	server *transport.Server
 	state  *transport.Pool
 	cloud  *transport.Pool
-	work   map[string]*transport.Pool
+	work   *transport.Pool
 	peers  map[string]*transport.OutLink
 }
 
@@ -50,17 +50,17 @@
 	// The collector keeps well below the limit at which the process would be
 	// killed; the rest is for stacks, the runtime and bursts.
 	debug.SetMemoryLimit(int64(cfg.Facts.Limits.RAMMB * 0.6 * (1 << 20)))
-	n := &node{cfg: cfg, log: newLogger(level).With("node", cfg.Node), start: time.Now(), work: map[string]*transport.Pool{}, peers: map[string]*transport.OutLink{}}
-	n.state = transport.NewPool(cfg.Services.State)
-	n.cloud = transport.NewPool(cfg.Services.Cloud)
+	n := &node{cfg: cfg, log: newLogger(level).With("node", cfg.Node), start: time.Now(), peers: map[string]*transport.OutLink{}}
+	// Requests from outside may use eight tenths of the sockets, calls to
+	// workers one; the rest is for the state service, the cloud and peers.
+	tenth := cfg.Facts.Limits.MaxSockets / 10
+	n.state, n.cloud, n.work = transport.NewPool(max(8, tenth/2)), transport.NewPool(tenth/4), transport.NewPool(tenth)
 	for _, p := range cfg.Peers {
 		n.peers[p.Node] = transport.NewOutLink(cfg.Node, p.Addr)
 	}
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), uint64(n.start.UnixNano())))
 	n.core = coordination.New(cfg, n.log, rnd, n.start.UnixNano())
-	// Requests from outside may use most of the sockets; the rest is for the
-	// state service, the cloud, workers and peers.
-	n.server = transport.NewServer(&n.mu, n, 50*time.Millisecond, 10*time.Second, cfg.Facts.Limits.MaxSockets*8/10)
+	n.server = transport.NewServer(&n.mu, n, 50*time.Millisecond, 10*time.Second, 8*tenth)
 	n.log.Info("serving", "bind", cfg.Listen, "back", cfg.Back)
 	return fmt.Errorf("serve: %w", n.server.Run(cfg.Listen, cfg.Back))
 }
@@ -100,27 +100,19 @@
 		}
 	}
 	for _, k := range e.Calls {
-		go n.fetch(k, n.pool(k))
+		go n.fetch(k)
 	}
 }
 
-func (n *node) pool(k protocol.Call) *transport.Pool {
+func (n *node) fetch(k protocol.Call) {
+	pool, addr := n.work, k.Address
 	switch k.Target {
 	case protocol.ToState:
-		return n.state
+		pool, addr = n.state, n.cfg.Services.State
 	case protocol.ToCloud:
-		return n.cloud
+		pool, addr = n.cloud, n.cfg.Services.Cloud
 	}
-	p := n.work[k.Address]
-	if p == nil {
-		p = transport.NewPool(k.Address)
-		n.work[k.Address] = p
-	}
-	return p
-}
-
-func (n *node) fetch(k protocol.Call, p *transport.Pool) {
-	r, sent, err := p.Do(k.Method, k.Path, k.Body, k.Timeout)
+	r, sent, err := pool.Do(addr, k.Method, k.Path, k.Body, k.Timeout)
 	rep := protocol.Reply{ID: k.ID, Sent: sent}
 	if err == nil {
 		rep.Status, rep.Body, rep.RetryAfter = r.Status, r.Body, r.RetryAfter
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -22,11 +22,12 @@
 
 // Classes.
 const (
-	Rules  Class = iota // leases, claims, endings, cancellations
+	Rules  Class = iota // leases and cancellations
 	Users               // answers that users wait for
-	Work                // placements and the fleet
-	Rest                // publications
-	nClass = 4
+	Claims              // workers' claims and drains; take turns with Users
+	Work                // placements, endings and the fleet
+	Rest                // publications and what can wait
+	nClass = 5
 )
 
 // Outcome is what came of a transaction.
@@ -53,6 +54,11 @@
 	queue     [nClass][]*request
 	inflight  int
 	pauseTill time.Duration
+	turn      bool // whose turn it is, of Users and Claims
+	share     float64
+	most      float64
+	starved   bool          // something waited for the budget since the last fill
+	limited   time.Duration // when the service last said 429
 
 	stamps   map[string]uint64
 	graves   map[string]uint64 // keys dropped by us, ahead of the watch
@@ -82,14 +88,20 @@
 
 type bucket struct{ rate, burst, level float64 }
 
-func (b *bucket) fill(d time.Duration) {
-	b.level = min(b.burst, b.level+b.rate*d.Seconds())
+func (b *bucket) fill(d time.Duration, share float64) {
+	b.level = min(b.burst, b.level+b.rate*share*d.Seconds())
 }
 
 const (
 	callTimeout  = 1500 * time.Millisecond
 	queueTimeout = 2 * time.Second
 	maxInflight  = 24
+
+	// A controller that has more to do than its equal share allows borrows
+	// what the others leave: its share grows by this much a second while
+	// something waits, and halves on a 429, after which it stays for a while.
+	borrowPerS = 0.1
+	borrowRest = 5 * time.Second
 )
 
 // NewStore makes a store that keeps to an equal share of the service's rates.
@@ -102,6 +114,7 @@
 	// Re-opening the watch may take a quarter of the request budget.
 	s.spacing = time.Duration(4 * n / f.State.RPS * float64(time.Second))
 	s.block = time.Second
+	s.share, s.most = 1, n
 	return s
 }
 
@@ -208,39 +221,99 @@
 		}})
 }
 
+// Advance lets time pass: the budget fills up.
+func (s *Store) Advance(now time.Duration) {
+	d := now - s.now
+	s.now = now
+	s.reads.fill(d, s.share)
+	s.writes.fill(d, s.share)
+	switch {
+	case !s.starved:
+		s.share = max(1, s.share-borrowPerS*d.Seconds())
+	case now-s.limited > borrowRest || s.limited == 0:
+		s.share = min(s.most, s.share+borrowPerS*d.Seconds())
+	}
+	s.starved = s.starved && d == 0
+}
+
+// CanSend tells whether a transaction of this class with so many writes would
+// be sent at once. Whoever asks first builds it from the latest mirror, and
+// what comes up until then can go with it.
+func (s *Store) CanSend(class Class, writes int) bool {
+	if s.now < s.pauseTill || s.inflight >= maxInflight {
+		return false
+	}
+	for c := Class(0); c <= class; c++ {
+		if len(s.queue[c]) > 0 {
+			return false
+		}
+	}
+	if s.reads.level < 1 || s.writes.level < float64(writes) {
+		s.starved = true
+		return false
+	}
+	return true
+}
+
+// Spacing is the least time between two openings of the watch.
+func (s *Store) Spacing() time.Duration { return s.spacing }
+
+// Ample tells whether the budget of requests is at least half full.
+func (s *Store) Ample() bool { return s.reads.level >= s.reads.burst/2 }
+
 // Tick sends what the budget allows.
 func (s *Store) Tick(now time.Duration) {
-	s.reads.fill(now - s.now)
-	s.writes.fill(now - s.now)
-	s.now = now
+	s.Advance(now)
 	s.follow()
-	if now < s.pauseTill {
-		return
+	s.expire()
+	for now >= s.pauseTill && s.inflight < maxInflight {
+		c := s.first()
+		if c < 0 {
+			return
+		}
+		r := s.queue[c][0]
+		if s.reads.level < 1 || s.writes.level < r.writes {
+			s.starved = true
+			return // what goes first must not be starved by what comes later
+		}
+		s.reads.level--
+		s.writes.level -= r.writes
+		if s.queue[c] = s.queue[c][1:]; len(s.queue[c]) == 0 {
+			s.queue[c] = nil
+		}
+		s.dispatch(r)
 	}
+}
+
+// first is the class whose turn it is, or -1. Neither a flood of users nor the
+// claims of a dead controller's workers can keep the other waiting.
+func (s *Store) first() int {
 	for c := range s.queue {
-		q := s.queue[c]
-		for len(q) > 0 && s.inflight < maxInflight {
-			r := q[0]
-			if now > r.deadline {
-				q = q[1:]
-				s.queue[c] = q
-				r.done(protocol.Reply{})
-				q = s.queue[c]
-				continue
-			}
-			if s.reads.level < 1 || s.writes.level < r.writes {
-				break
+		if len(s.queue[c]) == 0 {
+			continue
+		}
+		if Class(c) == Users && len(s.queue[Claims]) > 0 {
+			if s.turn = !s.turn; s.turn {
+				return int(Claims)
 			}
-			s.reads.level--
-			s.writes.level -= r.writes
-			q = q[1:]
-			s.queue[c] = q
-			s.dispatch(r)
 		}
-		if len(q) > 0 {
-			break // what goes first must not be starved by what comes later
+		return c
+	}
+	return -1
+}
+
+// expire gives up on what has waited too long for the budget.
+func (s *Store) expire() {
+	var late []*request
+	for c, q := range s.queue {
+		for len(q) > 0 && s.now > q[0].deadline {
+			late = append(late, q[0])
+			q = q[1:]
 		}
-		s.queue[c] = nil
+		s.queue[c] = q
+	}
+	for _, r := range late {
+		r.done(protocol.Reply{})
 	}
 }
 
@@ -249,6 +322,9 @@
 	s.Send(protocol.Call{Target: protocol.ToState, Method: r.method, Path: r.path, Body: r.body, Timeout: callTimeout}, func(rep protocol.Reply) {
 		s.inflight--
 		s.note(rep)
+		if rep.Status == http.StatusTooManyRequests {
+			s.share, s.limited = max(1, s.share/2), s.now
+		}
 		if (rep.Status == http.StatusTooManyRequests || rep.Status == http.StatusServiceUnavailable) && s.now < r.deadline {
 			// Not executed: it may be tried again within its time.
 			s.pauseTill = s.now + queueTimeout/20
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -225,8 +225,8 @@
 	if f.Workers.Cancel <= f.Workers.Lease {
 		return errors.New("facts.workers.cancel_s: must be above lease_s")
 	}
-	if f.Limits.MaxSockets < 16 {
-		return errors.New("facts.limits.max_sockets: must be at least 16")
+	if f.Limits.MaxSockets < 64 {
+		return errors.New("facts.limits.max_sockets: must be at least 64")
 	}
 	seen := map[string]bool{s.Node: true}
 	for i, p := range s.Peers {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -65,21 +65,26 @@
 	calls    map[uint64]func(protocol.Reply)
 
 	jobs     map[string]*record
+	open     map[string]*record // jobs that are not over
+	plain    int                // open jobs without accelerators
+	turns    []*record          // the same, most urgent first, as of the last sweep
 	machines map[string]*machine
+	ours     []*machine     // machines that we hold, by name
+	held     map[string]int // how many each controller holds
 	teams    map[string]*team
 	members  map[string]*member
 	drains   map[string]drain
 	dirty    map[*page]bool
+	flushAt  time.Duration // dirty pages are not looked at before
 	orphans  map[string]orphan
 
-	catalogue map[string]protocol.Flavor
+	catalogue map[string]*protocol.Flavor
 	flavorsAt time.Duration
 	flavorsIn bool
 
-	idle    []string // machines with room, the idle list
-	line    []*waiter
-	waiting map[taskKey]*waiter
-	placed  map[taskKey]time.Duration // dispatched elsewhere, not before
+	idle    []*machine // machines with room, the idle list
+	lines   []*record  // jobs with tasks in lines, in the order of their turns
+	lined   int        // tasks in lines
 	polls   []poll
 	polling bool
 
@@ -88,6 +93,8 @@
 	markedAt   time.Duration
 	drawAt     time.Duration
 	restarting time.Duration
+	claims     int           // being written
+	shedAt     time.Duration // no worker of ours is sent elsewhere before
 	moving     time.Duration // no other service is moved before
 	launching  []*machine
 	latency    map[string]*hdrhistogram.Histogram
@@ -135,8 +142,7 @@
 		cfg: cfg, log: log, rnd: rnd, life: life,
 		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
 		teams: map[string]*team{}, members: map[string]*member{}, drains: map[string]drain{}, dirty: map[*page]bool{},
-		orphans: map[string]orphan{}, catalogue: map[string]protocol.Flavor{}, waiting: map[taskKey]*waiter{},
-		placed: map[taskKey]time.Duration{}, beats: map[string]beat{}, vouches: map[string]time.Duration{}, latency: map[string]*hdrhistogram.Histogram{},
+		orphans: map[string]orphan{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, held: map[string]int{}, beats: map[string]beat{}, vouches: map[string]time.Duration{}, latency: map[string]*hdrhistogram.Histogram{},
 	}
 	for i := range cfg.Facts.Teams {
 		t := &cfg.Facts.Teams[i]
@@ -170,6 +176,7 @@
 // begin and end bracket every step.
 func (c *Core) begin(t Clock) {
 	c.now, c.wall = t.Steady, t.Wall
+	c.store.Advance(c.now)
 }
 
 func (c *Core) end() Effects {
@@ -215,6 +222,7 @@
 		// The sweep's period is a fraction of the workers' report period.
 		c.sweepAt = c.now + seconds(c.cfg.Facts.Workers.Report/12)
 		c.watchMachines()
+		c.turns = c.openJobs()
 		c.schedule()
 		c.preempt()
 		c.gather()
@@ -291,17 +299,6 @@
 
 // stats is what operators see of a controller.
 func (c *Core) stats() any {
-	mine, waiting, open := 0, len(c.line), 0
-	for _, m := range c.machines {
-		if c.mine(m) {
-			mine++
-		}
-	}
-	for _, r := range c.jobs {
-		if !r.final() {
-			open++
-		}
-	}
 	type latency struct {
 		Count int64   `json:"count"`
 		P50   float64 `json:"p50Ms"`
@@ -324,7 +321,7 @@
 		StateQueue int                `json:"stateQueue"`
 		Counters   Stats              `json:"counters"`
 		Latency    map[string]latency `json:"latency"`
-	}{c.cfg.Node, c.now.Seconds(), (c.now - c.store.Fresh()).Seconds(), c.leads(), mine, len(c.idle), waiting, open, c.store.Backlog(), c.Stats, lat}
+	}{c.cfg.Node, c.now.Seconds(), (c.now - c.store.Fresh()).Seconds(), c.leads(), len(c.ours), len(c.idle), c.lined, len(c.open), c.store.Backlog(), c.Stats, lat}
 }
 
 // measure records how long a call took, in a histogram that covers a minute
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -406,6 +406,9 @@
 // been returned, or been given up.
 func (c *Core) settleRental(name string, r *rental) {
 	t := c.catalogue[r.Rig]
+	if t == nil {
+		return
+	}
 	late := float64(c.wall.UnixMilli()-r.At)/1000 > 4*t.StartupS+c.cfg.Facts.Workers.Lease
 	open := false
 	for _, id := range r.Names {
@@ -477,8 +480,12 @@
 		slots = append(slots, s)
 	}
 	known := map[string]bool{}
+	zones := map[string]int{} // machines in each
 	for id, m := range c.machines {
 		known[id] = m.stamp != 0
+		if m.stamp != 0 {
+			zones[m.claim.Zone]++
+		}
 		if _, drained := c.drains[id]; drained || m.stamp == 0 || m.draining {
 			continue
 		}
@@ -522,23 +529,24 @@
 	})
 	want := map[place]int{}
 	unmet := 0
+	full := 0 // slots before this one have nothing left for any open job
 	put := func(sp *job.Spec, n int, avoid map[string]int) {
+		for full < len(slots) && (slots[full].cpus < tolerance || slots[full].ram < tolerance || c.plain == 0 && slots[full].gpus < tolerance) {
+			full++
+		}
+		at := full // a job's tasks are alike: what can't take one takes none
 		for ; n > 0; n-- {
-			ok := false
-			for _, s := range slots {
-				if s.takes(sp) && (avoid == nil || avoid[s.where.depot] < sp.SpreadLimit()) {
-					s.put(sp)
-					if avoid != nil {
-						avoid[s.where.depot]++
-					}
-					ok = true
-					break
-				}
+			for at < len(slots) && !(slots[at].takes(sp) && (avoid == nil || avoid[slots[at].where.depot] < sp.SpreadLimit())) {
+				at++
 			}
-			if ok {
+			if at < len(slots) {
+				slots[at].put(sp)
+				if avoid != nil {
+					avoid[slots[at].where.depot]++
+				}
 				continue
 			}
-			w, found := c.bestPlace(sp, want, avoid)
+			w, found := c.bestPlace(sp, want, avoid, zones)
 			if !found {
 				unmet += n
 				return
@@ -554,7 +562,10 @@
 		}
 	}
 	uses := map[string]usage{}
-	for _, r := range c.openJobs() {
+	for _, r := range c.turns {
+		if r.final() {
+			continue
+		}
 		tm := c.teams[r.spec.Team]
 		if tm == nil {
 			continue
@@ -581,7 +592,7 @@
 		}
 		sp := r.spec
 		if sp.OneZone && sp.Zone == "" && n > 1 {
-			sp = c.pinZone(r, n, slots, want)
+			sp = c.pinZone(r, n, slots, want, zones)
 		}
 		put(sp, n, avoid)
 	}
@@ -595,7 +606,7 @@
 			m.idleAt = c.now
 			continue
 		}
-		if c.now-m.idleAt > seconds(idleShare*c.catalogue[m.claim.Type].StartupS) {
+		if c.now-m.idleAt > seconds(idleShare*c.kind(m).StartupS) {
 			c.drain(m, drainIdle)
 		}
 	}
@@ -604,15 +615,15 @@
 
 // bestPlace picks where to rent for a task: the cheapest type and kind per
 // task that has not just been refused, in the zone with the fewest planned.
-func (c *Core) bestPlace(s *job.Spec, want map[place]int, avoid map[string]int) (place, bool) {
+func (c *Core) bestPlace(s *job.Spec, want map[place]int, avoid, zones map[string]int) (place, bool) {
 	var best place
 	bestCost, bestLoad, found := 0.0, 0, false
 	for _, sku := range sortedKeys(c.catalogue) {
 		t := c.catalogue[sku]
-		if !s.TypeAllowed(sku) || !holds(&t, s) {
+		if !s.TypeAllowed(sku) || !holds(t, s) {
 			continue
 		}
-		fit := perMachine(&t, s)
+		fit := perMachine(t, s)
 		for _, spot := range []bool{true, false} {
 			if spot && !s.Spot {
 				continue
@@ -626,12 +637,7 @@
 				if (s.Zone != "" && s.Zone != z) || c.now < c.fleet.refused[w] || (avoid != nil && avoid[z] >= s.SpreadLimit()) {
 					continue
 				}
-				cost, load := price/fit, want[w]
-				for _, m := range c.machines {
-					if m.stamp != 0 && m.claim.Zone == z {
-						load++
-					}
-				}
+				cost, load := price/fit, want[w]+zones[z]
 				if !found || cost < bestCost*0.999 || (cost < bestCost*1.001 && load < bestLoad) {
 					best, bestCost, bestLoad, found = w, cost, load, true
 				}
@@ -689,7 +695,7 @@
 
 // pinZone picks the zone in which a one-zone job's tasks are planned: where
 // some are already, or else where most of them find room.
-func (c *Core) pinZone(r *record, n int, slots []*slot, want map[place]int) *job.Spec {
+func (c *Core) pinZone(r *record, n int, slots []*slot, want map[place]int, zones map[string]int) *job.Spec {
 	best, bestFit := r.spec, -1
 	for _, z := range c.cfg.Facts.Zones {
 		sp := *r.spec
@@ -700,7 +706,7 @@
 				room.put(&sp)
 			}
 		}
-		_, rentable := c.bestPlace(&sp, want, nil)
+		_, rentable := c.bestPlace(&sp, want, nil, zones)
 		if r.zones[z] > 0 {
 			return &sp
 		}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -125,7 +125,10 @@
 
 // cover reserves room for as many of a gang's tasks as it finds in a zone.
 func (c *Core) cover(r *record, zone string) []int {
-	ids := append([]string(nil), c.idle...)
+	ids := make([]string, 0, len(c.idle)+len(r.offers))
+	for _, m := range c.idle {
+		ids = append(ids, m.id)
+	}
 	for id, o := range r.offers {
 		if c.now < o.until {
 			ids = append(ids, id)
@@ -168,11 +171,10 @@
 		return
 	}
 	o := &Offer{Job: d.Job}
-	for _, id := range c.idle {
-		m := c.machines[id]
-		if m != nil && !c.barred(m) && c.fits(r, m) && len(o.Machines) < r.spec.Tasks {
+	for _, m := range c.idle {
+		if !c.barred(m) && c.fits(r, m) && len(o.Machines) < r.spec.Tasks {
 			m.holdFor, m.holdTill = d.Job, c.now+c.holdTime()
-			o.Machines = append(o.Machines, Offered{id, m.session})
+			o.Machines = append(o.Machines, Offered{m.id, m.session})
 		}
 	}
 	if len(o.Machines) > 0 {
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -7,15 +7,14 @@
 // waits, the services of our sparsest machine move, one at a time, to machines
 // of ours that hold more of them, have their images and have room.
 func (c *Core) gather() {
-	if len(c.line) > 0 {
-		for _, m := range c.machines {
+	if c.lined > 0 {
+		for _, m := range c.ours {
 			m.emptying = false // the room is wanted
 		}
 		return
 	}
 	var from *machine
-	for _, id := range c.owned() {
-		m := c.machines[id]
+	for _, m := range c.ours {
 		if m.emptying {
 			if len(m.bound) == 0 || !c.room(m) {
 				m.emptying = len(m.bound) == 0 // stays out of use until it is returned
@@ -32,7 +31,7 @@
 			m.sparseAt = c.now
 		}
 		// As long as the return of an idle machine is awaited.
-		if c.now-m.sparseAt > seconds(idleShare*c.catalogue[m.claim.Type].StartupS) && (from == nil || m.steady < from.steady) {
+		if c.now-m.sparseAt > seconds(idleShare*c.kind(m).StartupS) && (from == nil || m.steady < from.steady) {
 			from = m
 		}
 	}
@@ -45,7 +44,7 @@
 
 // sparse tells whether a machine holds services alone, and few of them.
 func (c *Core) sparse(m *machine) bool {
-	f := c.catalogue[m.claim.Type]
+	f := c.kind(m)
 	if c.barred(m) || len(m.bound) == 0 || len(m.stops) > 0 || m.steady > f.GPUs/2 {
 		return false
 	}
@@ -59,13 +58,12 @@
 
 // target finds a better machine of ours for a service on m.
 func (c *Core) target(r *record, m *machine, used map[*machine]usage) *machine {
-	for _, id := range c.owned() {
-		t := c.machines[id]
+	for _, t := range c.ours {
 		if t == m || c.barred(t) || t.steady < tolerance || t.steady < m.steady || (t.steady == m.steady && t.id > m.id) ||
 			c.fetchTime(r.spec, t) > 0 || !c.couldHold(r, t) {
 			continue
 		}
-		f := c.catalogue[t.claim.Type]
+		f := c.kind(t)
 		u := used[t]
 		if t.cpus+u.CPUs+r.spec.CPUs <= f.CPUs+tolerance && t.gpus+u.GPUs+r.spec.GPUs <= f.GPUs+tolerance &&
 			t.ram+r.spec.MemoryGB <= f.RAM+tolerance {
@@ -106,8 +104,7 @@
 	if c.restarting > c.now {
 		return
 	}
-	for _, id := range c.owned() {
-		m := c.machines[id]
+	for _, m := range c.ours {
 		if len(m.pulling) == 0 {
 			continue
 		}
@@ -116,7 +113,7 @@
 			if !m.pulling[k] || r.spec.Shape != job.Service || r.final() || len(m.stops) > 0 {
 				continue
 			}
-			left := max(c.fetchTime(r.spec, m), r.spec.ImageGB/c.catalogue[m.claim.Type].PullRate-(c.now-m.boundAt[k]).Seconds())
+			left := max(c.fetchTime(r.spec, m), r.spec.ImageGB/c.kind(m).PullRate-(c.now-m.boundAt[k]).Seconds())
 			t := c.pop(r)
 			if t == nil || t == m || c.fetchTime(r.spec, t)+c.cfg.Facts.Workers.Report/2 > left/2 {
 				continue
--- /dev/null
+++ b/internal/coordination/grown_test.go
@@ -0,0 +1,117 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"silvergate/internal/config"
+	"silvergate/internal/job"
+)
+
+// grownSim is a deployment of five controllers and some hundred machines, with
+// the limits of a real state service.
+func grownSim(seed uint64) *sim {
+	s := newSim(seed, 0)
+	s.facts.Workers.Report = 4
+	s.facts.State = config.State{RPS: 250, WriteRPS: 100, ValueKB: 16, TxnOps: 12}
+	s.facts.Cloud = config.Cloud{RPS: 5, ListLag: 8}
+	s.facts.Teams = []config.Team{{Name: "red", GPUs: 100, GPUsMax: 500}, {Name: "blue", GPUs: 200, GPUsMax: 5000}}
+	s.kv.memory, s.kv.page, s.cloud.page = 10_000, 1000, 500
+	for k := range s.cloud.free {
+		s.cloud.free[k] = map[string]int{"small": 45, "large": 8}[k.rig]
+	}
+	for i := 3; i < 5; i++ {
+		n := &simNode{s: s, name: fmt.Sprintf("n%d", i), cut: map[string]time.Duration{}}
+		s.nodes = append(s.nodes, n)
+		s.after(s.ms(0, 500), n.start)
+	}
+	s.facts.Count = 5
+	s.told = s.facts
+	return s
+}
+
+// loadGrown submits services at the start, and arrays and gangs until the
+// time given.
+func (s *sim) loadGrown(until time.Duration) {
+	n := 0
+	spec := func(shape job.Shape, class string, p job.Priority, tasks int) *job.Spec {
+		n++
+		return &job.Spec{ID: fmt.Sprintf("wk-%06d", n), Class: class, Team: []string{"red", "blue"}[s.rnd.IntN(2)], Shape: shape, Priority: p,
+			Tasks: tasks, CPUs: 4, GPUs: 1, MemoryGB: 8}
+	}
+	for range 40 {
+		sp := spec(job.Service, "svc", job.Production, 2+s.rnd.IntN(4))
+		sp.Spread = true
+		s.submit(sp, 0, s.ms(60_000, 600_000))
+	}
+	var next func()
+	next = func() {
+		if s.now > until {
+			return
+		}
+		switch s.rnd.IntN(8) {
+		case 0:
+			sp := spec(job.Gang, "gng", job.High, 1+s.rnd.IntN(4))
+			sp.CPUs, sp.GPUs, sp.OneZone, sp.Types = 50, 8, true, []string{"large"}
+			s.submit(sp, 20, 0)
+		default:
+			sp := spec(job.Array, "arr", job.Normal, 20+s.rnd.IntN(60))
+			sp.Spot = true
+			s.submit(sp, 10+20*s.rnd.Float64(), 0)
+		}
+		s.after(s.ms(500, 4500), next)
+	}
+	next()
+}
+
+// TestGrownDeployment plays a deployment of hundreds of machines through bulk
+// failures: dozens of machines hang, a third of the spot machines is taken,
+// and all controllers crash. The rules hold and everything ends.
+func TestGrownDeployment(t *testing.T) {
+	s := grownSim(31)
+	s.loadGrown(150 * time.Second)
+	s.after(60*time.Second, func() {
+		for i, w := range s.cloud.sorted() {
+			if i%16 == 0 {
+				w.hung = s.now + 40*time.Second
+			}
+		}
+	})
+	s.after(90*time.Second, func() {
+		for i, w := range s.cloud.sorted() {
+			if w.spot && i%3 == 0 {
+				w.die()
+				w.taken = true
+				name := w.name
+				s.after(30*time.Second, func() { delete(s.cloud.all, name) })
+			}
+		}
+	})
+	s.after(110*time.Second, func() {
+		for _, n := range s.nodes {
+			n.crash(3 * time.Second)
+		}
+	})
+	s.run(150 * time.Second)
+	up, done, tasks := len(s.cloud.sorted()), 0, 0
+	for _, u := range s.users {
+		for _, d := range u.done {
+			tasks++
+			if d {
+				done++
+			}
+		}
+	}
+	var total Stats
+	for _, n := range s.nodes {
+		total.Conflicts += n.core.Stats.Conflicts
+		total.Claims += n.core.Stats.Claims
+	}
+	t.Logf("%d machines, %d of %d tasks done, %d starts, %d conflicts, %d claims, %d refused", up, done, tasks, s.starts, total.Conflicts, total.Claims, s.kv.refused)
+	if up < 200 {
+		t.Errorf("only %d machines are rented", up)
+	}
+	s.finish(t, 160*time.Second)
+	s.report(t)
+}
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -116,13 +116,7 @@
 			}
 		})
 	}
-	mine := 0
-	for _, m := range c.machines {
-		if c.mine(m) {
-			mine++
-		}
-	}
-	data := encode(member{c.life, len(c.idle), mine})
+	data := encode(member{c.life, len(c.idle), len(c.ours)})
 	if string(data) != c.published && c.now >= c.publishAt {
 		c.publishAt = c.now + c.cfg.Operator.PublishInterval
 		c.published = string(data)
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -8,16 +9,20 @@
 	"silvergate/internal/protocol"
 )
 
-// waiter is a task in a machine's line. The lines of our machines live in one
-// slice, ordered by priority and then age; each entry names its machine.
+// waiter is a task in a machine's line. The lines of our machines are kept by
+// job, in the order of the jobs' turns: a job's tasks are alike, so what one of
+// them can't use none of them can. Each entry names its machine.
 type waiter struct {
 	key     taskKey
-	rec     *record
 	machine string
 	until   time.Duration // handed over by a peer: kept until then
 	stopped time.Duration // stops were ordered for it: no others before
 }
 
+// compared is how many entries that would do a decision compares, from a
+// random one on, so that its cost does not grow with the fleet.
+const compared = 64
+
 // join puts a machine with room into the idle list, after it has taken the
 // oldest tasks that it can hold from any line.
 func (c *Core) join(m *machine) {
@@ -31,23 +36,20 @@
 		return
 	}
 	m.joined = c.now
-	if !m.listed {
-		m.listed = true
-		c.idle = append(c.idle, m.id)
+	if m.listed == 0 {
+		c.idle = append(c.idle, m)
+		m.listed = len(c.idle)
 	}
 }
 
 func (c *Core) unlist(m *machine) {
-	if !m.listed {
+	if m.listed == 0 {
 		return
 	}
-	m.listed = false
-	for i, id := range c.idle {
-		if id == m.id {
-			c.idle = append(c.idle[:i], c.idle[i+1:]...)
-			return
-		}
-	}
+	last := c.idle[len(c.idle)-1]
+	c.idle[m.listed-1], last.listed = last, m.listed
+	c.idle = c.idle[:len(c.idle)-1]
+	m.listed = 0
 }
 
 func (c *Core) freed(id string) {
@@ -58,14 +60,11 @@
 
 // hasRoom tells whether any task could use what is left.
 func (c *Core) hasRoom(m *machine) bool {
-	f, ok := c.catalogue[m.claim.Type]
-	if !ok {
+	f := c.kind(m)
+	if f.GPUs > 0 && c.plain == 0 && f.GPUs-m.gpus < tolerance {
 		return false
 	}
-	if f.GPUs > 0 {
-		return f.GPUs-m.gpus >= 1-1e-6 || m.gpus < 1e-6
-	}
-	return f.CPUs-m.cpus > 1e-6
+	return f.CPUs-m.cpus > tolerance && f.RAM-m.ram > tolerance
 }
 
 const tolerance = 1e-6
@@ -73,8 +72,8 @@
 // fits tells whether a machine may and can hold a task now.
 func (c *Core) fits(r *record, m *machine) bool {
 	s := r.spec
-	f, ok := c.catalogue[m.claim.Type]
-	if !ok || !s.TypeAllowed(m.claim.Type) || (s.Zone != "" && s.Zone != m.claim.Zone) || (m.claim.Spot && !s.Spot) {
+	f := c.kind(m)
+	if f == &unknownKind || !s.TypeAllowed(m.claim.Type) || (s.Zone != "" && s.Zone != m.claim.Zone) || (m.claim.Spot && !s.Spot) {
 		return false
 	}
 	if m.holdFor != s.ID && c.now < m.holdTill {
@@ -100,21 +99,27 @@
 // couldHold tells whether a machine could hold the task if it were empty.
 func (c *Core) couldHold(r *record, m *machine) bool {
 	s := r.spec
-	f, ok := c.catalogue[m.claim.Type]
-	return ok && s.TypeAllowed(m.claim.Type) && (s.Zone == "" || s.Zone == m.claim.Zone) && (!m.claim.Spot || s.Spot) && holds(&f, s)
+	f := c.kind(m)
+	return f != &unknownKind && s.TypeAllowed(m.claim.Type) && (s.Zone == "" || s.Zone == m.claim.Zone) && (!m.claim.Spot || s.Spot) && holds(f, s)
 }
 
 // pop takes an entry of the idle list whose remaining room holds the task: a
-// random one of those that suit it best.
+// random one of those that suit it best among the first that hold it, from a
+// random entry on.
 func (c *Core) pop(r *record) *machine {
 	var pick *machine
 	var best rank
-	n := 0
-	for _, id := range c.idle {
-		m := c.machines[id]
-		if m == nil || c.barred(m) || !c.fits(r, m) {
+	n, seen := 0, 0
+	if len(c.idle) == 0 {
+		return nil
+	}
+	start := c.rnd.IntN(len(c.idle))
+	for i := 0; i < len(c.idle) && seen < compared; i++ {
+		m := c.idle[(start+i)%len(c.idle)]
+		if c.barred(m) || !c.fits(r, m) {
 			continue
 		}
+		seen++
 		k := c.rank(r, m)
 		switch {
 		case n == 0 || k.before(best):
@@ -153,7 +158,7 @@
 }
 
 func (c *Core) rank(r *record, m *machine) rank {
-	f := c.catalogue[m.claim.Type]
+	f := c.kind(m)
 	if r.spec.Shape == job.Service {
 		// Services outlive everything else: they gather on the machines
 		// that services hold already, so that the others can be returned.
@@ -172,14 +177,16 @@
 func (c *Core) assign(r *record, index int, m *machine) {
 	c.reserve(r, index, m)
 	c.propose(r, index, change{place: true, machine: m.id, session: m.session, try: c.nextTry(r)})
-	c.unline(taskKey{r.spec.ID, index})
+	c.unline(r, index)
 	if m.holdFor == r.spec.ID {
 		m.holdTill = 0
 	}
 	if !c.hasRoom(m) {
 		c.unlist(m)
 	}
-	c.log.Debug("placing", "load", job.TaskName(r.spec.ID, index), "stoker", m.id)
+	if c.verbose {
+		c.log.Debug("placing", "load", job.TaskName(r.spec.ID, index), "stoker", m.id)
+	}
 }
 
 // nextTry is the attempt of a gang's next start. The tasks of one attempt
@@ -222,31 +229,44 @@
 	var left []int
 	// Guards against the largest jobs: a page's worth of tasks on their way
 	// at a time is plenty, and 100,000 would fill lines and messages.
-	under := 0
-	for i := 0; i < r.spec.Tasks && under < c.pageTasks(); i++ {
-		if t := r.task(c, i); t.Phase != job.Pending {
-			continue
-		}
-		under++
-		k := taskKey{r.spec.ID, i}
-		if c.waiting[k] != nil || c.now < c.placed[k] || !c.placeable(r, i) {
-			continue
-		}
-		if m := c.pop(r); m != nil { // step 2
-			c.assign(r, i, m)
-			continue
+	under, full := 0, false
+	for _, p := range r.pages {
+		base := p.num * c.pageTasks()
+		for j := 0; j < len(p.tasks) && p.pending > 0 && under < c.pageTasks(); j++ {
+			if p.tasks[j].Phase != job.Pending {
+				continue
+			}
+			under++
+			i := base + j
+			if r.waiting[i] != nil || c.now < r.placed[i] || !c.placeable(r, i) {
+				continue
+			}
+			if !full { // the job's tasks are alike: what does not fit one fits none
+				if m := c.pop(r); m != nil { // step 2
+					c.assign(r, i, m)
+					continue
+				}
+				full = true
+			}
+			left = append(left, i)
 		}
-		left = append(left, i)
-	}
-	if len(left) > 0 {
-		c.probe(r, left)
 	}
+	c.probe(r, left)
 }
 
 // probe is steps 3 and 4: up to d-2 random peers are checked by their
 // published list length; if none has entries, one more random controller
-// takes the task unchecked.
+// takes the task unchecked. Many tasks of one job are drawn for in as many
+// parts as there are controllers, not one by one.
 func (c *Core) probe(r *record, tasks []int) {
+	for parts := 1 + len(c.members); len(tasks) > 0; parts-- {
+		n := (len(tasks) + parts - 1) / max(1, parts)
+		c.probeFor(r, tasks[:n])
+		tasks = tasks[n:]
+	}
+}
+
+func (c *Core) probeFor(r *record, tasks []int) {
 	var peers []string
 	for _, p := range c.cfg.Peers {
 		if c.members[p.Node] != nil {
@@ -278,7 +298,7 @@
 	}
 	again := c.now + 2*c.cfg.Operator.PublishInterval
 	for _, i := range tasks {
-		c.placed[taskKey{r.spec.ID, i}] = again
+		r.place(i, again)
 	}
 	c.Stats.Forwards += uint64(len(tasks))
 	for len(tasks) > 0 {
@@ -288,6 +308,14 @@
 	}
 }
 
+// place notes that a task is on its way and not to be dispatched before.
+func (r *record) place(i int, until time.Duration) {
+	if r.placed == nil {
+		r.placed = map[int]time.Duration{}
+	}
+	r.placed[i] = until
+}
+
 // receive takes tasks from a peer: pop, or else a line.
 func (c *Core) receive(f *Forward) {
 	r := c.jobs[f.Job]
@@ -299,11 +327,13 @@
 		if !c.placeable(r, i) {
 			continue
 		}
-		if m := c.pop(r); m != nil {
-			c.assign(r, i, m)
-		} else {
-			left = append(left, i)
+		if len(left) == 0 { // else nothing here fits the job
+			if m := c.pop(r); m != nil {
+				c.assign(r, i, m)
+				continue
+			}
 		}
+		left = append(left, i)
 	}
 	c.enqueue(r, left, c.now+3*c.cfg.Operator.PublishInterval)
 }
@@ -314,43 +344,49 @@
 	if len(tasks) == 0 {
 		return
 	}
-	var fit []string
-	for _, m := range c.machines {
-		if c.mine(m) && !c.barred(m) && c.couldHold(r, m) {
-			fit = append(fit, m.id)
-		}
-	}
-	sort.Strings(fit)
 	for _, i := range tasks {
-		k := taskKey{r.spec.ID, i}
-		if w := c.waiting[k]; w != nil {
+		if w := r.waiting[i]; w != nil {
 			w.until = max(w.until, until)
 			continue
 		}
-		w := &waiter{key: k, rec: r, until: until}
-		if len(fit) > 0 {
-			w.machine = fit[c.rnd.IntN(len(fit))]
+		w := &waiter{key: taskKey{r.spec.ID, i}, until: until}
+		if m := c.holder(r); m != nil {
+			w.machine = m.id
 		} else if until > 0 {
-			continue // nothing here could hold it: the sender keeps it
+			return // nothing here could hold it: the sender keeps it
+		}
+		if r.waiting == nil {
+			r.waiting = map[int]*waiter{}
+		}
+		r.waiting[i] = w
+		c.lined++
+		at := sort.Search(len(r.line), func(j int) bool { return r.line[j].key.index > i })
+		r.line = slices.Insert(r.line, at, w)
+		if len(r.line) == 1 {
+			at := sort.Search(len(c.lines), func(j int) bool { return sooner(r, c.lines[j]) })
+			c.lines = slices.Insert(c.lines, at, r)
 		}
-		c.waiting[k] = w
-		at := sort.Search(len(c.line), func(j int) bool { return before(w, c.line[j]) })
-		c.line = append(c.line, nil)
-		copy(c.line[at+1:], c.line[at:])
-		c.line[at] = w
 	}
 }
 
-// before orders a line. Exception "urgency": the design's line is first-in
-// first-out; here a higher priority goes first, and within it the job whose
-// turn comes earlier.
-func before(a, b *waiter) bool {
-	if a.rec != b.rec {
-		return sooner(a.rec, b.rec)
+// holder is a random machine of ours that could hold a job's task: the first
+// such from a random one on.
+func (c *Core) holder(r *record) *machine {
+	if len(c.ours) == 0 {
+		return nil
+	}
+	start := c.rnd.IntN(len(c.ours))
+	for i := range c.ours {
+		if m := c.ours[(start+i)%len(c.ours)]; !c.barred(m) && c.couldHold(r, m) {
+			return m
+		}
 	}
-	return a.key.index < b.key.index
+	return nil
 }
 
+// sooner orders the lines. Exception "urgency": the design's line is first-in
+// first-out; here a higher priority goes first, and within it the job whose
+// turn comes earlier.
 func sooner(x, y *record) bool {
 	switch {
 	case x.spec.Priority != y.spec.Priority:
@@ -375,7 +411,7 @@
 	gpus, cpus := 0.0, 0.0
 	for _, m := range c.machines {
 		if m.stamp != 0 {
-			f := c.catalogue[m.claim.Type]
+			f := c.kind(m)
 			gpus, cpus = gpus+f.GPUs, cpus+f.CPUs
 		}
 	}
@@ -435,82 +471,86 @@
 	return loose
 }
 
-func (c *Core) unline(k taskKey) {
-	w := c.waiting[k]
-	if w == nil {
+func (c *Core) unline(r *record, index int) {
+	if r.waiting[index] == nil {
 		return
 	}
-	delete(c.waiting, k)
-	for i := range c.line {
-		if c.line[i] == w {
-			c.line = append(c.line[:i], c.line[i+1:]...)
-			return
-		}
+	delete(r.waiting, index)
+	c.lined--
+	at := sort.Search(len(r.line), func(j int) bool { return r.line[j].key.index >= index })
+	r.line = slices.Delete(r.line, at, at+1)
+	if len(r.line) > 0 {
+		return
+	}
+	r.line, r.waiting = nil, nil
+	if at := slices.Index(c.lines, r); at >= 0 {
+		c.lines = slices.Delete(c.lines, at, at+1)
 	}
 }
 
 // drawLine is step 5: a joining machine takes the oldest tasks it can hold,
 // from its own line or another's.
 func (c *Core) drawLine(m *machine) {
-	for i := 0; i < len(c.line); {
-		w := c.line[i]
-		if !c.hasRoom(m) {
-			return
+	for i := 0; i < len(c.lines) && c.hasRoom(m); {
+		r := c.lines[i]
+		for c.fits(r, m) {
+			at := slices.IndexFunc(r.line, func(w *waiter) bool { return c.placeable(r, w.key.index) })
+			if at < 0 {
+				break
+			}
+			c.assign(r, r.line[at].key.index, m) // takes it out of the line
 		}
-		if c.placeable(w.rec, w.key.index) && c.fits(w.rec, m) {
-			c.assign(w.rec, w.key.index, m) // takes w out of the line
-			continue
+		if i < len(c.lines) && c.lines[i] == r {
+			i++
 		}
-		i++
 	}
 }
 
 // schedule sends every pending task that is ours to look after on its way
 // again, and clears the lines of what has been placed or is over.
 func (c *Core) schedule() {
-	open := c.openJobs()
-	sort.SliceStable(c.line, func(i, j int) bool { return before(c.line[i], c.line[j]) })
-	for i := 0; i < len(c.line); {
-		w := c.line[i]
-		t := w.rec.task(c, w.key.index)
-		if w.rec.final() || t.Phase != job.Pending || (w.until > 0 && c.now > w.until) {
-			c.unline(w.key)
-			continue
+	sort.SliceStable(c.lines, func(i, j int) bool { return sooner(c.lines[i], c.lines[j]) })
+	for _, r := range slices.Clone(c.lines) {
+		for _, w := range slices.Clone(r.line) {
+			if r.final() || r.task(c, w.key.index).Phase != job.Pending || (w.until > 0 && c.now > w.until) {
+				c.unline(r, w.key.index)
+			}
 		}
-		i++
 	}
-	for _, id := range c.idle {
-		if m := c.machines[id]; m != nil && len(c.line) > 0 && !c.barred(m) {
-			c.drawLine(m)
+	if len(c.lines) > 0 {
+		for _, m := range slices.Clone(c.idle) {
+			if !c.barred(m) {
+				c.drawLine(m)
+			}
 		}
 	}
-	c.markGang(open)
-	for _, r := range open {
+	c.markGang(c.turns)
+	for _, r := range c.turns {
 		if r.bound+r.finished+len(r.held) < r.spec.Tasks && c.successor(r.home) == c.cfg.Node {
 			c.dispatchJob(r)
 		}
 	}
 	// Our own line's tasks look elsewhere again after a while: machines may
 	// have become free at other controllers.
-	for i := 0; i < len(c.line); {
-		w := c.line[i]
-		if w.until == 0 && c.now >= w.stopped && c.now >= c.placed[w.key]+c.cfg.Operator.PublishInterval {
-			c.placed[w.key] = c.now
-			c.unline(w.key)
-			c.probe(w.rec, []int{w.key.index})
-			if c.waiting[w.key] != nil {
-				i++
+	for _, r := range slices.Clone(c.lines) {
+		var again []int
+		for _, w := range r.line {
+			if w.until == 0 && c.now >= w.stopped && c.now >= r.placed[w.key.index]+c.cfg.Operator.PublishInterval {
+				again = append(again, w.key.index)
 			}
-			continue
 		}
-		i++
+		for _, i := range again {
+			r.place(i, c.now)
+			c.unline(r, i)
+		}
+		c.probe(r, again)
 	}
 }
 
 // openJobs lists the unfinished jobs, most urgent first.
 func (c *Core) openJobs() []*record {
-	var out []*record
-	for _, r := range c.jobs {
+	out := make([]*record, 0, len(c.open))
+	for _, r := range c.open {
 		if !r.final() {
 			out = append(out, r)
 		}
@@ -523,7 +563,11 @@
 // setCatalogue takes the machine types.
 func (c *Core) setCatalogue(f *protocol.Flavors) {
 	for _, t := range f.Rigs {
-		c.catalogue[t.SKU] = t
+		if k := c.catalogue[t.SKU]; k != nil {
+			*k = t // machines point to it
+		} else {
+			c.catalogue[t.SKU] = &t
+		}
 	}
 }
 
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -16,53 +16,54 @@
 
 // preempt looks for room for the waiters that nothing free can hold.
 func (c *Core) preempt() {
-	var open map[*machine]bool // machines with stops under way
-	for _, w := range c.line {
-		r := w.rec
-		if r.spec.Priority <= job.Low || c.now < w.stopped || multi(r) || !c.placeable(r, w.key.index) {
+	for _, r := range c.lines {
+		if r.spec.Priority <= job.Low || multi(r) {
 			continue
 		}
-		if open == nil {
-			open = map[*machine]bool{}
-			for _, m := range c.machines {
-				if c.mine(m) && len(m.stops) > 0 {
-					open[m] = true
-				}
+		for _, w := range r.line {
+			if c.now < w.stopped || !c.placeable(r, w.key.index) {
+				continue
 			}
+			m, victims := c.victims(r)
+			if m == nil {
+				break // the job's tasks are alike
+			}
+			// The victims' exits are reported at once; should that fail,
+			// another machine is tried after a report period.
+			w.stopped = c.now + seconds(c.cfg.Facts.Workers.Report)
+			m.holdFor, m.holdTill = r.spec.ID, w.stopped
+			for _, k := range victims {
+				c.stop(m, k, "preempted")
+				c.Stats.Preemptions++
+			}
+			c.log.Debug("preempting", "for", r.spec.ID, "stoker", m.id, "victims", len(victims))
 		}
-		m, victims := c.victims(r, open)
-		if m == nil {
-			continue
-		}
-		open[m] = true
-		// The victims' exits are reported at once; should that fail, another
-		// machine is tried after a report period.
-		w.stopped = c.now + seconds(c.cfg.Facts.Workers.Report)
-		m.holdFor, m.holdTill = r.spec.ID, w.stopped
-		for _, k := range victims {
-			c.stop(m, k, "preempted")
-			c.Stats.Preemptions++
-		}
-		c.log.Debug("preempting", "for", r.spec.ID, "stoker", m.id, "victims", len(victims))
 	}
 }
 
-// victims finds the machine where room for the task costs least, and what to
-// stop there.
-func (c *Core) victims(r *record, open map[*machine]bool) (*machine, []taskKey) {
+// victims finds the machine where room for the task costs least, among the
+// first that will do from a random one on, and what to stop there.
+func (c *Core) victims(r *record) (*machine, []taskKey) {
 	var best *machine
 	var bestSet []taskKey
 	bestCost := 0.0
 	var bestRank rank
-	for _, id := range c.owned() {
-		m := c.machines[id]
-		if open[m] || c.now < m.holdTill || c.barred(m) || !c.couldHold(r, m) || !c.zoneOK(r, m.claim.Zone) {
+	seen := 0
+	start := c.rnd.IntN(max(1, len(c.ours)))
+	for i := 0; i < len(c.ours) && seen < compared; i++ {
+		m := c.ours[(start+i)%len(c.ours)]
+		lower := 0
+		for p := job.Low; p < r.spec.Priority; p++ {
+			lower += m.levels[p]
+		}
+		if lower == 0 || len(m.stops) > 0 || c.now < m.holdTill || c.barred(m) || !c.couldHold(r, m) || !c.zoneOK(r, m.claim.Zone) {
 			continue
 		}
 		set, cost, ok := c.evict(r, m)
 		if !ok {
 			continue
 		}
+		seen++
 		cost += c.fetchTime(r.spec, m)
 		k := rank{}
 		if r.spec.Shape == job.Service {
@@ -100,7 +101,7 @@
 		}
 		return a.k.before(b.k)
 	})
-	f := c.catalogue[m.claim.Type]
+	f := c.kind(m)
 	s := r.spec
 	cpus, gpus, ram := m.cpus, m.gpus, m.ram
 	for _, v := range all {
@@ -131,7 +132,7 @@
 // fetchTime is how long a task would wait for its image on a machine, in
 // seconds. Fetches under way share the machine's rate.
 func (c *Core) fetchTime(s *job.Spec, m *machine) float64 {
-	f := c.catalogue[m.claim.Type]
+	f := c.kind(m)
 	if at, ok := m.images[s.Image]; ok {
 		return max(0, (at - c.now).Seconds())
 	}
@@ -154,17 +155,6 @@
 	}
 }
 
-// owned lists our machines by name.
-func (c *Core) owned() []string {
-	var out []string
-	for _, id := range sortedKeys(c.machines) {
-		if c.mine(c.machines[id]) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 // stop tells a worker to stop a task, directly and with every answer until it
 // has. A stop that is carried out late does no harm: it names the attempt.
 func (c *Core) stop(m *machine, k taskKey, why string) {
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -30,9 +30,12 @@
 	tired    int           // how often it was marked in vain, as a gang
 	unmarked time.Duration // and is not to be marked before
 	failedOn map[string]bool
-	zones    map[string]int       // bound and reserved tasks by zone
-	held     map[int]*reservation // tasks being placed by this controller
-	offers   map[string]offer     // machines that peers hold back for this gang
+	zones    map[string]int        // bound and reserved tasks by zone
+	held     map[int]*reservation  // tasks being placed by this controller
+	line     []*waiter             // tasks in our machines' lines, by number
+	waiting  map[int]*waiter       // the same
+	placed   map[int]time.Duration // dispatched elsewhere, not before
+	offers   map[string]offer      // machines that peers hold back for this gang
 }
 
 type reservation struct{ machine string }
@@ -47,14 +50,16 @@
 // page is a run of a job's tasks, kept under one key. A page that does not
 // exist holds pending tasks only.
 type page struct {
-	rec   *record
-	id    string
-	num   int
-	stamp uint64
-	tasks []job.Task
-	queue []change
-	busy  bool
-	retry time.Duration
+	rec     *record
+	id      string
+	num     int
+	stamp   uint64
+	tasks   []job.Task
+	pending int // tasks
+	queue   []change
+	since   time.Duration // when the first change of the queue was proposed
+	busy    bool
+	retry   time.Duration
 }
 
 type orphan struct {
@@ -87,11 +92,25 @@
 		r = &record{spec: s.Spec, zones: map[string]int{}}
 		n := c.pageTasks()
 		for k := 0; k*n < s.Spec.Tasks; k++ {
-			r.pages = append(r.pages, &page{rec: r, id: id, num: k, tasks: make([]job.Task, min(n, s.Spec.Tasks-k*n))})
+			tasks := make([]job.Task, min(n, s.Spec.Tasks-k*n))
+			r.pages = append(r.pages, &page{rec: r, id: id, num: k, tasks: tasks, pending: len(tasks)})
 		}
 		c.jobs[id] = r
 	}
 	r.status, r.at, r.home, r.stamp = s.Status, s.At, s.Home, stamp
+	if _, was := c.open[id]; r.final() == was && s.Spec.GPUs == 0 {
+		if was {
+			c.plain--
+		} else {
+			c.plain++
+		}
+	}
+	if r.final() {
+		delete(c.open, id)
+		r.placed = nil
+	} else {
+		c.open[id] = r
+	}
 	for k := range r.pages {
 		key := id + "/" + strconv.Itoa(k)
 		if o, ok := c.orphans[key]; ok {
@@ -131,6 +150,12 @@
 		c.unindex(r, taskKey{id, base + i}, &old)
 		p.tasks[i] = t
 		c.index(r, taskKey{id, base + i}, &t)
+		if old.Phase == job.Pending {
+			p.pending--
+		}
+		if t.Phase == job.Pending {
+			p.pending++
+		}
 	}
 }
 
@@ -148,8 +173,11 @@
 		r.zones[m.claim.Zone]++
 		m.boundAt[k] = c.now
 		c.fetching(m, r.spec)
-		delete(c.placed, k)
-		c.unline(k)
+		if !multi(r) {
+			m.levels[r.spec.Priority]++
+		}
+		delete(r.placed, k.index)
+		c.unline(r, k.index)
 		if t.Session == m.session {
 			c.launchSoon(m.id, k, t.Try) // also when a peer's gang was bound to our machine
 		}
@@ -166,6 +194,9 @@
 			tm.runs = tm.runs.plus(r.spec, -1)
 		}
 		m := c.machine(t.Machine)
+		if !multi(r) {
+			m.levels[r.spec.Priority]--
+		}
 		delete(m.bound, k)
 		delete(m.sent, k)
 		delete(m.begun, k)
@@ -248,21 +279,56 @@
 			return
 		}
 	}
+	if len(p.queue) == 0 {
+		p.since = c.now
+	}
 	p.queue = append(p.queue, ch)
 	c.dirty[p] = true
 }
 
-// flush sends a transaction for every page that has changes and none under
-// way. A team's record is in one transaction of ours at a time.
+// flush sends transactions for pages that have changes and none under way, as
+// long as the budget lasts. A transaction is built when it can be sent and not
+// before: what comes up meanwhile goes with it, and it is conditional on the
+// latest mirror. A team's record is in one transaction of ours at a time.
 func (c *Core) flush() {
-	if !c.store.Ready() {
+	if len(c.dirty) == 0 || c.now < c.flushAt || !c.store.Ready() {
 		return
 	}
-	for _, p := range sortedPages(c.dirty) {
+	for _, p := range c.ripe() {
+		if !c.store.CanSend(bookkeeping.Work, 3) { // page, team and job
+			// About when the share of the rate allows the next request.
+			c.flushAt = c.now + seconds(float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.RPS)
+			return
+		}
+		c.flushPage(p)
+		c.store.Tick(c.now)
+	}
+}
+
+// ripe lists the pages that could be written now: production first, then
+// those that have waited longest, so that under pressure each write carries as
+// many changes as any.
+func (c *Core) ripe() []*page {
+	var out []*page
+	for p := range c.dirty {
 		if !p.busy && c.now >= p.retry {
-			c.flushPage(p)
+			out = append(out, p)
 		}
 	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		x, y := a.rec.spec.Priority == job.Production, b.rec.spec.Priority == job.Production
+		switch {
+		case x != y:
+			return x
+		case a.since != b.since:
+			return a.since < b.since
+		case a.rec != b.rec:
+			return sooner(a.rec, b.rec)
+		}
+		return a.num < b.num
+	})
+	return out
 }
 
 func (c *Core) flushPage(p *page) {
@@ -283,7 +349,6 @@
 	}
 	var taken, rest []change
 	spoilt := false // a gang starts whole or not at all
-	class := bookkeeping.Work
 	for _, ch := range p.queue {
 		t := &tasks[ch.index]
 		k := taskKey{p.id, base + ch.index}
@@ -336,7 +401,6 @@
 				conds = append(conds, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp})
 			}
 		}
-		class = bookkeeping.Rules
 		use = use.plus(r.spec, -1)
 		nt := job.Task{Try: t.Try, Fails: t.Fails}
 		if ch.done {
@@ -360,7 +424,7 @@
 		}
 		return
 	}
-	p.queue = rest
+	p.queue, p.since = rest, c.now
 	if len(rest) == 0 {
 		delete(c.dirty, p)
 	}
@@ -390,7 +454,7 @@
 		ops = append(ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, r.status, r.at, r.home})})
 	}
 	p.busy = true
-	c.store.Txn(class, conds, ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
+	c.store.Txn(bookkeeping.Work, conds, ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
 		p.busy = false
 		if charge {
 			tm.busy = false
@@ -489,24 +553,6 @@
 // The order of what a step does must not depend on map order: the same inputs
 // give the same outputs.
 
-func sortedPages(m map[*page]bool) []*page {
-	if len(m) == 0 {
-		return nil
-	}
-	out := make([]*page, 0, len(m))
-	for p := range m {
-		out = append(out, p)
-	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i], out[j]
-		if a.rec != b.rec {
-			return sooner(a.rec, b.rec)
-		}
-		return a.num < b.num
-	})
-	return out
-}
-
 func sortedKeys[V any](m map[string]V) []string {
 	out := make([]string, 0, len(m))
 	for k := range m {
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -260,6 +260,27 @@
 	down    time.Duration
 	watches []*simWatch
 	blind   bool // broken on purpose: ignores conditions
+	memory  int  // changes that a watch can go back
+	page    int  // keys on a page
+	reads   float64
+	writes  float64
+	filled  time.Duration
+	refused int // requests over the limits
+	failed  int // transactions whose conditions did not hold
+}
+
+// over tells whether a request is above the limits, with bursts of a second.
+func (k *simState) over(ops int) bool {
+	d := (k.s.now - k.filled).Seconds()
+	k.filled = k.s.now
+	f := &k.s.facts.State
+	k.reads, k.writes = min(f.RPS, k.reads+d*f.RPS), min(f.WriteRPS, k.writes+d*f.WriteRPS)
+	if k.reads < 1 || k.writes < float64(ops) {
+		k.refused++
+		return true
+	}
+	k.reads, k.writes = k.reads-1, k.writes-float64(ops)
+	return false
 }
 
 type simWatch struct {
@@ -326,11 +347,8 @@
 			continue
 		}
 		r := protocol.WatchResult{Ledger: k.rev}
-		for _, n := range k.news {
-			if n.Stamp > w.from {
-				r.News = append(r.News, n)
-			}
-		}
+		at := sort.Search(len(k.news), func(i int) bool { return k.news[i].Stamp > w.from })
+		r.News = k.news[at:len(k.news):len(k.news)]
 		reply := w.reply
 		k.s.after(k.s.ms(1, 5), func() { reply(200, encode(r)) })
 	}
@@ -344,12 +362,20 @@
 	}
 	u, _ := url.Parse(c.Path)
 	q := u.Query()
+	var t protocol.Txn
+	if u.Path == protocol.PathTxn {
+		_ = json.Unmarshal(c.Body, &t)
+	}
+	if k.over(len(t.Then)) {
+		reply(429, nil)
+		return
+	}
 	switch {
 	case u.Path == protocol.PathWatch:
 		from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
 		block, _ := strconv.Atoi(q.Get("blockMs"))
-		if len(k.news) > 300 { // a short memory, so that 410 is met often
-			k.news = append([]protocol.News(nil), k.news[200:]...)
+		if len(k.news) > k.memory {
+			k.news = append([]protocol.News(nil), k.news[k.memory*2/3:]...)
 		}
 		if len(k.news) > 0 && from+1 < k.news[0].Stamp && from < k.rev {
 			reply(410, nil)
@@ -360,8 +386,6 @@
 		k.s.after(d, k.wake)
 		k.wake()
 	case u.Path == protocol.PathTxn:
-		var t protocol.Txn
-		_ = json.Unmarshal(c.Body, &t)
 		if len(t.Then) > k.s.facts.State.TxnOps || len(t.If) > 4*k.s.facts.State.TxnOps || len(c.Body) > 64<<10 {
 			k.s.breaks("state limits", "%d ops, %d conditions, %d bytes", len(t.Then), len(t.If), len(c.Body))
 		}
@@ -381,6 +405,7 @@
 			}
 		}
 		if failed != nil {
+			k.failed++
 			reply(409, encode(protocol.TxnResult{Failed: failed, Ledger: k.rev}))
 			return
 		}
@@ -403,7 +428,7 @@
 			if !strings.HasPrefix(key, q.Get("under")) {
 				continue
 			}
-			if len(r.Entries) == min(page, 40) { // small pages, so that paging is met
+			if len(r.Entries) == min(page, k.page) {
 				r.Truncated = true
 				break
 			}
@@ -447,6 +472,7 @@
 	next  int
 	all   map[string]*simWorker // by name
 	hist  []listSnap
+	page  int
 }
 
 type listSnap struct {
@@ -503,7 +529,7 @@
 			if c.hist[i].at <= s.now-lag {
 				for _, l := range c.hist[i].list {
 					if l.Ref > u.Query().Get("from") {
-						if len(r.Stokers) == 7 { // small pages
+						if len(r.Stokers) == c.page {
 							r.Truncated = true
 							break
 						}
@@ -606,15 +632,17 @@
 	if w.dead {
 		return
 	}
-	if w.s.now-max(w.answered, w.began) > seconds(w.s.facts.Workers.Lease) {
+	over := max(w.answered, w.began) + seconds(w.s.facts.Workers.Lease)
+	if w.s.now > over {
 		for _, l := range w.loads {
 			l.status, l.gen = protocol.LoadEnded, l.gen+1
 		}
 		w.loads = map[string]*simLoad{}
 		w.shift++
 		w.began = w.s.now
+		over = w.began + seconds(w.s.facts.Workers.Lease)
 	}
-	w.s.after(50*time.Millisecond, w.leaseLoop)
+	w.s.after(over-w.s.now+time.Millisecond, w.leaseLoop)
 }
 
 func (w *simWorker) state() protocol.Report {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -78,10 +78,27 @@
 	c.polls = append(c.polls, p)
 }
 
-// sendPolls proves the mirror fresh for a batch of questions with one
-// comparing transaction. Whatever does not match is read.
+// sendPolls answers the questions for which the mirror is proved fresh. A
+// watch that was opened after a question came proves it when it is answered,
+// at no cost; that is waited for when requests are short, for as long as two
+// watches take to open. Otherwise one comparing transaction proves it for a
+// batch, and whatever does not match is read.
 func (c *Core) sendPolls() {
-	if c.polling || len(c.polls) == 0 {
+	if len(c.polls) == 0 {
+		return
+	}
+	rest := c.polls[:0]
+	for _, p := range c.polls {
+		if p.since <= c.store.Fresh() {
+			c.tell(p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	if c.polls = rest; c.polling || len(rest) == 0 {
+		return
+	}
+	if !c.store.Ample() && c.now-rest[0].since < 3*c.store.Spacing() {
 		return
 	}
 	c.polling = true
@@ -212,7 +229,7 @@
 	fits := false
 	for name := range c.catalogue {
 		f := c.catalogue[name]
-		if !s.TypeAllowed(name) || !holds(&f, s) {
+		if !s.TypeAllowed(name) || !holds(f, s) {
 			continue
 		}
 		for _, z := range f.Depots {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"sort"
 	"time"
 
 	"silvergate/internal/bookkeeping"
@@ -39,8 +41,10 @@
 	id     string
 	claim  claim
 	stamp  uint64
+	kind   *protocol.Flavor // of its type, nil while that is not known
 	bound  map[taskKey]*record
-	cpus   float64 // in use or reserved
+	levels [job.Production + 1]int // bound tasks that can be stopped alone, by priority
+	cpus   float64                 // in use or reserved
 	gpus   float64
 	ram    float64
 	steady float64                  // what services hold: accelerators, or processors where they use none
@@ -67,7 +71,7 @@
 	pulling    map[taskKey]bool          // last reported as waiting for the image
 	stops      map[taskKey]stop
 	errors     map[string]bool // jobs whose tasks failed here
-	listed     bool
+	listed     int             // place in the idle list, counted from 1; 0: not listed
 	joined     time.Duration
 	idleAt     time.Duration // since when nothing is bound, for the fleet
 	holdFor    string        // the job for which others were stopped here
@@ -94,6 +98,19 @@
 	return m
 }
 
+// unknownKind stands for a type that the catalogue lacks; it holds nothing.
+var unknownKind protocol.Flavor
+
+// kind is a machine's type.
+func (c *Core) kind(m *machine) *protocol.Flavor {
+	if m.kind == nil || m.kind.SKU != m.claim.Type {
+		if m.kind = c.catalogue[m.claim.Type]; m.kind == nil {
+			return &unknownKind
+		}
+	}
+	return m.kind
+}
+
 func (m *machine) use(s *job.Spec, n float64) {
 	m.cpus += n * s.CPUs
 	m.gpus += n * s.GPUs
@@ -115,6 +132,10 @@
 
 func (c *Core) applyClaim(id string, data json.RawMessage, stamp uint64) {
 	m := c.machine(id)
+	if m.stamp != 0 {
+		c.held[m.claim.Owner]--
+	}
+	defer c.hold(m)
 	if data == nil {
 		m.stamp = 0
 		m.shown = false
@@ -138,6 +159,22 @@
 	}
 }
 
+// hold keeps the list of our machines and the count of everybody's in step
+// with a changed claim.
+func (c *Core) hold(m *machine) {
+	if m.stamp != 0 {
+		c.held[m.claim.Owner]++
+	}
+	at := sort.Search(len(c.ours), func(i int) bool { return c.ours[i].id >= m.id })
+	there := at < len(c.ours) && c.ours[at].id == m.id
+	switch {
+	case c.mine(m) && !there:
+		c.ours = slices.Insert(c.ours, at, m)
+	case !c.mine(m) && there:
+		c.ours = slices.Delete(c.ours, at, at+1)
+	}
+}
+
 func (c *Core) applyDrain(id string, data json.RawMessage) {
 	if data == nil {
 		delete(c.drains, id)
@@ -174,6 +211,10 @@
 		return
 	}
 	m := c.machine(r.Stoker)
+	if peer := c.lessLoaded(m); peer != "" {
+		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
+		return
+	}
 	if c.mine(m) && r.Baton <= m.stamp && !(m.tainted && r.Baton == m.stamp) {
 		c.accept(id, m, r)
 		return
@@ -182,7 +223,7 @@
 		c.refuse(id, 503, "being claimed")
 		return
 	}
-	c.take(m, r, 0, func(ok bool) {
+	c.take(m, r, 0, func(m *machine, ok bool) {
 		if !ok {
 			c.refuse(id, 503, "the claim failed")
 			return
@@ -191,13 +232,59 @@
 	})
 }
 
+// lessLoaded names a peer that a reporting worker is sent to, so that the
+// controllers hold about as many workers each: reports and takeovers cost
+// each of them processor time, and a controller's death moves all its workers
+// to one other. Workers that need a claim in any case are sent on from an
+// eighth above the equal share, others, at a slow pace, from a half above it.
+// Two reports a second is what a controller is left alone with.
+func (c *Core) lessLoaded(m *machine) string {
+	all, alive := 0, 1+len(c.members)
+	if c.members[c.cfg.Node] != nil {
+		alive--
+	}
+	for _, n := range c.held {
+		all += n
+	}
+	have := float64(len(c.ours) + c.claims)
+	fair := float64(all) / float64(alive)
+	spare := 2 * c.cfg.Facts.Workers.Report
+	if c.mine(m) {
+		if have < 1.5*fair+spare || c.now < c.shedAt || len(m.direct) > 0 || len(m.stops) > 0 {
+			return ""
+		}
+	} else if have < 1.125*fair+spare {
+		return ""
+	}
+	var names []string
+	limit := seconds(c.cfg.Facts.Workers.Report)
+	for _, p := range c.cfg.Peers {
+		b := c.beats[p.Node]
+		if c.members[p.Node] != nil && b.at > 0 && c.now-b.at < limit && b.fresh < limit/2 && float64(c.held[p.Node]) < fair {
+			names = append(names, p.Node)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	if c.mine(m) {
+		// A tenth of the share of changes goes into evening out.
+		c.shedAt = c.now + seconds(10*float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.WriteRPS)
+	}
+	return names[c.rnd.IntN(len(names))]
+}
+
 // take writes the claim for a new token.
-func (c *Core) take(m *machine, r *protocol.Report, tries int, done func(bool)) {
+func (c *Core) take(m *machine, r *protocol.Report, tries int, done func(*machine, bool)) {
 	m.claiming = true
+	c.claims++
 	k := claim{c.cfg.Node, c.life, r.Address, r.Rig, r.Depot, r.Casual}
-	c.store.Txn(bookkeeping.Rules, []protocol.Cond{{Key: keyClaim + m.id, Stamp: m.stamp}},
+	c.store.Txn(bookkeeping.Claims, []protocol.Cond{{Key: keyClaim + m.id, Stamp: m.stamp}},
 		[]protocol.Op{{Write: keyClaim + m.id, Data: encode(k)}}, func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			m.claiming = false
+			c.claims--
+			// The machine may have been forgotten and met again meanwhile.
+			m = c.machine(m.id)
 			switch {
 			case o == bookkeeping.OK:
 				// Whatever was sent under the old token is void once this
@@ -205,22 +292,21 @@
 				m.tainted = false
 				clear(m.direct)
 				c.Stats.Claims++
-				c.machines[m.id] = m
 				m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
-				done(true)
+				done(m, true)
 			case (o == bookkeeping.Conflict || o == bookkeeping.Unknown) && tries < 1:
 				m.claiming = true
-				c.store.Get(bookkeeping.Rules, keyClaim+m.id, func(ok bool) {
+				c.store.Get(bookkeeping.Claims, keyClaim+m.id, func(ok bool) {
 					m.claiming = false
 					switch {
 					case !ok:
-						done(false)
+						done(m, false)
 					default:
 						c.take(m, r, tries+1, done)
 					}
 				})
 			default:
-				done(false)
+				done(m, false)
 			}
 		})
 }
@@ -404,7 +490,7 @@
 	c.log.Debug("draining", "stoker", m.id, "why", why)
 	// The claim is a condition too: a controller that was cut off must not
 	// judge machines that have long reported to another.
-	c.store.Txn(bookkeeping.Rules, []protocol.Cond{{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}, {Key: keyClaim + m.id, Stamp: m.stamp}},
+	c.store.Txn(bookkeeping.Claims, []protocol.Cond{{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}, {Key: keyClaim + m.id, Stamp: m.stamp}},
 		[]protocol.Op{{Write: keyDrain + m.id, Data: encode(drain{why})}}, func(bookkeeping.Outcome, []string, uint64) {
 			m.draining = false
 		})
@@ -419,19 +505,16 @@
 	silent := seconds(3*w.Report + 4)
 	blind := c.now-c.store.Fresh() > seconds(w.Report)
 	heard, recent, mine := 0, 0, 0
-	for _, m := range c.machines {
-		if c.mine(m) {
-			mine++
-			if c.now-m.heard < silent {
-				heard++
-			}
-			if c.now-m.heard < seconds(1.25*w.Report) {
-				recent++
-			}
+	for _, m := range c.ours {
+		mine++
+		if c.now-m.heard < silent {
+			heard++
+		}
+		if c.now-m.heard < seconds(1.25*w.Report) {
+			recent++
 		}
 	}
-	for _, id := range c.owned() {
-		m := c.machines[id]
+	for _, m := range c.ours {
 		if c.now-m.heard > entryAge {
 			c.unlist(m)
 		}
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -67,17 +67,17 @@
 
 func TestServerAnswersInOrderAndLater(t *testing.T) {
 	e, addr, _ := startEcho(t, time.Minute, 100)
-	p := NewPool(addr)
+	p := NewPool(8)
 	for i := 0; i < 5; i++ {
 		body := strings.Repeat("x", i*9000)
-		r, _, err := p.Do("POST", "/a", []byte(body), 5*time.Second)
+		r, _, err := p.Do(addr, "POST", "/a", []byte(body), 5*time.Second)
 		if err != nil || r.Status != 200 || string(r.Body) != "POST/a"+body {
 			t.Fatalf("request %d: %v %v", i, r, err)
 		}
 	}
 	done := make(chan string)
 	go func() {
-		r, _, err := p.Do("GET", "/later", nil, 5*time.Second)
+		r, _, err := p.Do(addr, "GET", "/later", nil, 5*time.Second)
 		if err != nil {
 			done <- err.Error()
 			return
