Keep hand-overs that come before their job's record

A peer's message is faster than the watch that brings a new job, so the receiver dropped the tasks and the sender tried again two publishing intervals later. They are kept now; what no machine of the receiver could hold goes back at once.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -77,6 +77,7 @@
 	dirty    map[*page]bool
 	flushAt  time.Duration // dirty pages are not looked at before
 	orphans  map[string]orphan
+	early    map[string][]early // handed over before their jobs' records came
 
 	catalogue map[string]*protocol.Flavor
 	flavorsAt time.Duration
@@ -142,7 +143,7 @@
 		cfg: cfg, log: log, rnd: rnd, life: life,
 		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
 		teams: map[string]*team{}, members: map[string]*member{}, drains: map[string]drain{}, dirty: map[*page]bool{},
-		orphans: map[string]orphan{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, held: map[string]int{}, beats: map[string]beat{}, vouches: map[string]time.Duration{}, latency: map[string]*hdrhistogram.Histogram{},
+		orphans: map[string]orphan{}, early: map[string][]early{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, held: map[string]int{}, beats: map[string]beat{}, vouches: map[string]time.Duration{}, latency: map[string]*hdrhistogram.Histogram{},
 	}
 	for i := range cfg.Facts.Teams {
 		t := &cfg.Facts.Teams[i]
@@ -222,6 +223,11 @@
 		// The sweep's period is a fraction of the workers' report period.
 		c.sweepAt = c.now + seconds(c.cfg.Facts.Workers.Report/12)
 		c.watchMachines()
+		for id, e := range c.early {
+			if c.now-e[0].at > c.cfg.Operator.PublishInterval {
+				delete(c.early, id)
+			}
+		}
 		c.turns = c.openJobs()
 		c.schedule()
 		c.preempt()
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -411,3 +411,24 @@
 	}
 	s.report(t)
 }
+
+// TestEarlyHandOverIsKept guards against tasks lost for two publishing
+// intervals: a peer's hand-over often comes before the watch brings the job.
+func TestEarlyHandOverIsKept(t *testing.T) {
+	s := newSim(3, 0)
+	s.run(20 * time.Second)
+	c := s.nodes[0].core
+	sp := &job.Spec{ID: "wk-700000", Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Normal, Tasks: 3, CPUs: 1, GPUs: 1, MemoryGB: 1}
+	c.receive("n1", &Forward{sp.ID, []int{0, 1, 2}})
+	if len(c.early[sp.ID]) != 1 {
+		t.Fatal("the hand-over was dropped")
+	}
+	c.apply(keyJob+sp.ID, encode(storedJob{sp, job.Open, 1, "n1"}), c.store.Ledger()+1)
+	if len(c.early) != 0 {
+		t.Error("the hand-over was not taken up")
+	}
+	sends := len(c.out.Sends)
+	if sends == 0 || c.out.Sends[sends-1].Message.Return == nil {
+		t.Error("no machine is here, and the tasks did not go back")
+	}
+}
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -24,6 +24,7 @@
 	Ask     *Ask
 	Vouch   *Vouch
 	Forward *Forward
+	Return  *Forward // tasks handed over that the receiver has no machine for
 	Draw    *Draw
 	Offer   *Offer
 }
@@ -149,7 +150,9 @@
 	case m.Vouch != nil:
 		c.vouched(from, m.Vouch)
 	case m.Forward != nil && c.store.Ready():
-		c.receive(m.Forward)
+		c.receive(from, m.Forward)
+	case m.Return != nil && c.store.Ready():
+		c.returned(m.Return)
 	case m.Draw != nil && c.store.Ready():
 		c.drawFor(from, m.Draw)
 	case m.Offer != nil && c.store.Ready():
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -316,11 +316,21 @@
 	r.placed[i] = until
 }
 
-// receive takes tasks from a peer: pop, or else a line.
-func (c *Core) receive(f *Forward) {
+// receive takes tasks from a peer: pop, or else a line. What no machine here
+// could hold goes back.
+func (c *Core) receive(from string, f *Forward) {
 	r := c.jobs[f.Job]
-	if r == nil || r.final() {
-		return // the mirror lags; the sender will try again
+	if r == nil {
+		// Guards against a mirror that lags: a peer's message is often faster
+		// than the watch that brings a new job. Tasks that were dropped here
+		// waited until their sender tried again.
+		if len(c.early) < maxEarly {
+			c.early[f.Job] = append(c.early[f.Job], early{from, f, c.now})
+		}
+		return
+	}
+	if r.final() {
+		return
 	}
 	var left []int
 	for _, i := range f.Tasks {
@@ -335,9 +345,48 @@
 		}
 		left = append(left, i)
 	}
+	if len(left) > 0 && c.holder(r) == nil {
+		c.out.Sends = append(c.out.Sends, Send{from, Message{Return: &Forward{f.Job, left}}})
+		return
+	}
 	c.enqueue(r, left, c.now+3*c.cfg.Operator.PublishInterval)
 }
 
+// early is a hand-over of a job that the mirror does not hold yet.
+type early struct {
+	from string
+	f    *Forward
+	at   time.Duration
+}
+
+// maxEarly bounds the jobs of which such hand-overs are kept.
+const maxEarly = 256
+
+// receiveEarly takes what was handed over before the job's record came, unless
+// the sender has given it to somebody else by now.
+func (c *Core) receiveEarly(id string) {
+	waiting := c.early[id]
+	delete(c.early, id)
+	for _, e := range waiting {
+		if c.now-e.at < c.cfg.Operator.PublishInterval && c.store.Ready() {
+			c.receive(e.from, e.f)
+		}
+	}
+}
+
+// returned takes back tasks that a peer has no machine for.
+func (c *Core) returned(f *Forward) {
+	r := c.jobs[f.Job]
+	if r == nil || r.final() {
+		return
+	}
+	for _, i := range f.Tasks {
+		if _, away := r.placed[i]; away {
+			r.place(i, c.now+seconds(c.cfg.Facts.Workers.Report/4))
+		}
+	}
+}
+
 // enqueue binds tasks to the line of a random machine of ours that could hold
 // them.
 func (c *Core) enqueue(r *record, tasks []int, until time.Duration) {
@@ -353,7 +402,7 @@
 		if m := c.holder(r); m != nil {
 			w.machine = m.id
 		} else if until > 0 {
-			return // nothing here could hold it: the sender keeps it
+			return // nothing here could hold it
 		}
 		if r.waiting == nil {
 			r.waiting = map[int]*waiter{}
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -118,6 +118,9 @@
 			c.applyPage(key, o.data, o.stamp)
 		}
 	}
+	if len(c.early[id]) > 0 {
+		c.receiveEarly(id)
+	}
 }
 
 func (c *Core) applyPage(name string, data json.RawMessage, stamp uint64) {
