--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -35,7 +35,7 @@
 	}
 	s.cloud.snapshot()
 	for i := range 3 {
-		s.nodes = append(s.nodes, &simNode{s: s, name: fmt.Sprintf("n%d", i), cut: map[string]time.Duration{}})
+		s.nodes = append(s.nodes, &simNode{s: s, name: fmt.Sprintf("n%d", i), zone: s.facts.Zones[i%2], cut: map[string]time.Duration{}})
 	}
 	var expire func()
 	expire = func() { s.kv.expire(); s.after(100*time.Millisecond, expire) }
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -22,7 +22,7 @@
 		s.cloud.free[k] = map[string]int{"small": 45, "large": 8}[k.rig]
 	}
 	for i := 3; i < 5; i++ {
-		n := &simNode{s: s, name: fmt.Sprintf("n%d", i), cut: map[string]time.Duration{}}
+		n := &simNode{s: s, name: fmt.Sprintf("n%d", i), zone: s.facts.Zones[i%2], cut: map[string]time.Duration{}}
 		s.nodes = append(s.nodes, n)
 		s.after(s.ms(0, 500), n.start)
 	}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -89,6 +89,7 @@
 type simNode struct {
 	s       *sim
 	name    string
+	zone    string
 	core    *Core
 	started time.Duration
 	life    int64
@@ -103,10 +104,10 @@
 	n.life++
 	n.started = s.now
 	n.reqs = map[uint64]func(int, []byte){}
-	cfg := &config.Settings{Node: n.name, Zone: "a", Facts: s.told, Operator: config.DefaultOperator()}
+	cfg := &config.Settings{Node: n.name, Zone: n.zone, Facts: s.told, Operator: config.DefaultOperator()}
 	for _, o := range s.nodes {
 		if o != n {
-			cfg.Peers = append(cfg.Peers, config.Peer{Node: o.name})
+			cfg.Peers = append(cfg.Peers, config.Peer{Node: o.name, Zone: o.zone})
 		}
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -62,6 +62,7 @@
 	released   bool          // its lease is over and its tasks were given up
 	recalled   bool
 	claiming   bool
+	sentAway   time.Duration             // to another controller, when it reported last
 	sent       map[taskKey]uint64        // tally of the report whose answer launched
 	direct     map[taskKey]int           // launches sent to /orders and not answered yet, with their attempt
 	tainted    bool                      // such a launch got no answer: it may be executed until a new token is seen
@@ -211,7 +212,7 @@
 		return
 	}
 	m := c.machine(r.Stoker)
-	if peer := c.lessLoaded(m); peer != "" {
+	if peer := c.better(m, r.Depot); peer != "" {
 		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
 		return
 	}
@@ -232,46 +233,71 @@
 	})
 }
 
-// lessLoaded names a peer that a reporting worker is sent to, so that the
-// controllers hold about as many workers each: reports and takeovers cost
-// each of them processor time, and a controller's death moves all its workers
-// to one other. Workers that need a claim in any case are sent on from an
-// eighth above the equal share, others, at a slow pace, from a half above it.
-// Two reports a second is what a controller is left alone with.
-func (c *Core) lessLoaded(m *machine) string {
-	all, alive := 0, 1+len(c.members)
-	if c.members[c.cfg.Node] != nil {
-		alive--
-	}
-	for _, n := range c.held {
-		all += n
-	}
-	have := float64(len(c.ours) + c.claims)
-	fair := float64(all) / float64(alive)
-	spare := 2 * c.cfg.Facts.Workers.Report
-	if c.mine(m) {
-		if have < 1.5*fair+spare || c.now < c.shedAt || len(m.direct) > 0 || len(m.stops) > 0 {
-			return ""
-		}
-	} else if have < 1.125*fair+spare {
+// better names a peer that a reporting worker is sent to. A controller in the
+// worker's own zone comes first, so that a zone that is cut off keeps its
+// tasks: inside it, they are answered on. Among those of the zone, or among all
+// where it has none, the controllers hold about as many workers each, since
+// reports and takeovers cost processor time. Workers that need a claim in any
+// case are sent on at once, others at a slow pace. Two reports a second is
+// what a controller is left alone with.
+func (c *Core) better(m *machine, zone string) string {
+	// Guards against a peer that only its peers can reach: a worker that comes
+	// back after it was sent away stays.
+	if m.sentAway > 0 && c.now-m.sentAway < 2*c.leaseOver() {
 		return ""
 	}
-	var names []string
 	limit := seconds(c.cfg.Facts.Workers.Report)
+	in := c.cfg.Zone == zone
+	var near, all []string
+	nearHeld, allHeld := 0, len(c.ours)+c.claims
+	if in {
+		nearHeld = allHeld
+	}
 	for _, p := range c.cfg.Peers {
 		b := c.beats[p.Node]
-		if c.members[p.Node] != nil && b.at > 0 && c.now-b.at < limit && b.fresh < limit/2 && float64(c.held[p.Node]) < fair {
-			names = append(names, p.Node)
+		if c.members[p.Node] == nil || b.at == 0 || c.now-b.at > limit || b.fresh > limit/2 {
+			continue
+		}
+		all, allHeld = append(all, p.Node), allHeld+c.held[p.Node]
+		if p.Zone == zone {
+			near, nearHeld = append(near, p.Node), nearHeld+c.held[p.Node]
 		}
 	}
-	if len(names) == 0 {
+	group, held, size := near, nearHeld, len(near)
+	if in {
+		size++
+	} else if len(near) == 0 {
+		group, held, size = all, allHeld, 1+len(all)
+	}
+	if len(group) == 0 || size == 0 {
 		return ""
 	}
+	fair := float64(held) / float64(size)
+	if in || len(near) == 0 {
+		spare := 2 * c.cfg.Facts.Workers.Report
+		most := 1.125*fair + spare
+		if c.mine(m) {
+			most = 1.5*fair + spare
+		}
+		if float64(len(c.ours)+c.claims) < most {
+			return ""
+		}
+	}
 	if c.mine(m) {
+		if c.now < c.shedAt || len(m.direct) > 0 || len(m.stops) > 0 {
+			return ""
+		}
 		// A tenth of the share of changes goes into evening out.
 		c.shedAt = c.now + seconds(10*float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.WriteRPS)
 	}
-	return names[c.rnd.IntN(len(names))]
+	to, least := "", 0
+	for _, i := range c.rnd.Perm(len(group)) {
+		if n := c.held[group[i]]; to == "" || n < least {
+			to, least = group[i], n
+		}
+	}
+	m.sentAway = c.now
+	return to
 }
 
 // take writes the claim for a new token.
