A restarted controller goes on with its workers' tokens

A claim of an earlier life of the same controller is adopted now, if the worker shows its token and lists every bound attempt; those count as launches under way, and a new token is taken when the first of them ends. Peers leave a worker a quarter of its lease to find its own controller again.

Found on the way by the core's simulation: a machine gathered empty stayed out of use while the plan counted on it for a gang; it is returned at once now.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -122,6 +122,7 @@
 	Cancelled   uint64 `json:"cancelled"`
 	Checkins    uint64 `json:"checkins"`
 	Claims      uint64 `json:"claims"`
+	Adopted     uint64 `json:"adopted"`
 	Placements  uint64 `json:"placements"`
 	Endings     uint64 `json:"endings"`
 	Conflicts   uint64 `json:"conflicts"`
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -432,3 +432,46 @@
 		t.Error("no machine is here, and the tasks did not go back")
 	}
 }
+
+// TestRestartAdoptsWorkers guards the way back after all controllers crashed:
+// each goes on with the tokens of its earlier life, without a new claim for
+// every worker, and takes a new one when an attempt of that time ends, so that
+// a launch of the earlier life that comes late can't start it again.
+func TestRestartAdoptsWorkers(t *testing.T) {
+	s := newSim(17, 0)
+	for i := range 8 {
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-8%05d", i), Class: "svc", Team: "blue", Shape: job.Service, Tasks: 1,
+			Priority: job.Production, CPUs: 1, GPUs: 1, MemoryGB: 1, Zone: []string{"a", "b"}[i%2]}, 0, 0)
+	}
+	s.submit(&job.Spec{ID: "wk-700000", Class: "arr", Team: "blue", Shape: job.Array, Tasks: 2, Priority: job.Normal,
+		CPUs: 1, GPUs: 1, MemoryGB: 1, Zone: "a"}, 40, 0)
+	s.run(50 * time.Second)
+	starts := s.starts
+	for _, n := range s.nodes {
+		n.crash(2 * time.Second)
+	}
+	s.run(64 * time.Second)
+	var adopted, claims uint64
+	for _, n := range s.nodes {
+		adopted += n.core.Stats.Adopted
+		claims += n.core.Stats.Claims
+	}
+	if adopted == 0 || claims > adopted {
+		t.Errorf("%d workers were adopted, %d claimed anew", adopted, claims)
+	}
+	if s.starts != starts {
+		t.Errorf("%d tasks were started again", s.starts-starts)
+	}
+	s.run(150 * time.Second)
+	if u := s.users["wk-700000"]; u.final != "done" {
+		t.Errorf("the array is %q", u.final)
+	}
+	for _, w := range s.cloud.sorted() {
+		for name, l := range w.loads {
+			if l.status == protocol.LoadEnded {
+				t.Errorf("%s on %s was never forgotten", name, w.name)
+			}
+		}
+	}
+	s.report(t)
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -268,7 +268,7 @@
 			continue
 		}
 		// Machines of dead controllers that report to nobody else.
-		if m.stamp == 0 || (c.alive(m.claim.Owner) && (c.members[m.claim.Owner] == nil || c.members[m.claim.Owner].Life == m.claim.Life)) {
+		if m.stamp == 0 || c.alive(m.claim.Owner) { // a living owner looks after them itself
 			delete(f.lost, id)
 			continue
 		}
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -16,8 +16,14 @@
 	var from *machine
 	for _, m := range c.ours {
 		if m.emptying {
-			if len(m.bound) == 0 || !c.room(m) {
-				m.emptying = len(m.bound) == 0 // stays out of use until it is returned
+			if len(m.bound) == 0 {
+				// Guards against a machine that is out of use here while the
+				// plan counts on it for a waiting gang: it goes back at once.
+				c.drain(m, drainIdle)
+				continue
+			}
+			if !c.room(m) {
+				m.emptying = false
 				continue
 			}
 			c.moveOne(m)
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -53,6 +53,9 @@
 	Tasks []int
 }
 
+// starting is the age that a controller gives before it has read the records.
+const starting = time.Hour
+
 type beat struct {
 	at    time.Duration
 	fresh time.Duration
@@ -78,7 +81,7 @@
 		c.beatAt = c.now + seconds(c.cfg.Facts.Workers.Report/3)
 		age := c.now - c.store.Fresh()
 		if !c.store.Ready() {
-			age = time.Hour
+			age = starting
 		}
 		blind := c.store.Ready() && c.now-c.store.Fresh() > seconds(c.cfg.Facts.Workers.Report)
 		for _, p := range c.cfg.Peers {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -62,6 +62,8 @@
 	released   bool          // its lease is over and its tasks were given up
 	recalled   bool
 	claiming   bool
+	adopted    bool                      // claimed by an earlier life of ours, whose token we go on with
+	homeAt     time.Duration             // when it first came here while its own controller was down
 	sentAway   time.Duration             // to another controller, when it reported last
 	sent       map[taskKey]uint64        // tally of the report whose answer launched
 	direct     map[taskKey]int           // launches sent to /orders and not answered yet, with their attempt
@@ -122,7 +124,7 @@
 }
 
 func (c *Core) mine(m *machine) bool {
-	return m.stamp != 0 && m.claim.Owner == c.cfg.Node && m.claim.Life == c.life
+	return m.stamp != 0 && m.claim.Owner == c.cfg.Node && (m.claim.Life == c.life || m.adopted)
 }
 
 // barred tells whether new work may not go to the machine.
@@ -151,7 +153,7 @@
 		return
 	}
 	m.claim, m.stamp = k, stamp
-	m.shown, m.released = false, false
+	m.shown, m.released, m.adopted, m.homeAt = false, false, false, 0
 	clear(m.sent)
 	m.soon = nil
 	if !c.mine(m) {
@@ -166,6 +168,11 @@
 	if m.stamp != 0 {
 		c.held[m.claim.Owner]++
 	}
+	c.own(m)
+}
+
+// own keeps the list of our machines.
+func (c *Core) own(m *machine) {
 	at := sort.Search(len(c.ours), func(i int) bool { return c.ours[i].id >= m.id })
 	there := at < len(c.ours) && c.ours[at].id == m.id
 	switch {
@@ -216,6 +223,7 @@
 		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
 		return
 	}
+	c.adopt(m, r)
 	if c.mine(m) && r.Baton <= m.stamp && !(m.tainted && r.Baton == m.stamp) {
 		c.accept(id, m, r)
 		return
@@ -224,6 +232,10 @@
 		c.refuse(id, 503, "being claimed")
 		return
 	}
+	if c.homeward(m, r) {
+		c.refuse(id, 503, "its own controller may be back soon")
+		return
+	}
 	c.take(m, r, 0, func(m *machine, ok bool) {
 		if !ok {
 			c.refuse(id, 503, "the claim failed")
@@ -272,6 +284,10 @@
 	if len(group) == 0 || size == 0 {
 		return ""
 	}
+	if !c.mine(m) && m.stamp != 0 && slices.Contains(near, m.claim.Owner) {
+		m.sentAway = c.now
+		return m.claim.Owner // may go on without a new claim
+	}
 	fair := float64(held) / float64(size)
 	if in || len(near) == 0 {
 		spare := 2 * c.cfg.Facts.Workers.Report
@@ -300,6 +316,65 @@
 	return to
 }
 
+// adopt takes up a worker that an earlier life of ours has claimed, with the
+// token that the worker knows, so that a restart costs no changes: the claims
+// of a whole fleet would take the state service's rate for half a minute.
+//
+// Guards against direct launches of the earlier life that may be carried out
+// minutes late. That life forgot or released nothing while a launch of it was
+// unanswered, so what can still come are launches of attempts that are bound.
+// The worker must list them all, as a launch of what it has does nothing; and
+// they are treated as launches under way: none is forgotten or released for
+// being absent before a new token is seen, which is taken when one of them ends.
+func (c *Core) adopt(m *machine, r *protocol.Report) {
+	if c.mine(m) || m.claiming || m.stamp == 0 || m.claim.Owner != c.cfg.Node || m.claim.Life == c.life || r.Baton != m.stamp {
+		return
+	}
+	listed := map[taskKey]int{}
+	for _, l := range r.Loads {
+		if id, i, err := job.SplitTaskName(l.Load); err == nil {
+			listed[taskKey{id, i}] = max(listed[taskKey{id, i}], l.Try)
+		}
+	}
+	for k, rec := range m.bound {
+		if t := rec.task(c, k.index); t.Session != r.Shift || listed[k] != t.Try {
+			return
+		}
+	}
+	m.adopted, m.tainted = true, false
+	m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
+	clear(m.direct)
+	for k, rec := range m.bound {
+		m.direct[k] = rec.task(c, k.index).Try
+	}
+	c.own(m)
+	c.Stats.Adopted++
+}
+
+// homeward tells whether a worker should look for its own controller a little
+// longer: one in its zone that was there a moment ago and, if it comes back,
+// goes on without a new claim. A quarter of the lease leaves time to take the
+// worker over.
+func (c *Core) homeward(m *machine, r *protocol.Report) bool {
+	if m.stamp == 0 || r.Baton != m.stamp {
+		return false
+	}
+	for _, p := range c.cfg.Peers {
+		b := c.beats[p.Node]
+		if p.Node != m.claim.Owner || p.Zone != r.Depot {
+			continue
+		}
+		if c.now-b.at < seconds(c.cfg.Facts.Workers.Report) && b.fresh < starting {
+			return false // it is there, and has sent the worker on
+		}
+		if m.homeAt == 0 {
+			m.homeAt = c.now
+		}
+		return c.now-m.homeAt < seconds(c.cfg.Facts.Workers.Lease/4)
+	}
+	return false
+}
+
 // take writes the claim for a new token.
 func (c *Core) take(m *machine, r *protocol.Report, tries int, done func(*machine, bool)) {
 	m.claiming = true
@@ -395,6 +470,7 @@
 				// A launch still on its way would start a forgotten attempt
 				// again, so it is forgotten after the answer to that.
 				if try, under := m.direct[k]; under && try == l.Try {
+					m.tainted = m.tainted || m.adopted // a new token settles it
 					continue
 				}
 				orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Load: l.Load, Try: l.Try})
@@ -449,6 +525,7 @@
 			// now, and no direct launch is under way, so what this newer
 			// report lacks is not there and nothing can bring it.
 			if _, under := m.direct[k]; under {
+				m.tainted = m.tainted || m.adopted
 				continue
 			}
 			if at, ok := m.sent[k]; !ok || at < r.Tally {
@@ -531,6 +608,14 @@
 	silent := seconds(3*w.Report + 4)
 	blind := c.now-c.store.Fresh() > seconds(w.Report)
 	heard, recent, mine := 0, 0, 0
+	// What an earlier life of ours held and nobody has heard of since.
+	if c.held[c.cfg.Node] > len(c.ours) && !blind && c.now > c.horizon()+seconds(3*w.Report) {
+		for _, id := range sortedKeys(c.machines) {
+			if m := c.machines[id]; m.stamp != 0 && m.claim.Owner == c.cfg.Node && !c.mine(m) && !m.claiming {
+				c.drain(m, drainSilent)
+			}
+		}
+	}
 	for _, m := range c.ours {
 		mine++
 		if c.now-m.heard < silent {
