The marked gang has the cheapest whole block cleared

The marked gang now picks from the mirror the machines of one zone that lose the least work, whoever holds them; the holders stop what is of lower priority, keep the room and offer it when it is free.

--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -475,3 +475,26 @@
 	}
 	s.report(t)
 }
+
+// TestGangGetsABlockCleared guards against gangs that wait for ever among
+// arrays: machines of several controllers, all with lower tasks on them, are
+// cleared for the marked gang, and it starts soon.
+func TestGangGetsABlockCleared(t *testing.T) {
+	s := newSim(23, 0)
+	s.facts.Teams = []config.Team{{Name: "red"}, {Name: "blue"}}
+	s.told = s.facts
+	for i := range 4 {
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-8%05d", i), Class: "arr", Team: "blue", Shape: job.Array, Tasks: 40,
+			Priority: job.Low, CPUs: 2, GPUs: 1, MemoryGB: 1, Spot: true}, 300, 0)
+	}
+	s.run(90 * time.Second)
+	gang := s.submit(&job.Spec{ID: "wk-700000", Class: "gng", Team: "red", Shape: job.Gang, Tasks: 3, Priority: job.High,
+		CPUs: 2, GPUs: 2, MemoryGB: 1, Spot: true, OneZone: true, Types: []string{"small", "large"}}, 5, 0)
+	s.run(105 * time.Second)
+	for i, d := range gang.done {
+		if !d {
+			t.Errorf("task %d of the gang has not run 15 s after its submission", i)
+		}
+	}
+	s.report(t)
+}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -22,8 +22,13 @@
 	Life  int64  `json:"l"`
 }
 
-// Draw asks a peer for room for a gang, Offer answers.
-type Draw struct{ Job string }
+// Draw asks a peer for room for a gang, Offer answers. Machines are those that
+// the sender has chosen, to be cleared if need be; with none, whatever is idle
+// will do.
+type Draw struct {
+	Job      string
+	Machines []string
+}
 
 // Offer names machines that the sender holds back for a gang for a while.
 type Offer struct {
@@ -106,11 +111,14 @@
 	if c.gang.Job != r.spec.ID || c.gang.Owner != c.cfg.Node {
 		return
 	}
+	if c.drawBlock(r, zones, need) {
+		return
+	}
 	// The marked gang keeps what it has found and asks the peers for more.
 	picked := c.cover(r, bestZone)
 	for _, i := range picked {
 		m := c.machines[r.held[i].machine]
-		m.holdFor, m.holdTill = r.spec.ID, c.now+c.holdTime()
+		m.keep(r.spec.ID, c.now+c.holdTime(), "")
 	}
 	for _, i := range picked {
 		c.unreserve(r, i)
@@ -118,9 +126,157 @@
 	if c.now >= c.drawAt {
 		c.drawAt = c.now + c.cfg.Operator.PublishInterval
 		for _, p := range c.cfg.Peers {
-			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Draw: &Draw{r.spec.ID}}})
+			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Draw: &Draw{Job: r.spec.ID}}})
+		}
+	}
+}
+
+// drawBlock asks for the machines that are cleared for the marked gang at the
+// least loss. Exception "whole blocks": tasks that are popped one by one
+// splinter machines, and a gang that only waits for idle ones rarely finds
+// enough at once. The mirror shows what is on every machine; who holds it stops
+// what is of lower priority there, keeps the room, and offers it when it is
+// free. The choice stands until a machine of it is lost or it has taken half a
+// gang's patience; for as long again whatever is idle is drawn then.
+func (c *Core) drawBlock(r *record, zones []string, need int) bool {
+	half := seconds(c.cfg.Facts.Workers.GangWait / 2)
+	if len(r.block) > 0 && c.now-r.blockAt >= half {
+		if c.now-r.blockAt < 2*half {
+			return false
+		}
+		r.block = nil
+	}
+	good := len(r.block) > 0
+	for _, id := range r.block {
+		m := c.machines[id]
+		_, drained := c.drains[id]
+		good = good && m != nil && m.stamp != 0 && !drained
+	}
+	if !good {
+		if c.now < r.blockAt+c.cfg.Operator.PublishInterval && r.blockAt > 0 {
+			return len(r.block) > 0
+		}
+		r.block, r.blockAt = c.cheapestBlock(r, zones, need), c.now
+		c.drawAt = 0
+	}
+	if len(r.block) == 0 {
+		return false
+	}
+	if c.now < c.drawAt {
+		return true
+	}
+	c.drawAt = c.now + c.cfg.Operator.PublishInterval
+	byOwner := map[string][]string{}
+	for _, id := range r.block {
+		m := c.machines[id]
+		if c.mine(m) {
+			c.clear(r, m, c.cfg.Node)
+		} else {
+			byOwner[m.claim.Owner] = append(byOwner[m.claim.Owner], id)
+		}
+	}
+	for _, owner := range sortedKeys(byOwner) {
+		c.out.Sends = append(c.out.Sends, Send{owner, Message{Draw: &Draw{r.spec.ID, byOwner[owner]}}})
+	}
+	c.log.Debug("drawing a block", "job", r.spec.ID, "stokers", r.block)
+	return true
+}
+
+// cheapestBlock picks machines for a whole gang, whoever holds them, in the
+// zone where clearing them loses the least work.
+func (c *Core) cheapestBlock(r *record, zones []string, need int) []string {
+	type choice struct {
+		id    string
+		depot string
+		tasks int
+		cost  float64
+	}
+	byZone := map[string][]choice{}
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		_, drained := c.drains[id]
+		if m.stamp == 0 || drained || !c.couldHold(r, m) || (c.mine(m) && c.barred(m)) || !c.alive(m.claim.Owner) ||
+			(m.holdFor != r.spec.ID && c.now < m.holdTill) {
+			continue
+		}
+		f := c.kind(m)
+		left, cost := slot{cpus: f.CPUs - m.cpus, gpus: f.GPUs - m.gpus, ram: f.RAM - m.ram}, c.fetchTime(r.spec, m)
+		for k, v := range m.bound {
+			if v.spec.Priority < r.spec.Priority && !multi(v) {
+				left.cpus, left.gpus, left.ram = left.cpus+v.spec.CPUs, left.gpus+v.spec.GPUs, left.ram+v.spec.MemoryGB
+				cost += (c.now - m.boundAt[k]).Seconds()
+			}
+		}
+		n := 0
+		for left.cpus+tolerance >= r.spec.CPUs && left.gpus+tolerance >= r.spec.GPUs && left.ram+tolerance >= r.spec.MemoryGB && n < need {
+			left.put(r.spec)
+			n++
+		}
+		if n > 0 {
+			zone := m.claim.Zone
+			if len(zones) == 1 && zones[0] == "" {
+				zone = ""
+			}
+			byZone[zone] = append(byZone[zone], choice{id, m.claim.Zone, n, cost})
+		}
+	}
+	var best []string
+	bestCost := 0.0
+	for _, z := range zones {
+		list := byZone[z]
+		sort.SliceStable(list, func(i, j int) bool { return list[i].cost/float64(list[i].tasks) < list[j].cost/float64(list[j].tasks) })
+		var ids []string
+		cost, found := 0.0, 0
+		depots := map[string]int{}
+		for i := 0; i < len(list) && found < need; i++ {
+			n := min(list[i].tasks, need-found)
+			if r.spec.Spread {
+				if n = min(n, r.spec.SpreadLimit()-depots[list[i].depot]); n <= 0 {
+					continue
+				}
+				depots[list[i].depot] += n
+			}
+			ids, cost, found = append(ids, list[i].id), cost+list[i].cost, found+n
+		}
+		if found >= need && (best == nil || cost < bestCost) {
+			best, bestCost = ids, cost
 		}
 	}
+	return best
+}
+
+// clear keeps a machine's room for a gang and stops what is in the way.
+func (c *Core) clear(r *record, m *machine, by string) {
+	if c.barred(m) || (m.holdFor != r.spec.ID && c.now < m.holdTill) {
+		return
+	}
+	m.keep(r.spec.ID, c.now+c.holdTime(), by)
+	if c.fits(r, m) || len(m.stops) > 0 {
+		return
+	}
+	set, _, ok := c.evict(r, m)
+	if !ok {
+		return
+	}
+	for _, k := range set {
+		c.stop(m, k, "cleared for a gang")
+		c.Stats.Preemptions++
+	}
+}
+
+// offerHeld tells a peer's gang that a machine kept for it is free.
+func (c *Core) offerHeld(m *machine) {
+	if m.holdBy == "" || c.now >= m.holdTill {
+		return
+	}
+	r := c.jobs[m.holdFor]
+	switch {
+	case r == nil || r.final() || r.bound > 0 || !c.fits(r, m):
+	case m.holdBy == c.cfg.Node:
+		c.startGang(r)
+	default:
+		c.out.Sends = append(c.out.Sends, Send{m.holdBy, Message{Offer: &Offer{Job: m.holdFor, Machines: []Offered{{m.id, m.session}}}}})
+	}
 }
 
 // cover reserves room for as many of a gang's tasks as it finds in a zone.
@@ -171,9 +327,20 @@
 		return
 	}
 	o := &Offer{Job: d.Job}
+	for _, id := range d.Machines {
+		if m := c.machines[id]; m != nil && c.mine(m) {
+			c.clear(r, m, from)
+			if !c.barred(m) && c.fits(r, m) {
+				o.Machines = append(o.Machines, Offered{id, m.session})
+			}
+		}
+	}
 	for _, m := range c.idle {
+		if d.Machines != nil {
+			break
+		}
 		if !c.barred(m) && c.fits(r, m) && len(o.Machines) < r.spec.Tasks {
-			m.holdFor, m.holdTill = d.Job, c.now+c.holdTime()
+			m.keep(d.Job, c.now+c.holdTime(), "")
 			o.Machines = append(o.Machines, Offered{m.id, m.session})
 		}
 	}
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -125,7 +125,7 @@
 				continue
 			}
 			c.restarting = c.now + seconds(c.cfg.Facts.Workers.Report/2)
-			t.holdFor, t.holdTill = r.spec.ID, c.restarting
+			t.keep(r.spec.ID, c.restarting, "")
 			c.log.Debug("second start", "load", job.TaskName(k.id, k.index), "from", m.id, "to", t.id, "leftS", left)
 			c.stop(m, k, "slow image")
 			return
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -40,6 +40,7 @@
 		c.idle = append(c.idle, m)
 		m.listed = len(c.idle)
 	}
+	c.offerHeld(m)
 }
 
 func (c *Core) unlist(m *machine) {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -31,7 +31,7 @@
 			// The victims' exits are reported at once; should that fail,
 			// another machine is tried after a report period.
 			w.stopped = c.now + seconds(c.cfg.Facts.Workers.Report)
-			m.holdFor, m.holdTill = r.spec.ID, w.stopped
+			m.keep(r.spec.ID, w.stopped, "")
 			for _, k := range victims {
 				c.stop(m, k, "preempted")
 				c.Stats.Preemptions++
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -35,7 +35,9 @@
 	line     []*waiter             // tasks in our machines' lines, by number
 	waiting  map[int]*waiter       // the same
 	placed   map[int]time.Duration // dispatched elsewhere, not before
-	offers   map[string]offer      // machines that peers hold back for this gang
+	block    []string              // machines chosen for this gang
+	blockAt  time.Duration
+	offers   map[string]offer // machines that peers hold back for this gang
 }
 
 type reservation struct{ machine string }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -79,6 +79,7 @@
 	idleAt     time.Duration // since when nothing is bound, for the fleet
 	holdFor    string        // the job for which others were stopped here
 	holdTill   time.Duration // and how long nothing else may take the room
+	holdBy     string        // the controller whose gang it is kept for
 	draining   bool          // a drain is being written
 	forgetting time.Duration // its records are being dropped: not again before
 	emptying   bool          // its services are being gathered elsewhere
@@ -114,6 +115,12 @@
 	return m.kind
 }
 
+// keep holds a machine's room back for a job; by names the controller that
+// wants to be told when it is free.
+func (m *machine) keep(id string, until time.Duration, by string) {
+	m.holdFor, m.holdTill, m.holdBy = id, until, by
+}
+
 func (m *machine) use(s *job.Spec, n float64) {
 	m.cpus += n * s.CPUs
 	m.gpus += n * s.GPUs
