--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
 	"sort"
@@ -610,7 +611,41 @@
 			c.drain(m, drainIdle)
 		}
 	}
-	c.log.Debug("plan", "machines", len(slots), "booting", boot, "renting", len(want), "unmet", unmet)
+	if c.verbose {
+		c.log.Debug("plan", "machines", len(slots), "booting", boot, "renting", len(want), "unmet", unmet, "kinds", c.kinds())
+	}
+}
+
+// kinds tells how many machines of each type there are, how many of their
+// accelerators are taken, and how many of those by services.
+func (c *Core) kinds() string {
+	type sum struct {
+		n                 int
+		all, used, steady float64
+	}
+	by := map[string]*sum{}
+	for id, m := range c.machines {
+		if m.stamp == 0 {
+			continue
+		}
+		k := m.claim.Type
+		if m.claim.Spot {
+			k += ",spot"
+		}
+		if _, drained := c.drains[id]; drained {
+			k += ",drained"
+		}
+		if by[k] == nil {
+			by[k] = &sum{}
+		}
+		s := by[k]
+		s.n, s.all, s.used, s.steady = s.n+1, s.all+c.kind(m).GPUs, s.used+m.gpus, s.steady+m.steady
+	}
+	out := ""
+	for _, k := range sortedKeys(by) {
+		out += fmt.Sprintf("%s:%d %g/%g steady %g; ", k, by[k].n, by[k].used, by[k].all, by[k].steady)
+	}
+	return out
 }
 
 // bestPlace picks where to rent for a task: the cheapest type and kind per
