--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -5,7 +5,8 @@
 // Exception "gathering": the thesis's tasks end by themselves, services do
 // not. Left alone, a few of them keep many machines half empty. When nothing
 // waits, the services of our sparsest machine move, one at a time, to machines
-// of ours that hold more of them, have their images and have room.
+// of ours that hold more of them, have their images and have room, in the same
+// zone where zones matter.
 func (c *Core) gather() {
 	if c.lined > 0 {
 		for _, m := range c.ours {
@@ -55,18 +56,21 @@
 		return false
 	}
 	for _, r := range m.bound {
-		if r.spec.Shape != job.Service || r.spec.OneZone || r.spec.Spread && r.spec.Tasks > 1 || r.final() {
+		if r.spec.Shape != job.Service || r.final() {
 			return false
 		}
 	}
 	return true
 }
 
+// tied tells whether the zones of a job's tasks matter to one another.
+func tied(r *record) bool { return r.spec.Tasks > 1 && (r.spec.OneZone || r.spec.Spread) }
+
 // target finds a better machine of ours for a service on m.
 func (c *Core) target(r *record, m *machine, used map[*machine]usage) *machine {
 	for _, t := range c.ours {
 		if t == m || c.barred(t) || t.steady < tolerance || t.steady < m.steady || (t.steady == m.steady && t.id > m.id) ||
-			c.fetchTime(r.spec, t) > 0 || !c.couldHold(r, t) {
+			c.fetchTime(r.spec, t) > 0 || !c.couldHold(r, t) || tied(r) && t.claim.Zone != m.claim.Zone {
 			continue
 		}
 		f := c.kind(t)
