--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -96,7 +96,8 @@
 	restarting time.Duration
 	claims     int           // being written
 	shedAt     time.Duration // no worker of ours is sent elsewhere before
-	moving     time.Duration // no other service is moved before
+	moves      float64       // services that may be moved now, see gather
+	movedAt    time.Duration
 	launching  []*machine
 	latency    map[string]*hdrhistogram.Histogram
 	verbose    bool // debug lines are wanted; saves building them
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -1,34 +1,56 @@
 package coordination
 
-import "silvergate/internal/job"
+import (
+	"sort"
+
+	"silvergate/internal/job"
+)
+
+// gatherShare is the share of our services that may be moved in a report
+// period. A moved one is away for about a second.
+const gatherShare = 0.025
 
 // Exception "gathering": the thesis's tasks end by themselves, services do
 // not. Left alone, a few of them keep many machines half empty. When nothing
-// waits, the services of our sparsest machine move, one at a time, to machines
-// of ours that hold more of them, have their images and have room, in the same
-// zone where zones matter.
+// waits, the services of our sparsest machines move to machines of ours that
+// hold more of them, have their images and have room, in the same zone where
+// zones matter. A few at a time: one a report period, or gatherShare of them
+// where there are many.
 func (c *Core) gather() {
 	if c.lined > 0 {
 		for _, m := range c.ours {
 			m.emptying = false // the room is wanted
 		}
+		c.movedAt = c.now
 		return
 	}
-	var from *machine
+	services, emptying := 0, 0
+	for _, m := range c.ours {
+		services += m.services
+	}
+	most := max(1, gatherShare*float64(services))
+	c.moves = min(max(1, most/4), c.moves+most*(c.now-c.movedAt).Seconds()/c.cfg.Facts.Workers.Report)
+	c.movedAt = c.now
+	var from []*machine
 	for _, m := range c.ours {
 		if m.emptying {
-			if len(m.bound) == 0 {
+			switch {
+			case len(m.bound) == 0:
 				// Guards against a machine that is out of use here while the
 				// plan counts on it for a waiting gang: it goes back at once.
 				c.drain(m, drainIdle)
-				continue
-			}
-			if !c.room(m) {
+			case len(m.stops) > 0:
+				emptying++
+			case !c.room(m):
 				m.emptying = false
-				continue
+			default:
+				emptying++
+				if c.moves >= 1 {
+					c.moves--
+					c.stop(m, m.tasks()[0], "moved")
+				}
 			}
-			c.moveOne(m)
-			return
+			continue
 		}
 		if !c.sparse(m) {
 			m.sparseAt = 0
@@ -38,14 +60,22 @@
 			m.sparseAt = c.now
 		}
 		// As long as the return of an idle machine is awaited.
-		if c.now-m.sparseAt > seconds(idleShare*c.kind(m).StartupS) && (from == nil || m.steady < from.steady) {
-			from = m
+		if c.now-m.sparseAt > seconds(idleShare*c.kind(m).StartupS) {
+			from = append(from, m)
 		}
 	}
-	if from != nil && c.room(from) {
-		from.emptying = true
-		c.unlist(from)
-		c.log.Debug("gathering", "from", from.id, "services", len(from.bound))
+	// Those with the fewest first, and no more than will be empty soon.
+	sort.SliceStable(from, func(i, j int) bool { return from[i].steady < from[j].steady })
+	for _, m := range from {
+		if float64(emptying) >= max(1, most/4) {
+			return
+		}
+		if c.room(m) {
+			m.emptying = true
+			emptying++
+			c.unlist(m)
+			c.log.Debug("gathering", "from", m.id, "services", len(m.bound))
+		}
 	}
 }
 
@@ -97,16 +127,6 @@
 	return true
 }
 
-// moveOne stops one service on m, if none is on its way already.
-func (c *Core) moveOne(m *machine) {
-	if len(m.stops) > 0 || c.moving > c.now {
-		return
-	}
-	// The moved one should run again before the next is stopped.
-	c.moving = c.now + seconds(c.cfg.Facts.Workers.Report)
-	c.stop(m, m.tasks()[0], "moved")
-}
-
 // Exception "second start": the thesis binds a task once. A service that waits
 // for its image on a slow machine moves to one of ours where it can start much
 // sooner; it has done nothing yet, so nothing is lost.
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -181,6 +181,9 @@
 		if !multi(r) {
 			m.levels[r.spec.Priority]++
 		}
+		if r.spec.Shape == job.Service {
+			m.services++
+		}
 		delete(r.placed, k.index)
 		c.unline(r, k.index)
 		if t.Session == m.session {
@@ -202,6 +205,9 @@
 		if !multi(r) {
 			m.levels[r.spec.Priority]--
 		}
+		if r.spec.Shape == job.Service {
+			m.services--
+		}
 		delete(m.bound, k)
 		delete(m.sent, k)
 		delete(m.begun, k)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -38,17 +38,18 @@
 )
 
 type machine struct {
-	id     string
-	claim  claim
-	stamp  uint64
-	kind   *protocol.Flavor // of its type, nil while that is not known
-	bound  map[taskKey]*record
-	levels [job.Production + 1]int // bound tasks that can be stopped alone, by priority
-	cpus   float64                 // in use or reserved
-	gpus   float64
-	ram    float64
-	steady float64                  // what services hold: accelerators, or processors where they use none
-	images map[string]time.Duration // when each will be there, as far as is known
+	id       string
+	claim    claim
+	stamp    uint64
+	kind     *protocol.Flavor // of its type, nil while that is not known
+	bound    map[taskKey]*record
+	services int                     // bound tasks of services
+	levels   [job.Production + 1]int // bound tasks that can be stopped alone, by priority
+	cpus     float64                 // in use or reserved
+	gpus     float64
+	ram      float64
+	steady   float64                  // what services hold: accelerators, or processors where they use none
+	images   map[string]time.Duration // when each will be there, as far as is known
 
 	// What the holder knows.
 	session    uint64
