--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -243,7 +243,11 @@
 				continue
 			}
 			if !full { // the job's tasks are alike: what does not fit one fits none
-				if m := c.pop(r); m != nil { // step 2
+				m := c.pop(r) // step 2
+				if m != nil && c.clearWarm(r, i, m) {
+					continue
+				}
+				if m != nil {
 					c.assign(r, i, m)
 					continue
 				}
@@ -339,7 +343,11 @@
 			continue
 		}
 		if len(left) == 0 { // else nothing here fits the job
-			if m := c.pop(r); m != nil {
+			m := c.pop(r)
+			if m != nil && c.clearWarm(r, i, m) {
+				continue
+			}
+			if m != nil {
 				c.assign(r, i, m)
 				continue
 			}
@@ -405,17 +413,23 @@
 		} else if until > 0 {
 			return // nothing here could hold it
 		}
-		if r.waiting == nil {
-			r.waiting = map[int]*waiter{}
-		}
-		r.waiting[i] = w
-		c.lined++
-		at := sort.Search(len(r.line), func(j int) bool { return r.line[j].key.index > i })
-		r.line = slices.Insert(r.line, at, w)
-		if len(r.line) == 1 {
-			at := sort.Search(len(c.lines), func(j int) bool { return sooner(r, c.lines[j]) })
-			c.lines = slices.Insert(c.lines, at, r)
-		}
+		c.wait(r, w)
+	}
+}
+
+// wait puts a task into a line.
+func (c *Core) wait(r *record, w *waiter) {
+	i := w.key.index
+	if r.waiting == nil {
+		r.waiting = map[int]*waiter{}
+	}
+	r.waiting[i] = w
+	c.lined++
+	at := sort.Search(len(r.line), func(j int) bool { return r.line[j].key.index > i })
+	r.line = slices.Insert(r.line, at, w)
+	if len(r.line) == 1 {
+		at := sort.Search(len(c.lines), func(j int) bool { return sooner(r, c.lines[j]) })
+		c.lines = slices.Insert(c.lines, at, r)
 	}
 }
 
@@ -627,7 +641,7 @@
 	if multi(r) || !c.placeable(r, index) {
 		return
 	}
-	if m := c.pop(r); m != nil {
+	if m := c.pop(r); m != nil && !c.clearWarm(r, index, m) {
 		c.assign(r, index, m)
 	}
 }
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -24,26 +24,50 @@
 			if c.now < w.stopped || !c.placeable(r, w.key.index) {
 				continue
 			}
-			m, victims := c.victims(r)
+			m, victims := c.victims(r, false)
 			if m == nil {
 				break // the job's tasks are alike
 			}
-			// The victims' exits are reported at once; should that fail,
-			// another machine is tried after a report period.
-			w.stopped = c.now + seconds(c.cfg.Facts.Workers.Report)
-			m.keep(r.spec.ID, w.stopped, "")
-			for _, k := range victims {
-				c.stop(m, k, "preempted")
-				c.Stats.Preemptions++
-			}
-			c.log.Debug("preempting", "for", r.spec.ID, "stoker", m.id, "victims", len(victims))
+			c.preemptOn(r, w, m, victims)
 		}
 	}
 }
 
+// preemptOn stops tasks on a machine for a waiter. Their exits are reported at
+// once; should that fail, another machine is tried after a report period.
+func (c *Core) preemptOn(r *record, w *waiter, m *machine, victims []taskKey) {
+	w.stopped = c.now + seconds(c.cfg.Facts.Workers.Report)
+	m.keep(r.spec.ID, w.stopped, "")
+	for _, k := range victims {
+		c.stop(m, k, "preempted")
+		c.Stats.Preemptions++
+	}
+	c.log.Debug("preempting", "for", r.spec.ID, "stoker", m.id, "victims", len(victims))
+}
+
+// clearWarm has a service wait a moment for room where its image is, in place
+// of the machine popped for it, where the image would first have to be fetched.
+// Exception "warm room for services": what must never be down is worth more
+// than the few seconds of lower work that this loses.
+func (c *Core) clearWarm(r *record, index int, popped *machine) bool {
+	if r.spec.Shape != job.Service || r.spec.Priority <= job.Low || r.waiting[index] != nil ||
+		c.fetchTime(r.spec, popped) <= c.cfg.Facts.Workers.Report/2 {
+		return false
+	}
+	m, victims := c.victims(r, true)
+	if m == nil {
+		return false
+	}
+	w := &waiter{key: taskKey{r.spec.ID, index}, machine: m.id}
+	c.wait(r, w)
+	c.preemptOn(r, w, m, victims)
+	return true
+}
+
 // victims finds the machine where room for the task costs least, among the
-// first that will do from a random one on, and what to stop there.
-func (c *Core) victims(r *record) (*machine, []taskKey) {
+// first that will do from a random one on, and what to stop there. With warm,
+// only machines that have the image will do.
+func (c *Core) victims(r *record, warm bool) (*machine, []taskKey) {
 	var best *machine
 	var bestSet []taskKey
 	bestCost := 0.0
@@ -59,6 +83,9 @@
 		if lower == 0 || len(m.stops) > 0 || c.now < m.holdTill || c.barred(m) || !c.couldHold(r, m) || !c.zoneOK(r, m.claim.Zone) {
 			continue
 		}
+		if warm && c.fetchTime(r.spec, m) > 0 {
+			continue
+		}
 		set, cost, ok := c.evict(r, m)
 		if !ok {
 			continue
