Silent machines are found sooner, also those of a restarted controller

It asks such machines for their status now; an overdue worker is asked after 1.35 report periods, and two questions without an answer are enough after 1.75 (before: one, after 2.5).

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -112,6 +112,7 @@
 	vouches   map[string]time.Duration // see proof
 	beatAt    time.Duration
 	sweepAt   time.Duration
+	readyAt   time.Duration // when the records had been read
 
 	fleet fleet
 	Stats Stats
@@ -224,6 +225,9 @@
 	if c.store.Ready() && c.now >= c.sweepAt {
 		// The sweep's period is a fraction of the workers' report period.
 		c.sweepAt = c.now + seconds(c.cfg.Facts.Workers.Report/12)
+		if c.readyAt == 0 {
+			c.readyAt = c.now
+		}
 		c.watchMachines()
 		for id, e := range c.early {
 			if c.now-e[0].at > c.cfg.Operator.PublishInterval {
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -498,3 +498,39 @@
 	}
 	s.report(t)
 }
+
+// TestHungMachineOfARestartedControllerIsReturned guards against services that
+// stay down: a machine that hangs while its controller restarts reports to
+// nobody, and the new life has to look for it.
+func TestHungMachineOfARestartedControllerIsReturned(t *testing.T) {
+	s := newSim(29, 0)
+	for i := range 12 {
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-8%05d", i), Class: "svc", Team: "blue", Shape: job.Service, Tasks: 1,
+			Priority: job.Production, CPUs: 1, GPUs: 2, MemoryGB: 1}, 0, 0)
+	}
+	s.run(60 * time.Second)
+	for _, n := range s.nodes {
+		n.crash(2 * time.Second)
+	}
+	var hung *simWorker
+	for _, w := range s.cloud.sorted() {
+		if len(w.loads) > 0 {
+			hung = w
+		}
+	}
+	hung.hung = s.now + 5*time.Minute
+	before, busy := s.cloud.sorted(), map[string]bool{}
+	for _, w := range before {
+		busy[w.name] = len(w.loads) > 0
+	}
+	s.run(60*time.Second + seconds(5*s.facts.Workers.Report))
+	if w := s.cloud.all[hung.name]; w != nil {
+		t.Errorf("%s hangs and was not returned", hung.name)
+	}
+	for _, w := range before {
+		if w != hung && s.cloud.all[w.name] == nil && busy[w.name] {
+			t.Errorf("%s was returned too", w.name)
+		}
+	}
+	s.report(t)
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -59,7 +59,7 @@
 	answered   time.Duration // arrival of the last report answered with 200
 	asking     bool          // asked for its status
 	askAt      time.Duration // not again before
-	mute       bool          // and did not answer
+	mute       int           // and did not answer, so many times in a row
 	released   bool          // its lease is over and its tasks were given up
 	recalled   bool
 	claiming   bool
@@ -432,7 +432,7 @@
 		c.refuse(id, 503, "an older report")
 		return
 	}
-	m.session, m.tally, m.heard, m.mute = r.Shift, r.Tally, c.now, false
+	m.session, m.tally, m.heard, m.mute = r.Shift, r.Tally, c.now, 0
 	m.recalled = r.RecallS != nil
 	if r.Baton == m.stamp {
 		m.shown = true
@@ -616,14 +616,6 @@
 	silent := seconds(3*w.Report + 4)
 	blind := c.now-c.store.Fresh() > seconds(w.Report)
 	heard, recent, mine := 0, 0, 0
-	// What an earlier life of ours held and nobody has heard of since.
-	if c.held[c.cfg.Node] > len(c.ours) && !blind && c.now > c.horizon()+seconds(3*w.Report) {
-		for _, id := range sortedKeys(c.machines) {
-			if m := c.machines[id]; m.stamp != 0 && m.claim.Owner == c.cfg.Node && !c.mine(m) && !m.claiming {
-				c.drain(m, drainSilent)
-			}
-		}
-	}
 	for _, m := range c.ours {
 		mine++
 		if c.now-m.heard < silent {
@@ -648,31 +640,57 @@
 				}
 			}
 		}
-		// Two reports are overdue, the machine does not answer us either, and
+		// A report is overdue, the machine did not answer us twice either, and
 		// most others were heard within one report period, so it is not we
 		// who are cut off: that is enough. (Cut off from all workers, nobody
-		// would have been heard for so long, and they need a report period,
-		// 4 s and 1 s to find another controller.)
+		// would have been heard for so long.)
 		quiet := c.now - m.heard
-		if quiet > seconds(1.75*w.Report) && !m.asking && c.now >= m.askAt {
+		if quiet > seconds(1.35*w.Report) && !m.asking && c.now >= m.askAt {
 			c.askStatus(m)
 		}
-		fast := quiet > seconds(2.5*w.Report) && m.mute && recent*2 >= mine
+		fast := quiet > seconds(1.75*w.Report) && m.mute > 1 && recent*2 >= mine
 		if !blind && (fast || quiet > silent && (heard*2 >= mine || quiet > c.leaseOver())) {
 			c.drain(m, drainSilent)
 		}
 	}
+	if c.held[c.cfg.Node] > len(c.ours) && !blind {
+		c.watchEarlier(recent*2 >= mine)
+	}
+}
+
+// watchEarlier looks for machines that an earlier life of ours held and that
+// have found nobody since: a worker that is up needs a report period and a few
+// seconds for it. One that does not answer us either, while most of ours are
+// heard, is in trouble; after the horizon, when no controller can have answered
+// it any more, so is any.
+func (c *Core) watchEarlier(well bool) {
+	w := &c.cfg.Facts.Workers
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		if m.stamp == 0 || m.claim.Owner != c.cfg.Node || c.mine(m) || m.claiming {
+			continue
+		}
+		quiet := c.now - max(c.readyAt, m.heard)
+		if quiet > seconds(1.75*w.Report) && !m.asking && c.now >= m.askAt {
+			c.askStatus(m)
+		}
+		if well && m.mute > 1 && quiet > seconds(2.5*w.Report) || quiet > c.horizon()+seconds(3*w.Report) {
+			c.drain(m, drainSilent)
+		}
+	}
 }
 
 // askStatus asks an overdue worker for its state. An answer shows that it is
 // up, silence that it probably is not.
 func (c *Core) askStatus(m *machine) {
-	m.asking, m.askAt = true, c.now+seconds(c.cfg.Facts.Workers.Report)
+	m.asking, m.askAt = true, c.now+seconds(c.cfg.Facts.Workers.Report/4)
 	at := m.heard
 	c.call(protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: "GET", Path: protocol.PathStatus,
-		Timeout: seconds(c.cfg.Facts.Workers.Report / 2)}, func(r protocol.Reply) {
+		Timeout: seconds(c.cfg.Facts.Workers.Report / 4)}, func(r protocol.Reply) {
 		m.asking = false
-		m.mute = r.Status == 0 && m.heard == at
+		if m.mute++; r.Status != 0 || m.heard != at {
+			m.mute = 0
+		}
 	})
 }
 
