A marked gang without any block lets others try

Such a gang gives the mark back after two publishing intervals if another waits; a controller whose gang is not the first takes a mark that lies for a quarter of a report period.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -92,6 +92,7 @@
 	gang       gangLease
 	marking    bool
 	markedAt   time.Duration
+	freeAt     time.Duration // when the last mark was given back
 	drawAt     time.Duration
 	restarting time.Duration
 	claims     int           // being written
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -534,3 +534,30 @@
 	}
 	s.report(t)
 }
+
+// TestGangWithoutABlockLetsOthersStart guards against one gang holding the mark
+// for more than a minute although no zone has machines for it: smaller ones of
+// other controllers start meanwhile.
+func TestGangWithoutABlockLetsOthersStart(t *testing.T) {
+	s := newSim(41, 0)
+	s.facts.Teams = []config.Team{{Name: "red"}, {Name: "blue"}}
+	s.told = s.facts
+	gang := func(id string, tasks int) *simUser {
+		return s.submit(&job.Spec{ID: id, Class: "gng", Team: "red", Shape: job.Gang, Tasks: tasks, Priority: job.High,
+			CPUs: 16, GPUs: 2, MemoryGB: 1, Spot: true, OneZone: true, Types: []string{"small"}}, 5, 0)
+	}
+	s.run(2 * time.Second)
+	gang("wk-700000", 6) // four small machines a zone
+	s.run(40 * time.Second)
+	var small []*simUser
+	for i := range 4 {
+		small = append(small, gang(fmt.Sprintf("wk-71000%d", i), 2))
+	}
+	s.run(80 * time.Second)
+	for _, u := range small {
+		if !u.done[0] {
+			t.Errorf("%s has not run", u.spec.ID)
+		}
+	}
+	s.report(t)
+}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -49,6 +49,9 @@
 }
 
 func (c *Core) applyGang(data json.RawMessage) {
+	if c.gang.Job != "" && data == nil {
+		c.freeAt = c.now
+	}
 	c.gang = gangLease{}
 	if data != nil {
 		_ = json.Unmarshal(data, &c.gang)
@@ -377,31 +380,48 @@
 		// in for the job's keeper gives it back when the keeper returns. A
 		// gang that finds no room for long lets others try.
 		tired := c.now-c.markedAt > seconds(2*c.cfg.Facts.Workers.GangWait)
+		// Guards against one gang for which there is no block at all keeping
+		// others waiting that need fewer machines or another zone.
+		stuck := r != nil && c.gang.Owner == c.cfg.Node && len(r.block) == 0 && c.now-c.markedAt > c.holdTime() && c.nextGang(open, func(o *record) bool { return o != r }) != nil
+		tired = tired || stuck
 		if c.gang.Owner == c.cfg.Node && (c.gang.Life != c.life || r == nil || r.final() || r.bound > 0 || tired || c.successor(r.home) != c.cfg.Node) {
 			c.marking = true
 			if tired && r != nil && c.gang.Life == c.life {
-				r.tired = min(r.tired+1, 4)
-				r.unmarked = c.now + seconds(c.cfg.Facts.Workers.GangWait*float64(r.tired))
+				rest := c.cfg.Facts.Workers.GangWait / 4
+				if !stuck {
+					r.tired = min(r.tired+1, 4)
+					rest = c.cfg.Facts.Workers.GangWait * float64(r.tired)
+				}
+				r.unmarked = c.now + seconds(rest)
 			}
 			c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang, Stamp: c.store.Stamp(keyGang)}}, []protocol.Op{{Drop: keyGang}},
 				func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
 		}
 		return
 	}
+	r := c.nextGang(open, func(*record) bool { return true })
+	if r != nil && c.successor(r.home) != c.cfg.Node && c.now-c.freeAt > seconds(c.cfg.Facts.Workers.Report/4) {
+		// The first one's keeper lets the mark lie: it has had its turn.
+		r = c.nextGang(open, func(r *record) bool { return c.successor(r.home) == c.cfg.Node })
+	}
+	if r != nil && c.successor(r.home) == c.cfg.Node {
+		c.marking, c.markedAt = true, c.now
+		c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang}},
+			[]protocol.Op{{Write: keyGang, Data: encode(gangLease{r.spec.ID, c.cfg.Node, c.life}), Permit: c.permit}},
+			func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
+	}
+}
+
+// nextGang is the first waiting gang of those wanted.
+func (c *Core) nextGang(open []*record, wanted func(*record) bool) *record {
 	for _, r := range open {
-		if !multi(r) || r.bound > 0 || len(r.held) > 0 || c.now < r.backoff || c.now < r.unmarked {
+		if !multi(r) || !wanted(r) || r.bound > 0 || len(r.held) > 0 || c.now < r.backoff || c.now < r.unmarked {
 			continue
 		}
 		tm := c.teams[r.spec.Team]
-		if tm == nil || !tm.within(tm.use.plus(r.spec, float64(r.spec.Tasks))) {
-			continue
+		if tm != nil && tm.within(tm.use.plus(r.spec, float64(r.spec.Tasks))) {
+			return r
 		}
-		if c.successor(r.home) == c.cfg.Node {
-			c.marking, c.markedAt = true, c.now
-			c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang}},
-				[]protocol.Op{{Write: keyGang, Data: encode(gangLease{r.spec.ID, c.cfg.Node, c.life}), Permit: c.permit}},
-				func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
-		}
-		return
 	}
+	return nil
 }
