--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -546,14 +546,18 @@
 		return s.submit(&job.Spec{ID: id, Class: "gng", Team: "red", Shape: job.Gang, Tasks: tasks, Priority: job.High,
 			CPUs: 16, GPUs: 2, MemoryGB: 1, Spot: true, OneZone: true, Types: []string{"small"}}, 5, 0)
 	}
-	s.run(2 * time.Second)
+	for i := range 4 {
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-8%05d", i), Class: "arr", Team: "blue", Shape: job.Array, Tasks: 40,
+			Priority: job.Low, CPUs: 2, GPUs: 1, MemoryGB: 1, Spot: true}, 300, 0)
+	}
+	s.run(60 * time.Second)
 	gang("wk-700000", 6) // four small machines a zone
-	s.run(40 * time.Second)
+	s.run(63 * time.Second)
 	var small []*simUser
 	for i := range 4 {
 		small = append(small, gang(fmt.Sprintf("wk-71000%d", i), 2))
 	}
-	s.run(80 * time.Second)
+	s.run(100 * time.Second)
 	for _, u := range small {
 		if !u.done[0] {
 			t.Errorf("%s has not run", u.spec.ID)
