--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -255,6 +255,10 @@
 	return true
 }
 
+// Late is the age from which the mirror has certainly missed a watch: each
+// stays open for block, and the next one is opened at once.
+func (s *Store) Late() time.Duration { return 5 * s.block / 2 }
+
 // Spacing is the least time between two openings of the watch.
 func (s *Store) Spacing() time.Duration { return s.spacing }
 
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -34,12 +34,12 @@
 // controller but not for its peers. In an outage that all see, leaving the
 // load balancer's list would only delay the return.
 func (c *Core) isolated() bool {
-	limit := seconds(c.cfg.Facts.Workers.Report)
+	limit := c.store.Late()
 	if c.now-c.store.Fresh() < limit {
 		return false
 	}
 	for _, b := range c.beats {
-		if c.now-b.at < limit && b.fresh < limit/2 {
+		if c.now-b.at < seconds(c.cfg.Facts.Workers.Report) && b.fresh < limit {
 			return true
 		}
 	}
