Drains do not take turns; users are told at once that the state service is away

A drain is only replaced by a graver one while something is bound; records of machines that are gone are dropped with the placements.

--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -22,7 +22,7 @@
 		State:      config.State{RPS: 300, WriteRPS: 120, ValueKB: 16, TxnOps: 12},
 		Cloud:      config.Cloud{RPS: 10, ListLag: 4}, Limits: config.Limits{CPU: 1, RAMMB: 100, MaxSockets: 100}}
 	s.told = s.facts
-	s.kv = &simState{s: s, keys: map[string]simKey{}, rev: 1, leases: map[uint64]time.Duration{}, ttls: map[uint64]time.Duration{},
+	s.kv = &simState{s: s, drains: map[string]int{}, keys: map[string]simKey{}, rev: 1, leases: map[uint64]time.Duration{}, ttls: map[uint64]time.Duration{},
 		memory: 300, page: 40} // short, so that 410 and paging are met often
 	s.cloud = &simCloud{s: s, page: 7, free: map[place]int{}, hires: map[string][]string{}, all: map[string]*simWorker{}, types: map[string]protocol.Flavor{
 		"small": {SKU: "small", CPUs: 16, GPUs: 2, RAM: 64, PullRate: 1, Hourly: 4, SpotPrice: 1.5, StartupS: 8, Depots: []string{"a", "b", "c"}},
@@ -215,6 +215,13 @@
 	for _, b := range s.broken {
 		t.Error(b)
 	}
+	// Guards against judgements that take turns on a machine: inc-41e3 spent
+	// the state service's whole rate on them.
+	for _, key := range sortedKeys(s.kv.drains) {
+		if n := s.kv.drains[key]; n > len(gravity) {
+			t.Errorf("%s was written %d times", key, n)
+		}
+	}
 	if s.starts == 0 {
 		t.Error("nothing ran")
 	}
@@ -565,3 +572,66 @@
 	}
 	s.report(t)
 }
+
+// TestUsersAreToldAtOnceThatTheStateServiceIsAway guards against users who give
+// up before their refusal comes: in an outage whoever asks gets 503 at once,
+// except about jobs that are over.
+func TestUsersAreToldAtOnceThatTheStateServiceIsAway(t *testing.T) {
+	s := newSim(43, 0)
+	u := s.submit(&job.Spec{ID: "wk-700000", Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Normal, Tasks: 1, CPUs: 1, GPUs: 1, MemoryGB: 1}, 2, 0)
+	open := s.submit(&job.Spec{ID: "wk-700001", Class: "svc", Team: "blue", Shape: job.Service, Priority: job.Normal, Tasks: 1, CPUs: 1, GPUs: 1, MemoryGB: 1}, 0, 0)
+	s.run(60 * time.Second)
+	if u.final != "done" {
+		t.Fatalf("the array is %q", u.final)
+	}
+	s.kv.down = s.now + time.Minute
+	s.run(s.now + 5*time.Second)
+	for _, c := range []struct {
+		method, path string
+		body         []byte
+		want         int
+	}{
+		{"GET", protocol.PathRuns + "/wk-700000", nil, 200},
+		{"GET", protocol.PathRuns + "/wk-700001", nil, 503},
+		{"GET", protocol.PathRuns + "/wk-999999", nil, 503},
+		{"POST", protocol.PathRuns, []byte(strings.Replace(string(open.body), "wk-700001", "wk-700002", 1)), 503},
+	} {
+		e := s.nodes[0].core.Request(s.nodes[0].clock(), 1<<40, c.method, c.path, c.body)
+		if len(e.Answers) != 1 || e.Answers[0].Status != c.want || (c.want == 503) != (e.Answers[0].RetryAfter > 0) {
+			t.Errorf("%s %s: %+v, want %d at once", c.method, c.path, e.Answers, c.want)
+		}
+	}
+}
+
+// TestDrainsDoNotTakeTurns guards against a fault found on inc-41e3: a gathered
+// machine that was returned fell silent, and "idle" and "silent" replaced one
+// another in its drain at every sweep until its records went.
+func TestDrainsDoNotTakeTurns(t *testing.T) {
+	s := newSim(47, 0)
+	for i := range 8 {
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-8%05d", i), Class: "svc", Team: "blue", Shape: job.Service, Tasks: 1,
+			Priority: job.Production, CPUs: 1, GPUs: 2, MemoryGB: 1}, 0, 0)
+	}
+	s.run(60 * time.Second)
+	for _, n := range s.nodes {
+		n.cut["cloud"] = s.now + time.Hour // nothing is returned
+	}
+	var gone *machine
+	for _, n := range s.nodes {
+		for _, m := range n.core.ours {
+			if len(m.bound) == 1 && gone == nil {
+				gone = m
+			}
+		}
+	}
+	for k := range gone.bound {
+		s.users[k.id].cancel()
+	}
+	gone.emptying = true
+	s.run(70 * time.Second)
+	s.work[gone.claim.Address].die()
+	s.run(100 * time.Second)
+	if n := s.kv.drains[keyDrain+gone.id]; n == 0 || n > 2 {
+		t.Errorf("the drain of %s was written %d times", gone.id, n)
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -337,7 +337,7 @@
 		}
 	}
 	if len(ops) > 0 {
-		c.store.Txn(bookkeeping.Rest, conds, ops, func(bookkeeping.Outcome, []string, uint64) {})
+		c.store.Txn(bookkeeping.Work, conds, ops, func(bookkeeping.Outcome, []string, uint64) {})
 	}
 }
 
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -260,9 +260,10 @@
 	next    uint64
 	down    time.Duration
 	watches []*simWatch
-	blind   bool // broken on purpose: ignores conditions
-	memory  int  // changes that a watch can go back
-	page    int  // keys on a page
+	drains  map[string]int // how often each drain was written
+	blind   bool           // broken on purpose: ignores conditions
+	memory  int            // changes that a watch can go back
+	page    int            // keys on a page
 	reads   float64
 	writes  float64
 	filled  time.Duration
@@ -324,6 +325,9 @@
 }
 
 func (k *simState) change(key string, data json.RawMessage, permit, rev uint64) {
+	if strings.HasPrefix(key, keyDrain) && data != nil {
+		k.drains[key]++
+	}
 	if data == nil {
 		delete(k.keys, key)
 		k.news = append(k.news, protocol.News{Drop: key, Stamp: rev})
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -70,8 +70,13 @@
 	c.ask(poll{id: id, ref: ref, since: c.now})
 }
 
+// cutOff tells whether the state service has not answered for so long that a
+// user's question would be in vain. Guards against users who give up while we
+// still wait for it: they are told to come again at once.
+func (c *Core) cutOff() bool { return c.now-c.store.Fresh() > c.store.Late() }
+
 func (c *Core) ask(p poll) {
-	if !c.store.Ready() || len(c.polls) >= maxPolls {
+	if !c.store.Ready() || c.cutOff() || len(c.polls) >= maxPolls {
 		c.refuse(p.id, 503, "the job's state can't be read now")
 		return
 	}
@@ -171,6 +176,10 @@
 		c.poll(id, ref)
 		return
 	}
+	if c.cutOff() {
+		c.refuse(id, 503, "the state service can't be reached now")
+		return
+	}
 	spec, err := protocol.ParseRun(body)
 	status := 400
 	if err == nil {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -37,6 +37,9 @@
 	drainFailed = "failed"
 )
 
+// gravity orders them: the graver ones do not wait until nothing is bound.
+var gravity = map[string]int{drainIdle: 0, drainRecall: 1, drainFaulty: 2, drainSilent: 3, drainFailed: 4}
+
 type machine struct {
 	id       string
 	claim    claim
@@ -593,7 +596,10 @@
 
 // drain writes a machine's drain record.
 func (c *Core) drain(m *machine, why string) {
-	if old, ok := c.drains[m.id]; m.draining || ok && old.Why == why {
+	// Guards against two judgements that take turns on one machine and eat up
+	// the state service's rate: only a graver one replaces an earlier one, and
+	// only while it makes a difference to what is on the machine.
+	if old, ok := c.drains[m.id]; m.draining || ok && (gravity[old.Why] >= gravity[why] || len(m.bound) == 0) {
 		return
 	}
 	m.draining = true
