--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -619,14 +619,18 @@
 	var gone *machine
 	for _, n := range s.nodes {
 		for _, m := range n.core.ours {
-			if len(m.bound) == 1 && gone == nil {
+			if len(m.bound) > 0 && gone == nil {
 				gone = m
 			}
 		}
 	}
-	for k := range gone.bound {
+	for _, k := range gone.tasks() {
 		s.users[k.id].cancel()
 	}
+	s.run(66 * time.Second)
+	if len(gone.bound) > 0 {
+		t.Fatalf("%v are still bound", gone.tasks())
+	}
 	gone.emptying = true
 	s.run(70 * time.Second)
 	s.work[gone.claim.Address].die()
