Evidence does not outlive its claim

A release now names the token under which its evidence was found. Also closed: a restarted controller that goes on with its workers' tokens might have forgotten an attempt whose launch, by its earlier life, was still unanswered; all that a worker lists counts as a launch under way. Test: TestEvidenceDoesNotOutliveItsClaim.

--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -639,3 +639,45 @@
 		t.Errorf("the drain of %s was written %d times", gone.id, n)
 	}
 }
+
+// TestEvidenceDoesNotOutliveItsClaim guards against a fault found by a hunt on
+// carbura-iasi: a release proposed under one claim was committed under the next
+// one of the same controller, although a peer had answered the worker between
+// the two, and the task ran twice.
+func TestEvidenceDoesNotOutliveItsClaim(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		s := newSim(53, 0)
+		s.submit(&job.Spec{ID: "wk-700000", Class: "svc", Team: "blue", Shape: job.Service, Tasks: 1, Priority: job.Production,
+			CPUs: 1, GPUs: 1, MemoryGB: 1}, 0, 0)
+		s.run(40 * time.Second)
+		tried := false
+		for _, n := range s.nodes {
+			c := n.core
+			for _, m := range c.ours {
+				for _, k := range m.tasks() {
+					tried = true
+					r := m.bound[k]
+					task := *r.task(c, k.index)
+					c.begin(n.clock())
+					c.propose(r, k.index, change{machine: m.id, session: task.Session, try: task.Try, guard: true})
+					if again {
+						c.apply(keyClaim+m.id, encode(m.claim), c.store.Ledger()+1)
+					}
+					c.flush()
+					sent := 0
+					for _, k := range c.out.Calls {
+						if strings.Contains(string(k.Body), pageKey("wk-700000", 0)) {
+							sent++
+						}
+					}
+					if (sent == 0) != again {
+						t.Errorf("claim renewed: %v, releases sent: %d", again, sent)
+					}
+				}
+			}
+		}
+		if !tried {
+			t.Fatal("nothing runs")
+		}
+	}
+}
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -275,7 +275,8 @@
 	try     int
 	done    bool
 	failed  bool
-	guard   bool // the evidence holds only under our claim
+	guard   bool   // the evidence holds only under our claim
+	token   uint64 // of the claim under which it was found
 }
 
 // propose queues a change of a task; the page's next transaction carries it.
@@ -283,6 +284,9 @@
 	n := c.pageTasks()
 	p := r.pages[index/n]
 	ch.index = index % n
+	if m := c.machines[ch.machine]; m != nil && ch.guard {
+		ch.token = m.stamp
+	}
 	for i := range p.queue {
 		if p.queue[i].index == ch.index && p.queue[i].place == ch.place {
 			p.queue[i] = ch
@@ -400,7 +404,12 @@
 		}
 		if ch.guard {
 			m := c.machines[ch.machine]
-			if m == nil || !c.mine(m) {
+			// Guards against evidence that outlives its claim: a controller
+			// cut off from the state service held the end of a lease to be
+			// over, while a peer answered the worker. When the worker came
+			// back, the release was committed under the new claim, and the
+			// task ran twice.
+			if m == nil || !c.mine(m) || m.stamp != ch.token {
 				continue
 			}
 			if !machines[m.id] {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -335,8 +335,9 @@
 // minutes late. That life forgot or released nothing while a launch of it was
 // unanswered, so what can still come are launches of attempts that are bound.
 // The worker must list them all, as a launch of what it has does nothing; and
-// they are treated as launches under way: none is forgotten or released for
-// being absent before a new token is seen, which is taken when one of them ends.
+// all that it lists is treated as launches under way: none is forgotten or
+// released for being absent before a new token is seen, which is taken when one
+// of them ends.
 func (c *Core) adopt(m *machine, r *protocol.Report) {
 	if c.mine(m) || m.claiming || m.stamp == 0 || m.claim.Owner != c.cfg.Node || m.claim.Life == c.life || r.Baton != m.stamp {
 		return
@@ -355,8 +356,8 @@
 	m.adopted, m.tainted = true, false
 	m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
 	clear(m.direct)
-	for k, rec := range m.bound {
-		m.direct[k] = rec.task(c, k.index).Try
+	for k, try := range listed {
+		m.direct[k] = try // also what has ended: it may not be forgotten yet
 	}
 	c.own(m)
 	c.Stats.Adopted++
