--- /dev/null
+++ b/internal/statestore/backup.go
@@ -0,0 +1,192 @@
+package statestore
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	bolt "go.etcd.io/bbolt"
+
+	"silvergate/internal/transport"
+)
+
+// PathBackup is where a backup is asked for. It is not part of the protocol:
+// POST with {"name":"..."} writes a consistent snapshot under that name into the
+// service's backup folder while it goes on serving.
+const PathBackup = "/backup"
+
+// Backup asks for a backup, and Saved tells of it.
+type Backup struct {
+	Name string `json:"name"`
+}
+
+// Saved is a backup that was written and checked.
+type Saved struct {
+	File   string `json:"file"`
+	Ledger uint64 `json:"ledger"`
+	Keys   uint64 `json:"keys"`
+	Bytes  int64  `json:"bytes"`
+}
+
+// backupName tells what is wrong with a name. It names a file in one folder
+// and can't lead out of it.
+func backupName(s string) error {
+	if s == "" || len(s) > 100 {
+		return errors.New("name: must have 1 to 100 characters")
+	}
+	for _, c := range s {
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_') {
+			return errors.New("name: must be of letters, digits, - and _")
+		}
+	}
+	return nil
+}
+
+// backup serves PathBackup.
+func (s *Service) backup(id uint64, r *transport.Request) {
+	var b Backup
+	refuse := func(status int, format string, args ...any) {
+		v := problem(status, format, args...)
+		s.server.Answer(id, v.status, v.body, v.retry)
+	}
+	if r.Method != http.MethodPost {
+		refuse(http.StatusMethodNotAllowed, "use POST")
+		return
+	}
+	err := object(r.Body, &b)
+	if err == nil {
+		err = backupName(b.Name)
+	}
+	if err != nil {
+		refuse(http.StatusBadRequest, "%v", err)
+		return
+	}
+	if s.saving {
+		refuse(http.StatusServiceUnavailable, "another backup is being written")
+		return
+	}
+	s.saving = true
+	dir := s.cfg.BackupDir
+	if dir == "" {
+		dir = filepath.Join(s.cfg.Dir, "backups")
+	}
+	go func() {
+		saved, err := s.disk.backup(dir, b.Name)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.saving = false
+		switch {
+		case errors.Is(err, fs.ErrExist):
+			refuse(http.StatusConflict, "a backup of that name exists")
+		case err != nil:
+			s.log.Error("backup failed", "name", b.Name, "err", err)
+			refuse(http.StatusInternalServerError, "%v", err)
+		default:
+			s.log.Info("backup written", "file", saved.File, "ledger", saved.Ledger, "bytes", saved.Bytes)
+			s.json(id, http.StatusOK, saved)
+		}
+	}()
+}
+
+// backup writes a snapshot and reads it again before it gets its name.
+func (d *disk) backup(dir, name string) (Saved, error) {
+	path := filepath.Join(dir, name+".db")
+	tmp := path + ".new"
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return Saved{}, err
+	}
+	if _, err := os.Lstat(path); err == nil {
+		return Saved{}, fs.ErrExist
+	}
+	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Saved{}, err
+	}
+	err = d.guard(func() error {
+		return d.db.View(func(tx *bolt.Tx) error {
+			_, err := tx.WriteTo(f)
+			return err
+		})
+	})
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return Saved{}, errors.Join(err, os.Remove(tmp))
+	}
+	saved, err := Check(tmp)
+	if err != nil {
+		return Saved{}, err
+	}
+	if err := os.Link(tmp, path); err != nil {
+		return Saved{}, err
+	}
+	saved.File = path
+	return saved, errors.Join(os.Remove(tmp), syncDir(dir))
+}
+
+// Check reads all of a store's file, which no service may have open, and
+// compares it with its checksums. It changes nothing.
+func Check(path string) (Saved, error) {
+	d := &disk{path: path}
+	if err := d.open(true); err != nil {
+		return Saved{}, err
+	}
+	defer d.close()
+	err := d.db.View(func(tx *bolt.Tx) error {
+		for err := range tx.Check() {
+			return d.damaged("%v", err)
+		}
+		return nil
+	})
+	if err != nil {
+		return Saved{}, err
+	}
+	st, err := os.Stat(path)
+	if err != nil {
+		return Saved{}, err
+	}
+	return Saved{path, d.head.Ledger, d.head.Keys, st.Size()}, nil
+}
+
+// restoreJump is how far a restored store's ledger lies ahead of its backup's:
+// further than any store gets between two backups, so that a stamp given out
+// after the backup is never given out again. Workers' tokens are stamps, and
+// must not go back.
+const restoreJump = 1 << 40
+
+// Restore makes a store in dir from a backup. All keys get new stamps above any
+// that the lost store can have given out, so that whoever still holds an old
+// one is refused. Grants are not restored, nor what hung on them. A store that
+// exists in dir is never replaced.
+func Restore(backup, dir string) (Saved, error) {
+	path := filepath.Join(dir, FileName)
+	if _, err := os.Lstat(path); err == nil {
+		return Saved{}, fmt.Errorf("%s exists; move it away first", path)
+	}
+	d := &disk{path: backup}
+	if err := d.open(true); err != nil {
+		return Saved{}, err
+	}
+	defer d.close()
+	err := createDisk(dir, path, func(tx *bolt.Tx) (head, error) {
+		h := head{Ledger: d.head.Ledger + restoreJump, Grant: d.head.Grant + restoreJump, Floor: d.head.Ledger + restoreJump}
+		keys := tx.Bucket(bucketKeys)
+		var failed error
+		_, err := d.scan("", "", func(k []byte, r record) bool {
+			if r.permit != 0 {
+				return true
+			}
+			v := encodeRecord(k, record{stamp: h.Ledger, data: r.data})
+			h.Keys++
+			h.Digest ^= be(v[len(v)-8:])
+			failed = keys.Put(k, v)
+			return failed == nil
+		})
+		return h, errors.Join(err, failed)
+	})
+	if err != nil {
+		return Saved{}, err
+	}
+	return Check(path)
+}
--- /dev/null
+++ b/internal/statestore/service.go
@@ -0,0 +1,414 @@
+// Package statestore is silvergate's state service: a small strongly consistent
+// key-value store with revisions, conditional transactions, leases and watches,
+// spoken to as PROTOCOL says.
+//
+// It owns one file (bbolt). A change is answered after it is on disk; changes
+// that wait share one sync. The ledger never goes back, and a restart gives
+// every lease its full time again. Damage is detected by checksums over every
+// record and a digest of them all, named, and never written over. The process
+// ends when the disk fails under it: what it had not answered may or may not
+// have been done, which is what its clients are prepared for.
+//
+// Decisions (machine) do no I/O; disk does nothing else; service connects them
+// to the network.
+package statestore
+
+import (
+	"encoding/gob"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"silvergate/internal/protocol"
+	"silvergate/internal/transport"
+)
+
+// Config is what a state service is told.
+type Config struct {
+	// Listen is the address to serve at, an IP address with a port.
+	Listen string `yaml:"listen"`
+	// Dir is the folder of the store's file.
+	Dir string `yaml:"dir"`
+	// Limits are the service's limits.
+	Limits Limits `yaml:"limits"`
+	// BackupDir is where backups are written; default: backups in Dir.
+	BackupDir string `yaml:"backup_dir"`
+	// MaxSockets is the most connections.
+	MaxSockets int `yaml:"max_sockets"`
+	// Metrics switches GET /metrics on.
+	Metrics bool `yaml:"metrics"`
+}
+
+// DefaultConfig returns what holds for fields that a file does not name.
+func DefaultConfig() Config {
+	return Config{Listen: "127.0.0.1:2379", Dir: "state", MaxSockets: 1024,
+		Limits: Limits{RPS: 1000, WriteRPS: 500, ValueKB: 16, TxnOps: 24}}
+}
+
+// Check names the first field that can't be.
+func (c *Config) Check() error {
+	if c.Dir == "" {
+		return errors.New("dir: missing")
+	}
+	if c.MaxSockets < 8 {
+		return errors.New("max_sockets: must be at least 8")
+	}
+	return c.Limits.Check()
+}
+
+// Stats counts what the service did.
+type Stats struct {
+	Requests, Refused, Commits, Changes uint64
+	Keys, Ledger, Grants                uint64
+	Watches, Queued                     int
+	FileBytes                           int64
+	CommitS                             float64 // total time of commits
+}
+
+// Service is a running state service.
+type Service struct {
+	cfg    Config
+	log    *slog.Logger
+	disk   *disk
+	server *transport.Server
+	start  time.Time
+	// Extra answers paths that are not the protocol's, such as /metrics. It
+	// is called with the lock held and returns false for what it doesn't know.
+	Extra func(id uint64, method, path string) bool
+
+	mu     sync.Mutex
+	m      *machine
+	orders []order // for the writer
+	wake   *sync.Cond
+	timer  *time.Timer
+	stats  Stats
+	saving bool // a backup is being written
+	failed error
+	closed bool
+	idle   chan struct{} // closed when the writer has ended
+}
+
+// Open opens the store in cfg.Dir, or makes one. A damaged file is an error
+// that wraps ErrDamaged.
+func Open(cfg Config, log *slog.Logger) (*Service, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	d, err := openDisk(cfg.Dir, keptChanges)
+	if err != nil {
+		return nil, err
+	}
+	s := &Service{cfg: cfg, log: log, disk: d, start: time.Now(), m: newMachine(cfg.Limits, d.ttls), idle: make(chan struct{})}
+	s.wake = sync.NewCond(&s.mu)
+	s.server = transport.NewServer(&s.mu, s, 10*time.Second, cfg.MaxSockets)
+	s.stats.Ledger, s.stats.Keys = d.head.Ledger, d.head.Keys
+	return s, nil
+}
+
+// Run serves until the disk or the network fails or Stop is called. ready, if
+// not nil, is told the address.
+func (s *Service) Run(ready func(addr net.Addr)) error {
+	s.server.Ready = func(a []net.Addr) {
+		s.log.Info("serving", "listen", a[0].String(), "file", s.disk.path, "ledger", s.disk.head.Ledger, "keys", s.disk.head.Keys)
+		if ready != nil {
+			ready(a[0])
+		}
+	}
+	go s.write()
+	s.mu.Lock()
+	s.timer = time.AfterFunc(0, s.tick)
+	s.mu.Unlock()
+	err := s.server.Run(s.cfg.Listen, "")
+	s.mu.Lock()
+	s.closed = true
+	s.timer.Stop()
+	s.wake.Signal()
+	failed := s.failed
+	s.mu.Unlock()
+	<-s.idle
+	return errors.Join(failed, err, s.disk.close())
+}
+
+// Stop ends Run. What was answered is on disk already.
+func (s *Service) Stop() { s.server.Stop() }
+
+// Answer and AnswerAs serve Extra. The lock must be held.
+func (s *Service) Answer(id uint64, status int, body []byte) { s.server.Answer(id, status, body, 0) }
+
+// AnswerAs answers with a body that is not JSON. The lock must be held.
+func (s *Service) AnswerAs(id uint64, contentType string, body []byte) {
+	s.server.AnswerAs(id, contentType, body)
+}
+
+// Stats returns the counters; the lock must be held, as it is in Extra.
+func (s *Service) Stats() Stats {
+	st := s.stats
+	st.Watches, st.Queued, st.Grants, st.Refused = len(s.m.watches), s.m.queued, uint64(len(s.m.grants)), s.m.refused
+	return st
+}
+
+// Decode and Message belong to peer links, of which there are none.
+func (s *Service) Decode(*gob.Decoder) (any, error) { return nil, errors.ErrUnsupported }
+
+// Message is never called.
+func (s *Service) Message(string, any) {}
+
+func (s *Service) advance() {
+	for _, id := range s.m.advance(time.Since(s.start)) {
+		s.m.queued++
+		s.submit(order{ends: id, done: func(outcome) {}})
+	}
+}
+
+func (s *Service) submit(o order) {
+	s.orders = append(s.orders, o)
+	s.wake.Signal()
+}
+
+// tick lets time pass: grants and watches end.
+func (s *Service) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.server.Sweep(time.Now())
+	s.advance()
+	for _, w := range s.m.expired() {
+		s.tell(w, nil)
+	}
+	s.timer.Reset(max(time.Millisecond, s.m.due()-time.Since(s.start)))
+}
+
+// Serve takes a request; the server holds the lock.
+func (s *Service) Serve(id uint64, r *transport.Request) {
+	s.advance()
+	if r.Path == PathBackup {
+		s.backup(id, r)
+		return
+	}
+	if s.Extra != nil && s.Extra(id, r.Method, r.Path) {
+		return
+	}
+	s.stats.Requests++
+	v := s.m.request(id, r.Method, r.Path, r.Query, r.Body)
+	switch {
+	case v.status != 0:
+		s.server.Answer(id, v.status, v.body, v.retry)
+	case v.order != nil:
+		o := *v.order
+		if o.txn != nil {
+			// The request's body is gone when this call returns.
+			for i := range o.txn.Then {
+				o.txn.Then[i].Data = append([]byte(nil), o.txn.Then[i].Data...)
+			}
+		}
+		o.done = func(res outcome) { s.answer(id, &o, res) }
+		s.submit(o)
+	case v.get != "":
+		rec, found, ledger, err := s.disk.get(v.get)
+		switch {
+		case err != nil:
+			s.fail(err)
+		case !found:
+			s.json(id, http.StatusNotFound, struct {
+				Ledger uint64 `json:"ledger"`
+			}{ledger})
+		default:
+			s.json(id, http.StatusOK, entry{v.get, rec.data, rec.stamp, rec.permit})
+		}
+	case v.list != nil:
+		s.list(id, v.list)
+	case v.look != nil:
+		s.look(v.look)
+	}
+}
+
+type entry struct {
+	Key    string `json:"key"`
+	Data   raw    `json:"data"`
+	Stamp  uint64 `json:"stamp"`
+	Permit uint64 `json:"permit,omitempty"`
+}
+
+// raw is JSON that was checked when it came in.
+type raw = json.RawMessage
+
+func (s *Service) json(id uint64, status int, v any) {
+	s.server.Answer(id, status, protocol.Encode(v), 0)
+}
+
+func (s *Service) list(id uint64, l *listing) {
+	page := struct {
+		Entries   []entry `json:"entries"`
+		Truncated bool    `json:"truncated"`
+		Ledger    uint64  `json:"ledger"`
+	}{Entries: []entry{}}
+	size := 100
+	ledger, err := s.disk.scan(l.under, l.from, func(k []byte, r record) bool {
+		// Escaping a key and its numbers takes at most this much.
+		n := len(r.data) + 6*len(k) + 80
+		if len(page.Entries) == l.page || size+n > maxPageBytes {
+			page.Truncated = true
+			return false
+		}
+		size += n
+		page.Entries = append(page.Entries, entry{string(k), append(raw(nil), r.data...), r.stamp, r.permit})
+		return true
+	})
+	if err != nil {
+		s.fail(err)
+		return
+	}
+	page.Ledger = ledger
+	s.json(id, http.StatusOK, page)
+}
+
+// look answers a watch that has something to tell, and parks any other.
+func (s *Service) look(w *watch) {
+	r, kept, err := s.news(w)
+	switch {
+	case err != nil:
+		s.fail(err)
+	case !kept:
+		v := problem(http.StatusGone, "changes after %d are not kept any more; read the keys again", w.from)
+		s.server.Answer(w.id, v.status, v.body, 0)
+	case len(r.News) > 0 || !s.m.park(w):
+		s.json(w.id, http.StatusOK, r)
+	default:
+		s.timer.Reset(max(time.Millisecond, s.m.due()-time.Since(s.start)))
+	}
+}
+
+type newsItem struct {
+	Write string `json:"write,omitempty"`
+	Drop  string `json:"drop,omitempty"`
+	Data  raw    `json:"data,omitempty"`
+	Stamp uint64 `json:"stamp"`
+}
+
+type newsPage struct {
+	Ledger uint64     `json:"ledger"`
+	News   []newsItem `json:"news"`
+}
+
+func (s *Service) news(w *watch) (r newsPage, kept bool, err error) {
+	r.News = []newsItem{}
+	r.Ledger, kept, err = s.disk.changes(w.from, func(c change) {
+		switch {
+		case len(c.key) < len(w.under) || c.key[:len(w.under)] != w.under:
+		case c.data != nil:
+			r.News = append(r.News, newsItem{Write: c.key, Data: c.data, Stamp: c.stamp})
+		default:
+			r.News = append(r.News, newsItem{Drop: c.key, Stamp: c.stamp})
+		}
+	})
+	return r, kept, err
+}
+
+// tell answers a watch with what there is now. Watches that ask for the same
+// share the encoding, in told.
+func (s *Service) tell(w *watch, told map[watch][]byte) {
+	k := watch{under: w.under, from: w.from}
+	body := told[k]
+	if body == nil {
+		r, kept, err := s.news(w)
+		if err != nil {
+			s.fail(err)
+			return
+		}
+		if !kept {
+			v := problem(http.StatusGone, "changes after %d are not kept any more; read the keys again", w.from)
+			s.server.Answer(w.id, v.status, v.body, 0)
+			return
+		}
+		body = protocol.Encode(r)
+		if told != nil {
+			told[k] = body
+		}
+	}
+	s.server.Answer(w.id, http.StatusOK, body, 0)
+}
+
+// answer tells what came of an order.
+func (s *Service) answer(id uint64, o *order, res outcome) {
+	switch {
+	case o.txn != nil && res.noLease:
+		v := problem(http.StatusBadRequest, "no such lease")
+		s.server.Answer(id, v.status, v.body, 0)
+	case o.txn != nil && res.failed != nil:
+		s.json(id, http.StatusConflict, protocol.TxnResult{Ledger: res.ledger, Failed: res.failed})
+	case o.txn != nil:
+		s.json(id, http.StatusOK, struct {
+			Ledger uint64 `json:"ledger"`
+		}{res.ledger})
+	case o.ends != 0 && res.gone:
+		v := problem(http.StatusNotFound, "no such lease")
+		s.server.Answer(id, v.status, v.body, 0)
+	case o.ends != 0:
+		s.server.Answer(id, http.StatusOK, []byte("{}"), 0)
+	default:
+		s.m.granted(res.grant, o.ttl)
+		s.json(id, http.StatusOK, protocol.Granted{Permit: res.grant})
+	}
+}
+
+// write is the writer: it takes all orders that wait and makes them durable
+// together.
+func (s *Service) write() {
+	defer close(s.idle)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		for len(s.orders) == 0 && !s.closed {
+			s.wake.Wait()
+		}
+		if s.closed {
+			return
+		}
+		batch := s.orders
+		s.orders = nil
+		s.mu.Unlock()
+		at := time.Now()
+		results, changes, err := s.disk.commit(batch)
+		took := time.Since(at)
+		s.mu.Lock()
+		if err != nil {
+			s.fail(fmt.Errorf("commit: %w", err))
+			return
+		}
+		s.m.queued -= len(batch)
+		s.stats.Commits++
+		s.stats.CommitS += took.Seconds()
+		s.stats.Changes += uint64(len(changes))
+		s.stats.Ledger, s.stats.Keys = s.disk.head.Ledger, s.disk.head.Keys
+		s.advance()
+		for i := range batch {
+			if batch[i].ends != 0 {
+				s.m.gone(batch[i].ends)
+			}
+			batch[i].done(results[i])
+		}
+		if len(changes) > 0 {
+			told := map[watch][]byte{}
+			for _, w := range s.m.wake(changes) {
+				s.tell(w, told)
+			}
+		}
+	}
+}
+
+// fail ends the service. Guards against going on after a failed sync: the pages
+// that the system could not write may look written from then on.
+func (s *Service) fail(err error) {
+	if s.failed == nil {
+		s.failed = err
+		s.log.Error("ending", "err", err)
+		go s.server.Stop()
+	}
+}
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -196,11 +196,17 @@
 
 // AppendResponse writes a response with a JSON body.
 func AppendResponse(dst []byte, status int, body []byte, retryAfter int, closing bool) []byte {
+	return appendResponse(dst, status, "application/json", body, retryAfter, closing)
+}
+
+func appendResponse(dst []byte, status int, contentType string, body []byte, retryAfter int, closing bool) []byte {
 	dst = append(dst, "HTTP/1.1 "...)
 	dst = strconv.AppendInt(dst, int64(status), 10)
 	dst = append(dst, ' ')
 	dst = append(dst, http.StatusText(status)...)
-	dst = append(dst, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	dst = append(dst, "\r\nContent-Type: "...)
+	dst = append(dst, contentType...)
+	dst = append(dst, "\r\nContent-Length: "...)
 	dst = strconv.AppendInt(dst, int64(len(body)), 10)
 	if retryAfter > 0 {
 		dst = append(dst, "\r\nRetry-After: "...)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/gob"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +33,11 @@
 	conns    map[uint64]*conn
 	http     int
 	next     uint64
+	stopping bool
+	addrs    []net.Addr
+	// Ready, if set before Run, is called once with the addresses that the
+	// server listens at; a port of 0 in them was chosen by the system.
+	Ready func(addrs []net.Addr)
 }
 
 type conn struct {
@@ -57,12 +63,25 @@
 	return &Server{mu: mu, handler: h, patience: patience, maxConns: maxConns, open: map[*conn]bool{}, conns: map[uint64]*conn{}}
 }
 
-// Run serves until the loop fails.
+// Run serves until the loop fails or Stop is called. Without a peerAddr there
+// are no peer links.
 func (s *Server) Run(httpAddr, peerAddr string) error {
 	ev := evio.Events{NumLoops: 1}
+	ev.Serving = func(e evio.Server) evio.Action {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.addrs = e.Addrs
+		if s.Ready != nil {
+			s.Ready(e.Addrs)
+		}
+		return evio.None
+	}
 	ev.Opened = func(c evio.Conn) ([]byte, evio.Options, evio.Action) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if s.stopping {
+			return nil, evio.Options{}, evio.Shutdown
+		}
 		k := &conn{ev: c, started: time.Now()}
 		c.SetContext(k)
 		s.open[k] = true
@@ -98,12 +117,36 @@
 		}
 		return s.data(k, in)
 	}
-	if err := evio.Serve(ev, "tcp4://"+httpAddr, "tcp4://"+peerAddr); err != nil {
+	addrs := []string{"tcp4://" + httpAddr}
+	if peerAddr != "" {
+		addrs = append(addrs, "tcp4://"+peerAddr)
+	}
+	err := evio.Serve(ev, addrs...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.stopping:
+		return nil
+	case err != nil:
 		return err
 	}
 	return errors.New("event loop ended")
 }
 
+// Stop ends Run. evio's loop looks up only when something arrives, so a
+// connection of our own is what tells it.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	s.stopping = true
+	addrs := s.addrs
+	s.mu.Unlock()
+	if len(addrs) > 0 {
+		if c, err := net.DialTimeout("tcp4", addrs[0].String(), time.Second); err == nil {
+			c.Close()
+		}
+	}
+}
+
 // Sweep cuts off slow senders and connections that nobody uses. It is to be
 // called about once a second, with the lock held.
 func (s *Server) Sweep(now time.Time) {
@@ -165,13 +208,27 @@
 
 // Answer sends the response to request id. The server's lock must be held.
 func (s *Server) Answer(id uint64, status int, body []byte, retryAfter int) {
+	s.answer(id, func(dst []byte, closing bool) []byte {
+		return AppendResponse(dst, status, body, retryAfter, closing)
+	})
+}
+
+// AnswerAs answers request id with status 200 and a body that is not JSON. The
+// server's lock must be held.
+func (s *Server) AnswerAs(id uint64, contentType string, body []byte) {
+	s.answer(id, func(dst []byte, closing bool) []byte {
+		return appendResponse(dst, http.StatusOK, contentType, body, 0, closing)
+	})
+}
+
+func (s *Server) answer(id uint64, write func(dst []byte, closing bool) []byte) {
 	k := s.conns[id]
 	if k == nil {
 		return
 	}
 	delete(s.conns, id)
 	k.busy = false
-	k.out = AppendResponse(k.out, status, body, retryAfter, k.last)
+	k.out = write(k.out, k.last)
 	k.closing = k.closing || k.last
 	if !k.inside {
 		k.ev.Wake()
