--- /dev/null
+++ b/cmd/silvergate/client.go
@@ -0,0 +1,445 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/big"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"silvergate/internal/config"
+	"silvergate/internal/protocol"
+	"silvergate/internal/site"
+	"silvergate/internal/transport"
+)
+
+// client talks to a running part the way its users do.
+type client struct {
+	address string
+	site    string
+	timeout time.Duration
+	format  string
+	pool    *transport.Pool
+}
+
+func newClient() *client { return &client{timeout: 5 * time.Second, pool: transport.NewPool(2)} }
+
+// flags adds where the part is and how long to wait.
+func (k *client) flags(c *cobra.Command, address, what string, timeout time.Duration) {
+	c.Flags().StringVar(&k.address, "address", address, what+" (IP and port)")
+	c.Flags().DurationVar(&k.timeout, "timeout", timeout, "how long to wait for an answer")
+	k.output(c)
+}
+
+// output adds the choice of the output's form.
+func (k *client) output(c *cobra.Command) {
+	c.Flags().StringVar(&k.format, "output", "text", "text or json")
+}
+
+// users adds the flags of commands that talk to controllers.
+func (k *client) users(c *cobra.Command) {
+	k.flags(c, "127.0.0.1:8080", "a controller's bind address", 5*time.Second)
+	c.Flags().StringVar(&k.site, "site", "", "the folder of a site that silvergate up runs, instead of --address")
+}
+
+// addresses lists whom to ask, in turn.
+func (k *client) addresses() ([]string, error) {
+	if k.site == "" {
+		return []string{k.address}, nil
+	}
+	p, err := site.ReadPorts(k.site)
+	if err != nil {
+		return nil, err
+	}
+	return p.Addresses(), nil
+}
+
+// errAway is a failure that another controller, or a later try, may mend.
+var errAway = errors.New("no answer")
+
+// do sends a request to one controller after the other, until one answers.
+func (k *client) do(method, path string, body []byte) (*transport.Response, error) {
+	if k.format != "" && k.format != "text" && k.format != "json" {
+		return nil, fmt.Errorf("--output: must be text or json")
+	}
+	all, err := k.addresses()
+	if err != nil {
+		return nil, err
+	}
+	var last error
+	for _, a := range all {
+		stop := time.AfterFunc(k.timeout, func() { k.pool.Expire(time.Now().Add(k.timeout)) })
+		r, _, err := k.pool.Do(a, method, path, body, k.timeout)
+		stop.Stop()
+		if err != nil {
+			last = fmt.Errorf("%s: %w: %w", a, errAway, err)
+			continue
+		}
+		if r.Status == 200 || r.Status == 201 {
+			return r, nil
+		}
+		var p protocol.Problem
+		if json.Unmarshal(r.Body, &p) != nil || p.Error == "" {
+			p.Error = strings.TrimSpace(string(r.Body))
+		}
+		if r.RetryAfter > 0 {
+			p.Error += fmt.Sprintf(" (try again in %d s)", r.RetryAfter)
+		}
+		last = fmt.Errorf("%s: status %d: %s", a, r.Status, p.Error)
+		if r.Status == 429 || r.Status >= 500 {
+			last = fmt.Errorf("%w: %w", errAway, last)
+			continue
+		}
+		return r, last
+	}
+	return nil, last
+}
+
+func (k *client) get(path string, v any) error {
+	r, err := k.do("GET", path, nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(r.Body, v)
+}
+
+func (k *client) post(path string, body, v any) error {
+	r, err := k.do("POST", path, protocol.Encode(body))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(r.Body, v)
+}
+
+// show prints a result as a person or a program wants it.
+func (k *client) show(c *cobra.Command, v any, text string) error {
+	if k.format == "json" {
+		return json.NewEncoder(c.OutOrStdout()).Encode(v)
+	}
+	_, err := fmt.Fprintln(c.OutOrStdout(), text)
+	return err
+}
+
+// jobFile is a job as people write it: the protocol's fields in YAML, of which
+// those that have a usual value may be left out.
+type jobFile struct {
+	Ref      string            `yaml:"ref" json:"ref"`
+	JobClass string            `yaml:"jobclass" json:"jobclass"`
+	Crew     string            `yaml:"crew" json:"crew"`
+	Shape    string            `yaml:"shape" json:"shape"`
+	Urgency  string            `yaml:"urgency" json:"urgency"`
+	Loads    int64             `yaml:"loads" json:"loads"`
+	CPUs     float64           `yaml:"cpus" json:"cpus"`
+	GPUs     float64           `yaml:"accelerators" json:"accelerators"`
+	RAM      float64           `yaml:"ramGb" json:"ramGb"`
+	Kit      string            `yaml:"kit" json:"kit"`
+	Size     float64           `yaml:"sizeGb" json:"sizeGb"`
+	Rigs     []string          `yaml:"rigs" json:"rigs"`
+	Depot    *string           `yaml:"depot" json:"depot"`
+	OneZone  bool              `yaml:"oneZone" json:"oneZone"`
+	Apart    bool              `yaml:"apart" json:"apart"`
+	Casual   bool              `yaml:"casual" json:"casual"`
+	Eta      float64           `yaml:"etaS" json:"etaS"`
+	Waypoint float64           `yaml:"waypointS" json:"waypointS"`
+	Stow     float64           `yaml:"stowS" json:"stowS"`
+	Due      *float64          `yaml:"dueS" json:"dueS"`
+	Command  []string          `yaml:"command" json:"command,omitempty"`
+	Env      map[string]string `yaml:"env" json:"env,omitempty"`
+	Inputs   []struct {
+		Set     string `yaml:"set" json:"set"`
+		Version string `yaml:"version" json:"version"`
+		Place   string `yaml:"place" json:"place"`
+	} `yaml:"inputs" json:"inputs,omitempty"`
+}
+
+// newRef draws a job id.
+func newRef() (string, error) {
+	n, err := rand.Int(rand.Reader, big.NewInt(1e15))
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("wk-%015d", n), nil
+}
+
+// readJob reads a job in JSON, or in YAML with its usual values filled in.
+func readJob(raw []byte) ([]byte, error) {
+	if t := strings.TrimLeft(string(raw), " \t\r\n"); strings.HasPrefix(t, "{") {
+		_, err := protocol.ParseRun(raw)
+		if err == nil {
+			_, err = protocol.ParseExtra(raw)
+		}
+		return raw, err
+	}
+	j := jobFile{JobClass: "batch", Shape: "batch", Urgency: "standard", Loads: 1, CPUs: 1, RAM: 0.1, Kit: "base", Eta: 60}
+	if err := config.DecodeYAML(raw, &j); err != nil {
+		return nil, err
+	}
+	if j.Ref == "" {
+		var err error
+		if j.Ref, err = newRef(); err != nil {
+			return nil, err
+		}
+	}
+	body, err := json.Marshal(j)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := protocol.ParseRun(body); err != nil {
+		return nil, err
+	}
+	_, err = protocol.ParseExtra(body)
+	return body, err
+}
+
+// submit submits a job as the protocol has users do it: the same request again
+// for up to a minute.
+func (k *client) submit(body []byte) (protocol.RunState, error) {
+	var s protocol.RunState
+	until := time.Now().Add(time.Minute)
+	for {
+		r, err := k.do("POST", protocol.PathRuns, body)
+		if err == nil {
+			return s, json.Unmarshal(r.Body, &s)
+		}
+		// One refusal is told at once: a person would rather know.
+		if !errors.Is(err, errAway) || k.site == "" || time.Now().After(until) {
+			return s, err
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// wait polls until a job is over, or limit has passed (0: for ever).
+func (k *client) wait(ref string, limit time.Duration, each func(protocol.RunState)) (protocol.RunState, error) {
+	begin := time.Now()
+	for {
+		var s protocol.RunState
+		err := k.get(protocol.PathRuns+"/"+ref, &s)
+		switch {
+		case err == nil:
+			each(s)
+			if s.Status == "done" || s.Status == "cancelled" {
+				return s, nil
+			}
+		case !errors.Is(err, errAway):
+			return s, err
+		}
+		if limit > 0 && time.Since(begin) > limit {
+			return s, exitCode{exitLate, fmt.Errorf("%s is not over after %s", ref, limit)}
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+func (k *client) submitCommand() *cobra.Command {
+	var wait bool
+	var limit time.Duration
+	c := &cobra.Command{
+		Use: "submit FILE", Short: "Submit the job in a YAML or JSON file (- for standard input)", Args: cobra.ExactArgs(1),
+		Long: `submit submits a job. In YAML, fields with a usual value may be left out, and
+an id is drawn when there is none. With --wait it waits until the job is over:
+status 0 when it is done, 4 when it was cancelled, 5 when --limit has passed.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			var raw []byte
+			var err error
+			if args[0] == "-" {
+				raw, err = io.ReadAll(io.LimitReader(c.InOrStdin(), 1<<20))
+			} else {
+				raw, err = os.ReadFile(args[0])
+			}
+			if err != nil {
+				return err
+			}
+			body, err := readJob(raw)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			if len(body) > protocol.MaxBody {
+				return fmt.Errorf("%s: larger than %d bytes", args[0], protocol.MaxBody)
+			}
+			s, err := k.submit(body)
+			if err != nil {
+				return err
+			}
+			if wait {
+				last := ""
+				s, err = k.wait(s.Ref, limit, func(s protocol.RunState) {
+					if now := describe(s); now != last {
+						fmt.Fprintln(c.ErrOrStderr(), now)
+						last = now
+					}
+				})
+				if err != nil {
+					return err
+				}
+			}
+			if err := k.show(c, s, describe(s)); err != nil {
+				return err
+			}
+			if wait && s.Status == "cancelled" {
+				return exitCode{exitCancelled, fmt.Errorf("%s was cancelled", s.Ref)}
+			}
+			return nil
+		},
+	}
+	k.users(c)
+	c.Flags().BoolVar(&wait, "wait", false, "wait until the job is over")
+	c.Flags().DurationVar(&limit, "limit", 0, "with --wait: how long; 0 is for ever")
+	return c
+}
+
+// describe tells a job's state in a line.
+func describe(s protocol.RunState) string {
+	line := s.Ref + " " + s.Status
+	if s.Done != nil && s.Running != nil {
+		line += fmt.Sprintf(", %d done, %d running", *s.Done, *s.Running)
+	}
+	return line
+}
+
+func (k *client) byRef(use, short, method, suffix string) *cobra.Command {
+	c := &cobra.Command{
+		Use: use, Short: short, Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if !protocol.ValidRef(args[0]) {
+				return fmt.Errorf("%q is no job id: it has the form wk-000412", args[0])
+			}
+			r, err := k.do(method, protocol.PathRuns+"/"+args[0]+suffix, nil)
+			if err != nil {
+				return err
+			}
+			var s protocol.RunState
+			if err := json.Unmarshal(r.Body, &s); err != nil {
+				return err
+			}
+			return k.show(c, s, describe(s))
+		},
+	}
+	k.users(c)
+	return c
+}
+
+// table prints rows in aligned columns.
+func table(w io.Writer, head string, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, strings.ReplaceAll(head, " ", "\t"))
+	for _, r := range rows {
+		fmt.Fprintln(t, strings.Join(r, "\t"))
+	}
+	return t.Flush()
+}
+
+// maxPages bounds how long a list is followed.
+const maxPages = 10_000
+
+func (k *client) jobsCommand() *cobra.Command {
+	var all bool
+	c := &cobra.Command{
+		Use: "jobs", Short: "List the jobs that are not over, and what they wait for", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			jobs := []protocol.JobLine{}
+			for from, n := "", 0; n < maxPages; n++ {
+				var p protocol.JobPage
+				if err := k.get(fmt.Sprintf("%s?from=%s&all=%t", protocol.PathJobs, url.QueryEscape(from), all), &p); err != nil {
+					return err
+				}
+				jobs = append(jobs, p.Jobs...)
+				if !p.Truncated || len(p.Jobs) == 0 {
+					break
+				}
+				from = p.Jobs[len(p.Jobs)-1].Ref
+			}
+			if k.format == "json" {
+				return json.NewEncoder(c.OutOrStdout()).Encode(jobs)
+			}
+			var rows [][]string
+			for _, j := range jobs {
+				rows = append(rows, []string{j.Ref, j.Status, j.Urgency, j.JobClass, j.Crew, j.Shape, fmt.Sprintf("%d/%d", j.Done, j.Loads), fmt.Sprint(j.Running), age(j.AgeS), j.Waits})
+			}
+			return table(c.OutOrStdout(), "JOB STATUS URGENCY CLASS TEAM SHAPE DONE RUNNING AGE WAITS-FOR", rows)
+		},
+	}
+	k.users(c)
+	c.Flags().BoolVar(&all, "all", false, "also those that are over")
+	return c
+}
+
+// age is a duration to one unit.
+func age(s float64) string {
+	switch d := time.Duration(s * float64(time.Second)); {
+	case d < time.Minute:
+		return fmt.Sprintf("%ds", int(d.Seconds()))
+	case d < time.Hour:
+		return fmt.Sprintf("%dm", int(d.Minutes()))
+	default:
+		return fmt.Sprintf("%dh", int(d.Hours()))
+	}
+}
+
+func (k *client) nodesCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "nodes", Short: "List the machines, what they hold and who leads them", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			nodes := []protocol.NodeLine{}
+			for from, n := "", 0; n < maxPages; n++ {
+				var p protocol.NodePage
+				if err := k.get(fmt.Sprintf("%s?from=%s", protocol.PathNodes, url.QueryEscape(from)), &p); err != nil {
+					return err
+				}
+				nodes = append(nodes, p.Nodes...)
+				if !p.Truncated || len(p.Nodes) == 0 {
+					break
+				}
+				from = p.Nodes[len(p.Nodes)-1].Stoker
+			}
+			if k.format == "json" {
+				return json.NewEncoder(c.OutOrStdout()).Encode(nodes)
+			}
+			var rows [][]string
+			for _, n := range nodes {
+				kind := "ordinary"
+				if n.Casual {
+					kind = "spot"
+				}
+				rows = append(rows, []string{n.Stoker, n.Rig, n.Depot, kind, n.Status, fmt.Sprint(n.Loads), fmt.Sprintf("%g/%g", n.CPUs, n.CPUsAll),
+					fmt.Sprintf("%g/%g", n.GPUs, n.GPUsAll), fmt.Sprintf("%.3g/%g", n.RAM, n.RAMAll), n.Owner, n.Address})
+			}
+			return table(c.OutOrStdout(), "MACHINE TYPE ZONE KIND STATUS TASKS CPUS ACCELERATORS RAM-GB CONTROLLER ADDRESS", rows)
+		},
+	}
+	k.users(c)
+	return c
+}
+
+// clientCommands talk to a running service the way its users do.
+func clientCommands() []*cobra.Command {
+	stats := newClient()
+	st := &cobra.Command{
+		Use: "stats", Short: "Show a controller's counters and latencies", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			r, err := stats.do("GET", "/stats", nil)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), strings.TrimSpace(string(r.Body)))
+			return nil
+		},
+	}
+	stats.users(st)
+	return []*cobra.Command{
+		newClient().submitCommand(),
+		newClient().byRef("show JOB", "Show a job's state", "GET", ""),
+		newClient().byRef("cancel JOB", "Cancel a job", "POST", "/"+protocol.PathAbort),
+		newClient().jobsCommand(),
+		newClient().nodesCommand(),
+		st,
+	}
+}
--- a/cmd/silvergate/main.go
+++ b/cmd/silvergate/main.go
@@ -10,6 +10,6 @@
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "silvergate:", err)
-		os.Exit(1)
+		os.Exit(statusOf(err))
 	}
 }
--- /dev/null
+++ b/cmd/silvergate/parts.go
@@ -0,0 +1,293 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"silvergate/internal/agent"
+	"silvergate/internal/config"
+	"silvergate/internal/metrics"
+	"silvergate/internal/proc"
+	"silvergate/internal/provider"
+	"silvergate/internal/statestore"
+)
+
+// settingsFlag adds the flag for a part's YAML file.
+func settingsFlag(c *cobra.Command, path *string) {
+	c.Flags().StringVar(path, "settings", "", "the part's settings file (YAML); unknown keys are refused")
+	_ = c.MarkFlagRequired("settings")
+}
+
+// readSettings reads a part's YAML over its defaults.
+func readSettings(path string, v any) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if err := config.DecodeYAML(raw, v); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+// untilTold calls stop at the first SIGTERM or SIGINT.
+func untilTold(stop func()) {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-told
+		stop()
+	}()
+}
+
+func partLogger(part string) *slog.Logger {
+	return newLogger(os.Getenv("LOG_LEVEL")).With("part", part)
+}
+
+// scrape answers GET /metrics of a part that serves by itself.
+func scrape(page *metrics.Page, log *slog.Logger, answer func(id uint64, contentType string, body []byte)) func(id uint64, method, path string) bool {
+	return func(id uint64, method, path string) bool {
+		if path != metrics.Path || method != "GET" {
+			return false
+		}
+		kind, body, err := page.Render()
+		if err != nil {
+			log.Error("metrics can't be shown", "err", err)
+			return false
+		}
+		answer(id, kind, body)
+		return true
+	}
+}
+
+// stateCommands are the state service and the care of its file.
+func stateCommands() *cobra.Command {
+	cmd := &cobra.Command{Use: "state", Short: "The state service: serve, back up, restore, check"}
+	var settings string
+	serve := &cobra.Command{
+		Use: "serve --settings FILE", Short: "Serve the state service", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if err := proc.Hold(); err != nil {
+				return err
+			}
+			cfg := statestore.DefaultConfig()
+			if err := readSettings(settings, &cfg); err != nil {
+				return err
+			}
+			log := partLogger("state")
+			s, err := statestore.Open(cfg, log)
+			if err != nil {
+				return err
+			}
+			if cfg.Metrics {
+				s.Extra = scrape(metrics.New("state", func() []metrics.Figure { return stateFigures(s.Stats()) }), log, s.AnswerAs)
+			}
+			untilTold(s.Stop)
+			return s.Run(nil)
+		},
+	}
+	settingsFlag(serve, &settings)
+	client := newClient()
+	backup := &cobra.Command{
+		Use: "backup NAME", Short: "Write a consistent snapshot into the service's backup folder, while it serves", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			var saved statestore.Saved
+			if err := client.post(statestore.PathBackup, statestore.Backup{Name: args[0]}, &saved); err != nil {
+				return err
+			}
+			return client.show(c, saved, fmt.Sprintf("%s: %d keys at revision %d, %d bytes", saved.File, saved.Keys, saved.Ledger, saved.Bytes))
+		},
+	}
+	client.flags(backup, "127.0.0.1:2379", "the state service's address", time.Minute)
+	var dir string
+	restore := &cobra.Command{
+		Use: "restore BACKUP --dir DIR", Short: "Make a store in an empty folder from a backup", Args: cobra.ExactArgs(1),
+		Long: `restore makes a store from a backup, in a folder that has none: an existing
+store is never replaced. All keys get new revisions above any that the lost
+store can have given out, so that nobody goes on with an old one. What was
+accepted after the backup is lost.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			saved, err := statestore.Restore(args[0], dir)
+			if err != nil {
+				return err
+			}
+			return client.show(c, saved, fmt.Sprintf("%s: %d keys at revision %d, %d bytes", saved.File, saved.Keys, saved.Ledger, saved.Bytes))
+		},
+	}
+	restore.Flags().StringVar(&dir, "dir", "", "the folder for the new store")
+	_ = restore.MarkFlagRequired("dir")
+	client.output(restore)
+	check := &cobra.Command{
+		Use: "check FILE", Short: "Read all of a store's file or a backup and compare it with its checksums", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			path := args[0]
+			if info, err := os.Stat(path); err == nil && info.IsDir() {
+				path = filepath.Join(path, statestore.FileName)
+			}
+			saved, err := statestore.Check(path)
+			if err != nil {
+				return err
+			}
+			return client.show(c, saved, fmt.Sprintf("%s is sound: %d keys at revision %d, %d bytes", saved.File, saved.Keys, saved.Ledger, saved.Bytes))
+		},
+	}
+	client.output(check)
+	cmd.AddCommand(serve, backup, restore, check)
+	return cmd
+}
+
+func stateFigures(s statestore.Stats) []metrics.Figure {
+	return []metrics.Figure{
+		{Name: "state_requests", Help: "Requests taken.", Value: float64(s.Requests), Count: true},
+		{Name: "state_refused", Help: "Requests refused for the rates or for a slow disk.", Value: float64(s.Refused), Count: true},
+		{Name: "state_commits", Help: "Syncs of the file.", Value: float64(s.Commits), Count: true},
+		{Name: "state_commit_seconds", Help: "Time spent in them.", Value: s.CommitS, Count: true},
+		{Name: "state_changes", Help: "Changes of keys.", Value: float64(s.Changes), Count: true},
+		{Name: "state_ledger", Help: "Revision of the last change.", Value: float64(s.Ledger)},
+		{Name: "state_keys", Help: "Keys.", Value: float64(s.Keys)},
+		{Name: "state_grants", Help: "Leases.", Value: float64(s.Grants)},
+		{Name: "state_watches", Help: "Open watches.", Value: float64(s.Watches)},
+		{Name: "state_queued", Help: "Changes that wait for the disk.", Value: float64(s.Queued)},
+	}
+}
+
+// providerCommand is the cloud of local machines.
+func providerCommand() *cobra.Command {
+	var settings string
+	cmd := &cobra.Command{
+		Use: "provider --settings FILE", Short: "Serve a cloud whose machines are agents on this machine", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if err := proc.Hold(); err != nil {
+				return err
+			}
+			cfg := provider.DefaultConfig()
+			if err := readSettings(settings, &cfg); err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			log := partLogger("cloud")
+			p, err := provider.Open(cfg, self, log)
+			if err != nil {
+				return err
+			}
+			if cfg.Metrics {
+				p.Extra = scrape(metrics.New("cloud", func() []metrics.Figure { return providerFigures(p.Stats()) }), log, p.AnswerAs)
+			}
+			untilTold(p.Stop)
+			return p.Run(nil)
+		},
+	}
+	settingsFlag(cmd, &settings)
+	return cmd
+}
+
+func providerFigures(s provider.Stats) []metrics.Figure {
+	out := []metrics.Figure{
+		{Name: "cloud_requests", Help: "Requests taken.", Value: float64(s.Requests), Count: true},
+		{Name: "cloud_refused", Help: "Requests refused for the rate or for want of machines.", Value: float64(s.Refused), Count: true},
+		{Name: "cloud_rented", Help: "Machines rented.", Value: float64(s.Rented), Count: true},
+		{Name: "cloud_ended", Help: "Machines ended.", Value: float64(s.Ended), Count: true},
+		{Name: "cloud_agent_deaths", Help: "Agents that ended without having been told to.", Value: float64(s.Restarted), Count: true},
+		{Name: "cloud_paid", Help: "Cost of all machines since the start, in the price list's money.", Value: s.Paid, Count: true},
+	}
+	for status, n := range s.Machines {
+		out = append(out, metrics.Figure{Name: "cloud_machines", Help: "Machines by status.", Value: float64(n), Labels: map[string]string{"status": status}})
+	}
+	return out
+}
+
+// agentCommands are a machine's agent and what it starts.
+func agentCommands() []*cobra.Command {
+	var settings string
+	run := &cobra.Command{
+		Use: "agent --settings FILE", Short: "Run this machine's tasks for the controllers", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if err := proc.Hold(); err != nil {
+				return err
+			}
+			cfg := agent.DefaultConfig()
+			if err := readSettings(settings, &cfg); err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			log := partLogger("agent").With("stoker", cfg.Stoker)
+			a, err := agent.New(cfg, self, log)
+			if err != nil {
+				return err
+			}
+			if cfg.Metrics {
+				a.Extra = scrape(metrics.New("agent", func() []metrics.Figure { return agentFigures(a.Stats()) }), log, a.AnswerAs)
+			}
+			untilTold(a.Stop)
+			return a.Run()
+		},
+	}
+	settingsFlag(run, &settings)
+	return []*cobra.Command{run, {
+		Use: "task-exec FILE", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return agent.ExecTask(args[0]) },
+	}, {
+		Use: "agent-watchdog DIR", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return agent.Watchdog(args[0], os.Stdin) },
+	}}
+}
+
+func agentFigures(s agent.Stats) []metrics.Figure {
+	out := []metrics.Figure{
+		{Name: "agent_reports", Help: "Reports sent.", Value: float64(s.Reports), Count: true},
+		{Name: "agent_reports_answered", Help: "Reports answered with 200.", Value: float64(s.Answered), Count: true},
+		{Name: "agent_launched", Help: "Programs started.", Value: float64(s.Launched), Count: true},
+		{Name: "agent_sessions", Help: "Sessions begun in this life.", Value: float64(s.Sessions), Count: true},
+		{Name: "agent_loads", Help: "Attempts on the machine, those that are over included.", Value: float64(s.Loads)},
+		{Name: "agent_loads_live", Help: "Attempts that are not over.", Value: float64(s.Live)},
+		{Name: "agent_resident_bytes", Help: "Resident memory of all tasks.", Value: float64(s.Usage.RSS)},
+		{Name: "agent_processes", Help: "Processes of all tasks.", Value: float64(s.Usage.Members)},
+	}
+	for cause, n := range s.Endings {
+		out = append(out, metrics.Figure{Name: "agent_endings", Help: "Attempts that are over, by cause.", Value: float64(n), Count: true, Labels: map[string]string{"cause": cause}})
+	}
+	return out
+}
+
+// exitCode is a status that an error ends the program with.
+type exitCode struct {
+	code int
+	err  error
+}
+
+func (e exitCode) Error() string { return e.err.Error() }
+func (e exitCode) Unwrap() error { return e.err }
+
+// Exit statuses, as docs/site.md lists them.
+const (
+	exitFailure   = 1
+	exitDamaged   = 3
+	exitCancelled = 4
+	exitLate      = 5
+)
+
+// statusOf is the exit status for an error.
+func statusOf(err error) int {
+	var x exitCode
+	switch {
+	case errors.As(err, &x):
+		return x.code
+	case errors.Is(err, statestore.ErrDamaged):
+		return exitDamaged
+	}
+	return exitFailure
+}
--- a/cmd/silvergate/serve.go
+++ b/cmd/silvergate/serve.go
@@ -12,6 +12,7 @@
 
 	"silvergate/internal/config"
 	"silvergate/internal/coordination"
+	"silvergate/internal/metrics"
 	"silvergate/internal/protocol"
 	"silvergate/internal/transport"
 )
@@ -25,6 +26,7 @@
 	core   *coordination.Core
 	start  time.Time
 	server *transport.Server
+	page   *metrics.Page // nil: off
 	state  *transport.Pool
 	cloud  *transport.Pool
 	work   *transport.Pool
@@ -66,6 +68,9 @@
 	}
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), uint64(n.start.UnixNano())))
 	n.core = coordination.New(cfg, n.log, rnd, n.start.UnixNano())
+	if cfg.Operator.Metrics {
+		n.page = metrics.New(cfg.Node, n.figures)
+	}
 	n.server = transport.NewServer(&n.mu, n, 10*time.Second, 8*tenth)
 	n.mu.Lock()
 	n.tick = time.AfterFunc(0, n.onTick)
@@ -82,7 +87,41 @@
 
 // Serve takes a request from the server, which holds the lock.
 func (n *node) Serve(id uint64, r *transport.Request) {
-	n.do(n.core.Request(n.clock(), id, r.Method, r.Path, r.Body))
+	path := r.Path
+	switch {
+	case n.page != nil && path == metrics.Path:
+		kind, body, err := n.page.Render()
+		if err == nil {
+			n.server.AnswerAs(id, kind, body)
+			return
+		}
+		n.log.Error("metrics can't be shown", "err", err)
+	case r.Query != "" && (path == protocol.PathJobs || path == protocol.PathNodes):
+		path += "?" + r.Query
+	}
+	n.do(n.core.Request(n.clock(), id, r.Method, path, r.Body))
+}
+
+// figures are the core's counters for GET /metrics.
+func (n *node) figures() []metrics.Figure {
+	s := &n.core.Stats
+	counts := map[string]struct {
+		help string
+		v    uint64
+	}{
+		"submitted": {"Jobs accepted.", s.Submitted}, "cancelled": {"Jobs cancelled.", s.Cancelled},
+		"checkins": {"Reports taken.", s.Checkins}, "claims": {"Claims written.", s.Claims}, "adopted": {"Workers gone on with.", s.Adopted},
+		"placements": {"Tasks placed.", s.Placements}, "endings": {"Endings committed.", s.Endings},
+		"conflicts": {"Transactions that others were ahead of.", s.Conflicts}, "forwards": {"Tasks handed to peers.", s.Forwards},
+		"preemptions": {"Tasks stopped for others.", s.Preemptions}, "rented": {"Machines rented.", s.Rented}, "deleted": {"Machines returned.", s.Deleted},
+		"unavailable": {"Requests answered with 503.", s.Unavailable},
+	}
+	out := []metrics.Figure{{Name: "controller_longest_step_seconds", Help: "The longest step so far.", Value: s.LongestStepMS / 1000},
+		{Name: "controller_uptime_seconds", Help: "Time since the start.", Value: time.Since(n.start).Seconds()}}
+	for name, c := range counts {
+		out = append(out, metrics.Figure{Name: "controller_" + name, Help: c.help, Value: float64(c.v), Count: true})
+	}
+	return out
 }
 
 // Decode reads a peer's message.
--- /dev/null
+++ b/deploy/deploy.go
@@ -0,0 +1,9 @@
+// Package deploy holds the files that parts of silvergate are enabled with.
+package deploy
+
+import _ "embed"
+
+// Up is the site that `silvergate up` runs unless it is told another.
+//
+//go:embed up.yaml
+var Up []byte
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,9 @@
+// Package examples holds jobs to begin with.
+package examples
+
+import _ "embed"
+
+// Hello is hello.yaml.
+//
+//go:embed hello.yaml
+var Hello []byte
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,772 @@
+// Package agent is silvergate's worker on a real machine: it reports to the
+// controllers, runs tasks as process groups and ends them whole.
+//
+// Worker is the protocol, a state machine without I/O that owns the attempts;
+// runner owns processes; images owns the cache of images; outside is what
+// outlives the machine. Agent connects them to the network and the clock.
+//
+// Nothing runs longer than the machine's lease: when the agent hangs or is
+// gone, a watchdog process of its own ends all tasks. A restarted agent ends
+// what an earlier one left and begins a new session after that, so the new
+// session is evidence that the old one's tasks are gone.
+package agent
+
+import (
+	"encoding/gob"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"silvergate/internal/job"
+	"silvergate/internal/proc"
+	"silvergate/internal/protocol"
+	"silvergate/internal/transport"
+)
+
+// Config is what an agent is told, in YAML.
+type Config struct {
+	Stoker string `yaml:"stoker"`
+	Rig    string `yaml:"rig"`
+	Depot  string `yaml:"depot"`
+	Casual bool   `yaml:"casual"`
+	// Listen is the address for direct commands; with port 0 the system
+	// chooses one, which is kept for the machine's life.
+	Listen string `yaml:"listen"`
+	// Dir is the machine's folder. It must be absolute.
+	Dir         string   `yaml:"dir"`
+	Controllers []Node   `yaml:"controllers"`
+	Workers     Periods  `yaml:"workers"`
+	Room        Room     `yaml:"room"`
+	LocalGB     float64  `yaml:"localGb"` // room for images
+	Images      []Image  `yaml:"images"`
+	Outside     string   `yaml:"outside"` // folder that all machines share
+	Nice        NiceBy   `yaml:"nice"`
+	OpenFiles   uint64   `yaml:"open_files"` // limit of each task; 0: as inherited
+	Metrics     bool     `yaml:"metrics"`
+	Environment []string `yaml:"environment"` // NAME=value, for every task
+	// GiveUpS is how long after its last answered report the agent ends, in
+	// seconds; 0: never.
+	GiveUpS float64 `yaml:"give_up_s"`
+}
+
+// NiceBy is the nice level of tasks by urgency.
+type NiceBy struct {
+	Prod     int `yaml:"prod"`
+	Urgent   int `yaml:"urgent"`
+	Standard int `yaml:"standard"`
+	Idle     int `yaml:"idle"`
+}
+
+func (n NiceBy) of(urgency string) int {
+	switch urgency {
+	case "prod":
+		return n.Prod
+	case "urgent":
+		return n.Urgent
+	case "standard":
+		return n.Standard
+	}
+	return n.Idle
+}
+
+// DefaultConfig returns what holds for fields that a file does not name.
+func DefaultConfig() Config {
+	return Config{Listen: "127.0.0.1:0", Workers: Periods{3, 18, 35, 4}, LocalGB: 10, Nice: NiceBy{0, 0, 5, 15}, OpenFiles: 4096}
+}
+
+// Check names the first field that can't be.
+func (c *Config) Check() error {
+	switch {
+	case !protocol.ValidName(c.Stoker):
+		return errors.New("stoker: missing or not a name")
+	case c.Rig == "":
+		return errors.New("rig: missing")
+	case c.Depot == "":
+		return errors.New("depot: missing")
+	case !filepath.IsAbs(c.Dir):
+		return errors.New("dir: must be absolute")
+	case c.Outside != "" && !filepath.IsAbs(c.Outside):
+		return errors.New("outside: must be absolute")
+	case len(c.Controllers) == 0:
+		return errors.New("controllers: missing")
+	case !(c.LocalGB > 0):
+		return errors.New("localGb: must be above 0")
+	}
+	for i, n := range c.Controllers {
+		if n.Name == "" {
+			return fmt.Errorf("controllers[%d].node_name: missing", i)
+		}
+		if _, err := netip.ParseAddrPort(n.Address); err != nil {
+			return fmt.Errorf("controllers[%d].address: %q is not an IP address with a port", i, n.Address)
+		}
+	}
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{{"workers.report_s", c.Workers.Report}, {"workers.lease_s", c.Workers.Lease}, {"workers.gang_wait_s", c.Workers.GangWait},
+		{"workers.gang_peer_s", c.Workers.GangPeer}, {"room.cpus", c.Room.CPUs}, {"room.ramGb", c.Room.RAM}} {
+		if !(f.v > 0) {
+			return fmt.Errorf("%s: must be above 0", f.name)
+		}
+	}
+	return CheckImages(c.Images)
+}
+
+// Files of a machine's folder that others read.
+const (
+	// AddressFile holds the address for direct commands once it is known.
+	AddressFile = "address"
+	// RecallFile holds the time, in milliseconds of the day's clock, at which
+	// the cloud takes the machine back. The provider writes it.
+	RecallFile = "recall"
+	stateFile  = "worker.json"
+)
+
+// kept is what an agent must know after it was killed.
+type kept struct {
+	Shift uint64 `json:"shift"`
+	Baton uint64 `json:"baton"`
+	Port  int    `json:"port"`
+}
+
+// Stats counts what an agent did.
+type Stats struct {
+	Reports, Answered, Launched, Sessions uint64
+	Endings                               map[string]uint64 // by cause
+	Loads, Live                           int
+	Usage                                 proc.Usage
+}
+
+// Agent is a running worker.
+type Agent struct {
+	cfg    Config
+	log    *slog.Logger
+	exec   []string // starts this program for a task; see ExecTask
+	guard  []string // starts it as a watchdog; see Watchdog
+	server *transport.Server
+	pool   *transport.Pool
+	run    *runner
+	images *images
+	out    outside
+	begun  time.Duration // boot clock
+
+	mu      sync.Mutex
+	w       *Worker
+	kept    kept
+	timer   *time.Timer
+	swept   time.Time
+	heard   time.Duration // when a report was last answered
+	places  map[Key][]protocol.GangPlace
+	before  map[Key]int   // a task's newest checkpoint when it was told to stop
+	watch   *os.File      // to the watchdog
+	told    time.Duration // the end of the lease, as the watchdog knows it
+	stats   Stats
+	stopped bool
+	failed  error
+	// Extra answers paths that are not the protocol's, such as /metrics.
+	Extra func(id uint64, method, path string) bool
+}
+
+// New makes an agent. self is this program; it is started again for each task.
+func New(cfg Config, self string, log *slog.Logger) (*Agent, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(filepath.Join(cfg.Dir, tasksDir), 0o700); err != nil {
+		return nil, err
+	}
+	a := &Agent{cfg: cfg, log: log, pool: transport.NewPool(32), out: outside{cfg.Outside}, begun: bootClock(),
+		exec: []string{self, "task-exec"}, guard: []string{self, "agent-watchdog", cfg.Dir},
+		places: map[Key][]protocol.GangPlace{}, before: map[Key]int{}}
+	a.stats.Endings = map[string]uint64{}
+	raw, err := os.ReadFile(filepath.Join(cfg.Dir, stateFile))
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+	case err != nil:
+		return nil, err
+	default:
+		if err := json.Unmarshal(raw, &a.kept); err != nil {
+			return nil, fmt.Errorf("%s: damaged: %w; return the machine to its provider", filepath.Join(cfg.Dir, stateFile), err)
+		}
+	}
+	a.run = &runner{dir: cfg.Dir, exec: a.exec, log: log, tasks: map[Key]*task{}, exited: a.exited}
+	if a.images, err = newImages(filepath.Join(cfg.Dir, "images"), int64(cfg.LocalGB*1e9), cfg.Images); err != nil {
+		return nil, err
+	}
+	a.images.wanted = func(name string) bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.w.Wanted(name)
+	}
+	a.images.evicted = func(name string) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.w.Evicted(name)
+	}
+	a.server = transport.NewServer(&a.mu, a, 10*time.Second, 256)
+	return a, nil
+}
+
+func (a *Agent) clock() time.Duration { return bootClock() - a.begun }
+
+// keep makes the session's number, the token and the port durable.
+func (a *Agent) keep() {
+	raw, err := json.Marshal(a.kept)
+	if err == nil {
+		err = renameio.WriteFile(filepath.Join(a.cfg.Dir, stateFile), raw, 0o600)
+	}
+	if err != nil {
+		a.fail(err)
+	}
+}
+
+// fail ends the agent, and with it, by the watchdog, its tasks: a machine that
+// can't keep its session's number must not go on under it.
+func (a *Agent) fail(err error) {
+	if a.failed == nil {
+		a.failed = err
+		a.log.Error("ending", "err", err)
+		go a.server.Stop()
+	}
+}
+
+// Run serves until Stop is called or the machine fails.
+func (a *Agent) Run() error {
+	a.run.clear() // whatever an earlier agent left
+	if err := a.startWatchdog(); err != nil {
+		return fmt.Errorf("watchdog: %w", err)
+	}
+	listen := a.cfg.Listen
+	if host, port, err := net.SplitHostPort(listen); err == nil && port == "0" && a.kept.Port != 0 {
+		listen = net.JoinHostPort(host, strconv.Itoa(a.kept.Port))
+	}
+	a.server.Ready = func(addrs []net.Addr) { a.begin(addrs[0].String()) }
+	err := a.server.Run(listen, "")
+	a.mu.Lock()
+	a.stopped = true
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	failed := a.failed
+	a.mu.Unlock()
+	a.run.clear()
+	a.watch.Close()
+	return errors.Join(failed, err)
+}
+
+// Stop ends the agent and its tasks, as a machine that is switched off.
+func (a *Agent) Stop() { a.server.Stop() }
+
+// begin starts the session; the server holds the lock.
+func (a *Agent) begin(address string) {
+	a.kept.Shift++
+	if ap, err := netip.ParseAddrPort(address); err == nil {
+		a.kept.Port = int(ap.Port())
+	}
+	a.keep()
+	if err := renameio.WriteFile(filepath.Join(a.cfg.Dir, AddressFile), []byte(address), 0o600); err != nil {
+		a.fail(err)
+	}
+	me := protocol.Report{Stoker: a.cfg.Stoker, Address: address, Rig: a.cfg.Rig, Depot: a.cfg.Depot, Casual: a.cfg.Casual}
+	a.begun = bootClock()
+	a.w = NewWorker(me, a.cfg.Room, a.cfg.Workers, a.cfg.Controllers, a.kept.Shift, a.kept.Baton, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	a.run.open(a.kept.Shift)
+	a.stats.Sessions++
+	a.log.Info("serving", "listen", address, "shift", a.kept.Shift)
+	a.timer = time.AfterFunc(0, a.tick)
+}
+
+func (a *Agent) startWatchdog() error {
+	r, w, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(a.guard[0], a.guard[1:]...)
+	cmd.Stdin, cmd.Stderr = r, os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	err = cmd.Start()
+	r.Close()
+	if err != nil {
+		w.Close()
+		return err
+	}
+	a.mu.Lock()
+	a.watch, a.told = w, 0
+	a.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		a.mu.Lock()
+		stopped := a.stopped
+		a.mu.Unlock()
+		if !stopped {
+			// Guards against tasks that nobody would end if the agent hung.
+			a.log.Error("the watchdog is gone; another is started")
+			time.Sleep(100 * time.Millisecond)
+			if err := a.startWatchdog(); err != nil {
+				a.mu.Lock()
+				a.fail(fmt.Errorf("watchdog: %w", err))
+				a.mu.Unlock()
+			}
+		}
+	}()
+	return nil
+}
+
+func (a *Agent) tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopped {
+		return
+	}
+	now := time.Now()
+	a.pool.Expire(now)
+	if now.Sub(a.swept) > seconds(a.cfg.Workers.Report/6) {
+		a.swept = now
+		a.server.Sweep(now)
+		a.stats.Usage = a.run.watch()
+		if at, ok := a.recall(); ok {
+			a.do(a.w.Recall(a.clock(), at))
+		}
+		// Guards against machines that go on for ever when the site that they
+		// belong to was killed and never started again.
+		if g := seconds(a.cfg.GiveUpS); g > 0 && a.clock() > a.heard+g {
+			a.log.Info("no controller answers; switching off", "seconds", a.cfg.GiveUpS)
+			a.cfg.GiveUpS = 0
+			go a.server.Stop()
+		}
+	}
+	a.do(a.w.Tick(a.clock()))
+}
+
+// recall reads the provider's notice.
+func (a *Agent) recall() (time.Duration, bool) {
+	raw, err := os.ReadFile(filepath.Join(a.cfg.Dir, RecallFile))
+	if err != nil {
+		return 0, false
+	}
+	ms, err := strconv.ParseInt(strings.TrimSpace(string(raw)), 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	return a.clock() + time.Until(time.UnixMilli(ms)), true
+}
+
+// do carries out effects; the lock is held.
+func (a *Agent) do(e Effects) {
+	if e.Token > a.kept.Baton {
+		a.kept.Baton = e.Token
+		a.keep()
+	}
+	if a.watch != nil && e.Lease != a.told {
+		// The worker itself ends tasks at this moment; the watchdog is for
+		// when it can't, a little later. It must not hold the agent up: one
+		// that hears nothing ends the tasks too early, not too late.
+		a.told = e.Lease
+		late := a.begun + e.Lease + seconds(a.cfg.Workers.Lease/100)
+		_ = a.watch.SetWriteDeadline(time.Now().Add(soonest))
+		_, _ = fmt.Fprintf(a.watch, "%d\n", int64(late))
+	}
+	if e.Clear {
+		a.log.Info("the lease is over", "shift", a.w.Session())
+		go a.clear()
+	}
+	for _, k := range e.Kill {
+		a.run.kill(k)
+	}
+	for _, k := range e.Stop {
+		a.before[k] = a.out.last(k.Job, k.Index)
+		a.run.signal(k, syscall.SIGTERM)
+	}
+	for _, k := range e.Save {
+		a.run.signal(k, syscall.SIGUSR1)
+	}
+	for _, name := range e.Leave {
+		a.images.leave(name)
+	}
+	for _, id := range e.Describe {
+		a.describe(id, 0)
+	}
+	for _, name := range e.Fetch {
+		a.log.Debug("fetching", "kit", name)
+		a.images.fetch(name, func(err error) {
+			if err != nil {
+				a.log.Error("image can't be had", "kit", name, "err", err)
+			}
+			a.step(func() Effects { return a.w.Fetched(a.clock(), name, err) })
+		})
+	}
+	for _, k := range e.Start {
+		a.stats.Launched++
+		d := a.w.Description(k.Job)
+		go a.start(a.w.Session(), k, d)
+	}
+	for _, k := range e.Ask {
+		go a.ask(k, a.w.Description(k.Job))
+	}
+	for _, k := range e.Forget {
+		delete(a.places, k)
+		delete(a.before, k)
+	}
+	if len(e.Forget) > 0 {
+		go a.run.prune()
+	}
+	if e.Report != nil {
+		a.send(e.Report)
+	}
+	if a.timer != nil && !a.stopped {
+		next := min(a.w.Due()-a.clock(), seconds(a.cfg.Workers.Report/6), time.Second)
+		a.timer.Reset(max(next, time.Millisecond))
+	}
+}
+
+// step feeds an event to the worker and carries out what follows.
+func (a *Agent) step(event func() Effects) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.stopped {
+		a.do(event())
+	}
+}
+
+func (a *Agent) send(s *Send) {
+	a.stats.Reports++
+	a.pool.Start(transport.Call{Addr: s.Node.Address, Method: http.MethodPost, Target: protocol.PathCheckin, Body: s.Body, Timeout: patience,
+		Done: func(r *transport.Response, _ bool, err error) {
+			a.step(func() Effects {
+				if err != nil {
+					a.log.Debug("report not answered", "node", s.Node.Name, "err", err)
+					return a.w.Answered(a.clock(), s, 0, nil)
+				}
+				if r.Status == http.StatusOK {
+					a.stats.Answered++
+					a.heard = a.clock()
+				}
+				return a.w.Answered(a.clock(), s, r.Status, r.Body)
+			})
+		}})
+}
+
+// clear ends the session's tasks and begins the next session.
+func (a *Agent) clear() {
+	a.run.clear()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopped {
+		return
+	}
+	a.kept.Shift = a.w.Session() + 1
+	a.keep()
+	if a.failed == nil {
+		a.stats.Sessions++
+		a.run.open(a.kept.Shift)
+		a.do(a.w.Cleared(a.clock()))
+	}
+}
+
+// describe asks one controller after the other for a job's description. The
+// first asked is the one that the worker reports to.
+func (a *Agent) describe(id string, asked int) {
+	n := len(a.cfg.Controllers)
+	node := a.cfg.Controllers[(a.w.node+asked)%n]
+	a.pool.Start(transport.Call{Addr: node.Address, Method: http.MethodGet, Target: protocol.PathRuns + "/" + id + "/" + protocol.PathDescription, Timeout: patience,
+		Done: func(r *transport.Response, _ bool, err error) {
+			var d protocol.Description
+			switch {
+			case err == nil && r.Status == http.StatusOK && protocol.Decode(r.Body, &d) == nil:
+				a.step(func() Effects { return a.w.Described(a.clock(), id, &d, false) })
+			case err == nil && r.Status == http.StatusNotFound:
+				a.step(func() Effects { return a.w.Described(a.clock(), id, nil, true) })
+			case asked+1 < n:
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				if !a.stopped {
+					a.describe(id, asked+1)
+				}
+			default:
+				a.log.Info("a job's description can't be had now", "job", id)
+				time.AfterFunc(seconds(a.cfg.Workers.Report/4), func() {
+					a.step(func() Effects { return a.w.Described(a.clock(), id, nil, false) })
+				})
+			}
+		}})
+}
+
+// start starts an attempt's program.
+func (a *Agent) start(session uint64, k Key, d *protocol.Description) {
+	if d == nil {
+		return
+	}
+	if d.Shape == job.Array && a.out.done(k.Job, k.Index) {
+		a.log.Info("done before", "load", k.Load(), "try", k.Try)
+		a.over(k, Exit{})
+		return
+	}
+	p, err := a.program(k, d)
+	if err == nil {
+		err = a.run.start(session, k, p, d.RAM)
+	}
+	if errors.Is(err, errSession) {
+		return
+	}
+	if err != nil {
+		a.log.Error("a task can't be started", "load", k.Load(), "try", k.Try, "err", err)
+		_ = os.WriteFile(filepath.Join(a.run.folder(k), stderr), []byte("silvergate: "+err.Error()+"\n"), 0o600)
+		a.over(k, Exit{Code: -1})
+		return
+	}
+	a.log.Info("started", "load", k.Load(), "try", k.Try, "command", p.Argv[0])
+	// A command that came while the process was being made found nobody.
+	a.mu.Lock()
+	l := a.w.loads[k]
+	late := l == nil || l.phase != running
+	a.mu.Unlock()
+	if late {
+		a.run.kill(k)
+	}
+}
+
+// program makes an attempt's folder and says what is to be run in it.
+func (a *Agent) program(k Key, d *protocol.Description) (p program, err error) {
+	folder, image, ok := a.images.folder(d.Kit)
+	if !ok {
+		return p, errors.New("its image was evicted")
+	}
+	dir := a.run.folder(k)
+	p.Dir = filepath.Join(dir, workDir)
+	if err := os.MkdirAll(p.Dir, 0o700); err != nil {
+		return p, err
+	}
+	x := d.Extra
+	if x == nil {
+		x = &job.Extra{}
+	}
+	if len(x.Inputs) > 0 {
+		return p, errors.New("inputs: this site has no data sets (staging is off)")
+	}
+	command := x.Command
+	if len(command) == 0 {
+		command = image.Command
+	}
+	if len(command) == 0 {
+		return p, fmt.Errorf("neither the job nor its image %s has a command", d.Kit)
+	}
+	p.Argv = append([]string(nil), command...)
+	if p.Argv[0], err = find(command[0], folder); err != nil {
+		return p, err
+	}
+	p.Nice, p.Files = a.cfg.Nice.of(d.Urgency), a.cfg.OpenFiles
+	env := map[string]string{"PATH": os.Getenv("PATH"), "HOME": p.Dir, "LANG": "C.UTF-8"}
+	for _, v := range a.cfg.Environment {
+		name, value, _ := strings.Cut(v, "=")
+		env[name] = value
+	}
+	for name, value := range x.Env {
+		env[name] = value
+	}
+	own := map[string]string{"JOB": k.Job, "TASK": strconv.Itoa(k.Index), "TRY": strconv.Itoa(k.Try), "LOADS": strconv.Itoa(d.Loads),
+		"IMAGE": folder, "MACHINE": a.cfg.Stoker, "ZONE": a.cfg.Depot, "CPUS": fmt.Sprint(d.CPUs), "ACCELERATORS": fmt.Sprint(d.GPUs), "RAM_GB": fmt.Sprint(d.RAM)}
+	if d.Waypoint > 0 && a.cfg.Outside != "" {
+		if own["CHECKPOINTS"], err = a.out.prepare(k.Job, k.Index); err != nil {
+			return p, err
+		}
+		if n := a.out.resume(k.Job, k.Index, d.Loads, d.Shape == job.Gang); n > 0 {
+			own["RESUME"] = strconv.Itoa(n)
+		}
+	}
+	for name, value := range own {
+		env[protocol.ReservedEnv+name] = value
+	}
+	env[proc.MarkEnv] = a.run.mark(k)
+	for _, name := range slices.Sorted(maps.Keys(env)) {
+		p.Env = append(p.Env, name+"="+env[name])
+	}
+	return p, nil
+}
+
+// find looks a program up: in the image, then where the agent finds its own.
+func find(name, image string) (string, error) {
+	if filepath.IsAbs(name) {
+		return name, nil
+	}
+	if image != "" && filepath.IsLocal(name) {
+		for _, p := range []string{filepath.Join(image, name), filepath.Join(image, "bin", name)} {
+			if info, err := os.Stat(p); err == nil && !info.IsDir() {
+				return p, nil
+			}
+		}
+	}
+	if strings.Contains(name, "/") {
+		return "", fmt.Errorf("%s: not in the image", name)
+	}
+	return exec.LookPath(name)
+}
+
+// exited takes that an attempt's processes are gone.
+func (a *Agent) exited(k Key, code int, memory bool) {
+	a.mu.Lock()
+	d, before := a.w.Description(k.Job), a.before[k]
+	a.mu.Unlock()
+	x := Exit{Code: code, Saved: a.out.dir != "" && a.out.last(k.Job, k.Index) > before}
+	if memory {
+		x.Code = -1
+	}
+	if d != nil && d.Shape == job.Array && x.Code == 0 && a.out.dir != "" {
+		// Durable before it is told: otherwise a lost report would have the
+		// task run again.
+		if l := a.running(k); l {
+			if err := a.out.complete(k.Job, k.Index); err != nil {
+				a.log.Error("a result can't be kept", "load", k.Load(), "err", err)
+			}
+		}
+	}
+	a.over(k, x)
+}
+
+// running tells whether an attempt was left to complete.
+func (a *Agent) running(k Key) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.w.loads[k]
+	return l != nil && l.phase == running
+}
+
+func (a *Agent) over(k Key, x Exit) {
+	a.step(func() Effects {
+		e := a.w.Exited(a.clock(), k, x)
+		if l := a.w.loads[k]; l != nil && l.phase == ended {
+			a.stats.Endings[l.cause]++
+			a.log.Info("ended", "load", k.Load(), "try", k.Try, "cause", l.cause, "code", x.Code, "saved", l.saved)
+		}
+		return e
+	})
+}
+
+// ask asks the agents of a gang's other tasks how they are.
+func (a *Agent) ask(k Key, d *protocol.Description) {
+	if d == nil {
+		return
+	}
+	a.mu.Lock()
+	places := a.places[k]
+	node := a.cfg.Controllers[a.w.node]
+	states := a.w.Gang(k.Job, k.Try)
+	a.mu.Unlock()
+	path := fmt.Sprintf("%s/%s/%s/%d", protocol.PathRuns, k.Job, protocol.PathGang, k.Try)
+	limit := seconds(a.cfg.Workers.GangPeer / 2)
+	// Before it runs, a gang can still get a task on another machine.
+	if len(places) < d.Loads || !a.running(k) {
+		if r, _, err := a.pool.Do(node.Address, http.MethodGet, path, nil, limit); err == nil && r.Status == http.StatusOK {
+			var p protocol.GangPlaces
+			if protocol.Decode(r.Body, &p) == nil && len(p.Loads) >= len(places) {
+				places = p.Loads
+			}
+		}
+	}
+	addresses := map[string]bool{}
+	for _, p := range places {
+		if p.Stoker != a.cfg.Stoker && p.Address != "" {
+			addresses[p.Address] = true
+		}
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for address := range addresses {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			r, _, err := a.pool.Do(address, http.MethodGet, fmt.Sprintf("%s%s/%d", pathGang, k.Job, k.Try), nil, limit)
+			if err != nil || r.Status != http.StatusOK {
+				return
+			}
+			var theirs map[int]string
+			if json.Unmarshal(r.Body, &theirs) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				for i, s := range theirs {
+					states[i] = s
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	a.step(func() Effects {
+		a.places[k] = places
+		return a.w.Peers(a.clock(), k, states)
+	})
+}
+
+// pathGang is where agents ask one another about a gang's attempt.
+const pathGang = "/gang/"
+
+// Serve takes a request; the server holds the lock.
+func (a *Agent) Serve(id uint64, r *transport.Request) {
+	problem := func(status int, why string) {
+		retry := 0
+		if status == http.StatusServiceUnavailable {
+			retry = 1
+		}
+		a.server.Answer(id, status, protocol.Encode(protocol.Problem{Error: why}), retry)
+	}
+	switch {
+	case r.Path == protocol.PathOrders && r.Method == http.MethodPost:
+		status, body, e := a.w.Direct(a.clock(), r.Body)
+		a.do(e)
+		a.server.Answer(id, status, body, 0)
+	case r.Path == protocol.PathStatus && r.Method == http.MethodGet:
+		body, e, err := a.w.Status(a.clock())
+		a.do(e)
+		if err != nil {
+			problem(http.StatusServiceUnavailable, err.Error())
+			return
+		}
+		a.server.Answer(id, http.StatusOK, body, 0)
+	case strings.HasPrefix(r.Path, pathGang) && r.Method == http.MethodGet:
+		ref, try, _ := strings.Cut(r.Path[len(pathGang):], "/")
+		n, err := strconv.Atoi(try)
+		if err != nil || !protocol.ValidRef(ref) {
+			problem(http.StatusBadRequest, "the path must name a job and an attempt")
+			return
+		}
+		a.server.Answer(id, http.StatusOK, protocol.Encode(a.w.Gang(ref, n)), 0)
+	case a.Extra != nil && a.Extra(id, r.Method, r.Path):
+	case r.Path == protocol.PathOrders || r.Path == protocol.PathStatus:
+		problem(http.StatusMethodNotAllowed, "method not allowed")
+	default:
+		problem(http.StatusNotFound, "no such path")
+	}
+}
+
+// AnswerAs answers a request of Extra; the lock must be held.
+func (a *Agent) AnswerAs(id uint64, contentType string, body []byte) {
+	a.server.AnswerAs(id, contentType, body)
+}
+
+// Stats returns the counters; the lock must be held, as it is in Extra.
+func (a *Agent) Stats() Stats {
+	s := a.stats
+	s.Loads, s.Live = a.w.Count()
+	return s
+}
+
+// Decode and Message belong to peer links, of which there are none.
+func (a *Agent) Decode(*gob.Decoder) (any, error) { return nil, errors.ErrUnsupported }
+
+// Message is never called.
+func (a *Agent) Message(string, any) {}
--- /dev/null
+++ b/internal/agent/images.go
@@ -0,0 +1,378 @@
+package agent
+
+import (
+	"archive/tar"
+	"compress/gzip"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/klauspost/compress/zstd"
+	"golang.org/x/sys/unix"
+
+	"silvergate/internal/protocol"
+)
+
+// Image is an image that operators offer: a folder, or an archive (.tar,
+// .tar.gz, .tgz, .tar.zst), and the command that it is for.
+type Image struct {
+	Name    string   `yaml:"name"`
+	Path    string   `yaml:"path"`
+	Command []string `yaml:"command"`
+}
+
+// CheckImages names the first image that can't be.
+func CheckImages(list []Image) error {
+	seen := map[string]bool{}
+	for i, m := range list {
+		if !protocol.ValidName(m.Name) || seen[m.Name] {
+			return fmt.Errorf("images[%d].name: missing, repeated or not a name of letters, digits, '-', '_' and '.'", i)
+		}
+		seen[m.Name] = true
+		if m.Path == "" && len(m.Command) == 0 {
+			return fmt.Errorf("images[%d].path: missing, and there is no command either", i)
+		}
+		if m.Path != "" && !filepath.IsAbs(m.Path) {
+			return fmt.Errorf("images[%d].path: must be absolute", i)
+		}
+	}
+	return nil
+}
+
+// images is a machine's cache of images. An image is visible when it is whole
+// and on disk; what a crash leaves behind is thrown away.
+type images struct {
+	dir      string
+	capacity int64 // bytes
+	offered  map[string]Image
+	// wanted tells whether an image may not be evicted.
+	wanted  func(name string) bool
+	evicted func(name string)
+
+	mu      sync.Mutex
+	pulls   map[string]context.CancelFunc
+	ready   map[string]string // name -> folder
+	sizes   map[string]int64
+	used    map[string]uint64
+	counter uint64
+}
+
+func newImages(dir string, capacity int64, list []Image) (*images, error) {
+	c := &images{dir: dir, capacity: capacity, offered: map[string]Image{}, pulls: map[string]context.CancelFunc{},
+		ready: map[string]string{}, sizes: map[string]int64{}, used: map[string]uint64{}}
+	for _, m := range list {
+		c.offered[m.Name] = m
+	}
+	// Whole images have names without a leading dot; the rest is debris.
+	old, err := os.ReadDir(dir)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	for _, e := range old {
+		if strings.HasPrefix(e.Name(), ".") {
+			if err := os.RemoveAll(filepath.Join(dir, e.Name())); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return c, os.MkdirAll(dir, 0o700)
+}
+
+// ErrNoImage is an image that nobody offers.
+var ErrNoImage = errors.New("no such image is offered in the settings")
+
+// fetch gets an image and then calls done, unless leave was called before.
+func (c *images) fetch(name string, done func(error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.mu.Lock()
+	c.pulls[name] = cancel
+	c.mu.Unlock()
+	go func() {
+		folder, size, err := c.get(ctx, name)
+		c.mu.Lock()
+		if ctx.Err() != nil {
+			c.mu.Unlock()
+			return
+		}
+		delete(c.pulls, name)
+		cancel()
+		if err == nil {
+			c.ready[name], c.sizes[name] = folder, size
+			c.touch(name)
+		}
+		c.mu.Unlock()
+		if err == nil {
+			c.evict(name)
+		}
+		done(err)
+	}()
+}
+
+// leave gives a fetch up.
+func (c *images) leave(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cancel := c.pulls[name]; cancel != nil {
+		cancel()
+		delete(c.pulls, name)
+	}
+}
+
+func (c *images) touch(name string) {
+	c.counter++
+	c.used[name] = c.counter
+}
+
+// folder is where an image is; it counts as a use.
+func (c *images) folder(name string) (string, Image, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f, ok := c.ready[name]
+	c.touch(name)
+	return f, c.offered[name], ok
+}
+
+// evict makes room by the images that were used longest ago.
+func (c *images) evict(keep string) {
+	c.mu.Lock()
+	total := int64(0)
+	var names []string
+	for n, s := range c.sizes {
+		total += s
+		names = append(names, n)
+	}
+	sort.Slice(names, func(i, j int) bool { return c.used[names[i]] < c.used[names[j]] })
+	c.mu.Unlock()
+	for _, n := range names {
+		if total <= c.capacity {
+			return
+		}
+		if n == keep || c.wanted(n) {
+			continue
+		}
+		c.mu.Lock()
+		folder := c.ready[n]
+		total -= c.sizes[n]
+		delete(c.ready, n)
+		delete(c.sizes, n)
+		c.mu.Unlock()
+		c.evicted(n)
+		if folder != "" {
+			_ = os.RemoveAll(folder)
+		}
+	}
+}
+
+// get copies an image to this machine, unless the same one is here already.
+func (c *images) get(ctx context.Context, name string) (folder string, size int64, err error) {
+	m, ok := c.offered[name]
+	if !ok {
+		return "", 0, ErrNoImage
+	}
+	if m.Path == "" {
+		return "", 0, nil // an image of nothing but a command
+	}
+	info, err := os.Stat(m.Path)
+	if err != nil {
+		return "", 0, err
+	}
+	print := xxhash.Sum64String(fmt.Sprint(m.Path, info.ModTime().UnixNano(), info.Size()))
+	folder = filepath.Join(c.dir, fmt.Sprintf("%s@%016x", name, print))
+	if exists(folder) {
+		return folder, treeSize(folder), nil
+	}
+	tmp, err := os.MkdirTemp(c.dir, ".new-")
+	if err != nil {
+		return "", 0, err
+	}
+	defer os.RemoveAll(tmp)
+	w := &unpacker{ctx: ctx, left: c.capacity}
+	if w.root, err = os.OpenRoot(tmp); err != nil {
+		return "", 0, err
+	}
+	defer w.root.Close()
+	if info.IsDir() {
+		err = w.copyTree(m.Path)
+	} else {
+		err = w.unpack(m.Path)
+	}
+	if err == nil {
+		err = syncTree(tmp)
+	}
+	if err == nil {
+		err = os.Rename(tmp, folder)
+	}
+	if err != nil {
+		return "", 0, fmt.Errorf("image %s: %w", name, err)
+	}
+	return folder, c.capacity - w.left, nil
+}
+
+// syncTree makes what was written below a folder durable.
+func syncTree(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return unix.Syncfs(int(f.Fd()))
+}
+
+func treeSize(dir string) (n int64) {
+	_ = filepath.WalkDir(dir, func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && d.Type().IsRegular() {
+			if info, err := d.Info(); err == nil {
+				n += info.Size()
+			}
+		}
+		return nil
+	})
+	return n
+}
+
+// unpacker writes files below a root, and nowhere else, whatever their names.
+type unpacker struct {
+	ctx  context.Context
+	root *os.Root
+	left int64 // bytes that may still be written
+}
+
+// maxFiles bounds the files of an image, as bytes alone don't.
+const maxFiles = 1_000_000
+
+var errTooLarge = errors.New("larger than the machine's room for images (localGb)")
+
+func (u *unpacker) file(name string, mode fs.FileMode, r io.Reader) error {
+	if err := u.root.MkdirAll(filepath.Dir(name), 0o755); err != nil {
+		return err
+	}
+	f, err := u.root.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY, mode.Perm()&0o755|0o400)
+	if err != nil {
+		return err
+	}
+	n, err := io.Copy(f, io.LimitReader(ctxReader{u.ctx, r}, u.left+1))
+	u.left -= n
+	if u.left < 0 {
+		err = errTooLarge
+	}
+	return errors.Join(err, f.Close())
+}
+
+func (u *unpacker) copyTree(from string) error {
+	files := 0
+	return filepath.WalkDir(from, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		name, err := filepath.Rel(from, path)
+		if err != nil || name == "." {
+			return err
+		}
+		if files++; files > maxFiles {
+			return errTooLarge
+		}
+		info, err := d.Info()
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir():
+			return u.root.MkdirAll(name, 0o755)
+		case d.Type()&fs.ModeSymlink != 0:
+			to, err := os.Readlink(path)
+			if err != nil {
+				return err
+			}
+			return u.root.Symlink(to, name)
+		case !d.Type().IsRegular():
+			return fmt.Errorf("%s: neither a file, a folder nor a link", name)
+		}
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		return u.file(name, info.Mode(), f)
+	})
+}
+
+func (u *unpacker) unpack(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	var r io.Reader = f
+	switch {
+	case strings.HasSuffix(path, ".gz"), strings.HasSuffix(path, ".tgz"):
+		z, err := gzip.NewReader(f)
+		if err != nil {
+			return err
+		}
+		defer z.Close()
+		r = z
+	case strings.HasSuffix(path, ".zst"):
+		z, err := zstd.NewReader(f, zstd.WithDecoderConcurrency(1))
+		if err != nil {
+			return err
+		}
+		defer z.Close()
+		r = z
+	case !strings.HasSuffix(path, ".tar"):
+		return errors.New("not a folder and not a .tar, .tar.gz, .tgz or .tar.zst")
+	}
+	t := tar.NewReader(r)
+	for files := 0; ; files++ {
+		h, err := t.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if files > maxFiles {
+			return errTooLarge
+		}
+		name := filepath.Clean(strings.TrimSuffix(h.Name, "/"))
+		if name == "." {
+			continue
+		}
+		if !filepath.IsLocal(name) {
+			return fmt.Errorf("%q leads out of the image", h.Name)
+		}
+		switch h.Typeflag {
+		case tar.TypeReg:
+			err = u.file(name, fs.FileMode(h.Mode), t)
+		case tar.TypeDir:
+			err = u.root.MkdirAll(name, 0o755)
+		case tar.TypeSymlink:
+			if err = u.root.MkdirAll(filepath.Dir(name), 0o755); err == nil {
+				err = u.root.Symlink(h.Linkname, name)
+			}
+		default:
+			err = fmt.Errorf("%q is neither a file, a folder nor a link", h.Name)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+type ctxReader struct {
+	ctx context.Context
+	r   io.Reader
+}
+
+func (r ctxReader) Read(b []byte) (int, error) {
+	if err := r.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return r.r.Read(b)
+}
--- /dev/null
+++ b/internal/agent/process.go
@@ -0,0 +1,388 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"silvergate/internal/proc"
+)
+
+// Names in a machine's folder.
+const (
+	tasksDir  = "tasks"
+	stdout    = "stdout"
+	stderr    = "stderr"
+	workDir   = "work"
+	procFile  = "process.json"
+	execFile  = "exec.json"
+	keptTasks = 200 // folders of attempts that are over
+)
+
+// program is what is run for an attempt.
+type program struct {
+	Argv  []string `json:"argv"`
+	Env   []string `json:"env"`
+	Dir   string   `json:"dir"`
+	Nice  int      `json:"nice"`
+	Files uint64   `json:"files"`
+}
+
+// ExecTask is what a task's process does first: it waits until its agent has
+// written down who it is, takes its limits on and becomes the program described
+// in the file at path. It returns only if that fails.
+func ExecTask(path string) error {
+	if err := proc.Hold(); err != nil {
+		return err
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var p program
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return err
+	}
+	if err := syscall.Setpriority(syscall.PRIO_PROCESS, 0, p.Nice); err != nil && p.Nice != 0 {
+		return fmt.Errorf("nice level %d: %w", p.Nice, err)
+	}
+	// A dump of a task's memory is nobody's to read, and would fill the disk.
+	if err := syscall.Setrlimit(unix.RLIMIT_CORE, &syscall.Rlimit{}); err != nil {
+		return fmt.Errorf("limit of core files: %w", err)
+	}
+	if p.Files > 0 {
+		if err := syscall.Setrlimit(unix.RLIMIT_NOFILE, &syscall.Rlimit{Cur: p.Files, Max: p.Files}); err != nil {
+			return fmt.Errorf("limit of open files: %w", err)
+		}
+	}
+	if err := os.Chdir(p.Dir); err != nil {
+		return err
+	}
+	return fmt.Errorf("%s: %w", p.Argv[0], syscall.Exec(p.Argv[0], p.Argv, p.Env))
+}
+
+// runner owns the processes of a machine: it starts programs as process groups,
+// watches their memory and ends them whole.
+type runner struct {
+	dir  string // of the machine
+	exec []string
+	log  *slog.Logger
+	// exited is called when all processes of an attempt are gone.
+	exited func(k Key, code int, memory bool)
+
+	mu       sync.Mutex
+	tasks    map[Key]*task
+	session  uint64 // whose tasks may be started
+	starting int    // being started
+}
+
+var errSession = errors.New("its session is over")
+
+type task struct {
+	id     proc.ID
+	ram    uint64 // bytes; 0: no limit
+	memory bool   // ended for its memory
+}
+
+func (r *runner) folder(k Key) string { return filepath.Join(r.dir, tasksDir, k.String()) }
+
+func (r *runner) mark(k Key) string { return r.dir + "/" + k.String() }
+
+// open allows the tasks of a session to be started, and of no other.
+func (r *runner) open(session uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.session = session
+}
+
+// start starts a program. Its output goes to files, so that what it wrote
+// outlives it and the agent.
+func (r *runner) start(session uint64, k Key, p program, ramGB float64) error {
+	r.mu.Lock()
+	if r.session != session {
+		r.mu.Unlock()
+		return errSession
+	}
+	r.starting++
+	r.mu.Unlock()
+	t, cmd, err := r.spawn(k, p, ramGB)
+	r.mu.Lock()
+	r.starting--
+	if err == nil {
+		r.tasks[k] = t
+	}
+	r.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	go r.wait(k, t, cmd)
+	return nil
+}
+
+func (r *runner) spawn(k Key, p program, ramGB float64) (*task, *exec.Cmd, error) {
+	dir := r.folder(k)
+	out, err := os.OpenFile(filepath.Join(dir, stdout), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer out.Close()
+	errs, err := os.OpenFile(filepath.Join(dir, stderr), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer errs.Close()
+	raw, err := json.Marshal(p)
+	if err != nil {
+		return nil, nil, err
+	}
+	path := filepath.Join(dir, execFile)
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return nil, nil, err
+	}
+	cmd := exec.Command(r.exec[0], append(r.exec[1:len(r.exec):len(r.exec)], path)...)
+	cmd.Env = append(os.Environ(), proc.MarkEnv+"="+r.mark(k))
+	cmd.Dir, cmd.Stdout, cmd.Stderr = dir, out, errs
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	t := &task{ram: uint64(ramGB * (1 << 30))}
+	t.id, err = proc.Start(cmd, func(id proc.ID) error {
+		raw, err := json.Marshal(id)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(filepath.Join(dir, procFile), raw, 0o600)
+	})
+	return t, cmd, err
+}
+
+// wait waits until a program has ended, and ends what it left behind.
+func (r *runner) wait(k Key, t *task, cmd *exec.Cmd) {
+	code := 0
+	_ = proc.AwaitEnd(t.id.PID)
+	_ = proc.KillGroup(t.id, syscall.SIGKILL)
+	if err := cmd.Wait(); err != nil {
+		code = -1
+		var x *exec.ExitError
+		if errors.As(err, &x) && x.ExitCode() > 0 {
+			code = x.ExitCode()
+		}
+	}
+	r.sweep(k)
+	r.mu.Lock()
+	delete(r.tasks, k)
+	memory := t.memory
+	r.mu.Unlock()
+	r.exited(k, code, memory)
+}
+
+// sweep ends what a program left behind outside its group, and returns when that is gone.
+func (r *runner) sweep(k Key) {
+	for {
+		left := proc.KillMarked(r.mark(k), 5*time.Second)
+		if left == 0 {
+			return
+		}
+		// A process that does not die hangs in the kernel. The task is on its
+		// machine as long as it does.
+		r.log.Error("processes can't be ended", "task", k.String(), "left", left)
+	}
+}
+
+// signal sends a signal to an attempt's process group.
+func (r *runner) signal(k Key, sig syscall.Signal) {
+	r.mu.Lock()
+	t := r.tasks[k]
+	r.mu.Unlock()
+	if t != nil {
+		_ = proc.KillGroup(t.id, sig)
+	}
+}
+
+// kill ends an attempt whole. Its end is told by exited.
+func (r *runner) kill(k Key) { r.signal(k, syscall.SIGKILL) }
+
+// watch ends the attempts that hold more memory than they asked for, and
+// returns what all hold.
+func (r *runner) watch() (total proc.Usage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.tasks) == 0 {
+		return total
+	}
+	groups := proc.Groups()
+	for k, t := range r.tasks {
+		u := groups[t.id.PID]
+		total.RSS, total.CPU, total.Members = total.RSS+u.RSS, total.CPU+u.CPU, total.Members+u.Members
+		if t.ram > 0 && u.RSS > t.ram && !t.memory {
+			t.memory = true
+			r.log.Info("task ended for its memory", "task", k.String(), "residentBytes", u.RSS, "limitBytes", t.ram)
+			_ = proc.KillGroup(t.id, syscall.SIGKILL)
+		}
+	}
+	return total
+}
+
+// clear ends everything on the machine, also what an earlier agent started.
+// Nothing is started from then on, until open allows it.
+func (r *runner) clear() {
+	r.open(0)
+	for {
+		r.mu.Lock()
+		n := r.starting
+		r.mu.Unlock()
+		if n == 0 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	killGroups(r.dir)
+	for proc.KillMarked(r.dir, 5*time.Second) > 0 {
+		r.log.Error("processes of the last session can't be ended")
+	}
+	for {
+		r.mu.Lock()
+		n := len(r.tasks)
+		r.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// prune removes the oldest folders of attempts that are over.
+func (r *runner) prune() {
+	root := filepath.Join(r.dir, tasksDir)
+	dirs, err := os.ReadDir(root)
+	if err != nil || len(dirs) <= keptTasks {
+		return
+	}
+	type old struct {
+		name string
+		at   time.Time
+	}
+	var over []old
+	for _, d := range dirs {
+		k, ok := parseKey(d.Name())
+		r.mu.Lock()
+		_, live := r.tasks[k]
+		r.mu.Unlock()
+		if info, err := os.Stat(filepath.Join(root, d.Name(), execFile)); ok && !live && err == nil {
+			over = append(over, old{d.Name(), info.ModTime()})
+		}
+	}
+	sort.Slice(over, func(i, j int) bool { return over[i].at.Before(over[j].at) })
+	for i := 0; i < len(over) && len(dirs)-i > keptTasks; i++ {
+		_ = os.RemoveAll(filepath.Join(root, over[i].name))
+	}
+}
+
+// parseKey undoes Key.String.
+func parseKey(s string) (Key, bool) {
+	f := strings.Split(s, ".")
+	if len(f) != 3 {
+		return Key{}, false
+	}
+	index, err1 := strconv.Atoi(f[1])
+	try, err2 := strconv.Atoi(f[2])
+	return Key{f[0], index, try}, err1 == nil && err2 == nil
+}
+
+// Watchdog ends all tasks of a machine when its agent's lease is over or the
+// agent is gone: an agent that hangs can't do that itself. deadlines carries
+// times of the boot clock, in nanoseconds, a line each.
+func Watchdog(dir string, deadlines *os.File) error {
+	if err := os.Chdir("/"); err != nil {
+		return err
+	}
+	lines := make(chan time.Duration)
+	go func() {
+		defer close(lines)
+		buf := make([]byte, 0, 256)
+		for {
+			chunk := make([]byte, 64)
+			n, err := deadlines.Read(chunk)
+			buf = append(buf, chunk[:n]...)
+			for {
+				i := strings.IndexByte(string(buf), '\n')
+				if i < 0 {
+					break
+				}
+				if v, err := strconv.ParseInt(string(buf[:i]), 10, 64); err == nil {
+					lines <- time.Duration(v)
+				}
+				buf = buf[i+1:]
+			}
+			if err != nil || len(buf) > 128 {
+				return
+			}
+		}
+	}()
+	var until time.Duration
+	for {
+		wait := time.Hour
+		if until > 0 {
+			wait = max(until-bootClock(), 0)
+		}
+		select {
+		case d, ok := <-lines:
+			if !ok {
+				for EndTasks(dir) > 0 {
+				}
+				return nil
+			}
+			until = d
+		case <-time.After(min(wait, time.Second)):
+			if until > 0 && bootClock() >= until {
+				EndTasks(dir)
+			}
+		}
+	}
+}
+
+// bootClock is a steady clock that goes on while the machine sleeps: others
+// take a lease to be over then, too.
+func bootClock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // the kernel has had it since 2011
+	}
+	return time.Duration(t.Nano())
+}
+
+// exists tells whether there is a file.
+func exists(path string) bool {
+	_, err := os.Lstat(path)
+	return !errors.Is(err, fs.ErrNotExist)
+}
+
+// EndTasks ends all tasks of a machine whose agent is gone. It returns how many
+// processes are left.
+func EndTasks(dir string) int {
+	killGroups(dir)
+	return proc.KillMarked(dir, 5*time.Second)
+}
+
+// killGroups ends the process groups that are on record in a machine's folder.
+func killGroups(dir string) {
+	dirs, _ := os.ReadDir(filepath.Join(dir, tasksDir))
+	for _, d := range dirs {
+		raw, err := os.ReadFile(filepath.Join(dir, tasksDir, d.Name(), procFile))
+		var id proc.ID
+		if err == nil && json.Unmarshal(raw, &id) == nil {
+			_ = proc.KillGroup(id, syscall.SIGKILL)
+		}
+	}
+}
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -14,9 +14,13 @@
 	"silvergate/internal/protocol"
 )
 
-// Root is the prefix of every key.
+// Root is the prefix of every key that is mirrored.
 const Root = "sg/"
 
+// Aside is the prefix of keys that no controller mirrors: what is read one by
+// one and seldom costs nothing at a start, and nothing with each change.
+const Aside = "sgx/"
+
 // Class orders requests when the budget is short; the smaller goes first.
 type Class int
 
@@ -200,6 +204,23 @@
 		}})
 }
 
+// Read reads a key that is not mirrored: one outside Root. ok is false when
+// that failed; data is nil when the key does not exist.
+func (s *Store) Read(class Class, key string, done func(data json.RawMessage, ok bool)) {
+	s.put(&request{class: class, method: http.MethodGet, path: protocol.PathKeys + "/" + key,
+		deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
+			var e protocol.Entry
+			switch {
+			case r.Status == http.StatusNotFound:
+				done(nil, true)
+			case r.Status != http.StatusOK || protocol.DecodeState(r.Body, &e) != nil:
+				done(nil, false)
+			default:
+				done(e.Data, true)
+			}
+		}})
+}
+
 // Grant asks for a lease, Touch renews one.
 func (s *Store) Grant(ttl time.Duration, done func(permit uint64)) {
 	body := protocol.Encode(protocol.Grant{TTLMs: ttl.Milliseconds()})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"math"
 	"net/netip"
@@ -62,50 +63,50 @@
 
 // Team has a guarantee and a limit; 0 means none.
 type Team struct {
-	Name    string  `json:"name"`
-	CPUs    float64 `json:"cpus"`
-	CPUsMax float64 `json:"cpus_max"`
-	GPUs    float64 `json:"gpus"`
-	GPUsMax float64 `json:"gpus_max"`
+	Name    string  `json:"name" yaml:"name"`
+	CPUs    float64 `json:"cpus" yaml:"cpus"`
+	CPUsMax float64 `json:"cpus_max" yaml:"cpus_max"`
+	GPUs    float64 `json:"gpus" yaml:"gpus"`
+	GPUsMax float64 `json:"gpus_max" yaml:"gpus_max"`
 }
 
 // Objective restates an aim at starting or finishing.
 type Objective struct {
-	Kind   string  `json:"kind"`
-	Class  string  `json:"class"`
-	Within float64 `json:"within_s"`
-	Share  float64 `json:"share"`
-	Times  float64 `json:"times"`
+	Kind   string  `json:"kind" yaml:"kind"`
+	Class  string  `json:"class" yaml:"class"`
+	Within float64 `json:"within_s" yaml:"within_s"`
+	Share  float64 `json:"share" yaml:"share"`
+	Times  float64 `json:"times" yaml:"times"`
 }
 
 // Workers holds the workers' periods, in seconds.
 type Workers struct {
-	Report   float64 `json:"report_s"`
-	Lease    float64 `json:"lease_s"`
-	GangWait float64 `json:"gang_wait_s"`
-	GangPeer float64 `json:"gang_peer_s"`
-	Cancel   float64 `json:"cancel_s"`
+	Report   float64 `json:"report_s" yaml:"report_s"`
+	Lease    float64 `json:"lease_s" yaml:"lease_s"`
+	GangWait float64 `json:"gang_wait_s" yaml:"gang_wait_s"`
+	GangPeer float64 `json:"gang_peer_s" yaml:"gang_peer_s"`
+	Cancel   float64 `json:"cancel_s" yaml:"cancel_s"`
 }
 
 // State holds the limits of the state service.
 type State struct {
-	RPS      float64 `json:"rps"`
-	WriteRPS float64 `json:"write_rps"`
-	ValueKB  float64 `json:"value_kb"`
-	TxnOps   int     `json:"txn_ops"`
+	RPS      float64 `json:"rps" yaml:"rps"`
+	WriteRPS float64 `json:"write_rps" yaml:"write_rps"`
+	ValueKB  float64 `json:"value_kb" yaml:"value_kb"`
+	TxnOps   int     `json:"txn_ops" yaml:"txn_ops"`
 }
 
 // Cloud holds the limits of the cloud's interface.
 type Cloud struct {
-	RPS     float64 `json:"rps"`
-	ListLag float64 `json:"list_lag_s"`
+	RPS     float64 `json:"rps" yaml:"rps"`
+	ListLag float64 `json:"list_lag_s" yaml:"list_lag_s"`
 }
 
 // Limits bound this process.
 type Limits struct {
-	CPU        float64 `json:"cpu"`
-	RAMMB      float64 `json:"ram_mb"`
-	MaxSockets int     `json:"max_sockets"`
+	CPU        float64 `json:"cpu" yaml:"cpu"`
+	RAMMB      float64 `json:"ram_mb" yaml:"ram_mb"`
+	MaxSockets int     `json:"max_sockets" yaml:"max_sockets"`
 }
 
 // Operator holds the operators' own settings, from YAML. Unknown keys are
@@ -119,6 +120,8 @@
 	EntryAge float64 `yaml:"entry_age_reports"`
 	// LogLevel is used when LOG_LEVEL is not set.
 	LogLevel string `yaml:"log_level"`
+	// Metrics switches GET /metrics on.
+	Metrics bool `yaml:"metrics,omitempty"`
 }
 
 // DefaultOperator returns the design's starting values.
@@ -165,12 +168,25 @@
 	return s, s.check()
 }
 
+// DecodeYAML reads one YAML document into v. Unknown and repeated keys are
+// refused and named; what is left out keeps its value, and an empty document
+// leaves out everything.
+func DecodeYAML(raw []byte, v any) error {
+	dec := yaml.NewDecoder(bytes.NewReader(raw))
+	dec.KnownFields(true)
+	if err := dec.Decode(v); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	if err := dec.Decode(new(any)); !errors.Is(err, io.EOF) {
+		return errors.New("more than one document")
+	}
+	return nil
+}
+
 // ParseOperator reads the operators' YAML and checks it.
 func ParseOperator(raw []byte) (Operator, error) {
 	o := DefaultOperator()
-	dec := yaml.NewDecoder(bytes.NewReader(raw))
-	dec.KnownFields(true)
-	if err := dec.Decode(&o); err != nil && len(bytes.TrimSpace(raw)) > 0 && err.Error() != "EOF" {
+	if err := DecodeYAML(raw, &o); err != nil {
 		return o, err
 	}
 	switch {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -125,6 +125,7 @@
 	readyAt   time.Duration // when the records had been read
 
 	fleet fleet
+	view  *view
 	Stats Stats
 }
 
@@ -167,6 +168,7 @@
 	c.verbose = log.Enabled(context.Background(), slog.LevelDebug)
 	c.ttl = seconds(cfg.Facts.Workers.Lease / 3)
 	c.fleet.init()
+	c.view = newView(c)
 	c.store = bookkeeping.NewStore(&cfg.Facts, 1+len(cfg.Peers))
 	c.store.Send = c.call
 	c.store.Apply = c.apply
@@ -315,6 +317,7 @@
 	case strings.HasPrefix(path, protocol.PathRuns+"/"):
 		ref, verb, hasVerb := strings.Cut(path[len(protocol.PathRuns)+1:], "/")
 		switch {
+		case hasVerb && method == "GET" && c.view.job(id, ref, verb):
 		case hasVerb && verb != protocol.PathAbort:
 			c.refuse(id, 404, "no such path")
 		case hasVerb && method != "POST", !hasVerb && method != "GET":
@@ -326,6 +329,7 @@
 		default:
 			c.poll(id, ref)
 		}
+	case method == "GET" && c.view.list(id, path):
 	default:
 		c.refuse(id, 404, "no such path")
 	}
@@ -384,6 +388,7 @@
 	keyFleet   = bookkeeping.Root + "fleet"
 	keyGang    = bookkeeping.Root + "gang"
 	keyFlavors = bookkeeping.Root + "flavors"
+	keyExtra   = bookkeeping.Aside + "d/"
 )
 
 // apply takes a change of the mirror.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -182,6 +183,10 @@
 	}
 	spec, err := protocol.ParseRun(body)
 	status := 400
+	var extra json.RawMessage
+	if err == nil {
+		extra, err = c.view.extra(spec, body)
+	}
 	if err == nil {
 		if len(c.catalogue) == 0 {
 			c.refuse(id, 503, "the machine types are not known yet")
@@ -206,7 +211,11 @@
 	}
 	key := keyJob + ref
 	rec := storedJob{spec, job.Open, c.wall.UnixMilli(), c.cfg.Node}
-	c.store.Txn(bookkeeping.Users, []protocol.Cond{{Key: key}}, []protocol.Op{{Write: key, Data: encode(rec)}},
+	ops := []protocol.Op{{Write: key, Data: encode(rec)}}
+	if extra != nil {
+		ops = append(ops, protocol.Op{Write: keyExtra + ref, Data: extra})
+	}
+	c.store.Txn(bookkeeping.Users, []protocol.Cond{{Key: key}}, ops,
 		func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			switch o {
 			case bookkeeping.OK:
--- /dev/null
+++ b/internal/coordination/view.go
@@ -0,0 +1,241 @@
+package coordination
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// view answers what workers and operators ask beyond the protocol: a job's
+// description, where a gang's tasks are, and lists. It reads the records and
+// changes none; it owns a small cache of descriptions, which never change.
+type view struct {
+	c     *Core
+	known map[string]json.RawMessage // descriptions' extras
+	order []string                   // of known, the oldest first
+	bytes int
+}
+
+func newView(c *Core) *view { return &view{c: c, known: map[string]json.RawMessage{}} }
+
+// cacheBytes is what descriptions may take: a hundredth of the process's
+// memory.
+func (v *view) cacheBytes() int { return int(v.c.cfg.Facts.Limits.RAMMB * (1 << 20) / 100) }
+
+func (v *view) keep(ref string, data json.RawMessage) {
+	if _, ok := v.known[ref]; ok {
+		return
+	}
+	v.known[ref], v.order, v.bytes = data, append(v.order, ref), v.bytes+len(data)
+	for v.bytes > v.cacheBytes() && len(v.order) > 1 {
+		v.bytes -= len(v.known[v.order[0]])
+		delete(v.known, v.order[0])
+		v.order = v.order[1:]
+	}
+}
+
+// extra reads a submission's extension fields and returns their record, nil
+// when there are none.
+func (v *view) extra(spec *job.Spec, body []byte) (json.RawMessage, error) {
+	x, err := protocol.ParseExtra(body)
+	if err != nil || x == nil {
+		return nil, err
+	}
+	data := encode(x)
+	if float64(len(data)) > v.c.cfg.Facts.State.ValueKB*1024 {
+		return nil, fmt.Errorf("command, env and inputs: together larger than %g KiB", v.c.cfg.Facts.State.ValueKB)
+	}
+	spec.Extended = true
+	return data, nil
+}
+
+// job answers questions about one job; false if verb is none of them.
+func (v *view) job(id uint64, ref, verb string) bool {
+	try, isGang := strings.CutPrefix(verb, protocol.PathGang+"/")
+	if verb != protocol.PathDescription && !isGang || !protocol.ValidRef(ref) {
+		return false
+	}
+	c := v.c
+	if !c.store.Ready() {
+		c.refuse(id, 503, "starting")
+		return true
+	}
+	answer := func(r *record) {
+		if n, err := strconv.Atoi(try); isGang && err == nil {
+			c.answer(id, 200, v.gang(r, n), 0)
+		} else {
+			v.describe(id, r)
+		}
+	}
+	if r := c.jobs[ref]; r != nil {
+		answer(r)
+		return true
+	}
+	// A launch can reach a worker before the job's record reaches us.
+	c.store.Get(bookkeeping.Work, keyJob+ref, func(ok bool) {
+		switch r := c.jobs[ref]; {
+		case !ok:
+			c.refuse(id, 503, "the job can't be read now")
+		case r == nil:
+			c.refuse(id, 404, "no such job")
+		default:
+			answer(r)
+		}
+	})
+	return true
+}
+
+func (v *view) describe(id uint64, r *record) {
+	c, s := v.c, r.spec
+	d := protocol.Description{Ref: s.ID, JobClass: s.Class, Crew: s.Team, Shape: s.Shape, Urgency: protocol.UrgencyName(s.Priority),
+		Loads: s.Tasks, CPUs: s.CPUs, GPUs: s.GPUs, RAM: s.MemoryGB, Kit: s.Image, Size: s.ImageGB, Waypoint: s.Checkpoint, Stow: s.Save,
+		Complete: s.Shape == job.Gang && (r.finished > 0 || r.status == job.Done)}
+	give := func(data json.RawMessage) {
+		d.Extra = &job.Extra{}
+		if protocol.Decode(data, d.Extra) != nil {
+			c.log.Error("unreadable record", "key", keyExtra+s.ID)
+			c.refuse(id, 503, "the job's description is unreadable")
+			return
+		}
+		c.answer(id, 200, d, 0)
+	}
+	if !s.Extended {
+		c.answer(id, 200, d, 0)
+		return
+	}
+	if data, ok := v.known[s.ID]; ok {
+		give(data)
+		return
+	}
+	c.store.Read(bookkeeping.Work, keyExtra+s.ID, func(data json.RawMessage, ok bool) {
+		if !ok || data == nil {
+			c.refuse(id, 503, "the job's description can't be read now")
+			return
+		}
+		v.keep(s.ID, data)
+		give(data)
+	})
+}
+
+// gang tells where the tasks of an attempt are, as far as the mirror shows.
+func (v *view) gang(r *record, try int) protocol.GangPlaces {
+	out := protocol.GangPlaces{Loads: []protocol.GangPlace{}}
+	for _, p := range r.pages {
+		for i := range p.tasks {
+			if t := &p.tasks[i]; t.Phase == job.Bound && t.Try == try {
+				out.Loads = append(out.Loads, protocol.GangPlace{Index: p.num*v.c.pageTasks() + i, Stoker: t.Machine, Address: v.c.machine(t.Machine).claim.Address})
+			}
+		}
+	}
+	return out
+}
+
+// listPage is how many lines a list's page has at the most: with the longest
+// names it stays below the longest line that a response may have.
+const listPage = 100
+
+// list answers an operator's list; false if path is none.
+func (v *view) list(id uint64, path string) bool {
+	path, query, _ := strings.Cut(path, "?")
+	if path != protocol.PathJobs && path != protocol.PathNodes {
+		return false
+	}
+	c := v.c
+	q, err := url.ParseQuery(query)
+	if err != nil {
+		c.refuse(id, 400, "the query is malformed")
+		return true
+	}
+	if !c.store.Ready() {
+		c.refuse(id, 503, "starting")
+		return true
+	}
+	if path == protocol.PathNodes {
+		c.answer(id, 200, v.nodes(q.Get("from")), 0)
+	} else {
+		c.answer(id, 200, v.jobs(q.Get("from"), q.Get("all") == "true"), 0)
+	}
+	return true
+}
+
+// after lists the first names of m that come after from, and whether there are
+// more.
+func after[T any](m map[string]T, from string, wanted func(T) bool) (names []string, more bool) {
+	for n, x := range m {
+		if n > from && wanted(x) {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	if len(names) > listPage {
+		return names[:listPage], true
+	}
+	return names, false
+}
+
+func (v *view) jobs(from string, all bool) protocol.JobPage {
+	c := v.c
+	which := c.open
+	if all {
+		which = c.jobs
+	}
+	names, more := after(which, from, func(*record) bool { return true })
+	out := protocol.JobPage{Jobs: []protocol.JobLine{}, Truncated: more}
+	for _, n := range names {
+		r := c.jobs[n]
+		s := c.state(r)
+		out.Jobs = append(out.Jobs, protocol.JobLine{Ref: n, Status: s.Status, JobClass: r.spec.Class, Crew: r.spec.Team,
+			Shape: protocol.ShapeName(r.spec.Shape), Urgency: protocol.UrgencyName(r.spec.Priority), Loads: r.spec.Tasks,
+			Done: *s.Done, Running: *s.Running, AgeS: float64(c.wall.UnixMilli()-r.at) / 1000, Waits: v.waits(r)})
+	}
+	return out
+}
+
+// waits says what an open job's waiting tasks wait for, as far as this
+// controller knows.
+func (v *view) waits(r *record) string {
+	c := v.c
+	tm := c.teams[r.spec.Team]
+	switch {
+	case r.final() || r.bound+r.finished >= r.spec.Tasks:
+		return ""
+	case c.now < r.backoff:
+		return "a pause after failures"
+	case tm != nil && limited(tm) && !tm.within(tm.runs.plus(r.spec, 1)):
+		return "the limit of team " + r.spec.Team
+	case r.home != c.cfg.Node && len(r.line) == 0:
+		return "a place, by way of " + r.home
+	case r.spec.Shape == job.Gang && r.spec.Tasks > 1:
+		return "room for all tasks at once"
+	}
+	return "room"
+}
+
+func (v *view) nodes(from string) protocol.NodePage {
+	c := v.c
+	names, more := after(c.machines, from, func(m *machine) bool { return m.stamp != 0 })
+	out := protocol.NodePage{Nodes: []protocol.NodeLine{}, Truncated: more}
+	for _, n := range names {
+		m := c.machines[n]
+		k := c.kind(m)
+		status := "ready"
+		if d, ok := c.drains[n]; ok {
+			status = "draining: " + d.Why
+		}
+		line := protocol.NodeLine{Stoker: n, Rig: m.claim.Type, Depot: m.claim.Zone, Casual: m.claim.Spot, Address: m.claim.Address,
+			Owner: m.claim.Owner, Status: status, Loads: len(m.bound), CPUsAll: k.CPUs, GPUsAll: k.GPUs, RAMAll: k.RAM}
+		for _, k := range m.tasks() { // in order, so that equal inputs give equal sums
+			s := m.bound[k].spec
+			line.CPUs, line.GPUs, line.RAM = line.CPUs+s.CPUs, line.GPUs+s.GPUs, line.RAM+s.MemoryGB
+		}
+		out.Nodes = append(out.Nodes, line)
+	}
+	return out
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -51,6 +51,8 @@
 	Checkpoint float64  `json:"ck,omitempty"`
 	Save       float64  `json:"sv,omitempty"`
 	Deadline   *float64 `json:"dl,omitempty"`
+	// Extended tells that there is an Extra, kept under a key of its own.
+	Extended bool `json:"x,omitempty"`
 }
 
 // Status is a job's state as the records hold it.
--- /dev/null
+++ b/internal/site/config.go
@@ -0,0 +1,252 @@
+// Package site runs a whole silvergate on one machine, on loopback: the state
+// service, the cloud of local machines and the controllers, each a process of
+// its own, started, watched and ended by one that holds them together. With the
+// same folder it goes on after any end.
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/google/renameio/v2"
+	"go.yaml.in/yaml/v3"
+
+	"silvergate/internal/agent"
+	"silvergate/internal/config"
+	"silvergate/internal/provider"
+	"silvergate/internal/statestore"
+)
+
+// Config is a site, in YAML.
+type Config struct {
+	Controllers int                `yaml:"controllers"`
+	Zones       []string           `yaml:"zones"`
+	Metrics     bool               `yaml:"metrics"`
+	Teams       []config.Team      `yaml:"teams"`
+	Objectives  []config.Objective `yaml:"objectives"`
+	Workers     config.Workers     `yaml:"workers"`
+	State       config.State       `yaml:"state"`
+	Cloud       config.Cloud       `yaml:"cloud"`
+	Controller  Controller         `yaml:"controller"`
+	Types       []provider.Type    `yaml:"types"`
+	Spot        provider.Spot      `yaml:"spot"`
+	Images      []agent.Image      `yaml:"images"`
+	Nice        agent.NiceBy       `yaml:"nice"`
+	OpenFiles   uint64             `yaml:"open_files"`
+	GiveUpS     float64            `yaml:"give_up_s"`
+	Environment []string           `yaml:"environment"`
+}
+
+// Controller bounds each controller's process.
+type Controller struct {
+	CPU        float64 `yaml:"cpu"`
+	RAMMB      float64 `yaml:"ram_mb"`
+	MaxSockets int     `yaml:"max_sockets"`
+	LogLevel   string  `yaml:"log_level"`
+}
+
+// Parse reads a site and names the first field that can't be.
+func Parse(raw []byte) (*Config, error) {
+	c := &Config{}
+	if err := config.DecodeYAML(raw, c); err != nil {
+		return nil, err
+	}
+	if c.Controllers < 1 || c.Controllers > 9 {
+		return nil, errors.New("controllers: must be from 1 to 9")
+	}
+	if len(c.Zones) == 0 {
+		return nil, errors.New("zones: missing")
+	}
+	for i, t := range c.Types {
+		for z := range t.Depots {
+			if !contains(c.Zones, z) {
+				return nil, fmt.Errorf("types[%d].depots.%s: not one of zones", i, z)
+			}
+		}
+	}
+	// Each part's own check names what is wrong with its share.
+	l := layout{dir: "/", ports: &Ports{State: 1, Provider: 1, Controllers: make([]int, c.Controllers), Back: make([]int, c.Controllers)}}
+	st := l.state(c)
+	if err := st.Check(); err != nil {
+		return nil, fmt.Errorf("state: %w", err)
+	}
+	pr := l.provider(c)
+	if err := pr.Check(); err != nil {
+		return nil, err
+	}
+	for i := range c.Controllers {
+		raw, err := json.Marshal(l.controller(c, i))
+		if err != nil {
+			return nil, err
+		}
+		if _, err := config.Parse(raw); err != nil {
+			return nil, err
+		}
+	}
+	op, err := yaml.Marshal(l.operator(c))
+	if err == nil {
+		_, err = config.ParseOperator(op)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("controller.%w", err)
+	}
+	return c, nil
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Ports are the ports of a site's parts, kept for its life.
+type Ports struct {
+	State       int   `json:"state"`
+	Provider    int   `json:"provider"`
+	Controllers []int `json:"controllers"`
+	Back        []int `json:"back"`
+}
+
+// Files in a site's folder.
+const (
+	siteFile  = "site.yaml"
+	portsFile = "ports.json"
+	lockFile  = "lock"
+	logsDir   = "logs"
+	runDir    = "run"
+)
+
+func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// ReadPorts tells where the parts of the site in a folder listen.
+func ReadPorts(dir string) (*Ports, error) {
+	raw, err := os.ReadFile(filepath.Join(dir, portsFile))
+	if err != nil {
+		return nil, fmt.Errorf("%s is no site's folder, or the site was never started: %w", dir, err)
+	}
+	p := &Ports{}
+	if err := json.Unmarshal(raw, p); err != nil {
+		return nil, fmt.Errorf("%s: %w", filepath.Join(dir, portsFile), err)
+	}
+	return p, nil
+}
+
+// Addresses lists the controllers' addresses for users.
+func (p *Ports) Addresses() (out []string) {
+	for _, c := range p.Controllers {
+		out = append(out, address(c))
+	}
+	return out
+}
+
+// choosePorts has the system choose the ports that are missing, all at once so
+// that they differ, and keeps them.
+func choosePorts(dir string, controllers int) (*Ports, error) {
+	p, err := ReadPorts(dir)
+	if err != nil {
+		if !errors.Is(err, os.ErrNotExist) {
+			return nil, err
+		}
+		p = &Ports{}
+	}
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			l.Close()
+		}
+	}()
+	changed := false
+	choose := func(port *int) error {
+		if *port != 0 {
+			return nil
+		}
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		held = append(held, l)
+		*port = l.Addr().(*net.TCPAddr).Port
+		changed = true
+		return nil
+	}
+	for len(p.Controllers) < controllers {
+		p.Controllers, p.Back = append(p.Controllers, 0), append(p.Back, 0)
+	}
+	errs := []error{choose(&p.State), choose(&p.Provider)}
+	for i := range p.Controllers {
+		errs = append(errs, choose(&p.Controllers[i]), choose(&p.Back[i]))
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	if changed {
+		raw, err := json.MarshalIndent(p, "", "  ")
+		if err != nil {
+			return nil, err
+		}
+		if err := renameio.WriteFile(filepath.Join(dir, portsFile), raw, 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// layout says what each part of a site is told.
+type layout struct {
+	dir   string // absolute
+	ports *Ports
+}
+
+func (l layout) state(c *Config) statestore.Config {
+	s := statestore.DefaultConfig()
+	s.Listen, s.Dir, s.Metrics = address(l.ports.State), filepath.Join(l.dir, "state"), c.Metrics
+	s.Limits = statestore.Limits{RPS: c.State.RPS, WriteRPS: c.State.WriteRPS, ValueKB: c.State.ValueKB, TxnOps: c.State.TxnOps}
+	return s
+}
+
+func (l layout) provider(c *Config) provider.Config {
+	p := provider.DefaultConfig()
+	p.Listen, p.Dir, p.RPS, p.Types, p.Spot, p.Metrics = address(l.ports.Provider), filepath.Join(l.dir, "cloud"), c.Cloud.RPS, c.Types, c.Spot, c.Metrics
+	p.SwitchOff = true
+	a := &p.Agent
+	a.Workers = agent.Periods{Report: c.Workers.Report, Lease: c.Workers.Lease, GangWait: c.Workers.GangWait, GangPeer: c.Workers.GangPeer}
+	a.Images, a.Nice, a.OpenFiles, a.Metrics, a.Environment, a.GiveUpS = c.Images, c.Nice, c.OpenFiles, c.Metrics, c.Environment, c.GiveUpS
+	a.Outside = filepath.Join(l.dir, "outside")
+	a.Controllers = nil
+	for i := range l.ports.Controllers[:c.Controllers] {
+		a.Controllers = append(a.Controllers, agent.Node{Name: nodeName(i), Address: address(l.ports.Controllers[i])})
+	}
+	return p
+}
+
+func nodeName(i int) string { return fmt.Sprintf("stoker-%d", i) }
+
+func (l layout) controller(c *Config, i int) *config.Settings {
+	zone := func(i int) string { return c.Zones[i%len(c.Zones)] }
+	s := &config.Settings{Node: nodeName(i), Zone: zone(i), Listen: address(l.ports.Controllers[i]), Back: address(l.ports.Back[i]),
+		Services: config.Outside{Cloud: address(l.ports.Provider), State: address(l.ports.State)},
+		Facts: config.Facts{Count: c.Controllers, Zones: c.Zones, Teams: c.Teams, Objectives: c.Objectives, Workers: c.Workers, State: c.State, Cloud: c.Cloud,
+			Limits: config.Limits{CPU: c.Controller.CPU, RAMMB: c.Controller.RAMMB, MaxSockets: c.Controller.MaxSockets}, TimeBoundMS: 1}}
+	for k := range c.Controllers {
+		if k != i {
+			s.Peers = append(s.Peers, config.Peer{Node: nodeName(k), Zone: zone(k), Addr: address(l.ports.Back[k])})
+		}
+	}
+	return s
+}
+
+func (l layout) operator(c *Config) config.Operator {
+	o := config.DefaultOperator()
+	o.Metrics = c.Metrics
+	if c.Controller.LogLevel != "" {
+		o.LogLevel = c.Controller.LogLevel
+	}
+	return o
+}
--- /dev/null
+++ b/internal/site/up.go
@@ -0,0 +1,335 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/renameio/v2"
+	"go.yaml.in/yaml/v3"
+	"gopkg.in/natefinch/lumberjack.v2"
+
+	"silvergate/deploy"
+	"silvergate/internal/proc"
+	"silvergate/internal/protocol"
+	"silvergate/internal/statestore"
+	"silvergate/internal/transport"
+)
+
+// Site is a site that runs on this machine.
+type Site struct {
+	Dir   string
+	Ports *Ports
+	cfg   *Config
+	self  string
+	log   *slog.Logger
+	lock  *os.File
+	parts []*part
+	start chan func() // to the one thread that starts processes
+	fatal chan error
+	stop  context.CancelFunc
+	wait  sync.WaitGroup
+}
+
+// part is a process of the site.
+type part struct {
+	name string
+	args []string
+	log  io.WriteCloser
+}
+
+// patience is how long a part that was told to end may take.
+const patience = 10 * time.Second
+
+// Open takes the site in a folder, or makes one of settings; nil settings are
+// those of deploy/up.yaml. Processes that an earlier owner left are ended.
+func Open(dir string, settings []byte, self string, log *slog.Logger) (*Site, error) {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range []string{dir, filepath.Join(dir, logsDir), filepath.Join(dir, runDir), filepath.Join(dir, "outside")} {
+		if err := os.MkdirAll(d, 0o700); err != nil {
+			return nil, err
+		}
+	}
+	s := &Site{Dir: dir, self: self, log: log, start: make(chan func()), fatal: make(chan error, 1)}
+	if s.lock, err = os.OpenFile(filepath.Join(dir, lockFile), os.O_CREATE|os.O_RDWR, 0o600); err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(s.lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		s.lock.Close()
+		return nil, fmt.Errorf("%s: another silvergate up runs this site", dir)
+	}
+	path := filepath.Join(dir, siteFile)
+	raw, err := os.ReadFile(path)
+	switch {
+	case settings != nil:
+		raw = settings
+	case errors.Is(err, os.ErrNotExist):
+		raw = deploy.Up
+	case err != nil:
+		return nil, err
+	}
+	if s.cfg, err = Parse(raw); err != nil {
+		s.lock.Close()
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := renameio.WriteFile(path, raw, 0o600); err != nil {
+		return nil, err
+	}
+	if s.Ports, err = choosePorts(dir, s.cfg.Controllers); err != nil {
+		return nil, err
+	}
+	if err := s.endLeftovers(); err != nil {
+		return nil, err
+	}
+	return s, s.write()
+}
+
+// endLeftovers ends the parts of an earlier run, by what was written down of
+// them. Machines are not among them: the provider finds those itself.
+func (s *Site) endLeftovers() error {
+	old, err := os.ReadDir(filepath.Join(s.Dir, runDir))
+	if err != nil {
+		return err
+	}
+	for _, e := range old {
+		path := filepath.Join(s.Dir, runDir, e.Name())
+		raw, err := os.ReadFile(path)
+		var id proc.ID
+		if err == nil && json.Unmarshal(raw, &id) == nil && id.Alive() {
+			s.log.Info("ending a process of an earlier run", "part", strings.TrimSuffix(e.Name(), ".json"), "pid", id.PID)
+			for until := time.Now().Add(patience); id.Alive(); time.Sleep(5 * time.Millisecond) {
+				if time.Now().After(until) {
+					return fmt.Errorf("process %d of an earlier run can't be ended", id.PID)
+				}
+				_ = id.Signal(syscall.SIGKILL)
+			}
+		}
+		_ = os.Remove(path)
+	}
+	return nil
+}
+
+// write writes what each part is told.
+func (s *Site) write() error {
+	l := layout{s.Dir, s.Ports}
+	yamlFile := func(name string, v any) (string, error) {
+		raw, err := yaml.Marshal(v)
+		if err != nil {
+			return "", err
+		}
+		path := filepath.Join(s.Dir, runDir, name)
+		return path, renameio.WriteFile(path, raw, 0o600)
+	}
+	add := func(name string, args ...string) {
+		s.parts = append(s.parts, &part{name: name, args: args, log: &lumberjack.Logger{
+			Filename: filepath.Join(s.Dir, logsDir, name+".log"), MaxSize: 10, MaxBackups: 3}})
+	}
+	state, err := yamlFile("state.yaml", l.state(s.cfg))
+	if err != nil {
+		return err
+	}
+	add("state", "state", "serve", "--settings", state)
+	cloud, err := yamlFile("cloud.yaml", l.provider(s.cfg))
+	if err != nil {
+		return err
+	}
+	add("cloud", "provider", "--settings", cloud)
+	operator, err := yamlFile("operator.yaml", l.operator(s.cfg))
+	if err != nil {
+		return err
+	}
+	for i := range s.cfg.Controllers {
+		raw, err := json.MarshalIndent(l.controller(s.cfg, i), "", "  ")
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(s.Dir, runDir, nodeName(i)+".settings")
+		if err := renameio.WriteFile(path, raw, 0o600); err != nil {
+			return err
+		}
+		add(nodeName(i), "--operator", operator, "--config", path)
+	}
+	return nil
+}
+
+// Start starts all parts and watches them until Stop.
+func (s *Site) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go func() {
+		// The parts end with the thread that started them, so that one killed
+		// silvergate up leaves none behind: this thread stays.
+		runtime.LockOSThread()
+		for do := range s.start {
+			do()
+		}
+	}()
+	for _, p := range s.parts {
+		s.wait.Add(1)
+		go func() {
+			defer s.wait.Done()
+			s.watch(ctx, p)
+		}()
+	}
+}
+
+// Fatal tells what the site can't go on after.
+func (s *Site) Fatal() <-chan error { return s.fatal }
+
+// watch runs a part again whenever it ends, after longer and longer pauses; one
+// that ran for a while is started again soon.
+func (s *Site) watch(ctx context.Context, p *part) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = 200*time.Millisecond, 8*time.Second
+	for ctx.Err() == nil {
+		at := time.Now()
+		err := s.run(ctx, p)
+		if ctx.Err() != nil {
+			return
+		}
+		var x *exec.ExitError
+		if errors.As(err, &x) && x.ExitCode() == ExitDamaged {
+			// Guards against starting a damaged store again and again: only a
+			// person can say what is to become of it.
+			select {
+			case s.fatal <- fmt.Errorf("%s: its storage is damaged; see %s", p.name, s.LogFile(p.name)):
+			default:
+			}
+			return
+		}
+		if time.Since(at) > 4*b.MaxInterval {
+			b.Reset()
+		}
+		pause := b.NextBackOff()
+		s.log.Error("a part ended; it is started again", "part", p.name, "err", err, "after", pause.Round(time.Millisecond), "log", s.LogFile(p.name))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// ExitDamaged is the exit status of a part whose storage is damaged.
+const ExitDamaged = 3
+
+// LogFile is where a part's log is.
+func (s *Site) LogFile(part string) string { return filepath.Join(s.Dir, logsDir, part+".log") }
+
+// run runs a part until it ends, or ends it when ctx does.
+func (s *Site) run(ctx context.Context, p *part) error {
+	cmd := exec.Command(s.self, p.args...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = s.Dir, p.log, p.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	started := make(chan error, 1)
+	var id proc.ID
+	select {
+	case s.start <- func() {
+		var err error
+		id, err = proc.Start(cmd, func(id proc.ID) error {
+			raw, err := json.Marshal(id)
+			if err != nil {
+				return err
+			}
+			return renameio.WriteFile(filepath.Join(s.Dir, runDir, p.name+".json"), raw, 0o600)
+		})
+		started <- err
+	}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if err := <-started; err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	_ = id.Signal(syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(patience):
+		s.log.Error("a part did not end when told; it is killed", "part", p.name)
+		_ = id.Signal(syscall.SIGKILL)
+		return <-ended
+	}
+}
+
+// PID is the process of a part, for tests that kill it; 0 if it does not run.
+func (s *Site) PID(part string) int {
+	raw, err := os.ReadFile(filepath.Join(s.Dir, runDir, part+".json"))
+	var id proc.ID
+	if err != nil || json.Unmarshal(raw, &id) != nil || !id.Alive() {
+		return 0
+	}
+	return id.PID
+}
+
+// Stop ends all parts and the machines. The site can be opened again.
+func (s *Site) Stop() {
+	s.stop()
+	s.wait.Wait()
+	close(s.start)
+	for _, p := range s.parts {
+		p.log.Close()
+		_ = os.Remove(filepath.Join(s.Dir, runDir, p.name+".json"))
+	}
+	s.lock.Close()
+}
+
+// Ready waits until a controller serves.
+func (s *Site) Ready(ctx context.Context) error {
+	pool := transport.NewPool(4)
+	for {
+		for _, a := range s.Ports.Addresses() {
+			stop := time.AfterFunc(time.Second, func() { pool.Expire(time.Now().Add(time.Minute)) })
+			r, _, err := pool.Do(a, "GET", protocol.PathUp, nil, time.Second)
+			stop.Stop()
+			if err == nil && r.Status == 200 {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the site is not up in time: %w; see %s", ctx.Err(), filepath.Join(s.Dir, logsDir))
+		case err := <-s.fatal:
+			return err
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// StateFile is the state service's file.
+func (s *Site) StateFile() string { return filepath.Join(s.Dir, "state", statestore.FileName) }
+
+// Outputs lists what the tasks of a job have written, on machines that are there
+// and on those that ended last: one file for each attempt.
+func (s *Site) Outputs(ref string) ([]string, error) {
+	var out []string
+	for _, where := range []string{"machines", "ended"} {
+		found, err := filepath.Glob(filepath.Join(s.Dir, "cloud", where, "*", "tasks", ref+".*", "stdout"))
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, found...)
+	}
+	return out, nil
+}
--- a/internal/statestore/disk.go
+++ b/internal/statestore/disk.go
@@ -12,13 +12,14 @@
 	"path/filepath"
 	"runtime/debug"
 	"slices"
+	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	bolt "go.etcd.io/bbolt"
 	berrors "go.etcd.io/bbolt/errors"
 
 	"silvergate/internal/protocol"
+	"silvergate/internal/sealed"
 )
 
 // FileName is the store's file in its folder.
@@ -150,7 +151,8 @@
 }
 
 func (d *disk) damaged(format string, args ...any) error {
-	return fmt.Errorf("%s is %w: %s; it was left as it is: restore a backup into another folder (silvergate state restore)", d.path, ErrDamaged, fmt.Sprintf(format, args...))
+	// What bbolt says may hold whole pages.
+	return fmt.Errorf("%s is %w: %.300s; it was left as it is: restore a backup into another folder (silvergate state restore)", d.path, ErrDamaged, fmt.Sprintf(format, args...))
 }
 
 // guard turns what a damaged page makes bbolt do, a panic or a fault on the
@@ -201,11 +203,17 @@
 			return d.verify(tx)
 		})
 	})
-	if err != nil && d.db != nil {
-		_ = d.guard(d.db.Close)
-		d.db = nil
-	} else if err != nil && file != nil {
-		_ = file.Close()
+	if err != nil {
+		if d.db != nil {
+			_ = d.guard(d.db.Close)
+			d.db = nil
+		}
+		if file != nil { // unless bbolt got so far itself
+			// The mapping that a panic leaves behind keeps the lock, so
+			// closing alone would not give it back.
+			_ = syscall.Flock(int(file.Fd()), syscall.LOCK_UN)
+			_ = file.Close()
+		}
 	}
 	return err
 }
@@ -222,7 +230,7 @@
 	}
 	d.ttls, d.attached = map[uint64]time.Duration{}, map[uint64]map[string]bool{}
 	if err := tx.Bucket(bucketGrants).ForEach(func(k, v []byte) error {
-		body, ok := unseal(k, v)
+		body, ok := sealed.Open(k, v)
 		if !ok || len(k) != 8 || len(body) != 8 {
 			return d.damaged("grant %x does not match its checksum", k)
 		}
@@ -416,7 +424,7 @@
 	}
 	w.h.Grant, w.h.Grants = w.h.Grant+1, w.h.Grants+1
 	k := be64(w.h.Grant)
-	return outcome{grant: w.h.Grant, ledger: w.h.Ledger}, w.grants.Put(k, seal(k, be64(uint64(o.ttl.Milliseconds()))))
+	return outcome{grant: w.h.Grant, ledger: w.h.Ledger}, w.grants.Put(k, sealed.Append(k, be64(uint64(o.ttl.Milliseconds()))))
 }
 
 func (w *writer) txn(t *protocol.Txn) (outcome, error) {
@@ -573,35 +581,15 @@
 func be64(v uint64) []byte { return binary.BigEndian.AppendUint64(nil, v) }
 func be(b []byte) uint64   { return binary.BigEndian.Uint64(b[:8]) }
 
-func checksum(key, body []byte) uint64 {
-	h := xxhash.New()
-	_, _ = h.Write(key)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(body)
-	return h.Sum64()
-}
-
-func seal(key, body []byte) []byte {
-	return binary.BigEndian.AppendUint64(body, checksum(key, body))
-}
-
-func unseal(key, v []byte) ([]byte, bool) {
-	if len(v) < 8 {
-		return nil, false
-	}
-	body := v[:len(v)-8]
-	return body, be(v[len(body):]) == checksum(key, body)
-}
-
 func encodeRecord(key []byte, r record) []byte {
 	b := make([]byte, 0, 24+len(r.data))
 	b = binary.BigEndian.AppendUint64(b, r.stamp)
 	b = binary.BigEndian.AppendUint64(b, r.permit)
-	return seal(key, append(b, r.data...))
+	return sealed.Append(key, append(b, r.data...))
 }
 
 func decodeRecord(key, v []byte) (record, bool) {
-	b, ok := unseal(key, v)
+	b, ok := sealed.Open(key, v)
 	if !ok || len(b) < 16 {
 		return record{}, false
 	}
@@ -616,11 +604,11 @@
 	} else {
 		b = append(b, 0)
 	}
-	return seal(key, b)
+	return sealed.Append(key, b)
 }
 
 func decodeChange(key, v []byte) (change, bool) {
-	b, ok := unseal(key, v)
+	b, ok := sealed.Open(key, v)
 	if !ok || len(b) < 3 || len(key) != 16 {
 		return change{}, false
 	}
@@ -640,11 +628,11 @@
 	for _, v := range []uint64{h.Ledger, h.Grant, h.Floor, h.News, h.Grants, h.Keys, h.Digest} {
 		b = binary.BigEndian.AppendUint64(b, v)
 	}
-	return seal(headKey, b)
+	return sealed.Append(headKey, b)
 }
 
 func (h *head) decode(v []byte) bool {
-	b, ok := unseal(headKey, v)
+	b, ok := sealed.Open(headKey, v)
 	if !ok || len(b) != 56 {
 		return false
 	}
