Agent: tests with drawn orders and real programs

A gang's task that was told to stop after its program had completed was reported as stopped while others of the gang were done. It now stays finished: what becomes of it shows within gang_peer_s. Fetches that one step begins and gives up again are not begun.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,366 @@
+package agent
+
+import (
+	"archive/tar"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/proc"
+	"silvergate/internal/protocol"
+)
+
+// The test binary stands in for the program: it is started again for tasks, as a
+// watchdog, and as an agent that can be killed.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 2 {
+		var err error
+		switch os.Args[1] {
+		case "task-exec":
+			err = ExecTask(os.Args[2])
+		case "agent-watchdog":
+			err = Watchdog(os.Args[2], os.Stdin)
+		case "agent":
+			var cfg Config
+			raw, _ := os.ReadFile(os.Args[2])
+			if err = json.Unmarshal(raw, &cfg); err == nil {
+				var a *Agent
+				if a, err = New(cfg, os.Args[0], quiet); err == nil {
+					err = a.Run()
+				}
+			}
+		}
+		if os.Args[1] == "task-exec" || os.Args[1] == "agent-watchdog" || os.Args[1] == "agent" {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	// Generated inputs come from a fixed seed, so that a verdict repeats.
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.checks", "1000")
+	os.Exit(m.Run())
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// controller is a stand-in: it answers reports with whatever orders are due and
+// keeps the last report.
+type controller struct {
+	t      *testing.T
+	srv    *httptest.Server
+	mu     sync.Mutex
+	orders []protocol.Order
+	jobs   map[string]protocol.Description
+	last   protocol.Report
+	causes map[string]string // by "load#try"
+	silent bool
+	each   func(r protocol.Report)
+}
+
+func newController(t *testing.T) *controller {
+	c := &controller{t: t, jobs: map[string]protocol.Description{}, causes: map[string]string{}}
+	c.srv = httptest.NewServer(http.HandlerFunc(c.serve))
+	t.Cleanup(c.srv.Close)
+	return c
+}
+
+func (c *controller) serve(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ref, ok := strings.CutPrefix(r.URL.Path, protocol.PathRuns+"/"); ok {
+		if d, ok := c.jobs[strings.TrimSuffix(ref, "/"+protocol.PathDescription)]; ok {
+			_ = json.NewEncoder(w).Encode(d)
+			return
+		}
+		w.WriteHeader(404)
+		return
+	}
+	var rep protocol.Report
+	_ = json.NewDecoder(r.Body).Decode(&rep)
+	c.last = rep
+	if c.each != nil {
+		c.each(rep)
+	}
+	for _, l := range rep.Loads {
+		if l.Status == protocol.LoadEnded {
+			cause := l.Cause
+			if l.Saved {
+				cause += "+saved"
+			}
+			c.causes[fmt.Sprintf("%s#%d", l.Load, l.Try)] = cause
+		}
+	}
+	if c.silent {
+		w.WriteHeader(503)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(protocol.CheckinAnswer{Baton: 1, Orders: append([]protocol.Order{}, c.orders...)})
+	c.orders = nil
+}
+
+func (c *controller) order(o ...protocol.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders = append(c.orders, o...)
+}
+
+// await waits until a condition holds, and names it when it never does.
+func (c *controller) await(what string, ok func() bool) {
+	c.t.Helper()
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		c.mu.Lock()
+		good := ok()
+		c.mu.Unlock()
+		if good {
+			return
+		}
+		if time.Now().After(until) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.t.Fatalf("%s: never; causes %v, last report %+v", what, c.causes, c.last)
+		}
+	}
+}
+
+func (c *controller) job(id, script string, change func(*protocol.Description)) {
+	d := protocol.Description{Ref: id, Shape: job.Array, Loads: 9, CPUs: 0.1, RAM: 0.5, Kit: "sh", Urgency: "idle",
+		Extra: &job.Extra{Command: []string{"/bin/sh", "-c", script}}}
+	if change != nil {
+		change(&d)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id] = d
+}
+
+func testConfig(t *testing.T, c *controller) Config {
+	cfg := DefaultConfig()
+	cfg.Stoker, cfg.Rig, cfg.Depot = "i-1", "r", "z"
+	cfg.Dir, cfg.Outside = filepath.Join(t.TempDir(), "m"), t.TempDir()
+	cfg.Controllers = []Node{{"n", c.srv.Listener.Addr().String()}}
+	cfg.Workers = Periods{Report: 0.6, Lease: 3, GangWait: 5, GangPeer: 1}
+	cfg.Room = Room{CPUs: 8, RAM: 8}
+	cfg.Images = []Image{{Name: "sh", Command: []string{"/bin/true"}}}
+	return cfg
+}
+
+func launch(id string, i int) protocol.Order {
+	return protocol.Order{Verb: "launch", Load: job.TaskName(id, i), Try: 1}
+}
+
+func runAgent(t *testing.T, cfg Config) *Agent {
+	a, err := New(cfg, os.Args[0], quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run() }()
+	t.Cleanup(func() {
+		a.Stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return a
+}
+
+// TestTasksRunAndEndWhole runs real programs: one that succeeds, one that
+// fails, one that takes too much memory, one whose children leave its group, one
+// that saves, and one that nobody can start.
+func TestTasksRunAndEndWhole(t *testing.T) {
+	c := newController(t)
+	cfg := testConfig(t, c)
+	c.job("wk-000001", `echo "task $SILVERGATE_TASK says $WORD"; pwd`, func(d *protocol.Description) { d.Extra.Env = map[string]string{"WORD": "hello"} })
+	c.job("wk-000002", `exit 3`, nil)
+	c.job("wk-000003", `exec awk 'BEGIN { s = "x"; while (length(s) < 400000000) s = s s; while (1) {} }'`, func(d *protocol.Description) { d.RAM = 0.1 })
+	c.job("wk-000004", `setsid sleep 1000 & echo $! > left; sleep 1000 & wait`, nil)
+	c.job("wk-000005", `trap 'echo saved > $SILVERGATE_CHECKPOINTS/7; touch $SILVERGATE_CHECKPOINTS/7.complete; exit 0' TERM; echo ready; while :; do sleep 0.05; done`,
+		func(d *protocol.Description) { d.Waypoint, d.Stow = 100, 1 })
+	c.job("wk-000006", ``, func(d *protocol.Description) { d.Extra.Command = []string{"no-such-program"} })
+	c.job("wk-000007", ``, func(d *protocol.Description) { d.Kit = "unknown" })
+	runAgent(t, cfg)
+	for i := 1; i <= 8; i++ { // the last is of a job that nobody knows
+		c.order(launch(fmt.Sprintf("wk-%06d", i), 0))
+	}
+	file := func(i int, name string) string {
+		b, _ := os.ReadFile(filepath.Join(cfg.Dir, tasksDir, fmt.Sprintf("wk-%06d.0.1", i), name))
+		return string(b)
+	}
+	c.await("the first endings", func() bool { return len(c.causes) == 6 })
+	for i, want := range []string{"", "done", "error", "error", "", "", "error", "error", "unknown"} {
+		if got := c.causes[fmt.Sprintf("wk-%06d/0#1", i)]; got != want {
+			t.Errorf("job %d: %q, expected %q", i, got, want)
+		}
+	}
+	if out := file(1, stdout); !strings.Contains(out, "task 0 says hello") || !strings.Contains(out, filepath.Join(cfg.Dir, tasksDir)) {
+		t.Errorf("output: %q", out)
+	}
+	if !strings.Contains(file(6, stderr), "no-such-program") {
+		t.Errorf("why it was not started: %q", file(6, stderr))
+	}
+	c.await("the program's child", func() bool { return file(4, workDir+"/left") != "" && strings.Contains(file(5, stdout), "ready") })
+	left, _ := strconv.Atoi(strings.TrimSpace(file(4, workDir+"/left")))
+	id, err := proc.Identify(left)
+	if err != nil {
+		t.Fatal(err)
+	}
+	grace := 10.0
+	c.order(protocol.Order{Verb: "kill", Load: "wk-000004/0", Try: 1}, protocol.Order{Verb: "kill", Load: "wk-000005/0", Try: 1, WindDownS: &grace})
+	c.await("the kills", func() bool { return len(c.causes) == 8 })
+	if c.causes["wk-000004/0#1"] != "stopped" || id.Alive() {
+		t.Errorf("%s, its child alive: %v", c.causes["wk-000004/0#1"], id.Alive())
+	}
+	if c.causes["wk-000005/0#1"] != "stopped+saved" || (outside{cfg.Outside}).resume("wk-000005", 0, 9, false) != 7 {
+		t.Errorf("saved: %s", c.causes["wk-000005/0#1"])
+	}
+	// The result is kept: the same task started again does not run again.
+	c.order(protocol.Order{Verb: "forget", Load: "wk-000001/0", Try: 1}, protocol.Order{Verb: "launch", Load: "wk-000001/0", Try: 2})
+	c.await("the repeated task", func() bool { return c.causes["wk-000001/0#2"] == "done" })
+	if exists(filepath.Join(cfg.Dir, tasksDir, "wk-000001.0.2", execFile)) {
+		t.Error("a task that was done ran again")
+	}
+}
+
+// TestNoTaskOutlivesItsAgentOrLease kills an agent, and stops another, with
+// tasks that run, and demands that these end: at once, and with the lease.
+func TestNoTaskOutlivesItsAgentOrLease(t *testing.T) {
+	for _, how := range []string{"killed", "hangs"} {
+		t.Run(how, func(t *testing.T) {
+			c := newController(t)
+			cfg := testConfig(t, c)
+			cfg.Workers.Lease = 1.5
+			c.job("wk-000001", `echo $$ > pid; exec sleep 1000`, nil)
+			raw, _ := json.Marshal(cfg)
+			file := filepath.Join(t.TempDir(), "agent.json")
+			if err := os.WriteFile(file, raw, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			start := func() *exec.Cmd {
+				cmd := exec.Command(os.Args[0], "agent", file)
+				if err := cmd.Start(); err != nil {
+					t.Fatal(err)
+				}
+				return cmd
+			}
+			cmd := start()
+			defer func() {
+				cmd.Process.Kill()
+				cmd.Wait()
+				EndTasks(cfg.Dir)
+			}()
+			c.order(launch("wk-000001", 0))
+			var id proc.ID
+			c.await("the task", func() bool {
+				b, _ := os.ReadFile(filepath.Join(cfg.Dir, tasksDir, "wk-000001.0.1", workDir, "pid"))
+				pid, err := strconv.Atoi(strings.TrimSpace(string(b)))
+				if err == nil {
+					id, err = proc.Identify(pid)
+				}
+				return err == nil && len(c.last.Loads) == 1 && c.last.Loads[0].Status == protocol.LoadRunning
+			})
+			// From now on a report of another session is evidence.
+			early := false
+			c.mu.Lock()
+			shift := c.last.Shift
+			c.each = func(r protocol.Report) { early = early || r.Shift > shift && id.Alive() }
+			c.mu.Unlock()
+			if how == "killed" {
+				cmd.Process.Kill()
+				cmd.Wait()
+				cmd = start()
+			} else {
+				cmd.Process.Signal(syscall.SIGSTOP)
+				c.await("the end of the task whose agent hangs", func() bool { return !id.Alive() })
+				cmd.Process.Signal(syscall.SIGCONT)
+			}
+			c.await("a new session without tasks", func() bool { return c.last.Shift > shift && len(c.last.Loads) == 0 })
+			if id.Alive() || early {
+				t.Fatalf("the task runs on: %v; told too early: %v", id.Alive(), early)
+			}
+		})
+	}
+}
+
+// TestImagesStayInside unpacks archives whose names lead out, and demands that
+// nothing appears, neither there nor as an image.
+func TestImagesStayInside(t *testing.T) {
+	archive := func(headers ...tar.Header) string {
+		path := filepath.Join(t.TempDir(), "image.tar")
+		f, err := os.Create(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := tar.NewWriter(f)
+		for _, h := range headers {
+			h.Mode = 0o755
+			if h.Typeflag == tar.TypeReg {
+				h.Size = 4
+			}
+			if err := w.WriteHeader(&h); err != nil {
+				t.Fatal(err)
+			}
+			if h.Typeflag == tar.TypeReg {
+				_, _ = w.Write([]byte("evil"))
+			}
+		}
+		if err := errors.Join(w.Close(), f.Close()); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	out := filepath.Join(t.TempDir(), "out")
+	for name, path := range map[string]string{
+		"parent":  archive(tar.Header{Name: "../../evil", Typeflag: tar.TypeReg}),
+		"root":    archive(tar.Header{Name: "/evil", Typeflag: tar.TypeReg}),
+		"link":    archive(tar.Header{Name: "l", Linkname: filepath.Dir(out), Typeflag: tar.TypeSymlink}, tar.Header{Name: "l/out", Typeflag: tar.TypeReg}),
+		"device":  archive(tar.Header{Name: "d", Typeflag: tar.TypeChar}),
+		"hard":    archive(tar.Header{Name: "h", Linkname: "/etc/passwd", Typeflag: tar.TypeLink}),
+		"large":   archive(tar.Header{Name: "a", Typeflag: tar.TypeReg}, tar.Header{Name: "b", Typeflag: tar.TypeReg}),
+		"missing": filepath.Join(t.TempDir(), "none.tar"),
+	} {
+		dir := t.TempDir()
+		c, err := newImages(dir, 7, []Image{{Name: "x", Path: path}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.wanted, c.evicted = func(string) bool { return true }, func(string) {}
+		got := make(chan error, 1)
+		c.fetch("x", func(err error) { got <- err })
+		if err := <-got; err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		if _, _, ok := c.folder("x"); ok || exists(out) {
+			t.Errorf("%s: visible", name)
+		}
+		if left, _ := os.ReadDir(dir); len(left) > 0 {
+			t.Errorf("%s: left behind %v", name, left)
+		}
+	}
+	good := archive(tar.Header{Name: "bin/run", Typeflag: tar.TypeReg})
+	c, _ := newImages(t.TempDir(), 100, []Image{{Name: "x", Path: good}})
+	c.wanted, c.evicted = func(string) bool { return true }, func(string) {}
+	got := make(chan error, 1)
+	c.fetch("x", func(err error) { got <- err })
+	if err := <-got; err != nil {
+		t.Fatal(err)
+	}
+	folder, _, _ := c.folder("x")
+	if p, err := find("run", folder); err != nil || !strings.HasPrefix(p, folder) {
+		t.Errorf("program of the image: %s %v", p, err)
+	}
+}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -375,6 +375,12 @@
 		}
 	}
 	delete(w.pulls, l.desc.Kit)
+	// What one step begins and gives up again is not begun at all: effects of
+	// a step have no order among kinds.
+	if i := slices.Index(w.out.Fetch, l.desc.Kit); i >= 0 {
+		w.out.Fetch = slices.Delete(w.out.Fetch, i, i+1)
+		return
+	}
 	w.out.Leave = append(w.out.Leave, l.desc.Kit)
 }
 
@@ -591,6 +597,10 @@
 		w.ready(l)
 	} else if !w.pulls[d.Kit] {
 		w.pulls[d.Kit] = true
+		if i := slices.Index(w.out.Leave, d.Kit); i >= 0 {
+			w.out.Leave = slices.Delete(w.out.Leave, i, i+1) // it goes on
+			return
+		}
 		w.out.Fetch = append(w.out.Fetch, d.Kit)
 	}
 }
@@ -675,8 +685,12 @@
 
 func (w *Worker) kill(l *load, grace float64) {
 	switch l.phase {
-	case describing, fetching, waiting, finished:
+	case describing, fetching, waiting:
 		w.over(l, protocol.CauseStopped)
+	case finished:
+		// Guards against a gang of which some tasks are done and one was
+		// stopped: its program has completed, and the others may have seen so.
+		// What becomes of it shows within gang_peer_s.
 	case saved:
 		if grace == 0 {
 			w.over(l, protocol.CauseStopped)
--- /dev/null
+++ b/internal/agent/worker_test.go
@@ -0,0 +1,386 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+var (
+	testPeriods = Periods{Report: 3, Lease: 18, GangWait: 35, GangPeer: 4}
+	testNodes   = []Node{{"a", "127.0.0.1:1"}, {"b", "127.0.0.1:2"}, {"c", "127.0.0.1:3"}}
+	testRoom    = Room{CPUs: 4, GPUs: 0, RAM: 3}
+)
+
+// bench drives a worker as an agent would, with a world that draws what happens.
+type bench struct {
+	w       *Worker
+	now     time.Duration
+	report  *Send
+	alive   map[Key]bool // attempts whose processes run
+	pulls   map[string]bool
+	asked   []string
+	clear   bool
+	started map[Key]int // in this session
+	fail    func(format string, args ...any)
+}
+
+func newBench(fail func(string, ...any)) *bench {
+	me := protocol.Report{Stoker: "i-1", Address: "127.0.0.1:9", Rig: "r", Depot: "z"}
+	return &bench{w: NewWorker(me, testRoom, testPeriods, testNodes, 1, 0, rand.New(rand.NewPCG(1, 2))),
+		alive: map[Key]bool{}, pulls: map[string]bool{}, started: map[Key]int{}, fail: fail}
+}
+
+// take does what a step wants done.
+func (b *bench) take(e Effects) {
+	if e.Report != nil {
+		if b.report != nil {
+			b.fail("two reports in flight")
+		}
+		if b.clear {
+			b.fail("a report while the last session's tasks are being ended")
+		}
+		b.report = e.Report
+	}
+	if e.Clear {
+		b.clear = true
+	}
+	for _, k := range e.Start {
+		if b.alive[k] || b.started[k] > 0 && b.w.loads[k] != nil && b.started[k] > 1 {
+			b.fail("%v started twice", k)
+		}
+		for o := range b.alive {
+			if o.Job == k.Job && o.Index == k.Index {
+				b.fail("%v started while %v is on the machine", k, o)
+			}
+		}
+		b.alive[k] = true
+		b.started[k]++
+	}
+	for _, k := range e.Forget {
+		delete(b.started, k)
+		if b.alive[k] && !b.clear {
+			b.fail("%v forgotten while its processes run", k)
+		}
+	}
+	for _, n := range e.Fetch {
+		if b.pulls[n] {
+			b.fail("image %s fetched twice at once", n)
+		}
+		b.pulls[n] = true
+	}
+	for _, n := range e.Leave {
+		delete(b.pulls, n)
+	}
+	b.asked = append(b.asked, e.Describe...)
+	used := Room{}
+	for k, l := range b.w.loads {
+		if l.phase == ended && b.alive[k] {
+			b.fail("%v reported over (%s) while its processes run", k, l.cause)
+		}
+		if l.desc != nil && l.phase != ended {
+			used.CPUs += l.desc.CPUs
+			used.RAM += l.desc.RAM
+		}
+	}
+	if used.CPUs > testRoom.CPUs || used.RAM > testRoom.RAM {
+		b.fail("more in use than there is: %+v", used)
+	}
+}
+
+func (b *bench) tick(d time.Duration) {
+	b.now += d
+	b.take(b.w.Tick(b.now))
+}
+
+func (b *bench) answer(status int, v any) {
+	r := b.report
+	b.report = nil
+	b.take(b.w.Answered(b.now, r, status, protocol.Encode(v)))
+}
+
+func describe(id string, shape job.Shape, loads int) *protocol.Description {
+	return &protocol.Description{Ref: id, Shape: shape, Loads: loads, CPUs: 1, RAM: 1, Kit: "img", Urgency: "standard"}
+}
+
+// TestWorkerKeepsTheProtocolsRules draws orders, answers, ends, pauses and lost
+// messages, and checks after each step what must always hold.
+func TestWorkerKeepsTheProtocolsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(t.Fatalf)
+		jobs := map[string]*protocol.Description{"wk-000001": describe("wk-000001", job.Array, 3), "wk-000002": describe("wk-000002", job.Service, 2)}
+		jobs["wk-000001"].Waypoint, jobs["wk-000001"].Stow = 5, 1
+		highest, session := uint64(0), uint64(1)
+		answeredAt := time.Duration(0)
+		orders := func() []protocol.Order {
+			var out []protocol.Order
+			for range rapid.IntRange(0, 3).Draw(t, "orders") {
+				grace := rapid.SampledFrom([]float64{0, 2, 10}).Draw(t, "grace")
+				out = append(out, protocol.Order{Verb: rapid.SampledFrom([]string{"launch", "launch", "launch", "kill", "forget"}).Draw(t, "verb"),
+					Load: fmt.Sprintf("wk-%06d/%d", rapid.IntRange(1, 3).Draw(t, "job"), rapid.IntRange(0, 2).Draw(t, "index")),
+					Try:  rapid.IntRange(1, 2).Draw(t, "try"), WindDownS: &grace})
+			}
+			return out
+		}
+		b.tick(0)
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			before := fmt.Sprint(b.w.Count())
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				b.tick(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			case 1:
+				b.tick(time.Duration(rapid.IntRange(1, 25).Draw(t, "s")) * time.Second)
+			case 2, 3:
+				if b.report == nil {
+					b.tick(time.Second)
+					continue
+				}
+				token := rapid.SampledFrom([]uint64{0, highest, highest, highest + 1, highest / 2}).Draw(t, "token")
+				r, shift := b.report, b.w.Session()
+				o := orders()
+				b.answer(200, protocol.CheckinAnswer{Baton: token, Orders: o})
+				switch taken := token > 0 && token >= highest && r.Shift == shift && b.now-r.At <= patience && !b.w.clearing; {
+				case taken:
+					highest, answeredAt = token, max(answeredAt, r.At)
+				case fmt.Sprint(b.w.Count()) != before && !b.clear:
+					t.Fatalf("an answer under token %d of %d was obeyed", token, highest)
+				}
+			case 4:
+				if b.report != nil {
+					b.answer(rapid.SampledFrom([]int{0, 421, 503}).Draw(t, "status"), protocol.Redirect{Dispatcher: "b"})
+				}
+			case 5:
+				token := rapid.SampledFrom([]uint64{highest, highest + 1, highest / 2}).Draw(t, "token")
+				shift := rapid.SampledFrom([]uint64{session, session, session + 1}).Draw(t, "shift")
+				st, _, e := b.w.Direct(b.now, protocol.Encode(protocol.DirectOrders{Baton: token, Shift: shift, Orders: orders()}))
+				b.take(e)
+				if want := token >= highest && shift == session && !b.w.clearing; (st == 200) != want {
+					t.Fatalf("direct orders: %d, token %d of %d, session %d of %d", st, token, highest, shift, session)
+				}
+				if st == 200 {
+					highest = token
+				}
+			case 6:
+				asked := b.asked
+				b.asked = nil
+				for _, id := range asked {
+					if rapid.IntRange(0, 3).Draw(t, "described") == 0 {
+						b.take(b.w.Described(b.now, id, nil, false))
+					} else {
+						b.take(b.w.Described(b.now, id, jobs[id], jobs[id] == nil))
+					}
+				}
+			case 7:
+				for n := range b.pulls {
+					delete(b.pulls, n)
+					var err error
+					if rapid.IntRange(0, 4).Draw(t, "fetched") == 0 {
+						err = errors.New("no")
+					}
+					b.take(b.w.Fetched(b.now, n, err))
+				}
+			case 8:
+				var live []Key
+				for k := range b.alive {
+					live = append(live, k)
+				}
+				slices.SortFunc(live, func(x, y Key) int { return slices.Compare([]byte(x.String()), []byte(y.String())) })
+				if len(live) > 0 {
+					k := rapid.SampledFrom(live).Draw(t, "exits")
+					delete(b.alive, k)
+					b.take(b.w.Exited(b.now, k, Exit{Code: rapid.IntRange(0, 1).Draw(t, "code"), Saved: rapid.Bool().Draw(t, "saved")}))
+				}
+			case 9:
+				if b.clear {
+					clear(b.alive)
+					clear(b.started)
+					b.clear = false
+					session++
+					b.take(b.w.Cleared(b.now))
+					answeredAt = b.now
+				}
+			}
+			if over := b.now - answeredAt; over > b.w.lease() != b.w.clearing && over > b.w.lease() {
+				t.Fatalf("the lease is over since %v and the session goes on", over-b.w.lease())
+			}
+			if b.w.Session() != session {
+				t.Fatalf("session %d, expected %d", b.w.Session(), session)
+			}
+		}
+	})
+}
+
+// TestNewSessionIsEvidence demands that no report of a new session leaves before
+// the old one's processes are gone.
+func TestNewSessionIsEvidence(t *testing.T) {
+	b := newBench(t.Fatalf)
+	b.tick(0)
+	b.answer(200, protocol.CheckinAnswer{Baton: 7, Orders: []protocol.Order{{Verb: "launch", Load: "wk-000001/0", Try: 1}}})
+	b.take(b.w.Described(b.now, "wk-000001", describe("wk-000001", job.Array, 1), false))
+	b.take(b.w.Fetched(b.now, "img", nil))
+	if len(b.alive) != 1 {
+		t.Fatal("not started")
+	}
+	b.tick(19 * time.Second)
+	if !b.clear {
+		t.Fatal("the lease did not end")
+	}
+	if _, _, err := b.w.Status(b.now); err == nil {
+		t.Fatal("a status was given while tasks were being ended")
+	}
+	if st, _, _ := b.w.Direct(b.now, []byte(`{"baton":9,"shift":2,"orders":[]}`)); st != 503 {
+		t.Fatalf("orders were taken while tasks were being ended: %d", st)
+	}
+	b.report = nil
+	b.tick(time.Minute) // bench fails on a report
+	clear(b.alive)
+	b.clear = false
+	b.take(b.w.Cleared(b.now))
+	b.tick(0)
+	var r protocol.Report
+	if b.report == nil || json.Unmarshal(b.report.Body, &r) != nil || r.Shift != 2 || len(r.Loads) != 0 || r.Baton != 7 {
+		t.Fatalf("first report of the new session: %+v", r)
+	}
+}
+
+// TestAnswerOfAnEarlierSessionIsDropped delays an answer past the lease's end.
+func TestAnswerOfAnEarlierSessionIsDropped(t *testing.T) {
+	b := newBench(t.Fatalf)
+	b.tick(0)
+	b.answer(200, protocol.CheckinAnswer{Baton: 5})
+	b.tick(17 * time.Second)
+	late := b.report
+	b.tick(1100 * time.Millisecond)
+	if late == nil || !b.clear {
+		t.Fatal("no report under way at the end of the lease")
+	}
+	b.clear = false
+	b.take(b.w.Cleared(b.now))
+	b.answer(200, protocol.CheckinAnswer{Baton: 6, Orders: []protocol.Order{{Verb: "launch", Load: "wk-000001/0", Try: 1}}})
+	if all, _ := b.w.Count(); all != 0 || b.w.baton != 5 {
+		t.Fatalf("%d attempts, token %d", all, b.w.baton)
+	}
+}
+
+// TestGangsStartAndEndTogether runs a gang of three on three workers that hear
+// of one another with delay, and lets a member go at drawn moments.
+func TestGangsStartAndEndTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 3
+		id := "wk-000009"
+		d := describe(id, job.Gang, n)
+		d.Waypoint, d.Stow = 10, 1
+		var bs []*bench
+		for i := range n {
+			b := newBench(t.Fatalf)
+			b.tick(0)
+			b.answer(200, protocol.CheckinAnswer{Baton: 1, Orders: []protocol.Order{{Verb: "launch", Load: fmt.Sprintf("%s/%d", id, i), Try: 4}}})
+			b.take(b.w.Described(b.now, id, d, false))
+			bs = append(bs, b)
+		}
+		imageAt := []int{}
+		for range n {
+			imageAt = append(imageAt, rapid.IntRange(0, 30).Draw(t, "image"))
+		}
+		lostAt := rapid.IntRange(0, 120).Draw(t, "lost") // quarter seconds; 100 and more: never
+		lost := rapid.IntRange(0, n-1).Draw(t, "who")
+		var runs []int
+		for range n {
+			runs = append(runs, rapid.IntRange(10, 60).Draw(t, "runs"))
+		}
+		ran := 0
+		stopAt := rapid.IntRange(0, 200).Draw(t, "stop")
+		startedAt := -1
+		for q := range 300 {
+			for i, b := range bs {
+				if q == imageAt[i] {
+					b.take(b.w.Fetched(b.now, "img", nil))
+				}
+				k := Key{id, i, 4}
+				if q == stopAt && (i != lost || q < lostAt) {
+					grace := 8.0
+					_, _, e := b.w.Direct(b.now, protocol.Encode(protocol.DirectOrders{Baton: 1, Shift: 1, Orders: []protocol.Order{{Verb: "kill", Load: k.Load(), Try: 4, WindDownS: &grace}}}))
+					b.take(e)
+				}
+				if i == lost && q >= lostAt && lostAt < 100 {
+					continue
+				}
+				l := b.w.loads[k]
+				if b.alive[k] && startedAt < 0 {
+					startedAt = q
+					for j, at := range imageAt {
+						if at > q {
+							t.Fatalf("started at %d, before task %d had its image at %d", q, j, at)
+						}
+					}
+				}
+				switch {
+				case b.alive[k] && l.phase == ending:
+					delete(b.alive, k)
+					b.take(b.w.Exited(b.now, k, Exit{Code: -1}))
+				case b.alive[k] && l.phase == saving && q >= stopAt+4:
+					delete(b.alive, k)
+					b.take(b.w.Exited(b.now, k, Exit{Saved: true}))
+				case b.alive[k] && l.phase == running && startedAt >= 0 && q >= startedAt+runs[i]:
+					delete(b.alive, k)
+					ran++
+					b.take(b.w.Exited(b.now, k, Exit{}))
+				}
+				if q%2 == 0 { // what the others say arrives every half second
+					states := map[int]string{}
+					for j, o := range bs {
+						if j == lost && q >= lostAt && lostAt < 100 {
+							continue
+						}
+						for i, s := range o.w.Gang(id, 4) {
+							states[i] = s
+						}
+					}
+					b.take(b.w.Peers(b.now, k, states))
+				}
+				if b.report != nil {
+					b.answer(200, protocol.CheckinAnswer{Baton: 1, Orders: []protocol.Order{}})
+				}
+				b.tick(250 * time.Millisecond)
+			}
+		}
+		causes := map[string]int{}
+		for i, b := range bs {
+			if i == lost && lostAt < 100 {
+				continue
+			}
+			l := b.w.loads[Key{id, i, 4}]
+			if l == nil || l.phase != ended {
+				t.Fatalf("task %d is not over: %+v", i, l)
+			}
+			c := l.cause
+			if l.saved {
+				c += "+saved"
+			}
+			causes[c]++
+		}
+		// One that is done, or has saved, means that all are or have.
+		for _, c := range []string{protocol.CauseDone, "stopped+saved"} {
+			// Whoever is lost after its program completed or saved was seen by
+			// some and not by others. What holds is judged by what is there.
+			if causes[c] > 0 && len(causes) > 1 && lostAt >= 100 {
+				t.Fatalf("causes %v (lost %d at %d, stop at %d, start at %d, runs %v)", causes, lost, lostAt, stopAt, startedAt, runs)
+			}
+		}
+		if causes[protocol.CauseDone] > 0 && ran < n {
+			t.Fatalf("done when %d of %d programs had completed", ran, n)
+		}
+		if lostAt >= 100 && stopAt >= 199 && causes[protocol.CauseDone] != n {
+			t.Fatalf("nothing happened, and yet: %v", causes)
+		}
+	})
+}
--- a/internal/statestore/store_test.go
+++ b/internal/statestore/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -357,6 +358,7 @@
 
 // The test binary serves when it is told a folder: it can then be killed.
 func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261201") // so that a verdict repeats
 	if dir := os.Getenv("STATESTORE_DIR"); dir != "" {
 		s, err := Open(Config{Listen: "127.0.0.1:0", Dir: dir, Limits: wide, MaxSockets: 64}, quiet)
 		if err == nil {
