Data sets and a machine's store of them

A version is a manifest of chunks named by BLAKE3 hashes, and the manifest's own hash its digest, so no source needs to be trusted. The store fetches from file servers and other machines, resumes after kill -9 by hashing what is there, makes a copy visible by one rename, pins what tasks use, and lets an urgent fetch stop all others at once. Tested against a file server that damages, cuts, lies, stalls and goes dark.

--- /dev/null
+++ b/internal/dataset/manifest.go
@@ -0,0 +1,384 @@
+// Package dataset is the form of data sets: a name with immutable versions, each
+// a manifest of files whose chunks are named by their BLAKE3 hashes. It decides
+// nothing about who holds or fetches them.
+//
+// A manifest is JSON in one form only, and its own hash is the version's digest:
+// whoever has the digest, from the records, can check the manifest, and with it
+// every chunk. So no source needs to be trusted.
+package dataset
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/zeebo/blake3"
+
+	"silvergate/internal/protocol"
+)
+
+// Limits of a manifest.
+const (
+	// ChunkSize is the size of all chunks of a file but the last.
+	ChunkSize = 1 << 20
+	// MaxFiles and MaxManifest bound what an agent will hold of one version.
+	MaxFiles    = 100_000
+	MaxManifest = 32 << 20
+)
+
+// Hash is a BLAKE3-256 hash.
+type Hash [32]byte
+
+// Sum hashes data.
+func Sum(data []byte) Hash { return blake3.Sum256(data) }
+
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// MarshalText writes the hash in hexadecimal.
+func (h Hash) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
+
+// UnmarshalText reads 64 hexadecimal digits in lower case.
+func (h *Hash) UnmarshalText(b []byte) error {
+	if len(b) != 64 || bytes.ContainsAny(b, "ABCDEF") {
+		return errors.New("a hash has 64 hexadecimal digits in lower case")
+	}
+	_, err := hex.Decode(h[:], b)
+	return err
+}
+
+// ParseHash reads a hash.
+func ParseHash(s string) (h Hash, err error) {
+	err = h.UnmarshalText([]byte(s))
+	return h, err
+}
+
+// File is a file of a version.
+type File struct {
+	Path string `json:"path"`
+	Size int64  `json:"size"`
+	Exec bool   `json:"exec,omitempty"`
+	// Chunks are the hashes of its chunks, in order.
+	Chunks []Hash `json:"chunks"`
+}
+
+// Manifest is a version of a data set.
+type Manifest struct {
+	Set     string `json:"set"`
+	Version string `json:"version"`
+	Files   []File `json:"files"` // by path
+}
+
+// ID names a copy of a version on machines: the version's digest, shortened.
+type ID string
+
+// idLen is enough that no two versions of a site share an ID by chance.
+const idLen = 32
+
+// IDOf is the ID of a version with a digest.
+func IDOf(digest Hash) ID { return ID(digest.String()[:idLen]) }
+
+// ValidID tells whether s has the form of an ID.
+func ValidID(s string) bool {
+	return len(s) == idLen && strings.Trim(s, "0123456789abcdef") == ""
+}
+
+// Encode writes a manifest in its one form.
+func (m *Manifest) Encode() ([]byte, error) {
+	if err := m.Check(); err != nil {
+		return nil, err
+	}
+	b, err := json.Marshal(m)
+	if err == nil && len(b) > MaxManifest {
+		err = fmt.Errorf("the manifest is larger than %d bytes; make several data sets of it", MaxManifest)
+	}
+	return b, err
+}
+
+// Bytes is the size of all files.
+func (m *Manifest) Bytes() (n int64) {
+	for i := range m.Files {
+		n += m.Files[i].Size
+	}
+	return n
+}
+
+// Check names what can't be in a manifest.
+func (m *Manifest) Check() error {
+	if !protocol.ValidName(m.Set) {
+		return errors.New("set: missing or not a name")
+	}
+	if !ValidVersion(m.Version) {
+		return errors.New("version: missing, not a name, or latest")
+	}
+	if len(m.Files) == 0 || len(m.Files) > MaxFiles {
+		return fmt.Errorf("files: none, or more than %d", MaxFiles)
+	}
+	for i := range m.Files {
+		f := &m.Files[i]
+		if !protocol.ValidPlace(f.Path) {
+			return fmt.Errorf("files[%d].path: not a path inside", i)
+		}
+		if i > 0 && m.Files[i-1].Path >= f.Path {
+			return fmt.Errorf("files[%d].path: not after the one before", i)
+		}
+		if f.Size < 0 || f.Size > 1<<50 || int64(len(f.Chunks)) != (f.Size+ChunkSize-1)/ChunkSize {
+			return fmt.Errorf("files[%d]: %d chunks for %d bytes", i, len(f.Chunks), f.Size)
+		}
+	}
+	// A file can't be where another needs a folder.
+	paths := map[string]bool{}
+	for i := range m.Files {
+		paths[m.Files[i].Path] = true
+	}
+	for i := range m.Files {
+		for p := filepath.Dir(m.Files[i].Path); p != "."; p = filepath.Dir(p) {
+			if paths[p] {
+				return fmt.Errorf("files[%d].path: below a file", i)
+			}
+		}
+	}
+	return nil
+}
+
+// Latest stands for the newest version, where a job names one.
+const Latest = "latest"
+
+// ValidVersion tells whether s can name a version.
+func ValidVersion(s string) bool { return protocol.ValidName(s) && s != Latest }
+
+// Decode reads a manifest and checks that it has the digest, and so is in its
+// one form.
+func Decode(raw []byte, digest Hash) (*Manifest, error) {
+	if len(raw) > MaxManifest {
+		return nil, fmt.Errorf("the manifest is larger than %d bytes", MaxManifest)
+	}
+	if Sum(raw) != digest {
+		return nil, errors.New("the manifest does not have the version's digest")
+	}
+	return Parse(raw)
+}
+
+// Parse reads a manifest and checks its form.
+func Parse(raw []byte) (*Manifest, error) {
+	m := &Manifest{}
+	if err := json.Unmarshal(raw, m); err != nil {
+		return nil, fmt.Errorf("manifest: %w", err)
+	}
+	again, err := m.Encode()
+	if err != nil {
+		return nil, fmt.Errorf("manifest: %w", err)
+	}
+	if !bytes.Equal(again, raw) {
+		return nil, errors.New("manifest: not in its one form")
+	}
+	return m, nil
+}
+
+// Build makes the manifest of a folder's files. progress, if not nil, is told
+// the bytes read so far.
+func Build(dir, set, version string, progress func(int64)) (*Manifest, error) {
+	m := &Manifest{Set: set, Version: version}
+	read := int64(0)
+	buf := make([]byte, ChunkSize)
+	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		name, err := filepath.Rel(dir, path)
+		if err != nil {
+			return err
+		}
+		if !d.Type().IsRegular() {
+			return fmt.Errorf("%s: neither a file nor a folder", name)
+		}
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		info, err := f.Stat()
+		if err != nil {
+			return err
+		}
+		file := File{Path: filepath.ToSlash(name), Exec: info.Mode()&0o111 != 0, Chunks: []Hash{}}
+		for {
+			n, err := io.ReadFull(f, buf)
+			if n > 0 {
+				file.Size += int64(n)
+				file.Chunks = append(file.Chunks, Sum(buf[:n]))
+				if read += int64(n); progress != nil {
+					progress(read)
+				}
+			}
+			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+				break
+			}
+			if err != nil {
+				return err
+			}
+		}
+		m.Files = append(m.Files, file)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(m.Files, func(a, b File) int { return strings.Compare(a.Path, b.Path) })
+	return m, m.Check()
+}
+
+// Paths of a file server: below SetsPath/SET/VERSION are ManifestName and the
+// files, which can be read by ranges. A machine that holds chunks serves them
+// by hash below ChunkPath.
+const (
+	SetsPath     = "/sets/"
+	ManifestName = "manifest.json"
+	FilesDir     = "files"
+	ChunkPath    = "/chunks/"
+)
+
+// Publish copies a folder into a file server's root as a version. It appears
+// whole or not at all; a version that exists is never changed.
+func Publish(dir, root string, m *Manifest) (digest Hash, err error) {
+	raw, err := m.Encode()
+	if err != nil {
+		return digest, err
+	}
+	digest = Sum(raw)
+	parent := filepath.Join(root, "sets", m.Set)
+	final := filepath.Join(parent, m.Version)
+	if old, err := os.ReadFile(filepath.Join(final, ManifestName)); err == nil {
+		if Sum(old) == digest {
+			return digest, nil
+		}
+		return digest, fmt.Errorf("%s: version %s exists with other contents; versions never change", m.Set, m.Version)
+	}
+	if err := os.MkdirAll(parent, 0o755); err != nil {
+		return digest, err
+	}
+	tmp, err := os.MkdirTemp(parent, ".new-")
+	if err != nil {
+		return digest, err
+	}
+	defer os.RemoveAll(tmp)
+	if err := os.Chmod(tmp, 0o755); err != nil {
+		return digest, err
+	}
+	for i := range m.Files {
+		if err := copyFile(filepath.Join(dir, m.Files[i].Path), filepath.Join(tmp, FilesDir, m.Files[i].Path), &m.Files[i]); err != nil {
+			return digest, err
+		}
+	}
+	if err := writeSynced(filepath.Join(tmp, ManifestName), raw); err != nil {
+		return digest, err
+	}
+	if err := os.Rename(tmp, final); err != nil {
+		return digest, err
+	}
+	return digest, syncDir(parent)
+}
+
+func writeSynced(path string, raw []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(raw)
+	return errors.Join(err, f.Sync(), f.Close())
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// copyFile copies a file and checks on the way that it has not changed since the
+// manifest was made.
+func copyFile(from, to string, want *File) error {
+	if err := os.MkdirAll(filepath.Dir(to), 0o755); err != nil {
+		return err
+	}
+	src, err := os.Open(from)
+	if err != nil {
+		return err
+	}
+	defer src.Close()
+	mode := fs.FileMode(0o644)
+	if want.Exec {
+		mode = 0o755
+	}
+	dst, err := os.OpenFile(to, os.O_CREATE|os.O_EXCL|os.O_WRONLY, mode)
+	if err != nil {
+		return err
+	}
+	buf := make([]byte, ChunkSize)
+	for i := 0; ; i++ {
+		n, err := io.ReadFull(src, buf)
+		if n > 0 {
+			if i >= len(want.Chunks) || Sum(buf[:n]) != want.Chunks[i] {
+				dst.Close()
+				return fmt.Errorf("%s changed while it was read", from)
+			}
+			if _, err := dst.Write(buf[:n]); err != nil {
+				dst.Close()
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			if n == 0 && i < len(want.Chunks) {
+				dst.Close()
+				return fmt.Errorf("%s changed while it was read", from)
+			}
+			break
+		}
+		if err != nil {
+			dst.Close()
+			return err
+		}
+	}
+	return errors.Join(dst.Sync(), dst.Close())
+}
+
+// VerifyTree reads a version's files below dir and names the first that differs
+// from the manifest.
+func VerifyTree(dir string, m *Manifest) error {
+	buf := make([]byte, ChunkSize)
+	for i := range m.Files {
+		f := &m.Files[i]
+		err := func() error {
+			src, err := os.Open(filepath.Join(dir, f.Path))
+			if err != nil {
+				return err
+			}
+			defer src.Close()
+			for k, want := range f.Chunks {
+				n, err := io.ReadFull(src, buf[:min(ChunkSize, f.Size-int64(k)*ChunkSize)])
+				if err != nil {
+					return fmt.Errorf("chunk %d: %w", k, err)
+				}
+				if Sum(buf[:n]) != want {
+					return fmt.Errorf("chunk %d differs", k)
+				}
+			}
+			if n, _ := src.Read(buf[:1]); n > 0 {
+				return errors.New("it is longer")
+			}
+			return nil
+		}()
+		if err != nil {
+			return fmt.Errorf("%s: %w", f.Path, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/datastore/fetch.go
@@ -0,0 +1,641 @@
+package datastore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"golang.org/x/sys/unix"
+
+	"silvergate/internal/dataset"
+)
+
+// fetching is a copy that is being fetched.
+type fetching struct {
+	want     Want
+	waiters  []func(error)
+	reserved int64
+	total    int64
+	done     int64 // bytes verified, those found here included
+	got      int64 // bytes that came from sources
+	began    time.Time
+	plan     *pull
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	// pause ends what is under way of a fetch that must stand still.
+	pause  context.CancelFunc
+	wakeup chan struct{}
+	over   chan struct{}
+}
+
+// end ends a fetch for a reason; the store's lock may be held.
+func (f *fetching) end(why error) { f.cancel(why) }
+
+func (f *fetching) wake() {
+	select {
+	case f.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// Fetch has a copy fetched, unless it is here, and then calls done. Wanted again
+// it is fetched once; sources are added, and it becomes urgent if any wish is.
+// done may be nil: what is staged has nobody who waits.
+func (s *Store) Fetch(w Want, done func(error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if done == nil {
+		done = func(error) {}
+	}
+	if s.copies[w.ID] != nil {
+		go done(nil)
+		return
+	}
+	if s.closed {
+		go done(ErrDropped)
+		return
+	}
+	f := s.pulls[w.ID]
+	if f == nil {
+		f = &fetching{want: w, began: time.Now(), wakeup: make(chan struct{}, 1), over: make(chan struct{})}
+		f.ctx, f.cancel = context.WithCancelCause(context.Background())
+		s.pulls[w.ID] = f
+		s.tell(Event{Kind: "begin", ID: w.ID, Urgent: w.Urgent})
+		if w.Urgent {
+			s.setUrgent(1)
+		}
+		go s.run(f)
+	} else {
+		f.want.Sources = mergeSources(f.want.Sources, w.Sources)
+		if f.plan != nil {
+			f.plan.add(w.Sources)
+		}
+		if w.Urgent && !f.want.Urgent {
+			f.want.Urgent = true
+			s.tell(Event{Kind: "begin", ID: w.ID, Urgent: true})
+			s.setUrgent(1)
+		}
+		f.wake()
+	}
+	f.waiters = append(f.waiters, done)
+}
+
+func mergeSources(a, b []Source) []Source {
+	for _, s := range b {
+		known := false
+		for _, o := range a {
+			known = known || o == s
+		}
+		if !known {
+			a = append(a, s)
+		}
+	}
+	return a
+}
+
+// setUrgent counts the urgent fetches. The first one has all others stand still
+// at once, and the last one lets them go on; the lock is held.
+func (s *Store) setUrgent(d int) {
+	was := s.urgent > 0
+	s.urgent += d
+	if is := s.urgent > 0; is == was {
+		return
+	}
+	for id, f := range s.pulls {
+		if f.want.Urgent {
+			continue
+		}
+		if s.urgent > 0 {
+			s.tell(Event{Kind: "pause", ID: id})
+			if f.pause != nil {
+				f.pause()
+			}
+		} else {
+			s.tell(Event{Kind: "resume", ID: id})
+			f.wake()
+		}
+	}
+}
+
+// run fetches a copy.
+func (s *Store) run(f *fetching) {
+	err := s.get(f)
+	s.mu.Lock()
+	delete(s.pulls, f.want.ID)
+	if f.want.Urgent {
+		s.setUrgent(-1)
+	}
+	waiters := f.waiters
+	if err != nil && !errors.Is(err, ErrDropped) {
+		s.log.Error("a copy can't be fetched", "copy", f.want.ID, "set", f.want.Set, "version", f.want.Version, "err", err)
+		s.tell(Event{Kind: "fail", ID: f.want.ID})
+	}
+	s.mu.Unlock()
+	close(f.over)
+	for _, done := range waiters {
+		done(err)
+	}
+}
+
+func (s *Store) get(f *fetching) error {
+	m, raw, err := s.manifest(f)
+	if err != nil {
+		return err
+	}
+	id := f.want.ID
+	size := m.Bytes()
+	s.mu.Lock()
+	f.total = size
+	err = s.room(size)
+	if err == nil {
+		f.reserved = size
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := renameio.WriteFile(s.manifestPath(id), raw, 0o600); err != nil {
+		return err
+	}
+	t := &target{s: s, f: f, m: m}
+	missing, err := t.prepare()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	f.plan = newPull(missing, f.want.Sources)
+	for i := range missing {
+		_, _, n := t.at(missing[i])
+		f.done -= int64(n)
+	}
+	f.done += size
+	s.mu.Unlock()
+	if len(missing) > 0 {
+		if err := s.pull(f, t); err != nil {
+			return err
+		}
+	}
+	return t.publish()
+}
+
+// manifest reads the copy's manifest from this disk or a source. The digest says
+// whether it is the right one, so any source will do.
+func (s *Store) manifest(f *fetching) (*dataset.Manifest, []byte, error) {
+	if raw, err := os.ReadFile(s.manifestPath(f.want.ID)); err == nil {
+		if m, err := dataset.Decode(raw, f.want.Digest); err == nil {
+			return m, raw, nil
+		}
+	}
+	for round := 0; ; round++ {
+		s.mu.Lock()
+		from := append([]Source(nil), f.want.Sources...)
+		s.mu.Unlock()
+		if len(from) == 0 {
+			return nil, nil, errors.New("no source is known")
+		}
+		absent := 0
+		wait := longestPause
+		for _, src := range from {
+			s.mu.Lock()
+			x := s.src.of(src.Address)
+			hold := x.until - s.now()
+			if hold <= 0 {
+				s.src.begin(src.Address)
+			}
+			s.mu.Unlock()
+			if hold > 0 {
+				wait = min(wait, hold)
+				continue
+			}
+			path := dataset.SetsPath + url.PathEscape(f.want.Set) + "/" + url.PathEscape(f.want.Version) + "/" + dataset.ManifestName
+			if src.Peer {
+				path = dataset.ChunkPath + "manifest/" + string(f.want.ID)
+			}
+			raw, o := s.ask(f.ctx, src, path, "", dataset.MaxManifest)
+			var m *dataset.Manifest
+			if o == Good {
+				var err error
+				if m, err = dataset.Decode(raw, f.want.Digest); err != nil {
+					o = Damaged
+				}
+			}
+			s.mu.Lock()
+			s.src.end(s.now(), src.Address, o, 0, 0)
+			wait = min(wait, max(0, s.src.of(src.Address).until-s.now()))
+			s.mu.Unlock()
+			if o == Good {
+				return m, raw, nil
+			}
+			if o == Missing {
+				absent++
+			}
+			if err := context.Cause(f.ctx); err != nil {
+				return nil, nil, err
+			}
+		}
+		if absent == len(from) {
+			return nil, nil, fmt.Errorf("no source has version %s of data set %s", f.want.Version, f.want.Set)
+		}
+		if err := s.sleep(f, max(wait, firstPause)); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// sleep waits, until something about the fetch changes or it is ended.
+func (s *Store) sleep(f *fetching, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-f.ctx.Done():
+		return context.Cause(f.ctx)
+	case <-t.C:
+	case <-f.wakeup:
+	}
+	return nil
+}
+
+// ask sends one request and reads at most limit bytes of its answer. It gives
+// up when nothing comes for as long as the store's patience.
+func (s *Store) ask(ctx context.Context, src Source, path, byteRange string, limit int) ([]byte, Outcome) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(s.cfg.Patience, cancel)
+	defer quiet.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+src.Address+path, nil)
+	if err != nil {
+		return nil, Failed
+	}
+	if byteRange != "" {
+		req.Header.Set("Range", byteRange)
+	}
+	r, err := s.client.Do(req)
+	if err != nil {
+		return nil, Failed
+	}
+	defer r.Body.Close()
+	switch {
+	case r.StatusCode == http.StatusNotFound:
+		return nil, Missing
+	case r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusTooManyRequests:
+		return nil, Busy
+	case byteRange != "" && r.StatusCode != http.StatusPartialContent, byteRange == "" && r.StatusCode != http.StatusOK:
+		return nil, Failed
+	}
+	var data []byte
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := r.Body.Read(buf)
+		if n > 0 {
+			quiet.Reset(s.cfg.Patience)
+			if data = append(data, buf[:n]...); len(data) > limit {
+				return nil, Failed // it lies about its length
+			}
+			if s.fetch.WaitN(ctx, n) != nil {
+				return nil, Failed
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return data, Good
+		}
+		if err != nil {
+			return nil, Failed
+		}
+	}
+}
+
+// target is the folder into which a copy is fetched.
+type target struct {
+	s *Store
+	f *fetching
+	m *dataset.Manifest
+	// starts is the number of each file's first chunk, over all files.
+	starts []int
+}
+
+func (t *target) path(i int) string { return t.s.file(partialDir, t.f.want.ID, &t.m.Files[i]) }
+
+// at finds a chunk by its number over all files.
+func (t *target) at(n int) (file, chunk, size int) {
+	lo, hi := 0, len(t.starts)
+	for hi-lo > 1 {
+		if mid := (lo + hi) / 2; t.starts[mid] <= n {
+			lo = mid
+		} else {
+			hi = mid
+		}
+	}
+	// Empty files have no chunks and share their start with the next one.
+	for len(t.m.Files[lo].Chunks) <= n-t.starts[lo] {
+		lo++
+	}
+	return lo, n - t.starts[lo], chunkLen(&t.m.Files[lo], n-t.starts[lo])
+}
+
+// prepare makes the files, keeps what an earlier fetch left that is right, takes
+// what other copies hold, and returns the chunks that must be fetched.
+func (t *target) prepare() (missing []int, err error) {
+	n := 0
+	for i := range t.m.Files {
+		f := &t.m.Files[i]
+		t.starts = append(t.starts, n)
+		path := t.path(i)
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			return nil, err
+		}
+		if t.share(i) {
+			n += len(f.Chunks)
+			continue
+		}
+		mode := os.FileMode(0o600)
+		if f.Exec {
+			mode = 0o700
+		}
+		file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, mode)
+		if err != nil {
+			return nil, err
+		}
+		old, err := file.Stat()
+		if err == nil && old.Size() != f.Size {
+			err = file.Truncate(f.Size)
+		}
+		if err != nil {
+			file.Close()
+			return nil, err
+		}
+		for k, want := range f.Chunks {
+			buf := make([]byte, chunkLen(f, k))
+			at := int64(k) * dataset.ChunkSize
+			// What was never written is a hole and reads as zeros.
+			if old.Size() > at {
+				if _, err := file.ReadAt(buf, at); err == nil && dataset.Sum(buf) == want {
+					n++
+					continue
+				}
+			}
+			if data := t.local(want); data != nil {
+				if _, err := file.WriteAt(data, at); err != nil {
+					file.Close()
+					return nil, t.failed(err)
+				}
+			} else {
+				missing = append(missing, n)
+			}
+			n++
+		}
+		if err := file.Close(); err != nil {
+			return nil, err
+		}
+	}
+	return missing, nil
+}
+
+// share links a file that another copy holds whole.
+func (t *target) share(i int) bool {
+	f := &t.m.Files[i]
+	if len(f.Chunks) == 0 || exists(t.path(i)) {
+		return false
+	}
+	t.s.mu.Lock()
+	p, ok := t.s.chunks[f.Chunks[0]]
+	h := t.s.copies[p.id]
+	if ok = ok && h != nil && p.chunk == 0; ok {
+		o := &h.m.Files[p.file]
+		ok = o.Size == f.Size && o.Exec == f.Exec && len(o.Chunks) == len(f.Chunks)
+		for k := range f.Chunks {
+			ok = ok && o.Chunks[k] == f.Chunks[k]
+		}
+	}
+	if ok {
+		t.s.pins[p.id]++
+		t.s.stats.Shared += f.Size
+	}
+	t.s.mu.Unlock()
+	if !ok {
+		return false
+	}
+	defer t.s.Unpin(p.id)
+	// Its contents are read again: a task may have written to what was linked
+	// into its folder.
+	from := t.s.file(copiesDir, p.id, &h.m.Files[p.file])
+	for k, want := range f.Chunks {
+		if data, err := readChunk(from, f, k); err != nil || dataset.Sum(data) != want {
+			return false
+		}
+	}
+	return cloneOrLink(from, t.path(i)) == nil
+}
+
+func exists(path string) bool {
+	_, err := os.Lstat(path)
+	return err == nil
+}
+
+// local reads a chunk from another copy.
+func (t *target) local(h dataset.Hash) []byte {
+	t.s.mu.Lock()
+	p, ok := t.s.chunks[h]
+	c := t.s.copies[p.id]
+	t.s.mu.Unlock()
+	if !ok || c == nil {
+		return nil
+	}
+	data, err := readChunk(t.s.file(copiesDir, p.id, &c.m.Files[p.file]), &c.m.Files[p.file], p.chunk)
+	if err != nil || dataset.Sum(data) != h {
+		return nil
+	}
+	t.s.mu.Lock()
+	t.s.stats.Shared += int64(len(data))
+	t.s.mu.Unlock()
+	return data
+}
+
+// failed makes room when the disk is full, though the account says otherwise,
+// and says what to do.
+func (t *target) failed(err error) error {
+	if !full(err) {
+		return err
+	}
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	t.s.stats.Refused++
+	return fmt.Errorf("%w: %w", ErrFull, err)
+}
+
+// write writes a chunk that was verified.
+func (t *target) write(n int, data []byte) error {
+	file, chunk, _ := t.at(n)
+	for try := 0; ; try++ {
+		f, err := os.OpenFile(t.path(file), os.O_WRONLY, 0)
+		if err != nil {
+			return err
+		}
+		_, err = f.WriteAt(data, int64(chunk)*dataset.ChunkSize)
+		if err = errors.Join(err, f.Close()); err == nil {
+			return nil
+		}
+		if !full(err) || try > 0 {
+			return t.failed(err)
+		}
+		// Somebody else fills the disk: one copy that is not in use makes
+		// room, once.
+		t.s.mu.Lock()
+		err = t.s.room(t.s.cfg.Capacity - t.s.used() + 1)
+		t.s.mu.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// publish makes the copy durable and then visible.
+func (t *target) publish() error {
+	id := t.f.want.ID
+	from := filepath.Join(t.s.cfg.Dir, partialDir, string(id))
+	d, err := os.Open(from)
+	if err != nil {
+		return err
+	}
+	err = errors.Join(unix.Syncfs(int(d.Fd())), d.Close())
+	if err != nil {
+		return t.failed(err)
+	}
+	times, err := t.s.times(partialDir, id, t.m)
+	if err != nil {
+		return err
+	}
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	if err := os.Rename(from, filepath.Join(t.s.cfg.Dir, copiesDir, string(id))); err != nil {
+		return err
+	}
+	t.f.reserved = 0
+	t.s.uses++
+	t.s.enter(id, &held{m: t.m, bytes: t.m.Bytes(), used: t.s.uses, times: times})
+	t.s.tell(Event{Kind: "visible", ID: id, Urgent: t.f.want.Urgent})
+	return nil
+}
+
+// result is what came of asking for a chunk. err is a failure of this machine.
+type result struct {
+	chunk int
+	from  Source
+	o     Outcome
+	err   error
+}
+
+// pull fetches the missing chunks, a few at a time.
+func (s *Store) pull(f *fetching, t *target) error {
+	results := make(chan result, s.cfg.Streams)
+	flying := 0
+	defer func() {
+		f.end(ErrDropped) // has no effect on a fetch that is over
+		for ; flying > 0; flying-- {
+			<-results
+		}
+	}()
+	var ctx context.Context
+	for {
+		wait := longestPause
+		s.mu.Lock()
+		if s.urgent == 0 || f.want.Urgent {
+			if ctx == nil || ctx.Err() != nil {
+				ctx, f.pause = context.WithCancel(f.ctx)
+			}
+			for flying < s.cfg.Streams {
+				chunk, from, w, ok := f.plan.next(s.now(), s.src)
+				if !ok {
+					if w > 0 {
+						wait = w
+					}
+					break
+				}
+				flying++
+				go s.one(ctx, t, chunk, from, results)
+			}
+		}
+		hopeless := f.plan.hopeless()
+		s.mu.Unlock()
+		if hopeless {
+			return fmt.Errorf("no source has all of version %s of data set %s", f.want.Version, f.want.Set)
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-f.ctx.Done():
+			timer.Stop()
+			return context.Cause(f.ctx)
+		case r := <-results:
+			flying--
+			if r.err != nil {
+				timer.Stop()
+				return r.err
+			}
+			s.mu.Lock()
+			whole := f.plan.ended(r.chunk, r.from, r.o)
+			s.mu.Unlock()
+			if whole {
+				timer.Stop()
+				return nil
+			}
+		case <-f.wakeup:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// one asks for a chunk, verifies it and writes it.
+func (s *Store) one(ctx context.Context, t *target, n int, from Source, results chan<- result) {
+	file, chunk, size := t.at(n)
+	f := &t.m.Files[file]
+	want := f.Chunks[chunk]
+	began := time.Now()
+	var data []byte
+	var o Outcome
+	if from.Peer {
+		data, o = s.ask(ctx, from, dataset.ChunkPath+want.String(), "", size)
+	} else {
+		path := dataset.SetsPath + url.PathEscape(t.m.Set) + "/" + url.PathEscape(t.m.Version) + "/" + dataset.FilesDir
+		for _, part := range strings.Split(f.Path, "/") {
+			path += "/" + url.PathEscape(part)
+		}
+		at := int64(chunk) * dataset.ChunkSize
+		data, o = s.ask(ctx, from, path, fmt.Sprintf("bytes=%d-%d", at, at+int64(size)-1), size)
+	}
+	switch {
+	case o == Good && (len(data) != size || dataset.Sum(data) != want):
+		o = Damaged
+		if len(data) < size {
+			o = Failed // cut off; what came may be right
+		}
+	case o != Good && ctx.Err() != nil:
+		o = Stopped
+	}
+	var err error
+	if o == Good {
+		err = t.write(n, data)
+	}
+	s.mu.Lock()
+	s.src.end(s.now(), from.Address, o, len(data), time.Since(began))
+	switch o {
+	case Good:
+		t.f.done += int64(size)
+		t.f.got += int64(size)
+		s.stats.Fetched += int64(size)
+		s.tell(Event{Kind: "chunk", ID: t.f.want.ID, Source: from.Address, Urgent: t.f.want.Urgent})
+	case Damaged:
+		s.stats.Damaged++
+	case Failed, Missing, Busy:
+		s.stats.Retries++
+	}
+	s.mu.Unlock()
+	results <- result{n, from, o, err}
+}
--- /dev/null
+++ b/internal/datastore/plan.go
@@ -0,0 +1,223 @@
+package datastore
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// Source is where chunks can be had: a file server, or another machine.
+type Source struct {
+	Address string
+	Peer    bool
+}
+
+// Outcome is what came of asking a source for a chunk.
+type Outcome int
+
+// Outcomes.
+const (
+	Good    Outcome = iota
+	Missing         // the source does not have it: another machine may have dropped it
+	Busy            // it is asked too much, and said so
+	Failed          // an error, a stall, a wrong length
+	Damaged         // the bytes are not the chunk's
+	Stopped         // we gave it up ourselves
+)
+
+// Back-off of a source after a failure: from the first pause on, twice as long
+// each time up to the longest, and as much again by chance, so that machines
+// that failed together do not come back together.
+const (
+	firstPause   = 100 * time.Millisecond
+	longestPause = 10 * time.Second
+	// asideFor is how long a source that served damaged bytes is put aside.
+	asideFor = 5 * time.Minute
+	// perSource is how many chunks are asked of one source at a time.
+	perSource = 2
+)
+
+// sources is what is known of all sources, over all pulls of a machine. It does
+// no I/O; time and chance come with the calls.
+type sources struct {
+	rnd  *rand.Rand
+	all  map[string]*source
+	told func(address string) // a source is put aside
+}
+
+type source struct {
+	busy  int
+	fails int
+	until time.Duration // not before
+	rate  float64       // bytes a second, of one chunk, smoothed
+}
+
+func newSources(rnd *rand.Rand, told func(string)) *sources {
+	return &sources{rnd: rnd, all: map[string]*source{}, told: told}
+}
+
+func (s *sources) of(address string) *source {
+	x := s.all[address]
+	if x == nil {
+		x = &source{}
+		s.all[address] = x
+	}
+	return x
+}
+
+// begin and end account for one request.
+func (s *sources) begin(address string) { s.of(address).busy++ }
+
+func (s *sources) end(now time.Duration, address string, o Outcome, bytes int, took time.Duration) {
+	x := s.of(address)
+	x.busy--
+	switch o {
+	case Good:
+		x.fails = 0
+		if took > 0 {
+			rate := float64(bytes) / took.Seconds()
+			if x.rate == 0 {
+				x.rate = rate
+			}
+			x.rate += (rate - x.rate) / 8
+		}
+	case Damaged:
+		x.until = now + asideFor
+		s.told(address)
+	case Failed, Busy:
+		pause := min(firstPause<<min(x.fails, 10), longestPause)
+		x.fails++
+		x.until = max(x.until, now+pause+time.Duration(s.rnd.Float64()*float64(pause)))
+	}
+	// What is not asked any more need not be remembered.
+	if len(s.all) > 1000 {
+		for a, x := range s.all {
+			if x.busy == 0 && now > x.until+asideFor {
+				delete(s.all, a)
+			}
+		}
+	}
+}
+
+// pull is the plan of one copy's fetch: which chunks are missing, and where each
+// was looked for.
+type pull struct {
+	sources []Source
+	missing []int // chunks not under way, the next last
+	flight  map[int]string
+	absent  map[string]bool        // peers that lack the copy
+	tried   map[int]map[string]int // failures of a chunk by source
+	left    int                    // chunks not here yet
+}
+
+func newPull(chunks []int, from []Source) *pull {
+	p := &pull{sources: from, flight: map[int]string{}, absent: map[string]bool{}, tried: map[int]map[string]int{}, left: len(chunks)}
+	p.missing = append(p.missing, chunks...)
+	sort.Sort(sort.Reverse(sort.IntSlice(p.missing)))
+	return p
+}
+
+// add adds sources that are not known yet.
+func (p *pull) add(from []Source) {
+	for _, s := range from {
+		known := false
+		for _, o := range p.sources {
+			known = known || o == s
+		}
+		if !known {
+			p.sources = append(p.sources, s)
+		}
+	}
+}
+
+// next says which chunk to ask of whom; or, with ok false, when to look again:
+// 0 when nothing can be done before a request ends.
+func (p *pull) next(now time.Duration, all *sources) (chunk int, from Source, wait time.Duration, ok bool) {
+	if len(p.missing) == 0 {
+		return 0, from, 0, false
+	}
+	chunk = p.missing[len(p.missing)-1]
+	// File servers are many machines' source: where another machine will do,
+	// they are left to those that have none.
+	machine := false
+	for _, s := range p.sources {
+		machine = machine || s.Peer && !p.absent[s.Address] && now >= all.of(s.Address).until && p.tried[chunk][s.Address] == 0
+	}
+	var best *source
+	for _, s := range p.sources {
+		x := all.of(s.Address)
+		if p.absent[s.Address] || machine && !s.Peer {
+			continue
+		}
+		if now < x.until {
+			if wait == 0 || x.until-now < wait {
+				wait = x.until - now
+			}
+			continue
+		}
+		if x.busy >= perSource {
+			continue
+		}
+		// Machines before file servers, as there are many of them; then the
+		// one that failed least for this chunk, is asked least, and is
+		// fastest.
+		if best == nil || better(p.tried[chunk][s.Address], s, x, p.tried[chunk][from.Address], from, best) {
+			best, from = x, s
+		}
+	}
+	if best == nil {
+		return 0, from, wait, false
+	}
+	p.missing = p.missing[:len(p.missing)-1]
+	p.flight[chunk] = from.Address
+	all.begin(from.Address)
+	return chunk, from, 0, true
+}
+
+func better(tried int, s Source, x *source, tried2 int, s2 Source, x2 *source) bool {
+	switch {
+	case tried != tried2:
+		return tried < tried2
+	case s.Peer != s2.Peer:
+		return s.Peer
+	case x.busy != x2.busy:
+		return x.busy < x2.busy
+	}
+	return x.rate > x2.rate
+}
+
+// ended takes what came of a request. It returns true when the pull is complete.
+func (p *pull) ended(chunk int, from Source, o Outcome) bool {
+	delete(p.flight, chunk)
+	if o == Good {
+		p.left--
+		return p.left == 0
+	}
+	p.missing = append(p.missing, chunk)
+	switch o {
+	case Missing:
+		if from.Peer {
+			p.absent[from.Address] = true
+		}
+		fallthrough
+	case Failed, Damaged:
+		if p.tried[chunk] == nil {
+			p.tried[chunk] = map[string]int{}
+		}
+		p.tried[chunk][from.Address]++
+	}
+	return false
+}
+
+// hopeless tells whether a chunk was refused by every source as not there.
+func (p *pull) hopeless() bool {
+	if len(p.flight) > 0 || len(p.missing) == 0 {
+		return false
+	}
+	for _, s := range p.sources {
+		if !p.absent[s.Address] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/datastore/store_test.go
@@ -0,0 +1,356 @@
+package datastore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"silvergate/internal/dataset"
+	"silvergate/internal/standin"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// publish makes a version of drawn files in a server's root.
+func publish(t testing.TB, root, set, version string, files map[string][]byte) (*dataset.Manifest, Want) {
+	t.Helper()
+	dir := t.TempDir()
+	for name, data := range files {
+		path := filepath.Join(dir, name)
+		if err := errors.Join(os.MkdirAll(filepath.Dir(path), 0o755), os.WriteFile(path, data, 0o644)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m, err := dataset.Build(dir, set, version, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	digest, err := dataset.Publish(dir, root, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m, Want{ID: dataset.IDOf(digest), Digest: digest, Set: set, Version: version}
+}
+
+func random(seed uint64, n int) []byte {
+	b := make([]byte, n)
+	c := rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8)})
+	_, _ = c.Read(b)
+	return b
+}
+
+func server(t testing.TB, root string, x standin.Faults) *standin.FileServer {
+	f, err := standin.Serve("127.0.0.1:0", root, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Set(x)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func open(t testing.TB, dir string, capacity int64) *Store {
+	s, err := Open(Config{Dir: dir, Capacity: capacity, Patience: 300 * time.Millisecond}, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func get(s *Store, w Want) error {
+	got := make(chan error, 1)
+	s.Fetch(w, func(err error) { got <- err })
+	select {
+	case err := <-got:
+		return err
+	case <-time.After(time.Minute):
+		return errors.New("no end in a minute")
+	}
+}
+
+// from gives a wish its sources.
+func from(w Want, sources ...Source) Want {
+	w.Sources = sources
+	return w
+}
+
+// TestFetchThroughFaults fetches from a server that does all that a bad one can,
+// and one that is slow; whatever is placed must be what was published.
+func TestFetchThroughFaults(t *testing.T) {
+	root := t.TempDir()
+	bad := server(t, root, standin.Faults{Damage: 0.1, Short: 0.15, Lie: 0.1, Error: 0.15, Stall: 0.1, StallFor: 2 * time.Second})
+	slow := server(t, root, standin.Faults{BytesPerS: 60e6})
+	dark := server(t, root, standin.Faults{})
+	dark.Dark(true)
+	for i := range 4 {
+		m, w := publish(t, root, "set", fmt.Sprint(i), map[string][]byte{"a/one": random(uint64(i), 3<<20+17), "empty": nil, "two": random(uint64(i)+100, 5<<20)})
+		s := open(t, filepath.Join(t.TempDir(), "s"), 1<<30)
+		var mu sync.Mutex
+		aside := map[string]bool{}
+		s.Observe = func(e Event) {
+			mu.Lock()
+			defer mu.Unlock()
+			if e.Kind == "aside" {
+				aside[e.Source] = true
+			}
+			if e.Kind == "chunk" && aside[e.Source] {
+				t.Errorf("a chunk of %s was taken after it had served damaged bytes", e.Source)
+			}
+		}
+		if err := get(s, from(w, Source{bad.Address(), false}, Source{dark.Address(), false}, Source{slow.Address(), false})); err != nil {
+			t.Fatal(err)
+		}
+		place := filepath.Join(t.TempDir(), "task", "in")
+		if err := s.Place(w.ID, place); err != nil {
+			t.Fatal(err)
+		}
+		if err := dataset.VerifyTree(place, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// All sources lie for good: the fetch goes on looking, and nothing appears.
+	bad.Set(standin.Faults{Damage: 1})
+	_, w := publish(t, root, "set", "x", map[string][]byte{"f": random(9, 2<<20)})
+	s := open(t, filepath.Join(t.TempDir(), "s"), 1<<30)
+	failed := make(chan error, 1)
+	s.Fetch(from(w, Source{bad.Address(), false}), func(err error) { failed <- err })
+	select {
+	case err := <-failed:
+		t.Fatalf("ended: %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	if s.Here(w.ID) || s.Place(w.ID, filepath.Join(t.TempDir(), "x")) == nil {
+		t.Fatal("a damaged copy is visible")
+	}
+	// A good source is named: it is taken up.
+	s.Fetch(from(w, Source{slow.Address(), false}), nil)
+	if err := <-failed; err != nil {
+		t.Fatal(err)
+	}
+	if err := get(open(t, filepath.Join(t.TempDir(), "s"), 1<<30), from(Want{ID: w.ID, Digest: w.Digest, Set: "none", Version: "1"}, Source{slow.Address(), false})); err == nil {
+		t.Fatal("a version that no source has was fetched")
+	}
+}
+
+// The test binary fetches when it is told a folder, so that it can be killed.
+func TestMain(m *testing.M) {
+	if raw := os.Getenv("DATASTORE_WANT"); raw != "" {
+		var w Want
+		_ = json.Unmarshal([]byte(raw), &w)
+		s, err := Open(Config{Dir: os.Getenv("DATASTORE_DIR"), Capacity: 1 << 30}, quiet)
+		if err == nil {
+			err = get(s, w)
+		}
+		fmt.Println(err)
+		time.Sleep(time.Minute)
+	}
+	os.Exit(m.Run())
+}
+
+// TestKilledAtAnyMoment kills a fetch at drawn moments, changes some of what it
+// left, and demands that nothing is visible but what is right, and that what
+// was right is not fetched again.
+func TestKilledAtAnyMoment(t *testing.T) {
+	root, dir := t.TempDir(), filepath.Join(t.TempDir(), "s")
+	srv := server(t, root, standin.Faults{BytesPerS: 100e6})
+	const size = 24 << 20
+	m, w := publish(t, root, "set", "1", map[string][]byte{"a": random(1, size/2), "b": random(2, size/2)})
+	w = from(w, Source{srv.Address(), false})
+	raw, _ := json.Marshal(w)
+	rnd := rand.New(rand.NewPCG(5, 6))
+	for range 8 {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "DATASTORE_WANT="+string(raw), "DATASTORE_DIR="+dir)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Duration(10+rnd.IntN(60)) * time.Millisecond)
+		cmd.Process.Kill()
+		cmd.Wait()
+		s := open(t, dir, 1<<30)
+		if s.Here(w.ID) {
+			if err := dataset.VerifyTree(filepath.Join(dir, copiesDir, string(w.ID)), m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.Close()
+		// A power cut leaves pages that were never written.
+		for _, f := range []string{"a", "b"} {
+			path := filepath.Join(dir, partialDir, string(w.ID), f)
+			if h, err := os.OpenFile(path, os.O_WRONLY, 0); err == nil && rnd.IntN(3) == 0 {
+				_, _ = h.WriteAt(make([]byte, 4096), rnd.Int64N(size/2-4096))
+				h.Close()
+			}
+		}
+	}
+	s := open(t, dir, 1<<30)
+	if err := get(s, w); err != nil {
+		t.Fatal(err)
+	}
+	place := filepath.Join(t.TempDir(), "in")
+	if err := s.Place(w.ID, place); err != nil {
+		t.Fatal(err)
+	}
+	if err := dataset.VerifyTree(place, m); err != nil {
+		t.Fatal(err)
+	}
+	// Each kill loses what was under way, four chunks, and each damage one.
+	if sent := srv.Sent.Load(); sent > size+8*(4+2)*dataset.ChunkSize {
+		t.Errorf("%d bytes were sent for %d: what was there was fetched again", sent, size)
+	}
+}
+
+// TestUrgentFetchDisplacesOthersAtOnce watches the events of a store on which a
+// background fetch is met by an urgent one.
+func TestUrgentFetchDisplacesOthersAtOnce(t *testing.T) {
+	root := t.TempDir()
+	srv := server(t, root, standin.Faults{BytesPerS: 60e6})
+	_, back := publish(t, root, "back", "1", map[string][]byte{"a": random(1, 20<<20)})
+	_, fast := publish(t, root, "fast", "1", map[string][]byte{"a": random(2, 6<<20)})
+	s := open(t, filepath.Join(t.TempDir(), "s"), 1<<30)
+	var mu sync.Mutex
+	var events []Event
+	s.Observe = func(e Event) {
+		mu.Lock()
+		defer mu.Unlock()
+		events = append(events, e)
+	}
+	slow := make(chan error, 1)
+	s.Fetch(from(back, Source{srv.Address(), false}), func(err error) { slow <- err })
+	time.Sleep(50 * time.Millisecond)
+	fast.Urgent = true
+	if err := get(s, from(fast, Source{srv.Address(), false})); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-slow; err != nil {
+		t.Fatal(err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	paused, order := false, []string{}
+	for _, e := range events {
+		switch {
+		case e.Kind == "pause":
+			paused = true
+		case e.Kind == "resume":
+			paused = false
+		case e.Kind == "chunk" && e.ID == back.ID && paused:
+			t.Error("a chunk of the background fetch was taken while an urgent one ran")
+		case e.Kind == "visible":
+			order = append(order, string(e.ID))
+		}
+	}
+	if !slices.Equal(order, []string{string(fast.ID), string(back.ID)}) {
+		t.Errorf("visible in the order %v", order)
+	}
+}
+
+// TestRoomPinsAndSharing fills a small store.
+func TestRoomPinsAndSharing(t *testing.T) {
+	root := t.TempDir()
+	srv := server(t, root, standin.Faults{})
+	src := Source{srv.Address(), false}
+	common := random(50, 2<<20)
+	var ws []Want
+	for i := range 4 {
+		_, w := publish(t, root, "set", fmt.Sprint(i), map[string][]byte{"common": common, "own": random(uint64(i), 1<<20)})
+		ws = append(ws, from(w, src))
+	}
+	s := open(t, filepath.Join(t.TempDir(), "s"), 7<<20) // two copies of 3 MiB
+	for _, w := range ws[:2] {
+		if err := get(s, w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if st := s.Stats(); st.Fetched != 4<<20 || st.Shared != 2<<20 {
+		t.Errorf("%+v: what two versions share was fetched twice", st)
+	}
+	s.Pin(ws[0].ID)
+	if err := get(s, ws[2]); err != nil || !s.Here(ws[0].ID) || s.Here(ws[1].ID) {
+		t.Errorf("the copy in use did not stay, or the other did: %v %v", err, s.Held())
+	}
+	s.Pin(ws[2].ID)
+	if err := get(s, ws[3]); !errors.Is(err, ErrFull) {
+		t.Errorf("a third copy with two in use: %v", err)
+	}
+	if s.Drop(ws[0].ID) || !s.Here(ws[0].ID) {
+		t.Error("a copy in use was dropped")
+	}
+	s.Unpin(ws[0].ID)
+	if !s.Drop(ws[0].ID) || s.Here(ws[0].ID) {
+		t.Error("a copy was not dropped")
+	}
+	// Whoever writes to what was linked into its folder spoils it for nobody.
+	place := filepath.Join(t.TempDir(), "in")
+	if err := s.Place(ws[2].ID, place); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * time.Millisecond)
+	if err := os.WriteFile(filepath.Join(place, "own"), []byte("changed"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	s.Unpin(ws[2].ID)
+	again := filepath.Join(t.TempDir(), "in")
+	if err := s.Place(ws[2].ID, again); err == nil { // the file system clones
+		m, _ := dataset.Build(again, "set", "2", nil)
+		if raw, _ := m.Encode(); dataset.Sum(raw) != ws[2].Digest {
+			t.Error("a changed copy was placed")
+		}
+	} else if !errors.Is(err, ErrNotHere) || s.Here(ws[2].ID) {
+		t.Errorf("a changed copy: %v", err)
+	}
+}
+
+// TestMachinesServeOneAnother has one machine fetch from the server and the
+// others from machines.
+func TestMachinesServeOneAnother(t *testing.T) {
+	root := t.TempDir()
+	srv := server(t, root, standin.Faults{})
+	_, w := publish(t, root, "set", "1", map[string][]byte{"a": random(1, 8<<20)})
+	first := open(t, filepath.Join(t.TempDir(), "s"), 1<<30)
+	if err := get(first, from(w, Source{srv.Address(), false})); err != nil {
+		t.Fatal(err)
+	}
+	before := srv.Sent.Load()
+	peer := httptest.NewServer(Handler(first))
+	defer peer.Close()
+	for range 3 {
+		s := open(t, filepath.Join(t.TempDir(), "s"), 1<<30)
+		if err := get(s, from(w, Source{strings.TrimPrefix(peer.URL, "http://"), true}, Source{srv.Address(), false})); err != nil {
+			t.Fatal(err)
+		}
+		if first.Digest() != s.Digest() {
+			t.Error("the same copies have different digests")
+		}
+	}
+	// Manifests and chunks came from the machine, but for those it was too
+	// busy for.
+	if more := srv.Sent.Load() - before; more > 4<<20 {
+		t.Errorf("the server sent %d bytes more", more)
+	}
+	for path, want := range map[string]int{"/chunks/xyz": 400, "/chunks/" + strings.Repeat("0", 64): 404, "/chunks/manifest/x": 400, "/chunks/manifest/" + strings.Repeat("0", 32): 404} {
+		r, err := http.Get(peer.URL + path)
+		if err != nil || r.StatusCode != want {
+			t.Errorf("%s: %v %v", path, r, err)
+		}
+		r.Body.Close()
+	}
+	if _, ok, _ := first.Chunk(context.Background(), dataset.Sum([]byte("x"))); ok {
+		t.Error("a chunk that is not there was served")
+	}
+}
