--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -122,6 +122,34 @@
 	LogLevel string `yaml:"log_level"`
 	// Metrics switches GET /metrics on.
 	Metrics bool `yaml:"metrics,omitempty"`
+	// Staging switches data sets on; nil: off.
+	Staging *Staging `yaml:"staging,omitempty"`
+}
+
+// Staging holds the budgets for moving data sets.
+type Staging struct {
+	// ServerStreams is how many copies all controllers together have fetched
+	// from one file server at a time, PeerStreams how many from one machine,
+	// MachineStreams how many that are not urgent by one machine.
+	ServerStreams  int `yaml:"server_streams"`
+	PeerStreams    int `yaml:"peer_streams"`
+	MachineStreams int `yaml:"machine_streams"`
+	// RateMBPerS is one fetch's rate until rates are measured.
+	RateMBPerS float64 `yaml:"rate_mb_per_s"`
+}
+
+func (s *Staging) check() error {
+	switch {
+	case s.ServerStreams < 1:
+		return errors.New("staging.server_streams: must be at least 1")
+	case s.PeerStreams < 1:
+		return errors.New("staging.peer_streams: must be at least 1")
+	case s.MachineStreams < 1:
+		return errors.New("staging.machine_streams: must be at least 1")
+	case !(s.RateMBPerS > 0):
+		return errors.New("staging.rate_mb_per_s: must be above 0")
+	}
+	return nil
 }
 
 // DefaultOperator returns the design's starting values.
@@ -198,6 +226,8 @@
 		return o, errors.New("entry_age_reports: must be at least 1")
 	case o.LogLevel != "error" && o.LogLevel != "info" && o.LogLevel != "debug":
 		return o, errors.New("log_level: must be error, info or debug")
+	case o.Staging != nil:
+		return o, o.Staging.check()
 	}
 	return o, nil
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -126,6 +126,7 @@
 
 	fleet fleet
 	view  *view
+	data  *data // nil: no data sets
 	Stats Stats
 }
 
@@ -169,6 +170,7 @@
 	c.ttl = seconds(cfg.Facts.Workers.Lease / 3)
 	c.fleet.init()
 	c.view = newView(c)
+	c.data = newData(c)
 	c.store = bookkeeping.NewStore(&cfg.Facts, 1+len(cfg.Peers))
 	c.store.Send = c.call
 	c.store.Apply = c.apply
@@ -271,6 +273,7 @@
 		c.gather()
 		c.restart()
 		c.fleetTick()
+		c.data.tick()
 	}
 	return c.end()
 }
@@ -330,6 +333,7 @@
 			c.poll(id, ref)
 		}
 	case method == "GET" && c.view.list(id, path):
+	case c.data.route(id, method, path, body):
 	default:
 		c.refuse(id, 404, "no such path")
 	}
@@ -411,6 +415,10 @@
 		c.applyMember(name, data)
 	case keyDrain:
 		c.applyDrain(name, data)
+	case keyData:
+		c.data.applySet(name, data)
+	case keyStaging:
+		c.data.applyStaging(name, data, stamp)
 	case keyRental:
 		c.fleet.applyRental(name, data)
 	case keyFleet:
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -245,7 +245,7 @@
 			}
 			if !full { // the job's tasks are alike: what does not fit one fits none
 				m := c.pop(r) // step 2
-				if m != nil && c.clearWarm(r, i, m) {
+				if m != nil && (c.clearWarm(r, i, m) || c.data.elsewhere(r, i, m)) {
 					continue
 				}
 				if m != nil {
@@ -345,7 +345,7 @@
 		}
 		if len(left) == 0 { // else nothing here fits the job
 			m := c.pop(r)
-			if m != nil && c.clearWarm(r, i, m) {
+			if m != nil && (c.clearWarm(r, i, m) || c.data.elsewhere(r, i, m)) {
 				continue
 			}
 			if m != nil {
@@ -569,7 +569,7 @@
 		r := c.lines[i]
 		for c.fits(r, m) {
 			at := slices.IndexFunc(r.line, func(w *waiter) bool { return c.placeable(r, w.key.index) })
-			if at < 0 {
+			if at < 0 || c.data.elsewhere(r, r.line[at].key.index, m) {
 				break
 			}
 			c.assign(r, r.line[at].key.index, m) // takes it out of the line
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -149,9 +149,13 @@
 	return ran
 }
 
-// fetchTime is how long a task would wait for its image on a machine, in
-// seconds. Fetches under way share the machine's rate.
+// fetchTime is how long a task would wait for its image and its inputs on a
+// machine, in seconds. Fetches of images under way share the machine's rate.
 func (c *Core) fetchTime(s *job.Spec, m *machine) float64 {
+	return max(c.imageTime(s, m), c.data.wait(s, m))
+}
+
+func (c *Core) imageTime(s *job.Spec, m *machine) float64 {
 	f := c.kind(m)
 	if at, ok := m.images[s.Image]; ok {
 		return max(0, (at - c.now).Seconds())
@@ -171,7 +175,7 @@
 // fetching notes that a machine will have an image, and when.
 func (c *Core) fetching(m *machine, s *job.Spec) {
 	if _, ok := m.images[s.Image]; !ok {
-		m.images[s.Image] = c.now + seconds(c.fetchTime(s, m))
+		m.images[s.Image] = c.now + seconds(c.imageTime(s, m))
 	}
 }
 
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -244,6 +244,7 @@
 		r.zones[m.claim.Zone]++
 		m.boundAt[k] = c.now
 		c.fetching(m, r.spec)
+		c.data.bound(m, r.spec)
 		if !multi(r) {
 			m.levels[r.spec.Priority]++
 		}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -48,6 +48,12 @@
 	if err != nil || x == nil {
 		return nil, err
 	}
+	if missing := v.c.data.resolve(spec, x); missing != "" {
+		if v.c.data == nil {
+			return nil, fmt.Errorf("inputs: this site has no data sets (staging is off)")
+		}
+		return nil, fmt.Errorf("inputs: no data set %s is registered", missing)
+	}
 	data := encode(x)
 	if float64(len(data)) > v.c.cfg.Facts.State.ValueKB*1024 {
 		return nil, fmt.Errorf("command, env and inputs: together larger than %g KiB", v.c.cfg.Facts.State.ValueKB)
@@ -104,6 +110,17 @@
 			c.refuse(id, 503, "the job's description is unreadable")
 			return
 		}
+		for _, in := range d.Extra.Inputs {
+			var s *protocol.DataSet
+			if c.data != nil {
+				s = c.data.sets[in.Set+"/"+in.Version]
+			}
+			if s == nil {
+				c.refuse(id, 503, "an input's record is not known yet")
+				return
+			}
+			d.Inputs = append(d.Inputs, protocol.InputCopy{DataSet: *s, Place: in.Place})
+		}
 		c.answer(id, 200, d, 0)
 	}
 	if !s.Extended {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -156,6 +156,7 @@
 		c.unlist(m)
 		if len(m.bound) == 0 {
 			delete(c.machines, id)
+			c.data.lost(id)
 		}
 		return
 	}
@@ -461,6 +462,7 @@
 		}
 		c.join(m)
 	}
+	ans.Store = c.data.report(m, r.Store)
 	m.answered = c.now
 	c.answer(id, 200, ans, 0)
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -53,6 +53,8 @@
 	Deadline   *float64 `json:"dl,omitempty"`
 	// Extended tells that there is an Extra, kept under a key of its own.
 	Extended bool `json:"x,omitempty"`
+	// Inputs are the versions that its tasks read, as set/version, resolved.
+	Inputs []string `json:"in,omitempty"`
 }
 
 // Status is a job's state as the records hold it.
--- a/internal/protocol/extra.go
+++ b/internal/protocol/extra.go
@@ -124,21 +124,22 @@
 
 // Description is all that a worker needs to run a job's tasks.
 type Description struct {
-	Ref      string     `json:"ref"`
-	JobClass string     `json:"jobclass"`
-	Crew     string     `json:"crew"`
-	Shape    job.Shape  `json:"shape"`
-	Urgency  string     `json:"urgency"`
-	Loads    int        `json:"loads"`
-	CPUs     float64    `json:"cpus"`
-	GPUs     float64    `json:"accelerators"`
-	RAM      float64    `json:"ramGb"`
-	Kit      string     `json:"kit"`
-	Size     float64    `json:"sizeGb"`
-	Waypoint float64    `json:"waypointS"`
-	Stow     float64    `json:"stowS"`
-	Complete bool       `json:"complete,omitempty"` // a gang of which a task is done: all are
-	Extra    *job.Extra `json:"extra,omitempty"`
+	Ref      string      `json:"ref"`
+	JobClass string      `json:"jobclass"`
+	Crew     string      `json:"crew"`
+	Shape    job.Shape   `json:"shape"`
+	Urgency  string      `json:"urgency"`
+	Loads    int         `json:"loads"`
+	CPUs     float64     `json:"cpus"`
+	GPUs     float64     `json:"accelerators"`
+	RAM      float64     `json:"ramGb"`
+	Kit      string      `json:"kit"`
+	Size     float64     `json:"sizeGb"`
+	Waypoint float64     `json:"waypointS"`
+	Stow     float64     `json:"stowS"`
+	Complete bool        `json:"complete,omitempty"` // a gang of which a task is done: all are
+	Extra    *job.Extra  `json:"extra,omitempty"`
+	Inputs   []InputCopy `json:"inputs,omitempty"` // with the versions resolved
 }
 
 // UrgencyName is the wire name of a priority.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -224,6 +224,8 @@
 	Baton   uint64   `json:"baton"`
 	RecallS *float64 `json:"recallS"`
 	Loads   []Load   `json:"loads"`
+	// Store is an extension: what the machine's store of data sets holds.
+	Store *StoreReport `json:"store,omitempty"`
 }
 
 // ParseReport reads and checks a worker's report.
@@ -277,6 +279,8 @@
 type CheckinAnswer struct {
 	Baton  uint64  `json:"baton"`
 	Orders []Order `json:"orders"`
+	// Store is an extension: what the machine's store is to fetch.
+	Store *StoreOrders `json:"store,omitempty"`
 }
 
 // DirectOrders is sent straight to a worker.
