Data sets end to end: put, inputs of jobs, stores of machines, announcements

A job's inputs name a data set, a version and a place. Its tasks start when every input is whole in the agent's store; machines serve chunks to one another; the controllers say who fetches what from whom. silvergate data puts, lists, shows, verifies, announces and serves. On by staging: in the site's settings.

--- a/cmd/silvergate/serve.go
+++ b/cmd/silvergate/serve.go
@@ -96,7 +96,7 @@
 			return
 		}
 		n.log.Error("metrics can't be shown", "err", err)
-	case r.Query != "" && (path == protocol.PathJobs || path == protocol.PathNodes):
+	case r.Query != "" && (path == protocol.PathJobs || path == protocol.PathNodes || path == protocol.PathDataSets):
 		path += "?" + r.Query
 	}
 	n.do(n.core.Request(n.clock(), id, r.Method, path, r.Body))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,6 +61,8 @@
 	OpenFiles   uint64   `yaml:"open_files"` // limit of each task; 0: as inherited
 	Metrics     bool     `yaml:"metrics"`
 	Environment []string `yaml:"environment"` // NAME=value, for every task
+	// Staging switches the store of data sets on; nil: off.
+	Staging *Staging `yaml:"staging,omitempty"`
 	// GiveUpS is how long after its last answered report the agent ends, in
 	// seconds; 0: never.
 	GiveUpS float64 `yaml:"give_up_s"`
@@ -126,6 +128,11 @@
 			return fmt.Errorf("%s: must be above 0", f.name)
 		}
 	}
+	if c.Staging != nil {
+		if err := c.Staging.check(); err != nil {
+			return err
+		}
+	}
 	return CheckImages(c.Images)
 }
 
@@ -173,6 +180,7 @@
 	timer   *time.Timer
 	swept   time.Time
 	heard   time.Duration // when a report was last answered
+	data    *inputs       // nil: no data sets
 	places  map[Key][]protocol.GangPlace
 	before  map[Key]int   // a task's newest checkpoint when it was told to stop
 	watch   *os.File      // to the watchdog
@@ -220,6 +228,11 @@
 		defer a.mu.Unlock()
 		a.w.Evicted(name)
 	}
+	if cfg.Staging != nil {
+		if a.data, err = newInputs(a); err != nil {
+			return nil, err
+		}
+	}
 	a.server = transport.NewServer(&a.mu, a, 10*time.Second, 256)
 	return a, nil
 }
@@ -266,6 +279,7 @@
 	}
 	failed := a.failed
 	a.mu.Unlock()
+	a.data.close()
 	a.run.clear()
 	a.watch.Close()
 	return errors.Join(failed, err)
@@ -341,6 +355,7 @@
 		a.swept = now
 		a.server.Sweep(now)
 		a.stats.Usage = a.run.watch()
+		a.data.refresh(false)
 		if at, ok := a.recall(); ok {
 			a.do(a.w.Recall(a.clock(), at))
 		}
@@ -412,6 +427,12 @@
 			a.step(func() Effects { return a.w.Fetched(a.clock(), name, err) })
 		})
 	}
+	if a.data == nil {
+		for _, k := range e.Inputs { // of a site that has data sets
+			go a.step(func() Effects { return a.w.Brought(a.clock(), k, errNoStore, false) })
+		}
+	}
+	a.data.do(e)
 	for _, k := range e.Start {
 		a.stats.Launched++
 		d := a.w.Description(k.Job)
@@ -447,6 +468,7 @@
 
 func (a *Agent) send(s *Send) {
 	a.stats.Reports++
+	a.data.told()
 	a.pool.Start(transport.Call{Addr: s.Node.Address, Method: http.MethodPost, Target: protocol.PathCheckin, Body: s.Body, Timeout: patience,
 		Done: func(r *transport.Response, _ bool, err error) {
 			a.step(func() Effects {
@@ -557,8 +579,8 @@
 	if x == nil {
 		x = &job.Extra{}
 	}
-	if len(x.Inputs) > 0 {
-		return p, errors.New("inputs: this site has no data sets (staging is off)")
+	if err := a.data.place(p.Dir, d.Inputs, len(x.Inputs)); err != nil {
+		return p, err
 	}
 	command := x.Command
 	if len(command) == 0 {
@@ -745,6 +767,7 @@
 			return
 		}
 		a.server.Answer(id, http.StatusOK, protocol.Encode(a.w.Gang(ref, n)), 0)
+	case a.data.serve(id, r.Method, r.Path):
 	case a.Extra != nil && a.Extra(id, r.Method, r.Path):
 	case r.Path == protocol.PathOrders || r.Path == protocol.PathStatus:
 		problem(http.StatusMethodNotAllowed, "method not allowed")
--- /dev/null
+++ b/internal/agent/inputs.go
@@ -0,0 +1,287 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"silvergate/internal/dataset"
+	"silvergate/internal/datastore"
+	"silvergate/internal/protocol"
+)
+
+// Staging is what an agent is told of its store of data sets.
+type Staging struct {
+	CapacityGB float64 `yaml:"capacity_gb"`
+	// FetchMBPerS and ServeMBPerS bound what is fetched, and served to other
+	// machines; 0: unbounded.
+	FetchMBPerS float64 `yaml:"fetch_mb_per_s"`
+	ServeMBPerS float64 `yaml:"serve_mb_per_s"`
+	// Streams is how many chunks are fetched at a time, Serving how many are
+	// served.
+	Streams int `yaml:"streams"`
+	Serving int `yaml:"serving"`
+	// PatienceS is how long a source may say nothing.
+	PatienceS float64 `yaml:"patience_s"`
+}
+
+func (s *Staging) check() error {
+	switch {
+	case !(s.CapacityGB > 0):
+		return errors.New("staging.capacity_gb: must be above 0")
+	case !(s.FetchMBPerS >= 0) || !(s.ServeMBPerS >= 0):
+		return errors.New("staging: rates must not be negative")
+	case s.Streams < 0 || s.Serving < 0 || !(s.PatienceS >= 0):
+		return errors.New("staging: streams, serving and patience_s must not be negative")
+	}
+	return nil
+}
+
+// inputs is the seam between the agent and its store: it has the inputs of
+// attempts brought here and pinned, carries out stage orders, and tells what the
+// store holds. A nil one is a machine without a store. The agent's lock guards
+// it.
+type inputs struct {
+	a      *Agent
+	store  *datastore.Store
+	pinned map[Key][]dataset.ID
+	staged map[dataset.ID]bool
+	failed map[dataset.ID]bool // since the last report
+	digest string              // as last told
+	list   bool                // the next report lists all
+}
+
+var errNoStore = errors.New("this machine has no store of data sets (staging is off)")
+
+// listed bounds a report's list: with the tasks it must fit into a request.
+const listed = 500
+
+func newInputs(a *Agent) (*inputs, error) {
+	c := a.cfg.Staging
+	s, err := datastore.Open(datastore.Config{Dir: filepath.Join(a.cfg.Dir, "data"), Capacity: int64(c.CapacityGB * 1e9),
+		FetchRate: c.FetchMBPerS * 1e6, ServeRate: c.ServeMBPerS * 1e6, Streams: c.Streams, Serving: c.Serving, Patience: seconds(c.PatienceS)}, a.log)
+	if err != nil {
+		return nil, fmt.Errorf("store of data sets: %w", err)
+	}
+	return &inputs{a: a, store: s, pinned: map[Key][]dataset.ID{}, staged: map[dataset.ID]bool{}, failed: map[dataset.ID]bool{}, list: true}, nil
+}
+
+func (d *inputs) close() {
+	if d != nil {
+		d.store.Close()
+	}
+}
+
+// want reads a version's record.
+func want(v *protocol.DataSet, urgent bool) (datastore.Want, error) {
+	if err := v.Check(); err != nil {
+		return datastore.Want{}, err
+	}
+	digest, err := dataset.ParseHash(v.Digest)
+	w := datastore.Want{ID: dataset.IDOf(digest), Digest: digest, Set: v.Set, Version: v.Version, Urgent: urgent}
+	for _, s := range v.Sources {
+		w.Sources = append(w.Sources, datastore.Source{Address: s})
+	}
+	return w, err
+}
+
+// do carries out what concerns data; the lock is held.
+func (d *inputs) do(e Effects) {
+	if d == nil {
+		return
+	}
+	for k, ids := range d.pinned {
+		if !d.a.w.Live(k) {
+			delete(d.pinned, k)
+			for _, id := range ids {
+				d.store.Unpin(id)
+			}
+		}
+	}
+	for _, k := range e.Inputs {
+		d.bring(k, d.a.w.Description(k.Job))
+	}
+	if e.Store != nil {
+		d.stage(e.Store)
+	}
+}
+
+// bring has an attempt's inputs fetched and pinned.
+func (d *inputs) bring(k Key, desc *protocol.Description) {
+	if desc == nil {
+		return
+	}
+	urgent := desc.Urgency == "prod" || desc.Urgency == "urgent"
+	var wants []datastore.Want
+	var broken error
+	for i := range desc.Inputs {
+		w, err := want(&desc.Inputs[i].DataSet, urgent)
+		broken = errors.Join(broken, err)
+		wants = append(wants, w)
+	}
+	if broken != nil {
+		go d.brought(k, broken)
+		return
+	}
+	left := len(wants)
+	for _, w := range wants {
+		d.pinned[k] = append(d.pinned[k], w.ID)
+		d.store.Pin(w.ID)
+	}
+	for _, w := range wants {
+		var try func(pause time.Duration)
+		try = func(pause time.Duration) {
+			d.store.Fetch(w, func(err error) {
+				d.a.mu.Lock()
+				live := d.a.w.Live(k) && !d.a.stopped
+				if err == nil {
+					left--
+				}
+				last := left == 0
+				d.a.mu.Unlock()
+				switch {
+				case !live:
+				case err == nil && last, errors.Is(err, datastore.ErrFull):
+					d.brought(k, err)
+				case err != nil:
+					// Sources come back; the task waits as long as it is wanted.
+					time.AfterFunc(pause, func() { try(min(2*pause, seconds(d.a.cfg.Workers.Lease))) })
+				}
+			})
+		}
+		try(seconds(d.a.cfg.Workers.Report / 4))
+	}
+}
+
+func (d *inputs) brought(k Key, err error) {
+	d.a.step(func() Effects {
+		if err != nil {
+			d.a.log.Error("inputs can't be had", "load", k.Load(), "err", err)
+		}
+		return d.a.w.Brought(d.a.clock(), k, err, errors.Is(err, datastore.ErrFull))
+	})
+}
+
+// stage carries out a controller's wishes, which are whole.
+func (d *inputs) stage(o *protocol.StoreOrders) {
+	d.list = d.list || o.List
+	wanted := map[dataset.ID]bool{}
+	for i := range o.Fetch {
+		f := &o.Fetch[i]
+		w, err := want(&f.DataSet, f.Urgent)
+		if err != nil {
+			d.a.log.Error("a stage order can't be read", "err", err)
+			continue
+		}
+		wanted[w.ID] = true
+		switch {
+		case f.Peer != "":
+			w.Sources = []datastore.Source{{Address: f.Peer, Peer: true}}
+		case f.Server != "":
+			w.Sources = []datastore.Source{{Address: f.Server}}
+		}
+		if !d.staged[w.ID] {
+			d.a.log.Debug("staging", "copy", w.ID, "set", w.Set, "version", w.Version, "urgent", f.Urgent, "peer", f.Peer, "server", f.Server)
+		}
+		d.staged[w.ID] = true
+		d.store.Fetch(w, func(err error) {
+			d.a.mu.Lock()
+			defer d.a.mu.Unlock()
+			if err != nil && !errors.Is(err, datastore.ErrDropped) {
+				d.failed[w.ID] = true
+			}
+			d.refresh(true)
+		})
+	}
+	for id := range d.staged {
+		if !wanted[id] {
+			delete(d.staged, id)
+			d.store.Cancel(id)
+		}
+	}
+}
+
+// refresh has the reports say what the store holds; the lock is held.
+func (d *inputs) refresh(told bool) {
+	if d == nil || d.a.w == nil || d.a.stopped {
+		return
+	}
+	digest := d.store.Digest()
+	r := &protocol.StoreReport{Digest: digest}
+	if d.list || digest != d.digest {
+		told = told || digest != d.digest
+		r.Listed = true
+		for i, id := range d.store.Held() {
+			if i == listed {
+				break
+			}
+			r.Copies = append(r.Copies, string(id))
+		}
+	}
+	for _, p := range d.store.Pulls() {
+		r.Pulls = append(r.Pulls, protocol.StorePull{Copy: string(p.ID), Done: p.Done, Total: p.Total, Rate: p.Rate})
+	}
+	for id := range d.failed {
+		r.Failed = append(r.Failed, string(id))
+	}
+	d.a.w.Stored(r, told)
+}
+
+// told takes that a report has left.
+func (d *inputs) told() {
+	if d != nil {
+		d.list = false
+		d.digest = d.store.Digest()
+		clear(d.failed)
+	}
+}
+
+// place puts an attempt's inputs into its working directory, whole, before its
+// program starts.
+func (d *inputs) place(dir string, list []protocol.InputCopy, wanted int) error {
+	if wanted != len(list) || d == nil && wanted > 0 {
+		return errNoStore
+	}
+	for i := range list {
+		w, err := want(&list[i].DataSet, false)
+		if err == nil && !protocol.ValidPlace(list[i].Place) {
+			err = errors.New("not a path inside")
+		}
+		if err == nil {
+			err = d.store.Place(w.ID, filepath.Join(dir, filepath.FromSlash(list[i].Place)))
+		}
+		if err != nil {
+			return fmt.Errorf("inputs[%d] (%s/%s): %w", i, list[i].Set, list[i].Version, err)
+		}
+	}
+	return nil
+}
+
+// serve serves chunks to other machines; false if path is none of them.
+func (d *inputs) serve(id uint64, method, path string) bool {
+	name, ok := strings.CutPrefix(path, dataset.ChunkPath)
+	if d == nil || !ok || method != http.MethodGet {
+		return false
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		status, body := datastore.Answer(ctx, d.store, name)
+		d.a.mu.Lock()
+		defer d.a.mu.Unlock()
+		if status == http.StatusOK {
+			d.a.server.AnswerAs(id, "application/octet-stream", body)
+			return
+		}
+		retry := 0
+		if status == http.StatusServiceUnavailable {
+			retry = 1
+		}
+		d.a.server.Answer(id, status, protocol.Encode(protocol.Problem{Error: string(body)}), retry)
+	}()
+	return true
+}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -67,6 +67,7 @@
 	whole time.Duration // gang: when all of it was last seen as it should be
 	ask   time.Duration // gang: when the others are asked next
 	next  time.Duration // when it is to save by itself
+	needs bool          // inputs that are not here yet
 	peers map[int]string
 }
 
@@ -121,6 +122,7 @@
 	Describe []string // jobs whose descriptions are to be asked for
 	Fetch    []string // images wanted, by name
 	Leave    []string // images that no task waits for any more
+	Inputs   []Key    // attempts whose inputs are to be brought here
 	Start    []Key
 	Save     []Key // told to save and go on
 	Stop     []Key // told to save and end
@@ -129,6 +131,7 @@
 	Forget   []Key
 	Clear    bool   // all tasks are to be ended; Cleared is called when they are gone
 	Token    uint64 // a higher token than ever before, to be kept
+	Store    *protocol.StoreOrders
 	Lease    time.Duration
 }
 
@@ -161,6 +164,8 @@
 	changed   bool
 	tokenTold time.Duration // when a higher token last counted as a change
 
+	store *protocol.StoreReport
+
 	loads map[Key]*load
 	specs map[string]*protocol.Description
 	asked map[string]bool // jobs being described
@@ -404,6 +409,7 @@
 func (w *Worker) current() protocol.Report {
 	w.tally++
 	r := w.me
+	r.Store = w.store
 	r.Shift, r.Tally, r.Baton = w.shift, w.tally, w.baton
 	if w.recalled {
 		left := max(0, (w.recall - w.now).Seconds())
@@ -436,6 +442,7 @@
 		w.answered = max(w.answered, s.At)
 		w.token(a.Baton)
 		w.obey(a.Orders)
+		w.out.Store = a.Store
 	case http.StatusMisdirectedRequest:
 		var r protocol.Redirect
 		_ = protocol.Decode(body, &r)
@@ -593,6 +600,9 @@
 	}
 	l.desc = d
 	l.phase = fetching
+	if l.needs = len(d.Inputs) > 0; l.needs {
+		w.out.Inputs = append(w.out.Inputs, l.key)
+	}
 	if w.image[d.Kit] {
 		w.ready(l)
 	} else if !w.pulls[d.Kit] {
@@ -605,9 +615,42 @@
 	}
 }
 
+// Brought takes that an attempt's inputs are all here, whole, or can't be had;
+// full says that there is no room for them.
+func (w *Worker) Brought(now time.Duration, k Key, err error, full bool) Effects {
+	w.advance(now)
+	l := w.loads[k]
+	if w.clearing || l == nil || l.phase != fetching || !l.needs {
+		return w.take()
+	}
+	l.needs = false
+	switch {
+	case full:
+		w.over(l, protocol.CauseNoRoom)
+	case err != nil:
+		w.over(l, protocol.CauseError)
+	case w.image[l.desc.Kit]:
+		w.ready(l)
+	}
+	return w.take()
+}
+
+// Stored takes what the reports are to say of the store; told has it said soon.
+func (w *Worker) Stored(r *protocol.StoreReport, told bool) {
+	w.store = r
+	w.changed = w.changed || told
+}
+
+// Live tells whether an attempt is here and not over.
+func (w *Worker) Live(k Key) bool {
+	l := w.loads[k]
+	return l != nil && l.phase != ended && !w.clearing
+}
+
 // ready goes on with an attempt whose image is here.
 func (w *Worker) ready(l *load) {
 	switch {
+	case l.needs:
 	case l.desc.Complete:
 		w.over(l, protocol.CauseDone)
 	case w.gang(l):
--- a/internal/datastore/serve.go
+++ b/internal/datastore/serve.go
@@ -1,48 +1,46 @@
 package datastore
 
 import (
+	"context"
 	"net/http"
 	"strings"
 
 	"silvergate/internal/dataset"
 )
 
-// Handler serves a store's chunks and manifests to other machines. What is asked
-// for too often is refused at once: there are other sources.
-func Handler(s *Store) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		name, ok := strings.CutPrefix(r.URL.Path, dataset.ChunkPath)
-		if !ok || r.Method != http.MethodGet {
-			http.Error(w, "no such path", http.StatusNotFound)
-			return
+// Answer serves a chunk, or a copy's manifest, by its name below
+// dataset.ChunkPath. What is asked for too often is refused at once: there are
+// other sources.
+func Answer(ctx context.Context, s *Store, name string) (status int, body []byte) {
+	if id, ok := strings.CutPrefix(name, "manifest/"); ok {
+		if !dataset.ValidID(id) {
+			return http.StatusBadRequest, []byte("not a copy's name")
 		}
-		if id, ok := strings.CutPrefix(name, "manifest/"); ok {
-			if !dataset.ValidID(id) {
-				http.Error(w, "not a copy's name", http.StatusBadRequest)
-				return
-			}
-			raw, there := s.Manifest(dataset.ID(id))
-			if !there {
-				http.Error(w, "not here", http.StatusNotFound)
-				return
-			}
-			_, _ = w.Write(raw)
-			return
+		if raw, there := s.Manifest(dataset.ID(id)); there {
+			return http.StatusOK, raw
 		}
-		h, err := dataset.ParseHash(name)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		data, there, busy := s.Chunk(r.Context(), h)
-		switch {
-		case busy:
-			w.Header().Set("Retry-After", "1")
-			http.Error(w, "too much is asked of this machine", http.StatusServiceUnavailable)
-		case !there:
-			http.Error(w, "not here", http.StatusNotFound)
-		default:
-			_, _ = w.Write(data)
-		}
-	})
+		return http.StatusNotFound, []byte("not here")
+	}
+	h, err := dataset.ParseHash(name)
+	if err != nil {
+		return http.StatusBadRequest, []byte(err.Error())
+	}
+	data, there, busy := s.Chunk(ctx, h)
+	switch {
+	case busy:
+		return http.StatusServiceUnavailable, []byte("too much is asked of this machine")
+	case !there:
+		return http.StatusNotFound, []byte("not here")
+	}
+	return http.StatusOK, data
+}
+
+// Cancel ends a fetch that no task waits for. What it has got stays, for another
+// time.
+func (s *Store) Cancel(id dataset.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f := s.pulls[id]; f != nil && s.pins[id] == 0 {
+		f.end(ErrDropped)
+	}
 }
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -327,7 +327,11 @@
 		t.Fatal(err)
 	}
 	before := srv.Sent.Load()
-	peer := httptest.NewServer(Handler(first))
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		status, body := Answer(r.Context(), first, strings.TrimPrefix(r.URL.Path, dataset.ChunkPath))
+		w.WriteHeader(status)
+		_, _ = w.Write(body)
+	}))
 	defer peer.Close()
 	for range 3 {
 		s := open(t, filepath.Join(t.TempDir(), "s"), 1<<30)
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -39,6 +39,14 @@
 	OpenFiles   uint64             `yaml:"open_files"`
 	GiveUpS     float64            `yaml:"give_up_s"`
 	Environment []string           `yaml:"environment"`
+	Staging     *Staging           `yaml:"staging"`
+}
+
+// Staging switches data sets on: the controllers' budgets and the machines'
+// stores.
+type Staging struct {
+	Budgets config.Staging `yaml:"budgets"`
+	Store   agent.Staging  `yaml:"store"`
 }
 
 // Controller bounds each controller's process.
@@ -110,6 +118,7 @@
 type Ports struct {
 	State       int   `json:"state"`
 	Provider    int   `json:"provider"`
+	Files       int   `json:"files"`
 	Controllers []int `json:"controllers"`
 	Back        []int `json:"back"`
 }
@@ -138,6 +147,12 @@
 	return p, nil
 }
 
+// FileServer is the address of the site's own file server.
+func (p *Ports) FileServer() string { return address(p.Files) }
+
+// DataRoot is the folder that a site's file server serves.
+func DataRoot(dir string) string { return filepath.Join(dir, "data") }
+
 // Addresses lists the controllers' addresses for users.
 func (p *Ports) Addresses() (out []string) {
 	for _, c := range p.Controllers {
@@ -179,7 +194,7 @@
 	for len(p.Controllers) < controllers {
 		p.Controllers, p.Back = append(p.Controllers, 0), append(p.Back, 0)
 	}
-	errs := []error{choose(&p.State), choose(&p.Provider)}
+	errs := []error{choose(&p.State), choose(&p.Provider), choose(&p.Files)}
 	for i := range p.Controllers {
 		errs = append(errs, choose(&p.Controllers[i]), choose(&p.Back[i]))
 	}
@@ -218,6 +233,9 @@
 	a := &p.Agent
 	a.Workers = agent.Periods{Report: c.Workers.Report, Lease: c.Workers.Lease, GangWait: c.Workers.GangWait, GangPeer: c.Workers.GangPeer}
 	a.Images, a.Nice, a.OpenFiles, a.Metrics, a.Environment, a.GiveUpS = c.Images, c.Nice, c.OpenFiles, c.Metrics, c.Environment, c.GiveUpS
+	if c.Staging != nil {
+		a.Staging = &c.Staging.Store
+	}
 	a.Outside = filepath.Join(l.dir, "outside")
 	a.Controllers = nil
 	for i := range l.ports.Controllers[:c.Controllers] {
@@ -245,6 +263,9 @@
 func (l layout) operator(c *Config) config.Operator {
 	o := config.DefaultOperator()
 	o.Metrics = c.Metrics
+	if c.Staging != nil {
+		o.Staging = &c.Staging.Budgets
+	}
 	if c.Controller.LogLevel != "" {
 		o.LogLevel = c.Controller.LogLevel
 	}
--- a/internal/site/up.go
+++ b/internal/site/up.go
@@ -149,6 +149,9 @@
 		return err
 	}
 	add("cloud", "provider", "--settings", cloud)
+	if s.cfg.Staging != nil {
+		add("files", "data", "serve", "--root", DataRoot(s.Dir), "--listen", s.Ports.FileServer())
+	}
 	operator, err := yamlFile("operator.yaml", l.operator(s.cfg))
 	if err != nil {
 		return err
