--- /dev/null
+++ b/cmd/silvergate/staging_test.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"silvergate/deploy"
+	"silvergate/internal/dataset"
+	"silvergate/internal/protocol"
+	"silvergate/internal/site"
+	"silvergate/internal/stagecheck"
+	"silvergate/internal/standin"
+)
+
+// TestStagingUnderFaults runs a site whose data comes from file servers that
+// damage, cut, stall and go dark, with urgent and other jobs, a version that is
+// superseded and a controller that is killed, and has both checkers judge it.
+func TestStagingUnderFaults(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "site")
+	settings := filepath.Join(t.TempDir(), "site.yaml")
+	yaml := strings.Replace(string(deploy.Up), "    patience_s: 3 ", "    trace: true\n    patience_s: 0.5 ", 1)
+	if err := os.WriteFile(settings, []byte(yaml), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	up := exec.Command(os.Args[0], "up", "--dir", dir, "--settings", settings)
+	up.Env = append(os.Environ(), asProgram+"=1")
+	if err := up.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- up.Wait() }()
+	stop := func() {
+		up.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-ended:
+		case <-time.After(30 * time.Second):
+			up.Process.Kill()
+		}
+	}
+	defer stop()
+	root := t.TempDir()
+	bad, err := standin.Serve("127.0.0.1:0", root, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer bad.Close()
+	bad.Set(standin.Faults{Damage: 0.02, Short: 0.1, Lie: 0.05, Error: 0.1, Stall: 0.05, StallFor: time.Second})
+	slow, err := standin.Serve("127.0.0.1:0", root, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	slow.Set(standin.Faults{BytesPerS: 30e6, Stall: 0.02, StallFor: time.Second})
+
+	k := newClient()
+	k.site = dir
+	for until := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if _, err := k.versions(); err == nil {
+			break
+		} else if time.Now().After(until) {
+			t.Fatal(err)
+		}
+	}
+	want := map[string]string{}
+	rnd := rand.NewChaCha8([32]byte{1})
+	publish := func(set, version string) {
+		folder := t.TempDir()
+		for i, size := range []int{3<<20 + 11, 100, 5 << 20} {
+			data := make([]byte, size)
+			_, _ = rnd.Read(data)
+			name := fmt.Sprintf("f%d", i)
+			if err := os.WriteFile(filepath.Join(folder, name), data, 0o644); err != nil {
+				t.Fatal(err)
+			}
+			want[set+"/"+version+" "+name] = fmt.Sprintf("%x", sha256.Sum256(data))
+		}
+		m, err := dataset.Build(folder, set, version, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		digest, err := dataset.Publish(folder, root, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := protocol.DataSet{Set: set, Version: version, Digest: digest.String(), Bytes: m.Bytes(), Sources: []string{bad.Address(), slow.Address()}}
+		if err := k.post(protocol.PathDataSets, v, &v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var refs []string
+	submit := func(i int, urgency, set, version string) {
+		// The file of the version's own name tells which one was read.
+		job := fmt.Sprintf(`
+ref: wk-%06d
+crew: office
+urgency: %s
+loads: 2
+cpus: 1
+kit: base
+etaS: 2
+inputs: [{set: %s, version: %s, place: in}]
+command: [/bin/sh, -c, 'for f in in/*; do echo "%s/%s $(basename $f) $(sha256sum < $f | cut -d" " -f1)"; done; sleep 0.5']
+`, i, urgency, set, version, set, version)
+		body, err := readJob([]byte(job))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := k.submit(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		refs = append(refs, s.Ref)
+	}
+	for i := range 4 {
+		publish(fmt.Sprint("set", i), "1")
+	}
+	for i := range 10 {
+		submit(i, []string{"idle", "urgent"}[i%2], fmt.Sprint("set", i%4), "1")
+		time.Sleep(100 * time.Millisecond)
+	}
+	publish("set0", "2") // while the first is being fetched and read
+	a := protocol.Staging{Ref: "morning", Set: "set0", Version: "2", Crew: "office", ByS: 3, Machines: 2}
+	if err := k.post(protocol.PathStagings, a, &a); err != nil {
+		t.Fatal(err)
+	}
+	slow.Dark(true)
+	time.Sleep(time.Second)
+	if s := (&site.Site{Dir: dir}); s.PID("stoker-1") != 0 {
+		syscall.Kill(s.PID("stoker-1"), syscall.SIGKILL)
+	}
+	slow.Dark(false)
+	for i := range 6 {
+		submit(100+i, "urgent", "set0", []string{"2", "1"}[i%2])
+	}
+	for _, ref := range refs {
+		if s, err := k.wait(ref, 2*time.Minute, func(protocol.RunState) {}); err != nil || s.Status != "done" {
+			t.Fatalf("%s: %+v %v", ref, s, err)
+		}
+	}
+	s := &site.Site{Dir: dir}
+	var lines []string
+	for _, ref := range refs {
+		files, err := s.Outputs(ref)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			b, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			lines = append(lines, strings.Split(strings.TrimSpace(string(b)), "\n")...)
+		}
+	}
+	lines = deleteEmpty(lines)
+	stop()
+	if wrong, n := stagecheck.Reads(lines, want); len(wrong) > 0 || n < 16*2*3 {
+		t.Errorf("%d reads judged: %v", n, wrong)
+	}
+	var files []string
+	for _, where := range []string{"machines", "ended"} {
+		found, _ := filepath.Glob(filepath.Join(dir, "cloud", where, "*", "data", "events.jsonl"))
+		files = append(files, found...)
+	}
+	events, err := stagecheck.Read(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wrong, n := stagecheck.Starts(events, time.Second) // report_s
+	if len(wrong) > 0 || n < 11*2 {
+		t.Errorf("%d urgent needs judged: %v", n, wrong)
+	}
+	t.Logf("%d reads and %d urgent needs judged, %d events", len(lines), n, len(events))
+}
+
+func deleteEmpty(lines []string) (out []string) {
+	for _, l := range lines {
+		if l != "" {
+			out = append(out, l)
+		}
+	}
+	return out
+}
--- a/internal/agent/inputs.go
+++ b/internal/agent/inputs.go
@@ -27,6 +27,9 @@
 	Serving int `yaml:"serving"`
 	// PatienceS is how long a source may say nothing.
 	PatienceS float64 `yaml:"patience_s"`
+	// Trace has what happens to data written to events.jsonl in the store's
+	// folder, for whoever checks it.
+	Trace bool `yaml:"trace"`
 }
 
 func (s *Staging) check() error {
@@ -53,6 +56,7 @@
 	failed map[dataset.ID]bool // since the last report
 	digest string              // as last told
 	list   bool                // the next report lists all
+	trace  *tracer             // nil: off
 }
 
 var errNoStore = errors.New("this machine has no store of data sets (staging is off)")
@@ -67,7 +71,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("store of data sets: %w", err)
 	}
-	return &inputs{a: a, store: s, pinned: map[Key][]dataset.ID{}, staged: map[dataset.ID]bool{}, failed: map[dataset.ID]bool{}, list: true}, nil
+	d := &inputs{a: a, store: s, pinned: map[Key][]dataset.ID{}, staged: map[dataset.ID]bool{}, failed: map[dataset.ID]bool{}, list: true}
+	if c.Trace {
+		if d.trace, err = newTracer(filepath.Join(a.cfg.Dir, "data", EventsFile), a.cfg.Stoker); err != nil {
+			return nil, err
+		}
+		s.Observe = func(e datastore.Event) {
+			d.trace.write(Event{At: e.At, Kind: e.Kind, Copy: string(e.ID), Source: e.Source, Urgent: e.Urgent})
+		}
+	}
+	return d, nil
 }
 
 func (d *inputs) close() {
@@ -131,6 +144,7 @@
 	for _, w := range wants {
 		d.pinned[k] = append(d.pinned[k], w.ID)
 		d.store.Pin(w.ID)
+		d.trace.write(Event{At: time.Now(), Kind: "needed", Load: k.String(), Copy: string(w.ID), Urgent: urgent})
 	}
 	for _, w := range wants {
 		var try func(pause time.Duration)
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -473,7 +473,9 @@
 // bury keeps the folders of the machines that ended last, for whoever asks why
 // a task failed.
 func (p *Provider) bury(name, dir string) {
-	_ = os.RemoveAll(filepath.Join(dir, "images"))
+	for _, large := range []string{"images", "data/copies", "data/partial"} {
+		_ = os.RemoveAll(filepath.Join(dir, large))
+	}
 	root := filepath.Join(p.cfg.Dir, endedDir)
 	if err := os.Rename(dir, filepath.Join(root, name)); err != nil {
 		_ = os.RemoveAll(dir)
--- a/internal/staging/choose.go
+++ b/internal/staging/choose.go
@@ -18,18 +18,19 @@
 // Choose picks what a task does that could have free room on a machine without
 // its inputs, while machines that hold them are busy: whatever starts it
 // earliest. Waiting has a bound: a task waits for locality no longer, all in
-// all, than fetching takes. waited is how long it has already. Stopping others
-// is for tasks that may (stop is Never for the rest).
+// all, than the next best way takes, as room that is about to be free may go to
+// another. waited is how long it has already. Stopping others is for tasks that
+// may (stop is Never for the rest).
 //
 // Delay scheduling skips a fixed number of offers; the bound here follows from
 // what is to be gained, so a small set is not waited for and a large one is.
 func Choose(fetch, free, stop, waited time.Duration) Option {
 	best, at := FetchHere, fetch
-	if free < at && waited+free <= fetch {
-		best, at = WaitThere, free
+	if stop < fetch {
+		best, at = ClearThere, stop
 	}
-	if stop < at {
-		best = ClearThere
+	if free < at && waited+free <= at {
+		best = WaitThere
 	}
 	return best
 }
--- a/internal/staging/planner_test.go
+++ b/internal/staging/planner_test.go
@@ -253,6 +253,7 @@
 		{0, 0, 0, 0, FetchHere},
 		{10 * s, Never, Never, 0, FetchHere},
 		{10 * s, 4 * s, 6 * s, 0, WaitThere},
+		{10 * s, 4 * s, 6 * s, 3 * s, ClearThere}, // what was to be free went to another
 	} {
 		if got := Choose(c.fetch, c.free, c.stop, c.waited); got != c.want {
 			t.Errorf("%+v: %d", c, got)
