--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -64,6 +64,15 @@
 		return
 	}
 	f := s.pulls[w.ID]
+	if f != nil && f.ctx.Err() != nil {
+		// Guards against joining a fetch that was just given up: whoever wants
+		// the copy now would be told that nobody does.
+		go func() {
+			<-f.over
+			s.Fetch(w, done)
+		}()
+		return
+	}
 	if f == nil {
 		f = &fetching{want: w, began: time.Now(), wakeup: make(chan struct{}, 1), over: make(chan struct{})}
 		f.ctx, f.cancel = context.WithCancelCause(context.Background())
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -19,6 +20,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"silvergate/internal/dataset"
 	"silvergate/internal/standin"
 )
@@ -159,6 +162,8 @@
 		fmt.Println(err)
 		time.Sleep(time.Minute)
 	}
+	_ = flag.Set("rapid.seed", "20261201") // so that a verdict repeats
+	_ = flag.Set("rapid.checks", "60")
 	os.Exit(m.Run())
 }
 
@@ -358,3 +363,91 @@
 		t.Error("a chunk that is not there was served")
 	}
 }
+
+// TestInterleavings draws fetches, crashes, evictions, uses and superseding
+// versions, and demands after each that what is visible is what was published,
+// that what is in use stays, and that the account of the room holds.
+func TestInterleavings(t *testing.T) {
+	root := t.TempDir()
+	srv := server(t, root, standin.Faults{})
+	var ms []*dataset.Manifest
+	var ws []Want
+	for i := range 4 { // two sets with two versions each, which share a file
+		m, w := publish(t, root, fmt.Sprint("set", i%2), fmt.Sprint(i/2), map[string][]byte{"shared": random(uint64(i%2), 3000), "own": random(uint64(10+i), 2000+i)})
+		ms, ws = append(ms, m), append(ws, from(w, Source{srv.Address(), false}))
+	}
+	base := t.TempDir()
+	run := 0
+	rapid.Check(t, func(t *rapid.T) {
+		run++
+		dir := filepath.Join(base, fmt.Sprint(run))
+		cfg := Config{Dir: dir, Capacity: 11_000, Patience: time.Second} // two of 5,000
+		s, err := Open(cfg, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { s.Close() }()
+		pins := map[int]int{}
+		for step := range rapid.IntRange(3, 25).Draw(t, "steps") {
+			i := rapid.IntRange(0, 3).Draw(t, "version")
+			id := ws[i].ID
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0, 1:
+				err := get(s, ws[i])
+				inUse := 0
+				for j, n := range pins {
+					if n > 0 && j != i && s.Here(ws[j].ID) {
+						inUse++
+					}
+				}
+				if err != nil && !(errors.Is(err, ErrFull) && inUse >= 2) {
+					t.Fatal(err)
+				}
+			case 2:
+				if s.Here(id) {
+					s.Pin(id)
+					pins[i]++
+				}
+			case 3:
+				if pins[i] > 0 {
+					s.Unpin(id)
+					pins[i]--
+				}
+			case 4: // a fetch that is given up in the middle
+				s.Fetch(ws[i], nil)
+				s.Cancel(id)
+			case 5: // the agent is killed: tasks and their pins are gone
+				s.Close()
+				if s, err = Open(cfg, quiet); err != nil {
+					t.Fatal(err)
+				}
+				pins = map[int]int{}
+			case 6:
+				if dropped := s.Drop(id); dropped == (pins[i] > 0) {
+					t.Fatalf("dropped %v with %d uses", dropped, pins[i])
+				}
+			}
+			for j := range ws {
+				if !s.Here(ws[j].ID) {
+					if pins[j] > 0 {
+						t.Fatalf("version %d is in use and gone", j)
+					}
+					continue
+				}
+				place := filepath.Join(dir, "task", fmt.Sprint(step, "-", j))
+				if err := s.Place(ws[j].ID, place); err != nil {
+					if s.Here(ws[j].ID) {
+						t.Fatal(err)
+					}
+					continue // evicted between the two
+				}
+				if err := dataset.VerifyTree(place, ms[j]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if st := s.Stats(); st.Bytes > cfg.Capacity {
+				t.Fatalf("%d bytes of %d", st.Bytes, cfg.Capacity)
+			}
+		}
+	})
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"os"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -128,3 +129,29 @@
 		}
 	}
 }
+
+// FuzzReport demands that a report that is taken can be keyed by, and that the
+// extension fields of a submission lead nowhere else.
+func FuzzReport(f *testing.F) {
+	for _, s := range []string{`{"stoker":"i-1","address":"a","rig":"r","depot":"d","shift":1,"store":{"digest":"x","listed":true,"copies":["a"],"pulls":[{"copy":"a","done":1}]}}`,
+		`{"ref":"wk-000001","command":["a"],"env":{"A":"b"},"inputs":[{"set":"s","version":"latest","place":"a/b"}]}`, `{"store":[]}`, `[]`, `{"inputs":[{"place":"../x"}]}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if r, err := ParseReport(raw); err == nil && (!keySafe(r.Stoker) || r.Shift == 0) {
+			t.Fatalf("%+v", r)
+		}
+		if x, err := ParseExtra(raw); err == nil && x != nil {
+			for _, in := range x.Inputs {
+				if !ValidPlace(in.Place) || strings.HasPrefix(in.Place, "/") || strings.Contains("/"+in.Place+"/", "/../") {
+					t.Fatalf("%+v", in)
+				}
+			}
+			for k := range x.Env {
+				if strings.ContainsAny(k, "=\x00") || strings.HasPrefix(k, ReservedEnv) {
+					t.Fatalf("%q", k)
+				}
+			}
+		}
+	})
+}
--- a/internal/stagebench/stagebench.go
+++ b/internal/stagebench/stagebench.go
@@ -46,7 +46,8 @@
 	machineBps = 100e6
 	copyBytes  = 1e9
 	serverBps  = 1.2e9
-	servers    = 2
+	perServer  = 50   // machines for each file server; there are two at least
+	sets       = 60   // data sets that the others read
 	keeps      = 12   // copies that a machine holds
 	step       = 0.1  // seconds
 	stopS      = 0.5  // to stop a task
@@ -123,13 +124,13 @@
 	peers   float64
 	spent   time.Duration
 	placed  int
-	needed  map[string]bool // oracle: copies on machines that were used
+	where   map[staging.ID][2]int // the file servers that have a version
 }
 
 // Run simulates one way.
 func Run(way Way, o Options) Result {
 	s := &sim{o: o, way: way, rnd: rand.New(rand.NewPCG(o.Seed, 7)), byName: map[string]*node{}, byAddr: map[string]*node{},
-		active: map[*node]bool{}, born: map[staging.ID]float64{}, needed: map[string]bool{}}
+		active: map[*node]bool{}, born: map[staging.ID]float64{}, where: map[staging.ID][2]int{}}
 	cfg := staging.Config{Controllers: 1, ServerStreams: int(serverBps / machineBps), PeerStreams: 2, MachineStreams: 1, Rate: machineBps, Report: time.Second}
 	if way != Staging {
 		cfg.PeerStreams, cfg.ServerStreams, cfg.MachineStreams = 0, 1<<20, 1<<20
@@ -141,7 +142,6 @@
 		s.byName[n.id], s.byAddr["a"+n.id] = n, n
 		s.p.Join(n.id, "z", "a"+n.id)
 	}
-	sets := max(10, o.Machines/4)
 	for i := range sets {
 		w := 1.0
 		if o.Zipf {
@@ -172,9 +172,15 @@
 
 func (s *sim) publish(id staging.ID) {
 	s.born[id] = s.now
-	s.p.SetCopy(s.clock(), staging.Copy{ID: id, Bytes: copyBytes, Servers: []string{"s0", "s1"}})
+	// Two file servers have each version.
+	a := s.rnd.IntN(s.servers())
+	b := (a + 1 + s.rnd.IntN(s.servers()-1)) % s.servers()
+	s.where[id] = [2]int{a, b}
+	s.p.SetCopy(s.clock(), staging.Copy{ID: id, Bytes: copyBytes, Servers: []string{fmt.Sprint("s", a), fmt.Sprint("s", b)}})
 }
 
+func (s *sim) servers() int { return max(2, s.o.Machines/perServer) }
+
 func (s *sim) clock() time.Duration { return time.Duration(s.now * float64(time.Second)) }
 
 func (s *sim) pick() staging.ID {
@@ -223,7 +229,7 @@
 			s.sync(n)
 		}
 	}
-	srv, in, out := [servers]int{}, map[*node]int{}, map[*node]int{}
+	srv, in, out := make([]int, s.servers()), map[*node]int{}, map[*node]int{}
 	for _, f := range s.flows {
 		in[f.m]++
 		if f.peer != nil {
@@ -270,7 +276,7 @@
 			s.flows = append(s.flows, f)
 		}
 		if f.peer, f.server = s.byAddr[o.Peer], -1; f.peer == nil {
-			f.server = int(o.Server[1] - '0')
+			_, _ = fmt.Sscanf(o.Server, "s%d", &f.server)
 		}
 		s.p.Held(s.clock(), n.id, staging.Report{Digest: "", Pulls: []staging.Pull{{ID: o.ID, Done: int64(copyBytes - f.left), Total: copyBytes}}})
 	}
@@ -371,7 +377,7 @@
 	}
 	if s.way == Blind {
 		if n.pulls[t.copy] == nil {
-			f := &flow{id: t.copy, m: n, left: copyBytes, server: s.rnd.IntN(servers)}
+			f := &flow{id: t.copy, m: n, left: copyBytes, server: s.where[t.copy][s.rnd.IntN(2)]}
 			n.pulls[t.copy] = f
 			s.flows = append(s.flows, f)
 		}
