Planner: what can't start is in nobody's way

At 855 machines (simulated) announced data did not spread: the head of the queue was fetches that waited for their machine, and a decision looks at 64. They wait with their machine now, and what has no free source goes to the back.

--- a/internal/stagebench/stagebench.go
+++ b/internal/stagebench/stagebench.go
@@ -92,6 +92,7 @@
 	tasks []*task
 	held  map[staging.ID]float64 // last use
 	pulls map[staging.ID]*flow
+	wants map[staging.ID]bool // of the planner, until they are here
 	at    int
 }
 
@@ -137,7 +138,7 @@
 	}
 	s.p = staging.New(cfg, func([]staging.ID) string { return "" }, rand.New(rand.NewPCG(o.Seed, 8)))
 	for i := range o.Machines {
-		n := &node{id: fmt.Sprintf("m%05d", i), held: map[staging.ID]float64{}, pulls: map[staging.ID]*flow{}, at: i}
+		n := &node{id: fmt.Sprintf("m%05d", i), held: map[staging.ID]float64{}, pulls: map[staging.ID]*flow{}, wants: map[staging.ID]bool{}, at: i}
 		s.nodes = append(s.nodes, n)
 		s.byName[n.id], s.byAddr["a"+n.id] = n, n
 		s.p.Join(n.id, "z", "a"+n.id)
@@ -225,8 +226,10 @@
 // flow moves bytes: each fetch gets the smaller share of its two ends.
 func (s *sim) flow() {
 	if s.way != Blind && s.way != Oracle {
-		for n := range s.active {
-			s.sync(n)
+		for _, n := range s.nodes {
+			if s.active[n] {
+				s.sync(n)
+			}
 		}
 	}
 	srv, in, out := make([]int, s.servers()), map[*node]int{}, map[*node]int{}
@@ -288,7 +291,7 @@
 			delete(n.pulls, id)
 		}
 	}
-	if len(orders) == 0 {
+	if len(n.wants) == 0 {
 		delete(s.active, n)
 	}
 }
@@ -296,6 +299,7 @@
 // arrive makes a copy visible, and room for it.
 func (s *sim) arrive(n *node, id staging.ID) {
 	n.held[id] = s.now
+	delete(n.wants, id)
 	for len(n.held) > keeps {
 		oldest := staging.ID("")
 		for h, at := range n.held {
@@ -356,7 +360,10 @@
 		if _, ok := n.held[id]; ok {
 			return true
 		}
-		if s.now < s.born[id]+copyBytes/machineBps {
+		// Each machine that holds a copy passes it on as fast as it can, and
+		// the file servers give all they have.
+		age := (s.now - s.born[id]) * machineBps / copyBytes
+		if held, _ := s.p.Holders(id); age < 1 || float64(held) >= 2*serverBps/machineBps*(math.Exp2(age)-1) {
 			return false
 		}
 		s.moved += copyBytes
@@ -387,8 +394,12 @@
 	if t.urgent {
 		class = staging.Urgent
 	}
-	s.p.Want(s.clock(), n.id, t.copy, class, "team", 0)
-	s.active[n] = true
+	s.want(n, t.copy, class, 0)
+}
+
+func (s *sim) want(n *node, id staging.ID, class staging.Class, by time.Duration) {
+	s.p.Want(s.clock(), n.id, id, class, "team", by)
+	n.wants[id], s.active[n] = true, true
 }
 
 func (s *sim) schedule() {
@@ -543,8 +554,7 @@
 		}
 	}
 	for _, m := range staging.Place(list, want-held-coming, func(m string) time.Duration { return s.p.Expect(s.clock(), m, []staging.ID{id}) }, func(string) bool { return false }) {
-		s.p.Want(s.clock(), m, id, staging.Ahead, "team", a.By)
-		s.active[s.byName[m]] = true
+		s.want(s.byName[m], id, staging.Ahead, a.By)
 	}
 }
 
--- a/internal/staging/planner.go
+++ b/internal/staging/planner.go
@@ -85,8 +85,9 @@
 	known             bool // its list is
 	held              map[*data]bool
 	pulls             map[*data]*pull
-	serving           int // copies that others fetch from it
-	running           int // its own fetches that are not urgent and under way
+	serving           int     // copies that others fetch from it
+	running           int     // its own fetches that are not urgent and under way
+	parked            []*pull // that wait for one of these to end
 	rate              float64
 	at                int // place in the list of all
 }
@@ -363,9 +364,18 @@
 	}
 	if x.class < Urgent {
 		x.m.running--
+		p.unpark(x.m)
 	}
 }
 
+// unpark has a machine's fetches wait for sources again.
+func (p *Planner) unpark(m *machine) {
+	for _, x := range m.parked {
+		p.enqueue(x)
+	}
+	m.parked = nil
+}
+
 // Pauses after a fetch that failed, in report periods: the first, doubling.
 const maxFails = 6
 
@@ -397,6 +407,9 @@
 	if i := slices.Index(p.waiting[x.class], x); i >= 0 {
 		p.waiting[x.class] = slices.Delete(p.waiting[x.class], i, i+1)
 	}
+	if i := slices.Index(x.m.parked, x); i >= 0 {
+		x.m.parked = slices.Delete(x.m.parked, i, i+1)
+	}
 }
 
 // Want has a machine fetch a copy for a team, unless it holds it. Wanted again
@@ -418,6 +431,7 @@
 		if x.going {
 			if x.class < Urgent && class == Urgent {
 				m.running--
+				p.unpark(m)
 				if i := slices.Index(p.users[x.server], x); i >= 0 {
 					p.users[x.server] = slices.Delete(p.users[x.server], i, i+1)
 				}
@@ -463,11 +477,18 @@
 	var peer *machine
 	server := ""
 	q := p.waiting[class]
-	// Guards against a long queue whose head can't start: the look begins
-	// there, as the oldest goes first, and is bounded.
-	for i := 0; i < len(q) && i < scanned; i++ {
+	seen := 0
+	for i := 0; i < len(q) && seen < scanned; {
 		x := q[i]
-		if now < x.hold || class < Urgent && x.m.running >= p.cfg.MachineStreams {
+		if class < Urgent && x.m.running >= p.cfg.MachineStreams {
+			// It waits with its machine, out of the others' way.
+			q = slices.Delete(q, i, i+1)
+			x.m.parked = append(x.m.parked, x)
+			continue
+		}
+		i++
+		seen++
+		if now < x.hold {
 			continue
 		}
 		if best != nil && !p.earlier(x, best) {
@@ -477,7 +498,13 @@
 			best, peer, server = x, from, s
 		}
 	}
+	p.waiting[class] = q
 	if best == nil {
+		// Guards against a long queue whose head can't start, for want of a
+		// source: the next look begins behind it.
+		if seen < len(q) {
+			p.waiting[class] = append(q[seen:len(q):len(q)], q[:seen]...)
+		}
 		return false
 	}
 	p.dequeue(best)
--- a/internal/staging/planner_test.go
+++ b/internal/staging/planner_test.go
@@ -40,6 +40,13 @@
 		}
 	}
 	total := 0
+	for _, m := range p.all {
+		for _, x := range m.parked {
+			if waiting[x]++; x.class == Urgent || x.m != m || m.running < p.cfg.MachineStreams {
+				return fmt.Errorf("%s of %s is parked with %d under way", x.d.ID, m.id, m.running)
+			}
+		}
+	}
 	for i, m := range p.all {
 		if m.at != i || p.machines[m.id] != m {
 			return fmt.Errorf("%s is not where it should be", m.id)
@@ -238,6 +245,39 @@
 	}
 }
 
+// TestLongQueuesMove guards against a head of the queue that can't start: what is
+// behind it, with another source or machine, must.
+func TestLongQueuesMove(t *testing.T) {
+	p := newPlanner(1)
+	p.SetCopy(0, Copy{ID: "stuck", Bytes: 100, Servers: []string{"a"}})
+	p.SetCopy(0, Copy{ID: "free", Bytes: 100, Servers: []string{"b"}})
+	for i := range 300 {
+		p.Join(fmt.Sprint("m", i), "z", "")
+		p.Want(0, fmt.Sprint("m", i), "stuck", Normal, "t", 0)
+	}
+	p.Join("last", "z", "")
+	p.Want(0, "last", "free", Normal, "t", 0)
+	for i := range 10 {
+		p.Tick(time.Duration(i) * time.Second / 10)
+	}
+	if len(p.Orders("last")) != 1 {
+		t.Error("a fetch whose source is free waits behind others")
+	}
+	// One machine's many wishes are in nobody's way either.
+	p = newPlanner(1)
+	p.Join("many", "z", "")
+	for i := range 300 {
+		c := ID(fmt.Sprint("c", i))
+		p.SetCopy(0, Copy{ID: c, Bytes: 100, Servers: []string{fmt.Sprint("s", i)}})
+		p.Want(0, "many", c, Normal, "t", 0)
+	}
+	p.Join("other", "z", "")
+	p.Want(0, "other", "c299", Normal, "t", 0)
+	if len(p.Orders("other")) != 1 || len(p.Orders("many")) != p.cfg.MachineStreams {
+		t.Errorf("%d and %d fetches", len(p.Orders("other")), len(p.Orders("many")))
+	}
+}
+
 // TestChoose checks the rule against the three ways' times.
 func TestChoose(t *testing.T) {
 	s := time.Second
