--- a/internal/stagebench/stagebench.go
+++ b/internal/stagebench/stagebench.go
@@ -415,7 +415,7 @@
 	var rest []*task
 	misses := 0
 	for i, t := range q {
-		if misses > 4 { // nothing is free
+		if misses > look { // nothing is free
 			return append(rest, q[i:]...)
 		}
 		if !s.place(t) {
