--- a/cmd/silvergate/data.go
+++ b/cmd/silvergate/data.go
@@ -234,6 +234,7 @@
 	f := c.Flags()
 	f.StringVar(&a.Ref, "ref", "", "the announcement's name; default: drawn")
 	f.StringVar(&a.Crew, "crew", "", "the team whose work it is")
+	f.StringVar(&a.Urgency, "urgency", "standard", "of the work: prod, urgent, standard or idle")
 	f.IntVar(&a.Machines, "machines", 1, "how many machines are to hold it")
 	f.DurationVar(&by, "within", 0, "how soon it is to be there")
 	f.StringVar(&depot, "zone", "", "only machines of this zone")
--- a/internal/coordination/data.go
+++ b/internal/coordination/data.go
@@ -134,8 +134,8 @@
 }
 
 // class is how urgent a job's data is.
-func class(s *job.Spec) staging.Class {
-	if s.Priority >= job.High {
+func class(p job.Priority) staging.Class {
+	if p >= job.High {
 		return staging.Urgent
 	}
 	return staging.Normal
@@ -147,7 +147,7 @@
 		return
 	}
 	for _, id := range d.copies(s) {
-		d.p.Want(d.c.now, m.id, id, class(s), s.Team, 0)
+		d.p.Want(d.c.now, m.id, id, class(s.Priority), s.Team, 0)
 	}
 }
 
@@ -342,7 +342,7 @@
 		func(m string) bool { return d.p.Holds(m, copies) })
 	for _, m := range bring {
 		for _, id := range copies {
-			d.p.Want(c.now, m, id, class(r.spec), r.spec.Team, 0)
+			d.p.Want(c.now, m, id, class(r.spec.Priority), r.spec.Team, 0)
 		}
 	}
 }
@@ -396,7 +396,7 @@
 		held, coming := d.p.Holders(id)
 		if want := share - have - coming; want > 0 && held < a.Machines {
 			for _, m := range staging.Place(list, want+coming, func(m string) time.Duration { return d.p.Expect(c.now, m, []staging.ID{id}) }, func(string) bool { return false }) {
-				d.p.Want(c.now, m, id, staging.Ahead, a.Crew, by)
+				d.p.Promise(c.now, m, id, class(protocol.PriorityOf(a.Urgency)), a.Crew, by)
 			}
 		}
 	}
--- a/internal/protocol/data.go
+++ b/internal/protocol/data.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/netip"
+
+	"silvergate/internal/job"
 )
 
 // PathDataSets is where versions of data sets are registered (POST) and listed
@@ -51,6 +53,15 @@
 // accepted.
 const LatestVersion = "latest"
 
+func knownUrgency(s string) bool {
+	_, ok := priorities[s]
+	return ok
+}
+
+// PriorityOf is the priority of an urgency's wire name, the lowest if there is
+// none such.
+func PriorityOf(urgency string) job.Priority { return priorities[urgency] }
+
 func hexadecimal(s string) bool {
 	for i := 0; i < len(s); i++ {
 		if c := s[i]; !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f') {
@@ -75,7 +86,8 @@
 	Set      string  `json:"set"`
 	Version  string  `json:"version"`
 	Crew     string  `json:"crew"`
-	ByS      float64 `json:"byS"` // from now
+	Urgency  string  `json:"urgency"` // of the work that will come
+	ByS      float64 `json:"byS"`     // from now
 	Machines int     `json:"machines"`
 	Depot    *string `json:"depot"`
 }
@@ -91,6 +103,8 @@
 		return errors.New("version: missing or not a name")
 	case s.Crew == "":
 		return errors.New("crew: missing")
+	case !knownUrgency(s.Urgency):
+		return errors.New("urgency: unknown")
 	case !amount(s.ByS) || s.ByS > 7*86400:
 		return errors.New("byS: missing, or more than a week")
 	case s.Machines < 1 || s.Machines > 10_000:
--- a/internal/staging/choose.go
+++ b/internal/staging/choose.go
@@ -25,11 +25,13 @@
 // Delay scheduling skips a fixed number of offers; the bound here follows from
 // what is to be gained, so a small set is not waited for and a large one is.
 func Choose(fetch, free, stop, waited time.Duration) Option {
-	best, at := FetchHere, fetch
+	best, bound := FetchHere, fetch
 	if stop < fetch {
-		best, at = ClearThere, stop
+		// Stopping is sure and soon, and room that is about to be free may go
+		// to another: it is waited for only where that costs next to nothing.
+		best, bound = ClearThere, stop/8
 	}
-	if free < at && waited+free <= at {
+	if free < bound && waited+free <= bound {
 		best = WaitThere
 	}
 	return best
--- a/internal/staging/planner.go
+++ b/internal/staging/planner.go
@@ -106,6 +106,7 @@
 	class  Class
 	team   string
 	by     time.Duration // when it should be there; 0: as soon as can be
+	rise   Class         // what it becomes when it would be late otherwise
 	since  time.Duration
 	going  bool
 	start  time.Duration // of going
@@ -449,6 +450,24 @@
 	p.dispatch(now)
 }
 
+// Promise has a machine fetch a copy ahead of work that is announced for a time.
+// It goes behind all that waits already, until there is just time enough left:
+// then it rises to the class of the work.
+func (p *Planner) Promise(now time.Duration, id string, c ID, rise Class, team string, by time.Duration) {
+	p.Want(now, id, c, Ahead, team, by)
+	if m, d := p.machines[id], p.copies[c]; m != nil && d != nil {
+		if x := m.pulls[d]; x != nil && x.by > 0 {
+			x.rise = max(x.rise, rise)
+		}
+	}
+}
+
+// due tells whether a fetch must go first now to be in time: twice what is left
+// of it is the margin.
+func (p *Planner) due(now time.Duration, x *pull) bool {
+	return x.by > 0 && x.class < x.rise && p.rate > 0 && now >= x.by-time.Duration(2*float64(x.d.Bytes-x.done)/p.rate*float64(time.Second))
+}
+
 // Unwant gives a fetch up that nothing needs any more.
 func (p *Planner) Unwant(now time.Duration, id string, c ID) {
 	m, d := p.machines[id], p.copies[c]
@@ -624,6 +643,9 @@
 			if x.going && now-x.seen > 4*p.cfg.Report {
 				p.fail(now, x)
 			}
+			if p.due(now, x) {
+				p.Want(now, m.id, x.d.ID, x.rise, x.team, x.by)
+			}
 		}
 	}
 	p.dispatch(now)
--- /dev/null
+++ b/tools/stagingplot/main.go
@@ -0,0 +1,60 @@
+// Command stagingplot draws the figures of `silvergate bench staging --output
+// json`, read from standard input, as an SVG file: how urgent tasks start by the
+// size of the cluster. It is apart from silvergate, so that controllers do not
+// carry what draws.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"silvergate/internal/stagebench"
+)
+
+func main() {
+	if err := draw(); err != nil {
+		fmt.Fprintln(os.Stderr, "stagingplot:", err)
+		os.Exit(1)
+	}
+}
+
+func draw() error {
+	if len(os.Args) != 2 {
+		return fmt.Errorf("usage: stagingplot FILE.svg < RESULTS.json")
+	}
+	p := plot.New()
+	p.Title.Text = "Start delay of urgent tasks, p99 (simulated, plain data sets)"
+	p.X.Label.Text, p.Y.Label.Text = "machines", "seconds"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
+	byWay := map[stagebench.Way]plotter.XYs{}
+	for dec := json.NewDecoder(os.Stdin); dec.More(); {
+		var all []stagebench.Result
+		if err := dec.Decode(&all); err != nil {
+			return err
+		}
+		for _, r := range all {
+			if !r.Zipf {
+				byWay[r.Way] = append(byWay[r.Way], plotter.XY{X: float64(r.Machines), Y: math.Max(r.P99, 0.1)})
+			}
+		}
+	}
+	var lines []any
+	for _, w := range stagebench.Ways {
+		if len(byWay[w]) > 0 {
+			lines = append(lines, string(w), byWay[w])
+		}
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, os.Args[1])
+}
