--- a/internal/agent/outside.go
+++ b/internal/agent/outside.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"errors"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -94,12 +92,3 @@
 	}
 	return renameio.WriteFile(filepath.Join(dir, doneFile), nil, 0o600)
 }
-
-// forget removes what was kept for a job.
-func (o outside) forget(id string) error {
-	err := os.RemoveAll(filepath.Join(o.dir, id))
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	return err
-}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -151,8 +151,7 @@
 	baton    uint64
 	began    time.Duration
 	answered time.Duration // sending time of the last answered report of this session
-	renewed  bool
-	clearing bool // the session is over; its tasks are being ended
+	clearing bool          // the session is over; its tasks are being ended
 	recall   time.Duration
 	recalled bool
 
--- a/internal/stagebench/stagebench.go
+++ b/internal/stagebench/stagebench.go
@@ -83,7 +83,6 @@
 	m       *node
 	ready   float64 // slot can be used from then on
 	started bool
-	waited  time.Duration
 	since   float64
 }
 
--- a/tools/stagingplot/main.go
+++ b/tools/stagingplot/main.go
@@ -35,6 +35,7 @@
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
 	p.Legend.Top, p.Legend.Left = true, true
+	p.Y.Max = 3000 // room for the legend
 	byWay := map[stagebench.Way]plotter.XYs{}
 	for dec := json.NewDecoder(os.Stdin); dec.More(); {
 		var all []stagebench.Result
@@ -53,7 +54,7 @@
 			lines = append(lines, string(w), byWay[w])
 		}
 	}
-	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+	if err := plotutil.AddLinePoints(p, lines...); err != nil { // widens the axes
 		return err
 	}
 	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, os.Args[1])
