--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -15,6 +15,7 @@
 	spec      *job.Spec
 	body      []byte
 	runs      float64
+	copy      string // of the data set that it reads
 	done      []bool
 	accepted  bool
 	cancelled time.Duration // when the user was told
@@ -30,9 +31,15 @@
 	if sp.Zone != "" {
 		depot = sp.Zone
 	}
-	u.body, _ = json.Marshal(map[string]any{"ref": sp.ID, "jobclass": sp.Class, "crew": sp.Team, "shape": names[sp.Shape], "urgency": prio[sp.Priority],
+	body := map[string]any{"ref": sp.ID, "jobclass": sp.Class, "crew": sp.Team, "shape": names[sp.Shape], "urgency": prio[sp.Priority],
 		"loads": sp.Tasks, "cpus": sp.CPUs, "accelerators": sp.GPUs, "ramGb": sp.MemoryGB, "kit": "img", "sizeGb": 1.0, "rigs": sp.Types, "depot": depot,
-		"oneZone": sp.OneZone, "apart": sp.Spread, "casual": sp.Spot, "etaS": runs, "waypointS": 0.0, "stowS": 0.0, "dueS": nil})
+		"oneZone": sp.OneZone, "apart": sp.Spread, "casual": sp.Spot, "etaS": runs, "waypointS": 0.0, "stowS": 0.0, "dueS": nil}
+	if s.sets != nil && s.now > 15*time.Second { // registered by then
+		v := s.sets[s.rnd.IntN(len(s.sets))]
+		u.copy = v.CopyID()
+		body["inputs"] = []map[string]string{{"set": v.Set, "version": v.Version, "place": "in"}}
+	}
+	u.body, _ = json.Marshal(body)
 	s.users[sp.ID] = u
 	u.send()
 	if cancelAfter > 0 {
--- a/internal/coordination/conform_test.go
+++ b/internal/coordination/conform_test.go
@@ -136,3 +136,49 @@
 		t.Error(s.broken)
 	}
 }
+
+// TestRulesHoldWithDataSets runs days of trouble on which jobs read data sets,
+// and demands what every day does; and that tasks mostly start where their
+// inputs are, though these are elsewhere for most machines.
+func TestRulesHoldWithDataSets(t *testing.T) {
+	warm, cold := 0, 0
+	for seed := uint64(300); seed < 308; seed++ {
+		s := newSim(seed, 0.004)
+		for i := range 4 {
+			s.sets = append(s.sets, protocol.DataSet{Set: fmt.Sprint("set", i), Version: "1", Digest: strings.Repeat(fmt.Sprint(i), 64), Bytes: 800e6, Sources: []string{"127.0.0.1:1"}})
+		}
+		for i := range s.sets {
+			var register func()
+			register = func() {
+				s.anyNode().request("users", "POST", protocol.PathDataSets, encode(s.sets[i]), func(st int, body []byte) {
+					switch st {
+					case 200, 201:
+					case 503, 0:
+						s.after(500*time.Millisecond, register)
+					default:
+						s.breaks("data sets", "%d %s", st, body)
+					}
+				})
+			}
+			s.after(4*time.Second, register)
+		}
+		s.after(20*time.Second, func() {
+			zone := "a"
+			s.anyNode().request("users", "POST", protocol.PathStagings, encode(protocol.Staging{Ref: "x", Set: "set0", Version: "latest", Crew: "red", Urgency: "urgent", ByS: 30, Machines: 2, Depot: &zone}),
+				func(st int, body []byte) {
+					if st != 201 && st != 503 && st != 0 {
+						s.breaks("announcements", "%d %s", st, body)
+					}
+				})
+		})
+		s.load(3 * time.Minute)
+		s.after(30*time.Second, func() { s.trouble(3 * time.Minute) })
+		s.finish(t, 4*time.Minute)
+		s.report(t)
+		warm, cold = warm+s.warm, cold+s.cold
+	}
+	t.Logf("%d launches where the inputs were, %d elsewhere", warm, cold)
+	if warm < cold {
+		t.Errorf("%d launches where the inputs were, %d elsewhere", warm, cold)
+	}
+}
--- a/internal/coordination/data.go
+++ b/internal/coordination/data.go
@@ -25,6 +25,7 @@
 	p         *staging.Planner
 	sets      map[string]*protocol.DataSet // by set/version
 	latest    map[string]*protocol.DataSet // by set
+	byCopy    map[staging.ID]*protocol.DataSet
 	announced map[string]*announcement
 	since     map[taskKey]time.Duration // tasks that wait for a machine with their inputs
 	tickAt    time.Duration
@@ -56,7 +57,7 @@
 		}
 		return datastore.DigestOf(out)
 	}
-	return &data{c: c, p: staging.New(cfg, sum, c.rnd), sets: map[string]*protocol.DataSet{}, latest: map[string]*protocol.DataSet{},
+	return &data{c: c, p: staging.New(cfg, sum, c.rnd), sets: map[string]*protocol.DataSet{}, latest: map[string]*protocol.DataSet{}, byCopy: map[staging.ID]*protocol.DataSet{},
 		announced: map[string]*announcement{}, since: map[taskKey]time.Duration{}}
 }
 
@@ -70,6 +71,7 @@
 		return
 	}
 	d.sets[name] = s
+	d.byCopy[staging.ID(s.CopyID())] = s
 	if l := d.latest[s.Set]; l == nil || s.AtMS > l.AtMS || s.AtMS == l.AtMS && s.Version > l.Version {
 		d.latest[s.Set] = s
 	}
@@ -177,23 +179,13 @@
 	}
 	out := &protocol.StoreOrders{List: d.p.Held(d.c.now, m.id, in)}
 	for _, o := range d.p.Orders(m.id) {
-		if v := d.version(o.ID); v != nil {
+		if v := d.byCopy[o.ID]; v != nil {
 			out.Fetch = append(out.Fetch, protocol.StoreFetch{DataSet: *v, Urgent: o.Urgent, Peer: o.Peer, Server: o.Server})
 		}
 	}
 	return out
 }
 
-// version finds a version by its copies' name.
-func (d *data) version(id staging.ID) *protocol.DataSet {
-	for _, v := range d.sets {
-		if v.CopyID() == string(id) {
-			return v
-		}
-	}
-	return nil
-}
-
 // freeIn is when a machine will have room for a task, as far as the owners'
 // estimates tell.
 func (c *Core) freeIn(r *record, m *machine) time.Duration {
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"silvergate/internal/config"
+	"silvergate/internal/dataset"
+	"silvergate/internal/datastore"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
@@ -52,8 +54,11 @@
 	users  map[string]*simUser
 	broken []string
 	starts int
-	trace  io.Writer // of the controllers' logs, if wanted
-	noise  float64   // probability that a message is lost, late or loses its answer
+	trace  io.Writer          // of the controllers' logs, if wanted
+	noise  float64            // probability that a message is lost, late or loses its answer
+	sets   []protocol.DataSet // data sets that jobs read; nil: staging is off
+	warm   int                // starts on machines that held the inputs when the launch came
+	cold   int
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -107,6 +112,9 @@
 	n.started = s.now
 	n.reqs = map[uint64]func(int, []byte){}
 	cfg := &config.Settings{Node: n.name, Zone: n.zone, Facts: s.told, Operator: config.DefaultOperator()}
+	if s.sets != nil {
+		cfg.Operator.Staging = &config.Staging{ServerStreams: 6, PeerStreams: 2, MachineStreams: 1, RateMBPerS: 100}
+	}
 	for _, o := range s.nodes {
 		if o != n {
 			cfg.Peers = append(cfg.Peers, config.Peer{Node: o.name, Zone: o.zone})
@@ -644,6 +652,7 @@
 	node     int
 	loads    map[string]*simLoad
 	faulty   bool
+	copies   map[string]bool // whole, or (false) being fetched
 }
 
 func (w *simWorker) die() {
@@ -694,6 +703,19 @@
 		l := w.loads[n]
 		r.Loads = append(r.Loads, protocol.Load{Load: l.id + "/" + strconv.Itoa(l.index), Try: l.try, Status: l.status, Cause: l.cause})
 	}
+	if w.s.sets != nil {
+		r.Store = &protocol.StoreReport{Listed: w.s.rnd.IntN(2) == 0} // lists are seldom whole in time
+		var held []dataset.ID
+		for _, id := range sortedKeys(w.copies) {
+			if w.copies[id] {
+				held = append(held, dataset.ID(id))
+				if r.Store.Listed {
+					r.Store.Copies = append(r.Store.Copies, id)
+				}
+			}
+		}
+		r.Store.Digest = datastore.DigestOf(held)
+	}
 	return r
 }
 
@@ -724,6 +746,11 @@
 					next = 500 * time.Millisecond
 				}
 				w.baton, w.answered = a.Baton, sent
+				if a.Store != nil {
+					for _, f := range a.Store.Fetch {
+						w.fetch(f.CopyID())
+					}
+				}
 				w.execute(a.Orders)
 			}
 		case st == 421:
@@ -798,6 +825,11 @@
 				continue
 			}
 			w.loads[key] = l
+			if u.copy != "" && w.copies[u.copy] {
+				s.warm++
+			} else if u.copy != "" {
+				s.cold++
+			}
 			gen := l.gen
 			s.after(s.ms(200, 4000), func() { w.begin(u, l, gen) })
 		case protocol.VerbKill:
@@ -812,6 +844,24 @@
 	}
 }
 
+// fetch brings a copy, which takes a while; some are lost on the way.
+func (w *simWorker) fetch(id string) {
+	if _, under := w.copies[id]; under {
+		return
+	}
+	if w.copies == nil {
+		w.copies = map[string]bool{}
+	}
+	w.copies[id] = false
+	w.s.after(w.s.ms(4000, 12_000), func() {
+		if w.s.rnd.IntN(10) == 0 {
+			delete(w.copies, id)
+		} else {
+			w.copies[id] = true
+		}
+	})
+}
+
 func (w *simWorker) busy(id string, index int) bool {
 	for _, l := range w.loads {
 		if l.id == id && l.index == index && l.status != protocol.LoadEnded {
@@ -842,6 +892,11 @@
 		s.after(w.hung-s.now+time.Millisecond, func() { w.begin(u, l, gen) })
 		return
 	}
+	if u.copy != "" && !w.copies[u.copy] { // it reads nothing that is not whole
+		w.fetch(u.copy)
+		s.after(time.Second, func() { w.begin(u, l, gen) })
+		return
+	}
 	s.starts++
 	if s.trace != nil {
 		fmt.Fprintf(s.trace, "%8.3f START load=%s/%d try=%d stoker=%s shift=%d baton=%d\n", s.now.Seconds(), l.id, l.index, l.try, w.name, w.shift, w.baton)
