Agent: a report always fits into a request

Refused launches are listed until they are forgotten, so 5,000 of them made a report of 491 KB: no controller would have taken it, and the lease would have ended with every task. Launches beyond what a report can list are not taken, and the store's part is bounded.

--- a/internal/agent/inputs.go
+++ b/internal/agent/inputs.go
@@ -61,8 +61,12 @@
 
 var errNoStore = errors.New("this machine has no store of data sets (staging is off)")
 
-// listed bounds a report's list: with the tasks it must fit into a request.
-const listed = 500
+// A report's list of copies and of fetches: with the tasks they must fit into a
+// request. Copies beyond are told by the digest alone, and only cost a hint.
+const (
+	listed  = 500
+	pulling = 32
+)
 
 func newInputs(a *Agent) (*inputs, error) {
 	c := a.cfg.Staging
@@ -236,10 +240,16 @@
 			r.Copies = append(r.Copies, string(id))
 		}
 	}
-	for _, p := range d.store.Pulls() {
+	for i, p := range d.store.Pulls() {
+		if i == pulling {
+			break
+		}
 		r.Pulls = append(r.Pulls, protocol.StorePull{Copy: string(p.ID), Done: p.Done, Total: p.Total, Rate: p.Rate})
 	}
 	for id := range d.failed {
+		if len(r.Failed) == pulling {
+			break
+		}
 		r.Failed = append(r.Failed, string(id))
 	}
 	d.a.w.Stored(r, told)
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -104,7 +104,7 @@
 	soonest   = 500 * time.Millisecond // between two reports
 	patience  = 4 * time.Second        // for the answer to a report
 	nextNode  = time.Second            // before the next controller is tried
-	maxReport = 60 << 10               // of a report, in bytes; a request may have 64 KiB
+	maxReport = 40 << 10               // of a report's tasks, in bytes; a request may have 64 KiB, the store's part too
 	lineBytes = 120                    // of a task in a report, at the most
 )
 
@@ -556,6 +556,12 @@
 }
 
 func (w *Worker) launch(k Key) {
+	if (len(w.loads)+1)*lineBytes > maxReport {
+		// Guards against a report that no request could carry: refusals are
+		// listed too. What is not listed is launched again with a later
+		// answer, when others were forgotten.
+		return
+	}
 	l := &load{key: k, since: w.now}
 	refuse := ""
 	for _, o := range w.loads {
@@ -563,9 +569,6 @@
 			refuse = protocol.CauseBusy
 		}
 	}
-	if refuse == "" && (len(w.loads)+1)*lineBytes > maxReport {
-		refuse = protocol.CauseNoRoom // a report could not list more
-	}
 	w.loads[k] = l
 	w.changed = true
 	if refuse != "" {
--- a/internal/agent/worker_test.go
+++ b/internal/agent/worker_test.go
@@ -384,3 +384,32 @@
 		}
 	})
 }
+
+// TestLargestReportFitsIntoARequest fills a machine with as many attempts as it
+// takes, and its store's part with the most that is told.
+func TestLargestReportFitsIntoARequest(t *testing.T) {
+	b := newBench(t.Fatalf)
+	b.tick(0)
+	var orders []protocol.Order
+	for i := range 5000 {
+		orders = append(orders, protocol.Order{Verb: "launch", Load: fmt.Sprintf("wk-%021d/%d", 1, 99_000+i), Try: 1 << 30})
+	}
+	b.answer(200, protocol.CheckinAnswer{Baton: 1 << 60, Orders: orders})
+	s := &protocol.StoreReport{Digest: "0123456789abcdef", Listed: true}
+	for range listed {
+		s.Copies = append(s.Copies, "0123456789abcdef0123456789abcdef")
+	}
+	for range pulling {
+		s.Pulls = append(s.Pulls, protocol.StorePull{Copy: s.Copies[0], Done: 1 << 50, Total: 1 << 50, Rate: 123456789.123})
+		s.Failed = append(s.Failed, s.Copies[0])
+	}
+	b.w.Stored(s, true)
+	b.tick(time.Second)
+	if b.report == nil || len(b.report.Body) > protocol.MaxBody {
+		t.Fatalf("%d bytes", len(b.report.Body))
+	}
+	var r protocol.Report
+	if json.Unmarshal(b.report.Body, &r) != nil || len(r.Loads) < 300 {
+		t.Fatalf("%d attempts are told", len(r.Loads))
+	}
+}
--- a/internal/coordination/data.go
+++ b/internal/coordination/data.go
@@ -179,6 +179,9 @@
 	}
 	out := &protocol.StoreOrders{List: d.p.Held(d.c.now, m.id, in)}
 	for _, o := range d.p.Orders(m.id) {
+		if len(out.Fetch) == maxStages {
+			break // an answer must fit into a line; the rest comes later
+		}
 		if v := d.byCopy[o.ID]; v != nil {
 			out.Fetch = append(out.Fetch, protocol.StoreFetch{DataSet: *v, Urgent: o.Urgent, Peer: o.Peer, Server: o.Server})
 		}
@@ -186,6 +189,9 @@
 	return out
 }
 
+// maxStages bounds the stage orders in one answer.
+const maxStages = 64
+
 // freeIn is when a machine will have room for a task, as far as the owners'
 // estimates tell.
 func (c *Core) freeIn(r *record, m *machine) time.Duration {
