Cloud: a damaged file is named with its own status and left alone

bbolt checks its head pages only; a changed record or page made it panic or, worse, be written over. The whole file is read before it is opened for writing, and a new one gets its name when it is complete, so a kill in the middle of making it is not taken for damage.

--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -633,6 +633,11 @@
 		err = t.write(n, data)
 	}
 	s.mu.Lock()
+	if o == Good && ctx.Err() != nil {
+		// It came while an urgent fetch stopped this one: an order to stand
+		// still is kept to the letter, and the chunk is asked for again.
+		o = Stopped
+	}
 	s.src.end(s.now(), from.Address, o, len(data), time.Since(began))
 	switch o {
 	case Good:
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -32,6 +32,7 @@
 
 	"github.com/google/renameio/v2"
 	bolt "go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 	"go.yaml.in/yaml/v3"
 
 	"silvergate/internal/agent"
@@ -139,6 +140,9 @@
 		}
 	}
 	path := filepath.Join(cfg.Dir, fileName)
+	if err := check(path); err != nil {
+		return nil, err
+	}
 	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second})
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -151,6 +155,64 @@
 	return p, nil
 }
 
+// create makes an empty file. It gets its name when it is complete: one that is
+// there is never taken for an unfinished one.
+func create(path string) error {
+	tmp := path + ".new"
+	if err := os.RemoveAll(tmp); err != nil {
+		return err
+	}
+	db, err := bolt.Open(tmp, 0o600, &bolt.Options{Timeout: time.Second})
+	if err != nil {
+		return err
+	}
+	if err := db.Close(); err != nil {
+		return err
+	}
+	return os.Rename(tmp, path)
+}
+
+// check reads all of the file before it is opened for writing: damage is named,
+// and nothing is written over it. If there is none, one is made.
+func check(path string) error {
+	info, err := os.Stat(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return create(path)
+	}
+	if err != nil {
+		return err
+	}
+	damaged := func(format string, args ...any) error {
+		return fmt.Errorf("%s is %w: %s; it was left as it is: move it away and the cloud begins without machines", path, sealed.ErrDamaged, fmt.Sprintf(format, args...))
+	}
+	if info.Size() < 4*int64(os.Getpagesize()) {
+		return damaged("it has %d bytes only", info.Size())
+	}
+	return sealed.Guard(path, func() error {
+		db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, ReadOnly: true})
+		if errors.Is(err, berrors.ErrTimeout) {
+			return fmt.Errorf("%s: another process has it open", path)
+		}
+		if err != nil {
+			return damaged("%v", err)
+		}
+		defer db.Close()
+		return db.View(func(tx *bolt.Tx) error {
+			if tx.Size() > info.Size() {
+				return damaged("it has %d bytes of %d", info.Size(), tx.Size())
+			}
+			return tx.ForEach(func(_ []byte, b *bolt.Bucket) error {
+				return b.ForEach(func(k, v []byte) error {
+					if _, ok := sealed.Open(k, v); !ok {
+						return damaged("record %q does not match its checksum", k)
+					}
+					return nil
+				})
+			})
+		})
+	})
+}
+
 // load reads the records.
 func (p *Provider) load(path string) error {
 	var hires []*Hire
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -24,6 +24,7 @@
 	"silvergate/internal/conformance"
 	"silvergate/internal/proc"
 	"silvergate/internal/protocol"
+	"silvergate/internal/sealed"
 	"silvergate/internal/transport"
 )
 
@@ -325,3 +326,50 @@
 		return conformance.HTTP{Address: <-ready, Second: time.Millisecond} // the list does not lag
 	})
 }
+
+// TestDamageIsNamed changes the provider's file and demands that it is refused by
+// name and left alone.
+func TestDamageIsNamed(t *testing.T) {
+	dir := t.TempDir()
+	p, err := Open(testConfig(dir), os.Args[0], quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.mu.Lock()
+	_, e, err := p.m.Rent(time.Now(), protocol.Rental{Hire: "h", Rig: "t", Depot: "a", Number: 2})
+	if err != nil || p.store(e) != nil {
+		t.Fatal(err)
+	}
+	p.mu.Unlock()
+	if err := p.db.Close(); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, fileName)
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := strings.Index(string(good), `"stokers"`)
+	if at < 0 {
+		t.Fatal("no record is found in the file")
+	}
+	for name, raw := range map[string][]byte{
+		"changed": append(append(slices.Clone(good[:at]), 'X'), good[at+1:]...),
+		"cleared": append(slices.Clone(good[:2*os.Getpagesize()]), make([]byte, len(good)-2*os.Getpagesize())...),
+		"cut":     good[:os.Getpagesize()],
+		"empty":   nil,
+	} {
+		// Into a folder of its own: what a panic leaves mapped keeps a lock.
+		other := t.TempDir()
+		file := filepath.Join(other, fileName)
+		if err := os.WriteFile(file, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Open(testConfig(other), os.Args[0], quiet); !errors.Is(err, sealed.ErrDamaged) || !strings.Contains(err.Error(), file) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if now, _ := os.ReadFile(file); !slices.Equal(now, raw) {
+			t.Errorf("%s: the file was written to", name)
+		}
+	}
+}
--- a/internal/sealed/sealed.go
+++ b/internal/sealed/sealed.go
@@ -4,10 +4,30 @@
 
 import (
 	"encoding/binary"
+	"errors"
+	"fmt"
+	"runtime/debug"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// ErrDamaged marks a file whose contents contradict its checksums. It is left
+// as it is.
+var ErrDamaged = errors.New("damaged")
+
+// Guard does what reads a mapped file, and turns what damage makes that do, a
+// panic or a fault, into an error that wraps ErrDamaged.
+func Guard(path string, do func() error) (err error) {
+	old := debug.SetPanicOnFault(true)
+	defer debug.SetPanicOnFault(old)
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%s is %w: %.300v; it was left as it is", path, ErrDamaged, r)
+		}
+	}()
+	return do()
+}
+
 // Size is how much a checksum takes.
 const Size = 8
 
--- a/internal/statestore/disk.go
+++ b/internal/statestore/disk.go
@@ -10,7 +10,6 @@
 	"maps"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"slices"
 	"syscall"
 	"time"
@@ -38,7 +37,7 @@
 
 // ErrDamaged marks a file whose contents contradict its checksums. It is left
 // as it is.
-var ErrDamaged = errors.New("damaged")
+var ErrDamaged = sealed.ErrDamaged
 
 // head is what the file says of itself.
 type head struct {
@@ -155,18 +154,8 @@
 	return fmt.Errorf("%s is %w: %.300s; it was left as it is: restore a backup into another folder (silvergate state restore)", d.path, ErrDamaged, fmt.Sprintf(format, args...))
 }
 
-// guard turns what a damaged page makes bbolt do, a panic or a fault on the
-// mapped file, into an error.
-func (d *disk) guard(do func() error) (err error) {
-	old := debug.SetPanicOnFault(true)
-	defer debug.SetPanicOnFault(old)
-	defer func() {
-		if r := recover(); r != nil {
-			err = d.damaged("%v", r)
-		}
-	}()
-	return do()
-}
+// guard turns what a damaged page makes bbolt do into an error.
+func (d *disk) guard(do func() error) error { return sealed.Guard(d.path, do) }
 
 func (d *disk) open(readOnly bool) error {
 	var file *os.File
