Review: one piece of code where the change had several

Peer links are an interface of their own, so that three services no longer carry methods that are never called. One reader of JSON objects serves submissions, state service and cloud (it looks past any leading white space, where two of the three looked at 64 bytes); one loop follows lists by pages; one look-up finds and verifies a chunk. Evicting a copy drops its own chunks from the index in place of going through those of all copies. Unused accessors are gone, and a manifest is written with renameio like other files.

--- a/cmd/silvergate/client.go
+++ b/cmd/silvergate/client.go
@@ -340,22 +340,37 @@
 // maxPages bounds how long a list is followed.
 const maxPages = 10_000
 
+// pages follows a list from page to page. path ends with the parameter that
+// names the last entry seen; take takes a page and tells its last entry, "" if
+// it is the last page.
+func pages[P any](k *client, path string, take func(p *P) (last string)) error {
+	from := ""
+	for range maxPages {
+		var p P
+		if err := k.get(path+url.QueryEscape(from), &p); err != nil {
+			return err
+		}
+		if from = take(&p); from == "" {
+			break
+		}
+	}
+	return nil
+}
+
 func (k *client) jobsCommand() *cobra.Command {
 	var all bool
 	c := &cobra.Command{
 		Use: "jobs", Short: "List the jobs that are not over, and what they wait for", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			jobs := []protocol.JobLine{}
-			for from, n := "", 0; n < maxPages; n++ {
-				var p protocol.JobPage
-				if err := k.get(fmt.Sprintf("%s?from=%s&all=%t", protocol.PathJobs, url.QueryEscape(from), all), &p); err != nil {
-					return err
-				}
+			if err := pages(k, fmt.Sprintf("%s?all=%t&from=", protocol.PathJobs, all), func(p *protocol.JobPage) string {
 				jobs = append(jobs, p.Jobs...)
 				if !p.Truncated || len(p.Jobs) == 0 {
-					break
+					return ""
 				}
-				from = p.Jobs[len(p.Jobs)-1].Ref
+				return p.Jobs[len(p.Jobs)-1].Ref
+			}); err != nil {
+				return err
 			}
 			if k.format == "json" {
 				return json.NewEncoder(c.OutOrStdout()).Encode(jobs)
@@ -389,16 +404,14 @@
 		Use: "nodes", Short: "List the machines, what they hold and who leads them", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			nodes := []protocol.NodeLine{}
-			for from, n := "", 0; n < maxPages; n++ {
-				var p protocol.NodePage
-				if err := k.get(fmt.Sprintf("%s?from=%s", protocol.PathNodes, url.QueryEscape(from)), &p); err != nil {
-					return err
-				}
+			if err := pages(k, protocol.PathNodes+"?from=", func(p *protocol.NodePage) string {
 				nodes = append(nodes, p.Nodes...)
 				if !p.Truncated || len(p.Nodes) == 0 {
-					break
+					return ""
 				}
-				from = p.Nodes[len(p.Nodes)-1].Stoker
+				return p.Nodes[len(p.Nodes)-1].Stoker
+			}); err != nil {
+				return err
 			}
 			if k.format == "json" {
 				return json.NewEncoder(c.OutOrStdout()).Encode(nodes)
--- a/cmd/silvergate/data.go
+++ b/cmd/silvergate/data.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -81,19 +80,15 @@
 // versions reads all registered versions.
 func (k *client) versions() ([]protocol.DataSet, error) {
 	out := []protocol.DataSet{}
-	for from, n := "", 0; n < maxPages; n++ {
-		var p protocol.DataSetPage
-		if err := k.get(protocol.PathDataSets+"?from="+url.QueryEscape(from), &p); err != nil {
-			return nil, err
-		}
+	err := pages(k, protocol.PathDataSets+"?from=", func(p *protocol.DataSetPage) string {
 		out = append(out, p.DataSets...)
 		if !p.Truncated || len(p.DataSets) == 0 {
-			break
+			return ""
 		}
-		last := p.DataSets[len(p.DataSets)-1]
-		from = last.Set + "/" + last.Version
-	}
-	return out, nil
+		last := &p.DataSets[len(p.DataSets)-1]
+		return last.Set + "/" + last.Version
+	})
+	return out, err
 }
 
 func dataList() *cobra.Command {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,7 +12,6 @@
 package agent
 
 import (
-	"encoding/gob"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -787,9 +786,3 @@
 	s.Loads, s.Live = a.w.Count()
 	return s
 }
-
-// Decode and Message belong to peer links, of which there are none.
-func (a *Agent) Decode(*gob.Decoder) (any, error) { return nil, errors.ErrUnsupported }
-
-// Message is never called.
-func (a *Agent) Message(string, any) {}
--- a/internal/coordination/data.go
+++ b/internal/coordination/data.go
@@ -33,9 +33,9 @@
 
 type announcement struct {
 	protocol.Staging
-	AtMS  int64 `json:"atMs"` // when it should be there, by the day's clock
-	stamp uint64
-	meta  bool // the end of it is being written
+	AtMS   int64 `json:"atMs"` // when it should be there, by the day's clock
+	stamp  uint64
+	ending bool // its record's end is being written
 }
 
 const (
@@ -360,10 +360,10 @@
 		id := staging.ID(v.CopyID())
 		by := c.now + time.Duration(a.AtMS-wall)*time.Millisecond
 		if over := c.now - by; over > seconds(c.cfg.Facts.Workers.Lease) {
-			if !a.meta && c.successor(c.cfg.Node) == c.cfg.Node && c.leads() {
-				a.meta = true
+			if !a.ending && c.successor(c.cfg.Node) == c.cfg.Node && c.leads() {
+				a.ending = true
 				c.store.Txn(bookkeeping.Rest, []protocol.Cond{{Key: keyStaging + name, Stamp: a.stamp}}, []protocol.Op{{Drop: keyStaging + name}},
-					func(bookkeeping.Outcome, []string, uint64) { a.meta = false })
+					func(bookkeeping.Outcome, []string, uint64) { a.ending = false })
 			}
 			continue
 		}
--- a/internal/dataset/manifest.go
+++ b/internal/dataset/manifest.go
@@ -20,6 +20,7 @@
 	"slices"
 	"strings"
 
+	"github.com/google/renameio/v2"
 	"github.com/zeebo/blake3"
 
 	"silvergate/internal/protocol"
@@ -277,7 +278,7 @@
 			return digest, err
 		}
 	}
-	if err := writeSynced(filepath.Join(tmp, ManifestName), raw); err != nil {
+	if err := renameio.WriteFile(filepath.Join(tmp, ManifestName), raw, 0o644); err != nil {
 		return digest, err
 	}
 	if err := os.Rename(tmp, final); err != nil {
@@ -286,15 +287,6 @@
 	return digest, syncDir(parent)
 }
 
-func writeSynced(path string, raw []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(raw)
-	return errors.Join(err, f.Sync(), f.Close())
-}
-
 func syncDir(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -83,7 +83,7 @@
 		}
 		go s.run(f)
 	} else {
-		f.want.Sources = mergeSources(f.want.Sources, w.Sources)
+		f.want.Sources = merge(f.want.Sources, w.Sources)
 		if f.plan != nil {
 			f.plan.add(w.Sources)
 		}
@@ -97,19 +97,6 @@
 	f.waiters = append(f.waiters, done)
 }
 
-func mergeSources(a, b []Source) []Source {
-	for _, s := range b {
-		known := false
-		for _, o := range a {
-			known = known || o == s
-		}
-		if !known {
-			a = append(a, s)
-		}
-	}
-	return a
-}
-
 // setUrgent counts the urgent fetches. The first one has all others stand still
 // at once, and the last one lets them go on; the lock is held.
 func (s *Store) setUrgent(d int) {
@@ -414,9 +401,9 @@
 		return false
 	}
 	t.s.mu.Lock()
-	p, ok := t.s.chunks[f.Chunks[0]]
-	h := t.s.copies[p.id]
-	if ok = ok && h != nil && p.chunk == 0; ok {
+	p, h := t.s.find(f.Chunks[0])
+	ok := h != nil && p.chunk == 0
+	if ok {
 		o := &h.m.Files[p.file]
 		ok = o.Size == f.Size && o.Exec == f.Exec && len(o.Chunks) == len(f.Chunks)
 		for k := range f.Chunks {
@@ -432,11 +419,9 @@
 		return false
 	}
 	defer t.s.Unpin(p.id)
-	// Its contents are read again: a task may have written to what was linked
-	// into its folder.
 	from := t.s.file(copiesDir, p.id, &h.m.Files[p.file])
 	for k, want := range f.Chunks {
-		if data, err := readChunk(from, f, k); err != nil || dataset.Sum(data) != want {
+		if readChunk(from, f, k, want) == nil {
 			return false
 		}
 	}
@@ -451,14 +436,13 @@
 // local reads a chunk from another copy.
 func (t *target) local(h dataset.Hash) []byte {
 	t.s.mu.Lock()
-	p, ok := t.s.chunks[h]
-	c := t.s.copies[p.id]
+	p, c := t.s.find(h)
 	t.s.mu.Unlock()
-	if !ok || c == nil {
+	if c == nil {
 		return nil
 	}
-	data, err := readChunk(t.s.file(copiesDir, p.id, &c.m.Files[p.file]), &c.m.Files[p.file], p.chunk)
-	if err != nil || dataset.Sum(data) != h {
+	data := readChunk(t.s.file(copiesDir, p.id, &c.m.Files[p.file]), &c.m.Files[p.file], p.chunk, h)
+	if data == nil {
 		return nil
 	}
 	t.s.mu.Lock()
--- a/internal/datastore/plan.go
+++ b/internal/datastore/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -119,15 +120,17 @@
 
 // add adds sources that are not known yet.
 func (p *pull) add(from []Source) {
-	for _, s := range from {
-		known := false
-		for _, o := range p.sources {
-			known = known || o == s
-		}
-		if !known {
-			p.sources = append(p.sources, s)
+	p.sources = merge(p.sources, from)
+}
+
+// merge appends the sources of b that a lacks.
+func merge(a, b []Source) []Source {
+	for _, s := range b {
+		if !slices.Contains(a, s) {
+			a = append(a, s)
 		}
 	}
+	return a
 }
 
 // next says which chunk to ask of whom; or, with ok false, when to look again:
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -15,7 +15,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
 	"log/slog"
 	"math/rand/v2"
@@ -96,7 +95,7 @@
 	src     *sources
 	copies  map[dataset.ID]*held
 	pulls   map[dataset.ID]*fetching
-	chunks  map[dataset.Hash]place // of copies that are here
+	chunks  map[dataset.Hash][]place // of copies that are here
 	pins    map[dataset.ID]int
 	serving int
 	uses    uint64
@@ -147,7 +146,7 @@
 		cfg.Patience = 5 * time.Second
 	}
 	s := &Store{cfg: cfg, log: log, begun: time.Now(), copies: map[dataset.ID]*held{}, pulls: map[dataset.ID]*fetching{},
-		chunks: map[dataset.Hash]place{}, pins: map[dataset.ID]int{},
+		chunks: map[dataset.Hash][]place{}, pins: map[dataset.ID]int{},
 		fetch: limiter(cfg.FetchRate), serve: limiter(cfg.ServeRate)}
 	s.src = newSources(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), func(address string) {
 		s.log.Error("a source served damaged bytes and is put aside", "source", address, "for", asideFor)
@@ -269,30 +268,37 @@
 	s.copies[id] = h
 	for i := range h.m.Files {
 		for k, c := range h.m.Files[i].Chunks {
-			s.chunks[c] = place{id, i, k}
+			s.chunks[c] = append(s.chunks[c], place{id, i, k})
 		}
 	}
 }
 
 // leave forgets a copy; the lock is held.
 func (s *Store) leave(id dataset.ID) {
-	delete(s.copies, id)
-	for c, p := range s.chunks {
-		if p.id == id {
-			delete(s.chunks, c)
-		}
+	h := s.copies[id]
+	if h == nil {
+		return // two tasks found it spoilt at the same time
 	}
-	for o, h := range s.copies { // chunks that others have too
-		for i := range h.m.Files {
-			for k, c := range h.m.Files[i].Chunks {
-				if _, ok := s.chunks[c]; !ok {
-					s.chunks[c] = place{o, i, k}
-				}
+	delete(s.copies, id)
+	for i := range h.m.Files {
+		for _, c := range h.m.Files[i].Chunks {
+			s.chunks[c] = slices.DeleteFunc(s.chunks[c], func(p place) bool { return p.id == id })
+			if len(s.chunks[c]) == 0 {
+				delete(s.chunks, c)
 			}
 		}
 	}
 }
 
+// find tells where a chunk lies, and in which copy; nil if it is not here. The
+// lock is held.
+func (s *Store) find(c dataset.Hash) (place, *held) {
+	if all := s.chunks[c]; len(all) > 0 {
+		return all[len(all)-1], s.copies[all[len(all)-1].id]
+	}
+	return place{}, nil
+}
+
 // trash takes a folder out of sight in one step and then removes it.
 func (s *Store) trash(where string, id dataset.ID) error {
 	trash := filepath.Join(s.cfg.Dir, trashDir)
@@ -526,9 +532,8 @@
 // when too many are being served.
 func (s *Store) Chunk(ctx context.Context, h dataset.Hash) (data []byte, ok, busy bool) {
 	s.mu.Lock()
-	p, there := s.chunks[h]
-	c := s.copies[p.id]
-	if !there || c == nil {
+	p, c := s.find(h)
+	if c == nil {
 		s.mu.Unlock()
 		return nil, false, false
 	}
@@ -546,8 +551,8 @@
 		s.stats.Served += int64(len(data))
 		s.mu.Unlock()
 	}()
-	data, err := readChunk(s.file(copiesDir, p.id, &c.m.Files[p.file]), &c.m.Files[p.file], p.chunk)
-	if err != nil || dataset.Sum(data) != h {
+	data = readChunk(s.file(copiesDir, p.id, &c.m.Files[p.file]), &c.m.Files[p.file], p.chunk, h)
+	if data == nil {
 		return nil, false, false
 	}
 	if s.serve.WaitN(ctx, len(data)) != nil {
@@ -569,15 +574,19 @@
 	return int(min(dataset.ChunkSize, f.Size-int64(chunk)*dataset.ChunkSize))
 }
 
-func readChunk(path string, f *dataset.File, chunk int) ([]byte, error) {
+// readChunk reads a chunk of a file; nil if it is not what it should be. A task
+// may have written to what was linked into its folder.
+func readChunk(path string, f *dataset.File, chunk int, want dataset.Hash) []byte {
 	src, err := os.Open(path)
 	if err != nil {
-		return nil, err
+		return nil
 	}
 	defer src.Close()
 	buf := make([]byte, chunkLen(f, chunk))
-	_, err = io.ReadFull(io.NewSectionReader(src, int64(chunk)*dataset.ChunkSize, int64(len(buf))), buf)
-	return buf, err
+	if _, err := src.ReadAt(buf, int64(chunk)*dataset.ChunkSize); err != nil || dataset.Sum(buf) != want {
+		return nil
+	}
+	return buf
 }
 
 // Stats returns the counters.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -78,14 +78,34 @@
 	return true
 }
 
+// Object tells whether a body can only be a JSON object.
+func Object(body []byte) error {
+	if t := bytes.TrimLeft(body, " \t\r\n"); len(t) == 0 || t[0] != '{' {
+		return errors.New("the body is not a JSON object")
+	}
+	return nil
+}
+
+// DecodeObject reads a request's JSON object, with errors that are for people.
+// Unknown fields are ignored.
+func DecodeObject(body []byte, v any) error {
+	if err := Object(body); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		return fmt.Errorf("the body is malformed: %w", err)
+	}
+	return nil
+}
+
 // RunRef reads only the id of a submission, which is wanted before anything
 // else is judged: a known job is answered whatever the rest says.
 func RunRef(body []byte) (string, error) {
 	var v struct {
 		Ref *string `json:"ref"`
 	}
-	if t := bytes.TrimLeft(body, " \t\r\n"); len(t) == 0 || t[0] != '{' {
-		return "", errors.New("the body is not a JSON object")
+	if err := Object(body); err != nil {
+		return "", err
 	}
 	if err := json.Unmarshal(body, &v); err != nil {
 		return "", fmt.Errorf("the body is not a valid submission: %w", err)
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -10,7 +10,6 @@
 package provider
 
 import (
-	"encoding/gob"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -25,7 +24,6 @@
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -641,7 +639,7 @@
 		Casual *bool    `json:"casual"`
 		Number *float64 `json:"number"`
 	}
-	if err := object(body, &v); err != nil {
+	if err := protocol.DecodeObject(body, &v); err != nil {
 		return r, err
 	}
 	switch {
@@ -665,7 +663,7 @@
 }
 
 func readNames(body []byte) (v namesBody, err error) {
-	if err := object(body, &v); err != nil {
+	if err := protocol.DecodeObject(body, &v); err != nil {
 		return v, err
 	}
 	switch {
@@ -693,16 +691,6 @@
 	return q.Get("from"), min(page, maxPage), nil
 }
 
-func object(body []byte, v any) error {
-	if t := strings.TrimLeft(string(body[:min(len(body), 64)]), " \t\r\n"); t == "" || t[0] != '{' {
-		return errors.New("the body is not a JSON object")
-	}
-	if err := json.Unmarshal(body, v); err != nil {
-		return fmt.Errorf("the body is malformed: %w", err)
-	}
-	return nil
-}
-
 // AnswerAs answers a request of Extra; the lock must be held.
 func (p *Provider) AnswerAs(id uint64, contentType string, body []byte) {
 	p.server.AnswerAs(id, contentType, body)
@@ -719,9 +707,3 @@
 	s.Paid = p.m.Paid(now)
 	return s
 }
-
-// Decode and Message belong to peer links, of which there are none.
-func (p *Provider) Decode(*gob.Decoder) (any, error) { return nil, errors.ErrUnsupported }
-
-// Message is never called.
-func (p *Provider) Message(string, any) {}
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/google/renameio/v2"
 	"go.yaml.in/yaml/v3"
@@ -71,7 +72,7 @@
 	}
 	for i, t := range c.Types {
 		for z := range t.Depots {
-			if !contains(c.Zones, z) {
+			if !slices.Contains(c.Zones, z) {
 				return nil, fmt.Errorf("types[%d].depots.%s: not one of zones", i, z)
 			}
 		}
@@ -105,15 +106,6 @@
 	return c, nil
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Ports are the ports of a site's parts, kept for its life.
 type Ports struct {
 	State       int   `json:"state"`
--- a/internal/staging/planner.go
+++ b/internal/staging/planner.go
@@ -164,17 +164,6 @@
 	p.copies[c.ID] = &data{Copy: c, where: map[*machine]int{}}
 }
 
-// Known tells whether a copy's record is known.
-func (p *Planner) Known(id ID) bool { return p.copies[id] != nil }
-
-// Copy returns a version's record.
-func (p *Planner) Copy(id ID) (Copy, bool) {
-	if d := p.copies[id]; d != nil {
-		return d.Copy, true
-	}
-	return Copy{}, false
-}
-
 // Join makes a machine of this controller known.
 func (p *Planner) Join(id, zone, address string) {
 	m := p.machines[id]
--- a/internal/statestore/backup.go
+++ b/internal/statestore/backup.go
@@ -10,6 +10,7 @@
 
 	bolt "go.etcd.io/bbolt"
 
+	"silvergate/internal/protocol"
 	"silvergate/internal/transport"
 )
 
@@ -56,7 +57,7 @@
 		refuse(http.StatusMethodNotAllowed, "use POST")
 		return
 	}
-	err := object(r.Body, &b)
+	err := protocol.DecodeObject(r.Body, &b)
 	if err == nil {
 		err = backupName(b.Name)
 	}
--- a/internal/statestore/machine.go
+++ b/internal/statestore/machine.go
@@ -338,7 +338,7 @@
 			Drop   *string         `json:"drop"`
 		} `json:"then"`
 	}
-	if err := object(body, &t); err != nil {
+	if err := protocol.DecodeObject(body, &t); err != nil {
 		return nil, err
 	}
 	if len(t.Then) > m.limits.TxnOps {
@@ -387,17 +387,6 @@
 	return out, nil
 }
 
-// object reads a JSON object; unknown fields are ignored.
-func object(body []byte, v any) error {
-	if err := json.Unmarshal(body, v); err != nil {
-		return fmt.Errorf("the body is malformed: %w", err)
-	}
-	if t := strings.TrimLeft(string(body[:min(len(body), 64)]), " \t\r\n"); t == "" || t[0] != '{' {
-		return errors.New("the body is not a JSON object")
-	}
-	return nil
-}
-
 func (m *machine) txn(body []byte) verdict {
 	t, err := m.readTxn(body)
 	if err != nil {
@@ -431,7 +420,7 @@
 	var g struct {
 		TTL *int64 `json:"ttlMs"`
 	}
-	if err := object(body, &g); err != nil {
+	if err := protocol.DecodeObject(body, &g); err != nil {
 		return problem(http.StatusBadRequest, "%v", err)
 	}
 	if g.TTL == nil || *g.TTL < minTTL.Milliseconds() || *g.TTL > maxTTL.Milliseconds() {
--- a/internal/statestore/service.go
+++ b/internal/statestore/service.go
@@ -14,7 +14,6 @@
 package statestore
 
 import (
-	"encoding/gob"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -138,10 +137,7 @@
 // Stop ends Run. What was answered is on disk already.
 func (s *Service) Stop() { s.server.Stop() }
 
-// Answer and AnswerAs serve Extra. The lock must be held.
-func (s *Service) Answer(id uint64, status int, body []byte) { s.server.Answer(id, status, body, 0) }
-
-// AnswerAs answers with a body that is not JSON. The lock must be held.
+// AnswerAs answers a request of Extra; the lock must be held.
 func (s *Service) AnswerAs(id uint64, contentType string, body []byte) {
 	s.server.AnswerAs(id, contentType, body)
 }
@@ -153,12 +149,6 @@
 	return st
 }
 
-// Decode and Message belong to peer links, of which there are none.
-func (s *Service) Decode(*gob.Decoder) (any, error) { return nil, errors.ErrUnsupported }
-
-// Message is never called.
-func (s *Service) Message(string, any) {}
-
 func (s *Service) advance() {
 	for _, id := range s.m.advance(time.Since(s.start)) {
 		s.m.queued++
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -30,7 +30,7 @@
 	return l
 }
 
-func (l *inLink) feed(in []byte, h Handler) error {
+func (l *inLink) feed(in []byte, h PeerHandler) error {
 	l.buf = append(l.buf, in...)
 	for len(l.buf) >= 4 {
 		n := int(binary.BigEndian.Uint32(l.buf))
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -16,6 +16,11 @@
 	// Serve takes a request; its answer goes to Server.Answer under id, at
 	// once or later.
 	Serve(id uint64, r *Request)
+}
+
+// PeerHandler is a Handler that also takes peer links.
+type PeerHandler interface {
+	Handler
 	// Decode reads one message from a peer link's gob stream.
 	Decode(dec *gob.Decoder) (any, error)
 	// Message takes a message from a peer link.
@@ -27,6 +32,7 @@
 type Server struct {
 	mu       *sync.Mutex
 	handler  Handler
+	peers    PeerHandler // the handler, if it takes peer links
 	patience time.Duration
 	maxConns int
 	open     map[*conn]bool
@@ -60,12 +66,16 @@
 // NewServer makes a server. Slow senders are cut off after patience, and HTTP
 // connections beyond maxConns are closed on arrival.
 func NewServer(mu *sync.Mutex, h Handler, patience time.Duration, maxConns int) *Server {
-	return &Server{mu: mu, handler: h, patience: patience, maxConns: maxConns, open: map[*conn]bool{}, conns: map[uint64]*conn{}}
+	peers, _ := h.(PeerHandler)
+	return &Server{mu: mu, handler: h, peers: peers, patience: patience, maxConns: maxConns, open: map[*conn]bool{}, conns: map[uint64]*conn{}}
 }
 
 // Run serves until the loop fails or Stop is called. Without a peerAddr there
-// are no peer links.
+// are no peer links; with one the handler must be a PeerHandler.
 func (s *Server) Run(httpAddr, peerAddr string) error {
+	if peerAddr != "" && s.peers == nil {
+		return errors.New("the handler takes no peer links")
+	}
 	ev := evio.Events{NumLoops: 1}
 	ev.Serving = func(e evio.Server) evio.Action {
 		s.mu.Lock()
@@ -110,7 +120,7 @@
 		defer s.mu.Unlock()
 		k := c.Context().(*conn)
 		if k.peer != nil {
-			if err := k.peer.feed(in, s.handler); err != nil {
+			if err := k.peer.feed(in, s.peers); err != nil {
 				return nil, evio.Close
 			}
 			return nil, evio.None
