Budget by class: placements of urgent work, users and urgent claims come first

Cause: claims and drains of all workers went before every placement.

internal/budget owns both rates and the order, apart from I/O: rules; then placements and endings of production work, users, claims of workers with such work, in turns; then other workers and other work in turns; then the rest. What a transaction is saved for is not taken by single changes of a lower class.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"silvergate/internal/budget"
 	"silvergate/internal/config"
 	"silvergate/internal/protocol"
 )
@@ -21,19 +22,6 @@
 // one and seldom costs nothing at a start, and nothing with each change.
 const Aside = "sgx/"
 
-// Class orders requests when the budget is short; the smaller goes first.
-type Class int
-
-// Classes.
-const (
-	Rules  Class = iota // leases and cancellations
-	Users               // answers that users wait for
-	Claims              // workers' claims and drains; take turns with Users
-	Work                // placements, endings and the fleet
-	Rest                // publications and what can wait
-	nClass = 5
-)
-
 // Outcome is what came of a transaction.
 type Outcome int
 
@@ -53,16 +41,11 @@
 	Apply func(key string, data json.RawMessage, stamp uint64) // data is nil for a dropped key
 
 	now       time.Duration
-	reads     bucket
-	writes    bucket
-	queue     [nClass][]*request
+	budget    *budget.Budget
+	queue     [budget.Classes][]*request
+	wanted    [budget.Classes]float64 // changes of a transaction that is not built before it can be sent
 	inflight  int
 	pauseTill time.Duration
-	turn      bool // whose turn it is, of Users and Claims
-	share     float64
-	most      float64
-	starved   bool          // something waited for the budget since the last fill
-	limited   time.Duration // when the service last said 429
 
 	stamps   map[string]uint64
 	graves   map[string]uint64 // keys dropped by us, ahead of the watch
@@ -81,7 +64,7 @@
 }
 
 type request struct {
-	class    Class
+	class    budget.Class
 	method   string
 	path     string
 	body     []byte
@@ -90,35 +73,20 @@
 	done     func(protocol.Reply)
 }
 
-type bucket struct{ rate, burst, level float64 }
-
-func (b *bucket) fill(d time.Duration, share float64) {
-	b.level = min(b.burst, b.level+b.rate*share*d.Seconds())
-}
-
 const (
 	callTimeout  = 1500 * time.Millisecond
 	queueTimeout = 2 * time.Second
 	maxInflight  = 24
-
-	// A controller that has more to do than its equal share allows borrows
-	// what the others leave: its share grows by this much a second while
-	// something waits, and halves on a 429, after which it stays for a while.
-	borrowPerS = 0.1
-	borrowRest = 5 * time.Second
 )
 
 // NewStore makes a store that keeps to an equal share of the service's rates.
 func NewStore(f *config.Facts, controllers int) *Store {
 	n := float64(max(1, controllers))
 	s := &Store{stamps: map[string]uint64{}, graves: map[string]uint64{}}
-	s.reads = bucket{rate: f.State.RPS / n * 0.95, burst: f.State.RPS / n * 0.5}
-	s.writes = bucket{rate: f.State.WriteRPS / n * 0.95, burst: max(f.State.WriteRPS/n*0.5, float64(f.State.TxnOps))}
-	s.reads.level, s.writes.level = s.reads.burst, s.writes.burst
+	s.budget = budget.New(budget.Rates{Requests: f.State.RPS, Changes: f.State.WriteRPS, Controllers: controllers, Txn: f.State.TxnOps})
 	// Re-opening the watch may take a quarter of the request budget.
 	s.spacing = time.Duration(4 * n / f.State.RPS * float64(time.Second))
 	s.block = time.Second
-	s.share, s.most = 1, n
 	return s
 }
 
@@ -149,10 +117,11 @@
 
 func (s *Store) put(r *request) {
 	s.queue[r.class] = append(s.queue[r.class], r)
+	s.tell(r.class)
 }
 
 // Txn sends a transaction. After OK the mirror holds its changes.
-func (s *Store) Txn(class Class, conds []protocol.Cond, ops []protocol.Op, done func(Outcome, []string, uint64)) {
+func (s *Store) Txn(class budget.Class, conds []protocol.Cond, ops []protocol.Op, done func(Outcome, []string, uint64)) {
 	body := protocol.Encode(protocol.Txn{If: conds, Then: ops})
 	s.put(&request{class: class, method: http.MethodPost, path: protocol.PathTxn, body: body,
 		writes: float64(len(ops)), deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
@@ -189,7 +158,7 @@
 }
 
 // Get reads one key afresh into the mirror; ok is false when that failed.
-func (s *Store) Get(class Class, key string, done func(ok bool)) {
+func (s *Store) Get(class budget.Class, key string, done func(ok bool)) {
 	s.put(&request{class: class, method: http.MethodGet, path: protocol.PathKeys + "/" + key,
 		deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
 			var e protocol.Entry
@@ -206,7 +175,7 @@
 
 // Read reads a key that is not mirrored: one outside Root. ok is false when
 // that failed; data is nil when the key does not exist.
-func (s *Store) Read(class Class, key string, done func(data json.RawMessage, ok bool)) {
+func (s *Store) Read(class budget.Class, key string, done func(data json.RawMessage, ok bool)) {
 	s.put(&request{class: class, method: http.MethodGet, path: protocol.PathKeys + "/" + key,
 		deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
 			var e protocol.Entry
@@ -224,7 +193,7 @@
 // Grant asks for a lease, Touch renews one.
 func (s *Store) Grant(ttl time.Duration, done func(permit uint64)) {
 	body := protocol.Encode(protocol.Grant{TTLMs: ttl.Milliseconds()})
-	s.put(&request{class: Rules, method: http.MethodPost, path: protocol.PathGrants, body: body,
+	s.put(&request{class: budget.Rules, method: http.MethodPost, path: protocol.PathGrants, body: body,
 		deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
 			var g protocol.Granted
 			if r.Status == http.StatusOK {
@@ -236,7 +205,7 @@
 
 // Touch renews a lease. gone is true when it has ended.
 func (s *Store) Touch(permit uint64, done func(ok, gone bool)) {
-	s.put(&request{class: Rules, method: http.MethodPost,
+	s.put(&request{class: budget.Rules, method: http.MethodPost,
 		path:     protocol.PathGrants + "/" + strconv.FormatUint(permit, 10) + "/" + protocol.PathTouch,
 		deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
 			done(r.Status == http.StatusOK, r.Status == http.StatusNotFound)
@@ -245,36 +214,42 @@
 
 // Advance lets time pass: the budget fills up.
 func (s *Store) Advance(now time.Duration) {
-	d := now - s.now
 	s.now = now
-	s.reads.fill(d, s.share)
-	s.writes.fill(d, s.share)
-	switch {
-	case !s.starved:
-		s.share = max(1, s.share-borrowPerS*d.Seconds())
-	case now-s.limited > borrowRest || s.limited == 0:
-		s.share = min(s.most, s.share+borrowPerS*d.Seconds())
-	}
-	s.starved = s.starved && d == 0
+	s.budget.Advance(now)
 }
 
-// CanSend tells whether a transaction of this class with so many writes would
+// CanSend tells whether a transaction of this class with so many changes would
 // be sent at once. Whoever asks first builds it from the latest mirror, and
-// what comes up until then can go with it.
-func (s *Store) CanSend(class Class, writes int) bool {
-	if s.now < s.pauseTill || s.inflight >= maxInflight {
-		return false
+// what comes up until then can go with it. What is refused is saved for, until
+// Forgo.
+func (s *Store) CanSend(class budget.Class, changes int) bool {
+	s.wanted[class] = 0
+	s.tell(class)
+	if s.now >= s.pauseTill && s.inflight < maxInflight && len(s.queue[class]) == 0 && s.budget.Can(class, float64(changes)) {
+		return true
 	}
-	for c := Class(0); c <= class; c++ {
-		if len(s.queue[c]) > 0 {
-			return false
+	s.wanted[class] = float64(changes)
+	s.tell(class)
+	return false
+}
+
+// Forgo tells that nothing of what CanSend refused is wanted any more.
+func (s *Store) Forgo() {
+	for c := range s.wanted {
+		if s.wanted[c] > 0 {
+			s.wanted[c] = 0
+			s.tell(budget.Class(c))
 		}
 	}
-	if s.reads.level < 1 || s.writes.level < float64(writes) {
-		s.starved = true
-		return false
+}
+
+// tell keeps the budget's knowledge of what waits.
+func (s *Store) tell(c budget.Class) {
+	if q := s.queue[c]; len(q) > 0 {
+		s.budget.Waits(c, true, q[0].writes)
+	} else {
+		s.budget.Waits(c, s.wanted[c] > 0, s.wanted[c])
 	}
-	return true
 }
 
 // Late is the age from which the mirror has certainly missed a watch: each
@@ -285,7 +260,7 @@
 func (s *Store) Spacing() time.Duration { return s.spacing }
 
 // Ample tells whether the budget of requests is at least half full.
-func (s *Store) Ample() bool { return s.reads.level >= s.reads.burst/2 }
+func (s *Store) Ample() bool { return s.budget.Ample() }
 
 // Tick sends what the budget allows.
 func (s *Store) Tick(now time.Duration) {
@@ -293,41 +268,20 @@
 	s.follow()
 	s.expire()
 	for now >= s.pauseTill && s.inflight < maxInflight {
-		c := s.first()
-		if c < 0 {
-			return
+		c := s.budget.Next()
+		if c < 0 || len(s.queue[c]) == 0 {
+			return // the turn of what CanSend refused
 		}
 		r := s.queue[c][0]
-		if s.reads.level < 1 || s.writes.level < r.writes {
-			s.starved = true
-			return // what goes first must not be starved by what comes later
-		}
-		s.reads.level--
-		s.writes.level -= r.writes
 		if s.queue[c] = s.queue[c][1:]; len(s.queue[c]) == 0 {
 			s.queue[c] = nil
 		}
+		s.budget.Spend(c, r.writes)
+		s.tell(c)
 		s.dispatch(r)
 	}
 }
 
-// first is the class whose turn it is, or -1. Neither a flood of users nor the
-// claims of a dead controller's workers can keep the other waiting.
-func (s *Store) first() int {
-	for c := range s.queue {
-		if len(s.queue[c]) == 0 {
-			continue
-		}
-		if Class(c) == Users && len(s.queue[Claims]) > 0 {
-			if s.turn = !s.turn; s.turn {
-				return int(Claims)
-			}
-		}
-		return c
-	}
-	return -1
-}
-
 // expire gives up on what has waited too long for the budget.
 func (s *Store) expire() {
 	var late []*request
@@ -336,7 +290,10 @@
 			late = append(late, q[0])
 			q = q[1:]
 		}
-		s.queue[c] = q
+		if len(q) < len(s.queue[c]) {
+			s.queue[c] = q
+			s.tell(budget.Class(c))
+		}
 	}
 	for _, r := range late {
 		r.done(protocol.Reply{})
@@ -349,12 +306,13 @@
 		s.inflight--
 		s.note(rep)
 		if rep.Status == http.StatusTooManyRequests {
-			s.share, s.limited = max(1, s.share/2), s.now
+			s.budget.Refused()
 		}
 		if (rep.Status == http.StatusTooManyRequests || rep.Status == http.StatusServiceUnavailable) && s.now < r.deadline {
 			// Not executed: it may be tried again within its time.
 			s.pauseTill = s.now + queueTimeout/20
 			s.queue[r.class] = append([]*request{r}, s.queue[r.class]...)
+			s.tell(r.class)
 			return
 		}
 		r.done(rep)
@@ -372,10 +330,9 @@
 
 // follow keeps the mirror: reads all keys page by page, then watches.
 func (s *Store) follow() {
-	if s.loading || s.watching || s.now < s.nextOpen || s.reads.level < 1 {
+	if s.loading || s.watching || s.now < s.nextOpen || !s.budget.Read() {
 		return
 	}
-	s.reads.level--
 	sent := s.now
 	if s.seen == nil && !s.loaded {
 		s.seen, s.from, s.start = map[string]bool{}, "", 0
--- a/internal/coordination/data.go
+++ b/internal/coordination/data.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/dataset"
 	"silvergate/internal/datastore"
 	"silvergate/internal/job"
@@ -362,7 +363,7 @@
 		if over := c.now - by; over > seconds(c.cfg.Facts.Workers.Lease) {
 			if !a.ending && c.successor(c.cfg.Node) == c.cfg.Node && c.leads() {
 				a.ending = true
-				c.store.Txn(bookkeeping.Rest, []protocol.Cond{{Key: keyStaging + name, Stamp: a.stamp}}, []protocol.Op{{Drop: keyStaging + name}},
+				c.store.Txn(budget.Rest, []protocol.Cond{{Key: keyStaging + name, Stamp: a.stamp}}, []protocol.Op{{Drop: keyStaging + name}},
 					func(bookkeeping.Outcome, []string, uint64) { a.ending = false })
 			}
 			continue
@@ -461,13 +462,13 @@
 		tell(200)
 		return
 	}
-	c.store.Txn(bookkeeping.Users, []protocol.Cond{{Key: keyData + name}}, []protocol.Op{{Write: keyData + name, Data: encode(s)}},
+	c.store.Txn(budget.Users, []protocol.Cond{{Key: keyData + name}}, []protocol.Op{{Write: keyData + name, Data: encode(s)}},
 		func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			switch o {
 			case bookkeeping.OK:
 				tell(201)
 			case bookkeeping.Conflict, bookkeeping.Unknown:
-				c.store.Get(bookkeeping.Users, keyData+name, func(bool) { tell(200) })
+				c.store.Get(budget.Users, keyData+name, func(bool) { tell(200) })
 			default:
 				c.refuse(id, 503, "the state service can't be written now")
 			}
@@ -500,7 +501,7 @@
 	}
 	a.Version, a.AtMS = v.Version, c.wall.UnixMilli()+int64(a.ByS*1000)
 	key := keyStaging + a.Ref
-	c.store.Txn(bookkeeping.Users, []protocol.Cond{{Key: key}}, []protocol.Op{{Write: key, Data: encode(a)}},
+	c.store.Txn(budget.Users, []protocol.Cond{{Key: key}}, []protocol.Op{{Write: key, Data: encode(a)}},
 		func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			switch o {
 			case bookkeeping.OK:
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
@@ -128,7 +129,7 @@
 		c.flavorsAt = c.now + seconds(10*c.cfg.Facts.Workers.Report)
 		c.setCatalogue(&v)
 		if c.store.Ready() && c.store.Stamp(keyFlavors) == 0 {
-			c.store.Txn(bookkeeping.Rest, []protocol.Cond{{Key: keyFlavors}}, []protocol.Op{{Write: keyFlavors, Data: encode(v)}},
+			c.store.Txn(budget.Rest, []protocol.Cond{{Key: keyFlavors}}, []protocol.Op{{Write: keyFlavors, Data: encode(v)}},
 				func(bookkeeping.Outcome, []string, uint64) {})
 		}
 	})
@@ -152,7 +153,7 @@
 	f := &c.fleet
 	if f.stamp == 0 && c.permit != 0 && !f.taking {
 		f.taking = true
-		c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyFleet}},
+		c.store.Txn(budget.Work, []protocol.Cond{{Key: keyFleet}},
 			[]protocol.Op{{Write: keyFleet, Data: encode(lease{c.cfg.Node, c.life}), Permit: c.permit}},
 			func(o bookkeeping.Outcome, _ []string, _ uint64) {
 				f.taking = false
@@ -346,7 +347,7 @@
 		}
 	}
 	if len(ops) > 0 {
-		c.store.Txn(bookkeeping.Work, conds, ops, func(bookkeeping.Outcome, []string, uint64) {})
+		c.store.Txn(budget.Work, conds, ops, func(bookkeeping.Outcome, []string, uint64) {})
 	}
 }
 
@@ -381,7 +382,7 @@
 					return
 				}
 				r.Names = n.Stokers
-				c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyRental + name, Stamp: c.store.Stamp(keyRental + name)}},
+				c.store.Txn(budget.Work, []protocol.Cond{{Key: keyRental + name, Stamp: c.store.Stamp(keyRental + name)}},
 					[]protocol.Op{{Write: keyRental + name, Data: encode(r)}}, func(bookkeeping.Outcome, []string, uint64) {})
 			case rep.Status == http.StatusServiceUnavailable && string(rep.Body) != "" && !isTrouble(rep.Body):
 				c.noCapacity(where)
@@ -408,7 +409,7 @@
 }
 
 func (c *Core) dropRental(name string) {
-	c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyRental + name, Stamp: c.store.Stamp(keyRental + name)}},
+	c.store.Txn(budget.Work, []protocol.Cond{{Key: keyRental + name, Stamp: c.store.Stamp(keyRental + name)}},
 		[]protocol.Op{{Drop: keyRental + name}}, func(bookkeeping.Outcome, []string, uint64) {})
 }
 
@@ -716,7 +717,7 @@
 		// The stamp of our tenure's lease key never comes again.
 		name := "r-" + strconv.FormatUint(f.stamp, 10) + "-" + strconv.Itoa(f.seq)
 		r := rental{Rig: w.rig, Depot: w.depot, Spot: w.spot, Number: min(want[w], 50), At: c.wall.UnixMilli()}
-		c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyRental + name}, {Key: keyFleet, Stamp: f.stamp}},
+		c.store.Txn(budget.Work, []protocol.Cond{{Key: keyRental + name}, {Key: keyFleet, Stamp: f.stamp}},
 			[]protocol.Op{{Write: keyRental + name, Data: encode(r)}}, func(bookkeeping.Outcome, []string, uint64) {})
 		f.refused[w] = max(f.refused[w], c.now+time.Second) // until the record shows
 	}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
@@ -394,7 +395,7 @@
 				}
 				r.unmarked = c.now + seconds(rest)
 			}
-			c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang, Stamp: c.store.Stamp(keyGang)}}, []protocol.Op{{Drop: keyGang}},
+			c.store.Txn(budget.Work, []protocol.Cond{{Key: keyGang, Stamp: c.store.Stamp(keyGang)}}, []protocol.Op{{Drop: keyGang}},
 				func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
 		}
 		return
@@ -406,7 +407,7 @@
 	}
 	if r != nil && c.successor(r.home) == c.cfg.Node {
 		c.marking, c.markedAt = true, c.now
-		c.store.Txn(bookkeeping.Work, []protocol.Cond{{Key: keyGang}},
+		c.store.Txn(budget.Work, []protocol.Cond{{Key: keyGang}},
 			[]protocol.Op{{Write: keyGang, Data: encode(gangLease{r.spec.ID, c.cfg.Node, c.life}), Permit: c.permit}},
 			func(bookkeeping.Outcome, []string, uint64) { c.marking = false })
 	}
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
@@ -126,7 +127,7 @@
 	if string(data) != c.published && c.now >= c.publishAt {
 		c.publishAt = c.now + c.cfg.Operator.PublishInterval
 		c.published = string(data)
-		c.store.Txn(bookkeeping.Rest, nil, []protocol.Op{{Write: keyMember + c.cfg.Node, Data: data, Permit: c.permit}},
+		c.store.Txn(budget.Rest, nil, []protocol.Op{{Write: keyMember + c.cfg.Node, Data: data, Permit: c.permit}},
 			func(o bookkeeping.Outcome, _ []string, _ uint64) {
 				if o == bookkeeping.NoLease {
 					c.permit = 0
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/config"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
@@ -375,21 +376,38 @@
 // latest mirror. A team's record is in one transaction of ours at a time.
 func (c *Core) flush() {
 	c.delayed = len(c.dirty) > 0 && c.now < c.flushAt
-	if len(c.dirty) == 0 || c.delayed || !c.store.Ready() {
+	if c.delayed {
 		return
 	}
+	c.store.Forgo()
+	if len(c.dirty) == 0 || !c.store.Ready() {
+		return
+	}
+	var denied [budget.Classes]bool
 	for _, p := range c.ripe() {
-		if !c.store.CanSend(bookkeeping.Work, 3) { // page, team and job
-			c.delayed = true
+		class := p.class()
+		if denied[class] {
+			continue
+		}
+		if !c.store.CanSend(class, 3) { // page, team and job
+			denied[class], c.delayed = true, true
 			// About when the share of the rate allows the next request.
 			c.flushAt = c.now + seconds(float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.RPS)
-			return
+			continue
 		}
 		c.flushPage(p)
 		c.store.Tick(c.now)
 	}
 }
 
+// class is what a page's changes are for.
+func (p *page) class() budget.Class {
+	if p.rec.spec.Priority == job.Production {
+		return budget.Rescue
+	}
+	return budget.Work
+}
+
 // ripe lists the pages that could be written now: production first, then
 // those that have waited longest, so that under pressure each write carries as
 // many changes as any.
@@ -405,12 +423,9 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *page) int {
-		x, y := a.rec.spec.Priority == job.Production, b.rec.spec.Priority == job.Production
-		switch {
-		case x != y && x:
-			return -1
+		switch x, y := a.class(), b.class(); {
 		case x != y:
-			return 1
+			return cmp.Compare(x, y)
 		case a.since != b.since:
 			return cmp.Compare(a.since, b.since)
 		case a.rec != b.rec:
@@ -559,7 +574,7 @@
 		ops = append(ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, r.status, r.at, r.home})})
 	}
 	p.busy = true
-	c.store.Txn(bookkeeping.Work, conds, ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
+	c.store.Txn(p.class(), conds, ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
 		p.busy = false
 		if charge {
 			tm.busy = false
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
@@ -123,7 +124,7 @@
 			conds = append(conds, protocol.Cond{Key: keyJob + p.ref, Stamp: c.store.Stamp(keyJob + p.ref)})
 		}
 	}
-	c.store.Txn(bookkeeping.Users, conds, nil, func(o bookkeeping.Outcome, failed []string, _ uint64) {
+	c.store.Txn(budget.Users, conds, nil, func(o bookkeeping.Outcome, failed []string, _ uint64) {
 		c.polling = false
 		stale := map[string]bool{}
 		for _, k := range failed {
@@ -134,7 +135,7 @@
 			case o == bookkeeping.OK:
 				c.tell(p)
 			case o == bookkeeping.Conflict && stale[keyJob+p.ref]:
-				c.store.Get(bookkeeping.Users, keyJob+p.ref, func(ok bool) {
+				c.store.Get(budget.Users, keyJob+p.ref, func(ok bool) {
 					if ok {
 						c.tell(p)
 					} else {
@@ -197,7 +198,7 @@
 	if err != nil {
 		// A known job is never refused, whatever its repetition says: the
 		// mirror may lag, so the record itself decides.
-		c.store.Get(bookkeeping.Users, keyJob+ref, func(ok bool) {
+		c.store.Get(budget.Users, keyJob+ref, func(ok bool) {
 			switch r := c.jobs[ref]; {
 			case !ok:
 				c.refuse(id, 503, "can't tell now")
@@ -215,7 +216,7 @@
 	if extra != nil {
 		ops = append(ops, protocol.Op{Write: keyExtra + ref, Data: extra})
 	}
-	c.store.Txn(bookkeeping.Users, []protocol.Cond{{Key: key}}, ops,
+	c.store.Txn(budget.Users, []protocol.Cond{{Key: key}}, ops,
 		func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			switch o {
 			case bookkeeping.OK:
@@ -225,7 +226,7 @@
 				c.dispatchJob(c.jobs[ref])
 			case bookkeeping.Conflict, bookkeeping.Unknown:
 				// Known already, or the answer was lost: the record tells.
-				c.store.Get(bookkeeping.Users, key, func(ok bool) {
+				c.store.Get(budget.Users, key, func(ok bool) {
 					if r := c.jobs[ref]; ok && r != nil {
 						c.answer(id, 200, c.state(r), 0)
 					} else {
@@ -283,7 +284,7 @@
 	}
 	key := keyJob + ref
 	reread := func() {
-		c.store.Get(bookkeeping.Rules, key, func(ok bool) {
+		c.store.Get(budget.Rules, key, func(ok bool) {
 			switch {
 			case !ok:
 				c.refuse(id, 503, "can't cancel now")
@@ -299,7 +300,7 @@
 		return
 	}
 	rec := storedJob{r.spec, job.Cancelled, r.at, r.home}
-	c.store.Txn(bookkeeping.Rules, []protocol.Cond{{Key: key, Stamp: r.stamp}}, []protocol.Op{{Write: key, Data: encode(rec)}},
+	c.store.Txn(budget.Rules, []protocol.Cond{{Key: key, Stamp: r.stamp}}, []protocol.Op{{Write: key, Data: encode(rec)}},
 		func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			switch o {
 			case bookkeeping.OK:
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
@@ -85,7 +85,7 @@
 		return true
 	}
 	// A launch can reach a worker before the job's record reaches us.
-	c.store.Get(bookkeeping.Work, keyJob+ref, func(ok bool) {
+	c.store.Get(budget.Work, keyJob+ref, func(ok bool) {
 		switch r := c.jobs[ref]; {
 		case !ok:
 			c.refuse(id, 503, "the job can't be read now")
@@ -131,7 +131,7 @@
 		give(data)
 		return
 	}
-	c.store.Read(bookkeeping.Work, keyExtra+s.ID, func(data json.RawMessage, ok bool) {
+	c.store.Read(budget.Work, keyExtra+s.ID, func(data json.RawMessage, ok bool) {
 		if !ok || data == nil {
 			c.refuse(id, 503, "the job's description can't be read now")
 			return
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
@@ -396,12 +397,24 @@
 	return false
 }
 
+// class is what a change of a machine's records is for: the most urgent work on it.
+func (m *machine) class() budget.Class {
+	switch {
+	case m.levels[job.Production] > 0:
+		return budget.Claims
+	case len(m.bound) > 0:
+		return budget.Holders
+	}
+	return budget.Spare
+}
+
 // take writes the claim for a new token.
 func (c *Core) take(m *machine, r *protocol.Report, tries int, done func(*machine, bool)) {
 	m.claiming = true
 	c.claims++
 	k := claim{c.cfg.Node, c.life, r.Address, r.Rig, r.Depot, r.Casual}
-	c.store.Txn(bookkeeping.Claims, []protocol.Cond{{Key: keyClaim + m.id, Stamp: m.stamp}},
+	class := m.class()
+	c.store.Txn(class, []protocol.Cond{{Key: keyClaim + m.id, Stamp: m.stamp}},
 		[]protocol.Op{{Write: keyClaim + m.id, Data: encode(k)}}, func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			m.claiming = false
 			c.claims--
@@ -418,7 +431,7 @@
 				done(m, true)
 			case (o == bookkeeping.Conflict || o == bookkeeping.Unknown) && tries < 1:
 				m.claiming = true
-				c.store.Get(bookkeeping.Claims, keyClaim+m.id, func(ok bool) {
+				c.store.Get(class, keyClaim+m.id, func(ok bool) {
 					m.claiming = false
 					switch {
 					case !ok:
@@ -631,7 +644,7 @@
 	c.log.Debug("draining", "stoker", m.id, "why", why)
 	// The claim is a condition too: a controller that was cut off must not
 	// judge machines that have long reported to another.
-	c.store.Txn(bookkeeping.Claims, []protocol.Cond{{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}, {Key: keyClaim + m.id, Stamp: m.stamp}},
+	c.store.Txn(m.class(), []protocol.Cond{{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}, {Key: keyClaim + m.id, Stamp: m.stamp}},
 		[]protocol.Op{{Write: keyDrain + m.id, Data: encode(drain{why})}}, func(bookkeeping.Outcome, []string, uint64) {
 			m.draining = false
 		})
