Fleet: as many rentals at a time as the cloud takes, urgent ones first

Cause: one request for 50 machines for each place about every 1.5 s, and its record written after everything else; at four times the size the first machine was rented 20 s after the first job. Now a plan records as many requests as the cloud's rate takes until the next one, in rounds over the places, and those that production work waits for among what goes first.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -538,7 +539,7 @@
 		}
 		return a.id < b.id
 	})
-	want := map[place]int{}
+	want, urgent := map[place]int{}, map[place]bool{}
 	unmet := 0
 	full := 0 // slots before this one have nothing left for any open job
 	put := func(sp *job.Spec, n int, avoid map[string]int) {
@@ -567,6 +568,7 @@
 			s.put(sp)
 			slots = append(slots, s)
 			want[w]++
+			urgent[w] = urgent[w] || sp.Priority == job.Production
 			if avoid != nil {
 				avoid[w.depot]++
 			}
@@ -607,7 +609,7 @@
 		}
 		put(sp, n, avoid)
 	}
-	c.rent(want)
+	c.rent(want, urgent)
 	for _, s := range slots {
 		m := c.machines[s.id]
 		if m == nil || s.fresh {
@@ -692,8 +694,9 @@
 	return best, found
 }
 
-// rent records new rentals; sendRentals sends them once recorded.
-func (c *Core) rent(want map[place]int) {
+// rent records new rentals, those that production work waits for ahead of other
+// changes; sendRentals sends them once recorded.
+func (c *Core) rent(want map[place]int, urgent map[place]bool) {
 	f := &c.fleet
 	pending := map[place]bool{}
 	for _, r := range f.rentals {
@@ -709,20 +712,44 @@
 		a, b := places[i], places[j]
 		return a.rig+a.depot < b.rig+b.depot || (a.rig+a.depot == b.rig+b.depot && !a.spot && b.spot)
 	})
-	for _, w := range places {
-		if pending[w] || f.taking {
-			continue
+	// As many requests as the cloud takes until about the next plan, in rounds
+	// over the places; what it refuses costs a call and two changes each.
+	calls := max(len(places), int(f.calls.rate*7*1.5))
+	places = slices.DeleteFunc(places, func(w place) bool { return pending[w] || f.taking })
+	for len(places) > 0 && calls > 0 {
+		left := places[:0]
+		for _, w := range places {
+			if calls--; calls < 0 {
+				break
+			}
+			c.recordRental(w, min(want[w], rentalSize), urgent[w])
+			if want[w] -= rentalSize; want[w] > 0 {
+				left = append(left, w)
+			}
+			f.refused[w] = max(f.refused[w], c.now+time.Second) // until the record shows
 		}
-		f.seq++
-		// The stamp of our tenure's lease key never comes again.
-		name := "r-" + strconv.FormatUint(f.stamp, 10) + "-" + strconv.Itoa(f.seq)
-		r := rental{Rig: w.rig, Depot: w.depot, Spot: w.spot, Number: min(want[w], 50), At: c.wall.UnixMilli()}
-		c.store.Txn(budget.Work, []protocol.Cond{{Key: keyRental + name}, {Key: keyFleet, Stamp: f.stamp}},
-			[]protocol.Op{{Write: keyRental + name, Data: encode(r)}}, func(bookkeeping.Outcome, []string, uint64) {})
-		f.refused[w] = max(f.refused[w], c.now+time.Second) // until the record shows
+		places = left
 	}
 }
 
+// recordRental writes down what is to be rented.
+func (c *Core) recordRental(w place, n int, urgent bool) {
+	f := &c.fleet
+	f.seq++
+	// The stamp of our tenure's lease key never comes again.
+	name := "r-" + strconv.FormatUint(f.stamp, 10) + "-" + strconv.Itoa(f.seq)
+	r := rental{Rig: w.rig, Depot: w.depot, Spot: w.spot, Number: n, At: c.wall.UnixMilli()}
+	class := budget.Work
+	if urgent {
+		class = budget.Rescue
+	}
+	c.store.Txn(class, []protocol.Cond{{Key: keyRental + name}, {Key: keyFleet, Stamp: f.stamp}},
+		[]protocol.Op{{Write: keyRental + name, Data: encode(r)}}, func(bookkeeping.Outcome, []string, uint64) {})
+}
+
+// rentalSize is the most machines that a request may ask for (PROTOCOL).
+const rentalSize = 50
+
 // perMachine is how many such tasks a machine of a type holds.
 func perMachine(t *protocol.Flavor, s *job.Spec) float64 {
 	fit := 1e9
