Pages of a team in one transaction; where lost tasks' time goes

Now pages of one limited team and class go in one transaction, one page of a job, within its limits of changes, conditions and bytes; where only the team's record was changed by another, the places are kept and tried again. internal/losses reads debug logs and sums each lost attempt's steps.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -225,7 +225,7 @@
 func (s *Store) CanSend(class budget.Class, changes int) bool {
 	s.wanted[class] = 0
 	s.tell(class)
-	if s.now >= s.pauseTill && s.inflight < maxInflight && len(s.queue[class]) == 0 && s.budget.Can(class, float64(changes)) {
+	if s.Could(class, changes) {
 		return true
 	}
 	s.wanted[class] = float64(changes)
@@ -233,6 +233,11 @@
 	return false
 }
 
+// Could is CanSend without saving for what is refused.
+func (s *Store) Could(class budget.Class, changes int) bool {
+	return s.now >= s.pauseTill && s.inflight < maxInflight && len(s.queue[class]) == 0 && s.budget.Can(class, float64(changes))
+}
+
 // Forgo tells that nothing of what CanSend refused is wanted any more.
 func (s *Store) Forgo() {
 	for c := range s.wanted {
--- /dev/null
+++ b/internal/coordination/batch.go
@@ -0,0 +1,372 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
+	"silvergate/internal/job"
+	"silvergate/internal/losses"
+	"silvergate/internal/protocol"
+)
+
+// A batch is one transaction on pages of tasks. Every placement and ending of a
+// limited team also changes the team's record, which is in one transaction at a
+// time; so pages of one team and class go together, and a mass failure costs the
+// state service about one change for each page in place of two.
+type batch struct {
+	team     *team
+	charge   bool // the team's record is changed too
+	use      usage
+	machines map[string]bool // in conds already
+	conds    []protocol.Cond
+	ops      []protocol.Op
+	size     int // of the transaction at the most, in bytes
+	parts    []part
+}
+
+// part is what a batch takes of a page's queue.
+type part struct {
+	p     *page
+	taken []change
+}
+
+// Sizes of what a transaction carries, at the most and about.
+const (
+	taskBytes = 64
+	jobBytes  = 1 << 10
+	condBytes = 64
+	txnBytes  = 60 << 10 // of 64 KiB, the rest for the frame
+)
+
+// flush sends transactions for pages that have changes and none under way, as
+// long as the budget lasts. A transaction is built when it can be sent and not
+// before: what comes up meanwhile goes with it, and it is conditional on the
+// latest mirror. A team's record is in one transaction of ours at a time.
+func (c *Core) flush() {
+	c.delayed = len(c.dirty) > 0 && c.now < c.flushAt
+	if c.delayed {
+		return
+	}
+	c.store.Forgo()
+	if len(c.dirty) == 0 || !c.store.Ready() {
+		return
+	}
+	var denied [budget.Classes]bool
+	ripe := c.ripe()
+	for i, p := range ripe {
+		class := p.class()
+		if denied[class] || p.busy || !c.dirty[p] { // it went with another
+			continue
+		}
+		if !c.store.CanSend(class, opsOfPage) {
+			denied[class], c.delayed = true, true
+			// About when the share of the rate allows the next request.
+			c.flushAt = c.now + seconds(float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.RPS)
+			continue
+		}
+		c.flushPages(p, ripe[i+1:])
+		c.store.Tick(c.now)
+	}
+}
+
+// opsOfPage is what a page alone may change: itself, its team and its job.
+const opsOfPage = 3
+
+// class is what a page's changes are for.
+func (p *page) class() budget.Class {
+	if p.rec.spec.Priority == job.Production {
+		return budget.Rescue
+	}
+	return budget.Work
+}
+
+// ripe lists the pages that could be written now: production first, then
+// those that have waited longest, so that under pressure each write carries as
+// many changes as any.
+func (c *Core) ripe() []*page {
+	var out []*page
+	for p := range c.dirty {
+		switch {
+		case p.busy: // its answer is awaited
+		case c.now < p.retry:
+			c.delayed = true
+		default:
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b *page) int {
+		switch x, y := a.class(), b.class(); {
+		case x != y:
+			return cmp.Compare(x, y)
+		case a.since != b.since:
+			return cmp.Compare(a.since, b.since)
+		case a.rec != b.rec:
+			return turnOrder(a.rec, b.rec)
+		}
+		return cmp.Compare(a.num, b.num)
+	})
+	return out
+}
+
+// flushPages sends a page's changes and, where that saves changes, those of
+// further pages of the same team and class.
+func (c *Core) flushPages(first *page, more []*page) {
+	tm := c.teams[first.rec.spec.Team]
+	b := &batch{team: tm, charge: tm != nil && limited(tm), machines: map[string]bool{}}
+	if first.tasks != nil && b.charge && tm.busy {
+		return
+	}
+	if tm != nil {
+		b.use = tm.use
+	}
+	c.addPage(b, first)
+	if b.charge && len(b.parts) > 0 {
+		jobs := map[*record]bool{first.rec: true}
+		for _, p := range more {
+			// One page of a job at a time: its zones and its end are judged
+			// with the other pages as the mirror has them.
+			if p.class() != first.class() || p.rec.spec.Team != first.rec.spec.Team || p.tasks == nil || jobs[p.rec] || p.busy {
+				continue
+			}
+			if !c.hasPlace(b, p) || !c.store.Could(first.class(), len(b.ops)+opsOfPage) {
+				break
+			}
+			jobs[p.rec] = true
+			c.addPage(b, p)
+		}
+	}
+	if len(b.parts) > 0 {
+		c.commit(b)
+	}
+}
+
+// hasPlace tells whether a page's changes fit into the transaction.
+func (c *Core) hasPlace(b *batch, p *page) bool {
+	conds := 2 + 2*len(p.queue)
+	return len(b.ops)+opsOfPage <= c.cfg.Facts.State.TxnOps && len(b.conds)+conds+1 <= 4*c.cfg.Facts.State.TxnOps &&
+		b.size+len(p.tasks)*taskBytes+jobBytes+conds*condBytes <= txnBytes
+}
+
+// addPage takes what can be done of a page's queue into a batch.
+func (c *Core) addPage(b *batch, p *page) {
+	r := p.rec
+	if p.tasks == nil { // nothing of it is bound or can be placed
+		for _, ch := range p.queue {
+			if ch.place {
+				c.unreserve(r, p.num*c.pageTasks()+ch.index)
+			}
+		}
+		p.queue = nil
+		delete(c.dirty, p)
+		return
+	}
+	tasks := append([]job.Task(nil), p.tasks...)
+	base := p.num * c.pageTasks()
+	conds := []protocol.Cond{{Key: keyJob + p.id, Stamp: r.stamp}, {Key: pageKey(p.id, p.num), Stamp: p.stamp}}
+	room := 4*c.cfg.Facts.State.TxnOps - 4 - len(b.conds)
+	use := b.use
+	var fresh []string // machines that the batch did not name before
+	under := func(m *machine, conditions ...protocol.Cond) bool {
+		if b.machines[m.id] {
+			return true
+		}
+		if len(conds)+len(conditions) > room {
+			return false
+		}
+		b.machines[m.id] = true
+		fresh = append(fresh, m.id)
+		conds = append(conds, conditions...)
+		return true
+	}
+	var taken, rest []change
+	spoilt := false // a gang starts whole or not at all
+	for _, ch := range p.queue {
+		t := &tasks[ch.index]
+		k := taskKey{p.id, base + ch.index}
+		if ch.place {
+			m := c.machines[ch.machine]
+			u := use.plus(r.spec, 1)
+			ok := t.Phase == job.Pending && !r.final() && m != nil && c.usable(r, m, ch.session) && (!b.charge || b.team.within(u))
+			// Guards against a peer's placement that came into the mirror
+			// after this one was proposed: zones are judged again with what
+			// the transaction is conditional on.
+			ok = ok && c.zoneStillOK(r, p, tasks, m.claim.Zone)
+			if !ok {
+				c.unreserve(r, k.index)
+				spoilt = multi(r)
+				continue
+			}
+			if !under(m, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}, protocol.Cond{Key: keyDrain + m.id}) {
+				rest = append(rest, ch)
+				continue
+			}
+			use = u
+			*t = job.Task{Phase: job.Bound, Try: t.Try + 1, Machine: m.id, Session: ch.session, Fails: t.Fails}
+			if r.spec.Shape == job.Gang {
+				t.Try = max(t.Try, ch.try)
+			}
+			taken = append(taken, ch)
+			continue
+		}
+		if t.Phase != job.Bound || t.Machine != ch.machine || t.Session != ch.session || t.Try != ch.try {
+			continue // overtaken
+		}
+		if ch.guard {
+			m := c.machines[ch.machine]
+			// Guards against evidence that outlives its claim: a controller
+			// cut off from the state service held the end of a lease to be
+			// over, while a peer answered the worker. When the worker came
+			// back, the release was committed under the new claim, and the
+			// task ran twice.
+			if m == nil || !c.mine(m) || m.stamp != ch.token {
+				continue
+			}
+			if !under(m, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}) {
+				rest = append(rest, ch)
+				continue
+			}
+		}
+		use = use.plus(r.spec, -1)
+		nt := job.Task{Try: t.Try, Fails: t.Fails}
+		if ch.done {
+			nt.Phase = job.Finished
+		} else if ch.failed {
+			nt.Fails++
+		}
+		*t = nt
+		taken = append(taken, ch)
+	}
+	drop := func() {
+		for _, id := range fresh {
+			delete(b.machines, id)
+		}
+	}
+	if spoilt {
+		for _, ch := range append(taken, rest...) {
+			if ch.place {
+				c.unreserve(r, base+ch.index)
+			}
+		}
+		// Only endings remain; the next flush takes them.
+		p.queue = withoutPlaces(append(taken, rest...))
+		if len(p.queue) == 0 {
+			delete(c.dirty, p)
+		}
+		drop()
+		return
+	}
+	p.queue, p.since = rest, c.now
+	if len(rest) == 0 {
+		delete(c.dirty, p)
+	}
+	if len(taken) == 0 {
+		drop()
+		return
+	}
+	b.ops = append(b.ops, protocol.Op{Write: pageKey(p.id, p.num), Data: c.encodePage(tasks)})
+	finished := r.finished
+	for i := range tasks {
+		if tasks[i].Phase == job.Finished && p.tasks[i].Phase != job.Finished {
+			finished++
+		}
+	}
+	spansPages := len(r.pages) > 1 && (r.spec.OneZone || r.spec.Spread)
+	switch {
+	case finished == r.spec.Tasks && r.status == job.Open:
+		// Finished tasks stay finished, so the other pages need no condition.
+		b.ops = append(b.ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, job.Done, r.at, r.home})})
+	case spansPages:
+		// Zones are judged over all pages; rewriting the job record makes
+		// placements of different pages exclude one another.
+		b.ops = append(b.ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, r.status, r.at, r.home})})
+	}
+	b.conds = append(b.conds, conds...)
+	b.size += len(tasks)*taskBytes + jobBytes + len(conds)*condBytes
+	b.use = use
+	b.parts = append(b.parts, part{p, taken})
+}
+
+// commit sends a batch.
+func (c *Core) commit(b *batch) {
+	tm := b.team
+	if b.charge {
+		key := keyTeam + tm.cfg.Name
+		b.conds = append(b.conds, protocol.Cond{Key: key, Stamp: tm.stamp})
+		b.ops = append(b.ops, protocol.Op{Write: key, Data: encode(b.use)})
+		tm.busy = true
+	}
+	for _, part := range b.parts {
+		part.p.busy = true
+	}
+	c.store.Txn(b.parts[0].p.class(), b.conds, b.ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
+		if b.charge {
+			tm.busy = false
+		}
+		if o == bookkeeping.Conflict {
+			c.Stats.Conflicts++
+		}
+		for _, part := range b.parts {
+			part.p.busy = false
+			if o == bookkeeping.OK {
+				c.committed(part)
+			} else {
+				c.failed(part, o, failed)
+			}
+		}
+	})
+}
+
+// committed takes up what a transaction has changed.
+func (c *Core) committed(part part) {
+	r, base := part.p.rec, part.p.num*c.pageTasks()
+	for _, ch := range part.taken {
+		if ch.place {
+			c.unreserve(r, base+ch.index)
+		}
+	}
+	for _, ch := range part.taken {
+		if ch.place {
+			c.Stats.Placements++
+			continue
+		}
+		c.Stats.Endings++
+		c.freed(ch.machine)
+		if c.verbose {
+			c.traceEnding(losses.Ended, r, base+ch.index, ch)
+		}
+		if !ch.done {
+			c.again(r, base+ch.index)
+		}
+	}
+}
+
+// failed has endings proposed again. Placements look for a place again, unless it
+// was only the team's record that another was ahead with: what was refused for
+// that was certainly not done, and the place is as good as before. The mirror needs
+// a moment to catch up with whoever was faster, and an unknown outcome shows in it.
+func (c *Core) failed(part part, o bookkeeping.Outcome, keys []string) {
+	p := part.p
+	c.log.Debug("transaction failed", "job", p.id, "page", p.num, "outcome", int(o), "failed", keys)
+	crowded := o == bookkeeping.Conflict && len(keys) == 1 && strings.HasPrefix(keys[0], keyTeam)
+	wait := seconds(0.05 + 0.1*c.rnd.Float64())
+	if crowded {
+		wait /= 3
+	}
+	p.retry = c.now + max(wait, time.Millisecond)
+	var again []change
+	for _, ch := range part.taken {
+		if ch.place && !crowded {
+			c.unreserve(p.rec, p.num*c.pageTasks()+ch.index)
+			continue
+		}
+		again = append(again, ch)
+	}
+	if len(again) > 0 {
+		p.queue = append(again, p.queue...)
+		c.dirty[p] = true
+	}
+}
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -187,7 +187,7 @@
 		t.Fatalf("%d tasks are bound of a job that was emptied and cancelled", open.bound)
 	}
 	c.propose(open, 0, change{machine: m.id})
-	c.flushPage(p)
+	c.flushPages(p, nil)
 	if len(p.queue) > 0 || c.dirty[p] {
 		t.Error("a change of a page that is gone waits for ever")
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -13,6 +13,7 @@
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/budget"
 	"silvergate/internal/job"
+	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
 )
 
@@ -239,7 +240,7 @@
 		rec := m.bound[k]
 		t := rec.task(c, k.index)
 		if !c.ending(rec, k.index) {
-			c.propose(rec, k.index, change{machine: id, session: t.Session, try: t.Try})
+			c.propose(rec, k.index, change{machine: id, session: t.Session, try: t.Try, why: losses.Cloud})
 		}
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"silvergate/internal/job"
+	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
 )
 
@@ -186,9 +187,7 @@
 	if !c.hasRoom(m) {
 		c.unlist(m)
 	}
-	if c.verbose {
-		c.log.Debug("placing", "load", job.TaskName(r.spec.ID, index), "stoker", m.id)
-	}
+	c.traceStart(losses.Placing, r.spec.ID, index, 0, m.id)
 }
 
 // nextTry is the attempt of a gang's next start. The tasks of one attempt
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -226,9 +226,11 @@
 	}
 }
 
-// began notes when a task was first seen running.
-func (m *machine) began(k taskKey, at time.Duration) {
-	if _, ok := m.begun[k]; !ok {
+// began notes when a task was first seen running, and tells whether this is it.
+func (m *machine) began(k taskKey, at time.Duration) bool {
+	_, was := m.begun[k]
+	if !was {
 		m.begun[k] = at
 	}
+	return !was
 }
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -10,11 +10,9 @@
 	"strings"
 	"time"
 
-	"silvergate/internal/bookkeeping"
-	"silvergate/internal/budget"
 	"silvergate/internal/config"
 	"silvergate/internal/job"
-	"silvergate/internal/protocol"
+	"silvergate/internal/losses"
 )
 
 // record is a mirrored job.
@@ -254,6 +252,9 @@
 		}
 		delete(r.placed, k.index)
 		c.unline(r, k.index)
+		if c.mine(m) {
+			c.traceStart(losses.Bound, k.id, k.index, t.Try, m.id)
+		}
 		if t.Session == m.session {
 			c.launchSoon(m.id, k, t.Try) // also when a peer's gang was bound to our machine
 		}
@@ -346,6 +347,8 @@
 	failed  bool
 	guard   bool   // the evidence holds only under our claim
 	token   uint64 // of the claim under which it was found
+	why     string // what kind of evidence, for the log
+	at      time.Duration
 }
 
 // propose queues a change of a task; the page's next transaction carries it.
@@ -366,253 +369,32 @@
 	if len(p.queue) == 0 {
 		p.since = c.now
 	}
+	ch.at = c.now
 	p.queue = append(p.queue, ch)
 	c.dirty[p] = true
-}
-
-// flush sends transactions for pages that have changes and none under way, as
-// long as the budget lasts. A transaction is built when it can be sent and not
-// before: what comes up meanwhile goes with it, and it is conditional on the
-// latest mirror. A team's record is in one transaction of ours at a time.
-func (c *Core) flush() {
-	c.delayed = len(c.dirty) > 0 && c.now < c.flushAt
-	if c.delayed {
-		return
-	}
-	c.store.Forgo()
-	if len(c.dirty) == 0 || !c.store.Ready() {
-		return
-	}
-	var denied [budget.Classes]bool
-	for _, p := range c.ripe() {
-		class := p.class()
-		if denied[class] {
-			continue
-		}
-		if !c.store.CanSend(class, 3) { // page, team and job
-			denied[class], c.delayed = true, true
-			// About when the share of the rate allows the next request.
-			c.flushAt = c.now + seconds(float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.RPS)
-			continue
-		}
-		c.flushPage(p)
-		c.store.Tick(c.now)
+	if c.verbose && !ch.place {
+		c.traceEnding(losses.Evidence, r, index, ch)
 	}
 }
 
-// class is what a page's changes are for.
-func (p *page) class() budget.Class {
-	if p.rec.spec.Priority == job.Production {
-		return budget.Rescue
+// traceEnding and traceStart write the steps of an attempt to the debug log, as
+// internal/losses reads them.
+func (c *Core) traceEnding(step string, r *record, index int, ch change) {
+	var silent time.Duration
+	if m := c.machines[ch.machine]; m != nil && m.heard > 0 {
+		silent = c.now - m.heard
 	}
-	return budget.Work
-}
-
-// ripe lists the pages that could be written now: production first, then
-// those that have waited longest, so that under pressure each write carries as
-// many changes as any.
-func (c *Core) ripe() []*page {
-	var out []*page
-	for p := range c.dirty {
-		switch {
-		case p.busy: // its answer is awaited
-		case c.now < p.retry:
-			c.delayed = true
-		default:
-			out = append(out, p)
-		}
+	if ch.why == losses.Lease { // as far as anybody can know, it ran on until then
+		silent = max(0, silent-seconds(c.cfg.Facts.Workers.Lease))
 	}
-	slices.SortFunc(out, func(a, b *page) int {
-		switch x, y := a.class(), b.class(); {
-		case x != y:
-			return cmp.Compare(x, y)
-		case a.since != b.since:
-			return cmp.Compare(a.since, b.since)
-		case a.rec != b.rec:
-			return turnOrder(a.rec, b.rec)
-		}
-		return cmp.Compare(a.num, b.num)
-	})
-	return out
+	c.log.Debug(step, "load", job.TaskName(r.spec.ID, index), "try", ch.try, "stoker", ch.machine, "class", r.spec.Class,
+		"urgency", int(r.spec.Priority), "why", ch.why, "done", ch.done, "silentMs", silent.Milliseconds())
 }
 
-func (c *Core) flushPage(p *page) {
-	r := p.rec
-	if p.tasks == nil { // nothing of it is bound or can be placed
-		for _, ch := range p.queue {
-			if ch.place {
-				c.unreserve(r, p.num*c.pageTasks()+ch.index)
-			}
-		}
-		p.queue = nil
-		delete(c.dirty, p)
-		return
-	}
-	tm := c.teams[r.spec.Team]
-	charge := tm != nil && limited(tm)
-	if charge && tm.busy {
-		return
-	}
-	tasks := append([]job.Task(nil), p.tasks...)
-	base := p.num * c.pageTasks()
-	conds := []protocol.Cond{{Key: keyJob + p.id, Stamp: r.stamp}, {Key: pageKey(p.id, p.num), Stamp: p.stamp}}
-	room := 4*c.cfg.Facts.State.TxnOps - 4
-	machines := map[string]bool{}
-	var use usage
-	if tm != nil {
-		use = tm.use
-	}
-	var taken, rest []change
-	spoilt := false // a gang starts whole or not at all
-	for _, ch := range p.queue {
-		t := &tasks[ch.index]
-		k := taskKey{p.id, base + ch.index}
-		if ch.place {
-			m := c.machines[ch.machine]
-			ok := t.Phase == job.Pending && !r.final() && m != nil && c.usable(r, m, ch.session)
-			u := use.plus(r.spec, 1)
-			if ok && charge && !tm.within(u) {
-				ok = false
-			}
-			// Guards against a peer's placement that came into the mirror
-			// after this one was proposed: zones are judged again with what
-			// the transaction is conditional on.
-			ok = ok && c.zoneStillOK(r, p, tasks, m.claim.Zone)
-			if !ok {
-				c.unreserve(r, k.index)
-				spoilt = multi(r)
-				continue
-			}
-			if !machines[m.id] {
-				if len(conds)+2 > room {
-					rest = append(rest, ch)
-					continue
-				}
-				machines[m.id] = true
-				conds = append(conds, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}, protocol.Cond{Key: keyDrain + m.id})
-			}
-			use = u
-			*t = job.Task{Phase: job.Bound, Try: t.Try + 1, Machine: m.id, Session: ch.session, Fails: t.Fails}
-			if r.spec.Shape == job.Gang {
-				t.Try = max(t.Try, ch.try)
-			}
-			taken = append(taken, ch)
-			continue
-		}
-		if t.Phase != job.Bound || t.Machine != ch.machine || t.Session != ch.session || t.Try != ch.try {
-			continue // overtaken
-		}
-		if ch.guard {
-			m := c.machines[ch.machine]
-			// Guards against evidence that outlives its claim: a controller
-			// cut off from the state service held the end of a lease to be
-			// over, while a peer answered the worker. When the worker came
-			// back, the release was committed under the new claim, and the
-			// task ran twice.
-			if m == nil || !c.mine(m) || m.stamp != ch.token {
-				continue
-			}
-			if !machines[m.id] {
-				if len(conds)+2 > room {
-					rest = append(rest, ch)
-					continue
-				}
-				machines[m.id] = true
-				conds = append(conds, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp})
-			}
-		}
-		use = use.plus(r.spec, -1)
-		nt := job.Task{Try: t.Try, Fails: t.Fails}
-		if ch.done {
-			nt.Phase = job.Finished
-		} else if ch.failed {
-			nt.Fails++
-		}
-		*t = nt
-		taken = append(taken, ch)
-	}
-	if spoilt {
-		for _, ch := range append(taken, rest...) {
-			if ch.place {
-				c.unreserve(r, base+ch.index)
-			}
-		}
-		// Only endings remain; the next flush takes them.
-		p.queue = withoutPlaces(append(taken, rest...))
-		if len(p.queue) == 0 {
-			delete(c.dirty, p)
-		}
-		return
-	}
-	p.queue, p.since = rest, c.now
-	if len(rest) == 0 {
-		delete(c.dirty, p)
-	}
-	if len(taken) == 0 {
-		return
-	}
-	ops := []protocol.Op{{Write: pageKey(p.id, p.num), Data: c.encodePage(tasks)}}
-	if charge {
-		conds = append(conds, protocol.Cond{Key: keyTeam + r.spec.Team, Stamp: tm.stamp})
-		ops = append(ops, protocol.Op{Write: keyTeam + r.spec.Team, Data: encode(use)})
-		tm.busy = true
-	}
-	finished := r.finished
-	for i := range tasks {
-		if tasks[i].Phase == job.Finished && p.tasks[i].Phase != job.Finished {
-			finished++
-		}
+func (c *Core) traceStart(step string, id string, index, try int, stoker string) {
+	if c.verbose {
+		c.log.Debug(step, "load", job.TaskName(id, index), "try", try, "stoker", stoker)
 	}
-	spansPages := len(r.pages) > 1 && (r.spec.OneZone || r.spec.Spread)
-	switch {
-	case finished == r.spec.Tasks && r.status == job.Open:
-		// Finished tasks stay finished, so the other pages need no condition.
-		ops = append(ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, job.Done, r.at, r.home})})
-	case spansPages:
-		// Zones are judged over all pages; rewriting the job record makes
-		// placements of different pages exclude one another.
-		ops = append(ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, r.status, r.at, r.home})})
-	}
-	p.busy = true
-	c.store.Txn(p.class(), conds, ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
-		p.busy = false
-		if charge {
-			tm.busy = false
-		}
-		for _, ch := range taken {
-			if ch.place {
-				c.unreserve(r, base+ch.index)
-			}
-		}
-		if o == bookkeeping.OK {
-			for _, ch := range taken {
-				if ch.place {
-					c.Stats.Placements++
-				} else {
-					c.Stats.Endings++
-					c.freed(ch.machine)
-					if !ch.done {
-						c.again(r, base+ch.index)
-					}
-				}
-			}
-			return
-		}
-		if o == bookkeeping.Conflict {
-			c.Stats.Conflicts++
-		}
-		c.log.Debug("transaction failed", "job", p.id, "page", p.num, "outcome", int(o), "failed", failed)
-		// Endings are proposed again; placements look for a place again. The
-		// mirror needs a moment to catch up with whoever was faster, and an
-		// unknown outcome shows in it.
-		p.retry = c.now + seconds(0.05+0.1*c.rnd.Float64())
-		for _, ch := range taken {
-			if !ch.place {
-				p.queue = append(p.queue, ch)
-				c.dirty[p] = true
-			}
-		}
-	})
 }
 
 func (c *Core) reserve(r *record, index int, m *machine) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -9,6 +9,7 @@
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/budget"
 	"silvergate/internal/job"
+	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
 )
 
@@ -525,7 +526,9 @@
 		}
 		switch l.Status {
 		case protocol.LoadRunning:
-			m.began(k, c.now)
+			if m.began(k, c.now) {
+				c.traceStart(losses.Began, k.id, k.index, l.Try, m.id)
+			}
 			m.images[rec.spec.Image] = min(m.images[rec.spec.Image], c.now)
 			delete(m.pulling, k)
 		case protocol.LoadPulling:
@@ -546,6 +549,7 @@
 		t := rec.task(c, k.index)
 		gone := change{machine: m.id, session: t.Session, try: t.Try}
 		if t.Session < r.Shift {
+			gone.why = losses.Session
 			c.propose(rec, k.index, gone) // its session is over
 			continue
 		}
@@ -562,7 +566,7 @@
 				continue
 			}
 			if at, ok := m.sent[k]; !ok || at < r.Tally {
-				gone.guard = true
+				gone.guard, gone.why = true, losses.Absent
 				c.propose(rec, k.index, gone)
 				delete(m.stops, k)
 			}
@@ -572,6 +576,7 @@
 			continue // never launch what is about to be committed as ended
 		}
 		m.sent[k] = r.Tally
+		c.traceStart(losses.Launch, k.id, k.index, t.Try, m.id)
 		orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: t.Try})
 	}
 	for k := range m.stops {
@@ -610,7 +615,7 @@
 }
 
 func (c *Core) ended(m *machine, rec *record, k taskKey, t *job.Task, l *protocol.Load) {
-	ch := change{machine: m.id, session: t.Session, try: t.Try, done: l.Cause == protocol.CauseDone, failed: l.Cause == protocol.CauseError}
+	ch := change{machine: m.id, session: t.Session, try: t.Try, done: l.Cause == protocol.CauseDone, failed: l.Cause == protocol.CauseError, why: l.Cause}
 	if ch.failed {
 		m.errors[k.id] = true
 		if rec.failedOn == nil {
@@ -688,7 +693,7 @@
 				rec := m.bound[k]
 				t := rec.task(c, k.index)
 				if t.Session <= m.session && !c.ending(rec, k.index) {
-					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, guard: true})
+					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, guard: true, why: losses.Lease})
 				}
 			}
 		}
@@ -797,6 +802,7 @@
 	if len(m.soon) == 0 {
 		c.launching = append(c.launching, m)
 	}
+	c.traceStart(losses.Launch, k.id, k.index, try, id)
 	m.soon = append(m.soon, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: try})
 	m.direct[k] = try
 }
