Controllers tell one another when they want more of the state service's rates

Cause: after a mass failure one controller, the fleet's leader, has hundreds of endings to commit, at its equal share of 30 changes a second and a tenth more each second, while the others' shares lie idle: endings of urgent work took 2.3 s at the median. Beats now say whether work waits for the rates, and those that are hungry share at once what the others hardly use; the service's refusals still halve it.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -218,6 +218,13 @@
 	s.budget.Advance(now)
 }
 
+// Hungry tells whether something has waited for the budget of late, and Peers
+// takes how many other controllers have said so or have not been heard.
+func (s *Store) Hungry() bool { return s.budget.Hungry() }
+
+// Peers is the other direction of Hungry.
+func (s *Store) Peers(hungry int) { s.budget.Peers(hungry) }
+
 // CanSend tells whether a transaction of this class with so many changes would
 // be sent at once. Whoever asks first builds it from the latest mirror, and
 // what comes up until then can go with it. What is refused is saved for, until
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -57,6 +57,10 @@
 	// something waits, and halves on a refusal, after which it stays for a while.
 	borrowPerS = 0.1
 	borrowRest = 5 * time.Second
+	// hungry is how long a wait counts, and calmUse the part of its equal share
+	// that a controller is taken to use when nothing waits there.
+	hungry  = 2 * time.Second
+	calmUse = 0.5
 	// margin keeps clear of the service's own count.
 	margin = 0.95
 )
@@ -76,6 +80,8 @@
 	most     float64
 	starved  bool          // something waited for it since the last fill
 	limited  time.Duration // when the service last refused for its rate
+	hungryAt time.Duration // when something last waited for it
+	offered  float64       // share that the peers leave, by their word
 
 	waits [Classes]wait
 	tags  [Classes]float64 // when a class's next turn begins, in its tier's virtual time
@@ -90,7 +96,7 @@
 // New makes a budget of an equal share.
 func New(r Rates) *Budget {
 	n := float64(max(1, r.Controllers))
-	b := &Budget{share: 1, most: n}
+	b := &Budget{share: 1, most: n, offered: 1, hungryAt: -hungry}
 	b.requests = bucket{rate: r.Requests / n * margin, burst: max(r.Requests/n*0.5, 2)} // a request, and one that waits for changes
 	b.changes = bucket{rate: r.Changes / n * margin, burst: max(r.Changes/n*0.5, float64(r.Txn))}
 	b.requests.level, b.changes.level = b.requests.burst, b.changes.burst
@@ -107,11 +113,30 @@
 	case !b.starved:
 		b.share = max(1, b.share-borrowPerS*d.Seconds())
 	case now-b.limited > borrowRest || b.limited == 0:
-		b.share = min(b.most, b.share+borrowPerS*d.Seconds())
+		b.share = min(b.most, max(b.share+borrowPerS*d.Seconds(), b.offered))
+	}
+	if b.starved {
+		b.hungryAt = now
 	}
 	b.starved = b.starved && d == 0
 }
 
+// Hungry tells whether something has waited for the budget of late. Peers that
+// know it leave more.
+func (b *Budget) Hungry() bool { return b.now-b.hungryAt < hungry }
+
+// Peers takes how many of the others are hungry, those that have not been heard
+// included. The hungry ones share what the others hardly use, at once: a controller
+// that alone has a mass failure to work off would else take half a minute to borrow
+// it. Nothing depends on the word being true, as the service refuses what is over.
+func (b *Budget) Peers(others int) {
+	calm := b.most - 1 - float64(others)
+	b.offered = max(1, (b.most-calm*calmUse)/(1+float64(others)))
+	if others > 0 {
+		b.share = min(b.share, max(1, b.offered))
+	}
+}
+
 // Refused tells that the service said it was asked too often.
 func (b *Budget) Refused() { b.share, b.limited = max(1, b.share/2), b.now }
 
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -31,8 +31,12 @@
 	Offer   *Offer
 }
 
-// Beat tells peers how old the sender's last proof of a fresh mirror is.
-type Beat struct{ FreshMS int64 }
+// Beat tells peers how old the sender's last proof of a fresh mirror is, and
+// whether its work waits for the state service's rates.
+type Beat struct {
+	FreshMS int64
+	Hungry  bool
+}
 
 // Ask asks a peer which cancellations it knows of that the asker's mirror,
 // complete up to Ledger, does not hold. At is the asker's steady clock and comes
@@ -59,8 +63,22 @@
 const starting = time.Hour
 
 type beat struct {
-	at    time.Duration
-	fresh time.Duration
+	at     time.Duration
+	fresh  time.Duration
+	hungry bool
+}
+
+// shareOut tells the budget how many peers want more than their share. One that
+// has not been heard may want it too, or be gone: its record tells.
+func (c *Core) shareOut() {
+	n := 0
+	for _, p := range c.cfg.Peers {
+		b := c.beats[p.Node]
+		if heard := b.at > 0 && c.now-b.at < seconds(c.cfg.Facts.Workers.Report); heard && b.hungry || !heard && c.members[p.Node] != nil {
+			n++
+		}
+	}
+	c.store.Peers(n)
 }
 
 func (c *Core) applyMember(name string, data json.RawMessage) {
@@ -82,6 +100,7 @@
 func (c *Core) membership() {
 	if c.now >= c.beatAt {
 		c.beatAt = c.now + seconds(c.cfg.Facts.Workers.Report/3)
+		c.shareOut()
 		age := c.now - c.store.Fresh()
 		if !c.store.Ready() {
 			age = starting
@@ -91,7 +110,7 @@
 			if blind {
 				c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Ask: &Ask{c.now, c.store.Ledger()}}})
 			}
-			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds()}}})
+			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds(), c.store.Hungry()}}})
 		}
 	}
 	if !c.store.Ready() || c.granting {
@@ -142,7 +161,8 @@
 func (c *Core) peerMessage(from string, m Message) {
 	switch {
 	case m.Beat != nil:
-		c.beats[from] = beat{c.now, time.Duration(m.Beat.FreshMS) * time.Millisecond}
+		c.beats[from] = beat{c.now, time.Duration(m.Beat.FreshMS) * time.Millisecond, m.Beat.Hungry}
+		c.shareOut()
 	case m.Ask != nil && c.store.Ready():
 		// Not before the records are read: an earlier life of ours may have
 		// told users what this one does not know yet.
