Production work gets room from gangs when nothing else can be stopped

The users: 'ahead of any antrenare'. The smallest exception: production work alone, where no other stop makes room, one gang's machine at a time, without saving.

--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -258,7 +258,7 @@
 	if c.fits(r, m) || len(m.stops) > 0 {
 		return
 	}
-	set, _, ok := c.evict(r, m)
+	set, _, ok := c.evict(r, m, false)
 	if !ok {
 		return
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -25,6 +25,9 @@
 				continue
 			}
 			m, victims := c.victims(r, false)
+			if m == nil {
+				m, victims = c.gangVictims(r)
+			}
 			if m == nil {
 				break // the job's tasks are alike
 			}
@@ -39,7 +42,11 @@
 	w.stopped = c.now + seconds(c.cfg.Facts.Workers.Report)
 	m.keep(r.spec.ID, w.stopped, "")
 	for _, k := range victims {
-		c.stop(m, k, "preempted")
+		why := "preempted"
+		if multi(m.bound[k]) {
+			why = stopGang
+		}
+		c.stop(m, k, why)
 		c.Stats.Preemptions++
 	}
 	c.log.Debug("preempting", "for", r.spec.ID, "stoker", m.id, "victims", len(victims))
@@ -86,7 +93,7 @@
 		if warm && c.fetchTime(r.spec, m) > 0 {
 			continue
 		}
-		set, cost, ok := c.evict(r, m)
+		set, cost, ok := c.evict(r, m, false)
 		if !ok {
 			continue
 		}
@@ -103,9 +110,48 @@
 	return best, bestSet
 }
 
+// gangVictims finds a machine where production work gets room at a gang's cost:
+// what is lost with a third of the machines is up again before training is.
+// Elsewhere gangs are not stopped, as one task's end ends them all. One at a time:
+// the room of a whole machine, and soon that of the gang's others, serves several
+// that wait.
+func (c *Core) gangVictims(r *record) (*machine, []taskKey) {
+	if r.spec.Priority < job.Production {
+		return nil, nil
+	}
+	for _, m := range c.ours {
+		for _, s := range m.stops {
+			if s.why == stopGang {
+				return nil, nil
+			}
+		}
+	}
+	var best *machine
+	var bestSet []taskKey
+	bestCost := 0.0
+	seen := 0
+	start := c.rnd.IntN(max(1, len(c.ours)))
+	for i := 0; i < len(c.ours) && seen < compared; i++ {
+		m := c.ours[(start+i)%len(c.ours)]
+		if len(m.bound) == m.services || len(m.stops) > 0 || c.now < m.holdTill || c.barred(m) || !c.couldHold(r, m) || !c.zoneOK(r, m.claim.Zone) {
+			continue
+		}
+		set, cost, ok := c.evict(r, m, true)
+		if !ok {
+			continue
+		}
+		seen++
+		if cost += c.fetchTime(r.spec, m); best == nil || cost < bestCost {
+			best, bestSet, bestCost = m, set, cost
+		}
+	}
+	return best, bestSet
+}
+
 // evict picks the tasks of lower priority to stop on a machine, cheapest
-// first, and tells what work that loses in seconds of task time.
-func (c *Core) evict(r *record, m *machine) (set []taskKey, cost float64, ok bool) {
+// first, and tells what work that loses in seconds of task time. With gangs, those
+// of several tasks may be among them.
+func (c *Core) evict(r *record, m *machine, gangs bool) (set []taskKey, cost float64, ok bool) {
 	type victim struct {
 		k    taskKey
 		rec  *record
@@ -113,10 +159,14 @@
 	}
 	var all []victim
 	for k, v := range m.bound {
-		if v.spec.Priority >= r.spec.Priority || multi(v) || v.final() {
+		if v.spec.Priority >= r.spec.Priority || multi(v) && !gangs || v.final() {
 			continue
 		}
-		all = append(all, victim{k, v, c.lossOf(m, k, v)})
+		cost := c.lossOf(m, k, v)
+		if multi(v) {
+			cost *= float64(v.spec.Tasks)
+		}
+		all = append(all, victim{k, v, cost})
 	}
 	slices.SortFunc(all, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.rec.spec.Priority, b.rec.spec.Priority), cmp.Compare(a.cost, b.cost), a.k.compare(b.k))
@@ -179,6 +229,9 @@
 	}
 }
 
+// stopGang is why a task is stopped that takes its gang with it.
+const stopGang = "preempted with its gang"
+
 // stop tells a worker to stop a task, directly and with every answer until it
 // has. A stop that is carried out late does no harm: it names the attempt.
 func (c *Core) stop(m *machine, k taskKey, why string) {
@@ -188,7 +241,7 @@
 	}
 	t := rec.task(c, k.index)
 	grace := 0.0
-	if rec.spec.Checkpoint > 0 {
+	if rec.spec.Checkpoint > 0 && !multi(rec) { // a gang saves when all are told in time
 		grace = rec.spec.Save * 2
 	}
 	m.stops[k] = stop{grace, why, c.now}
