Zones that are cut off, many machines that hang, and endings that make room

A zone of which eight reports in a row are missing is taken for cut off at once, and its machines are kept for as long as another takes to boot. - The plan counted on the free room of machines that nobody could reach, and rented where nobody could use it. Beats say in which zones a controller hears its machines; dark zones are left out. - A controller with more than half of its machines hanging took itself for cut off and found them 8 s later. A quarter that is heard is enough. - Endings of what was stopped for urgent work waited with lesser work.

--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -26,6 +26,7 @@
 	ops      []protocol.Op
 	size     int // of the transaction at the most, in bytes
 	parts    []part
+	class    budget.Class
 }
 
 // part is what a batch takes of a page's queue.
@@ -78,7 +79,7 @@
 
 // class is what a page's changes are for.
 func (p *page) class() budget.Class {
-	if p.rec.spec.Priority == job.Production {
+	if p.rush || p.rec.spec.Priority == job.Production {
 		return budget.Rescue
 	}
 	return budget.Work
@@ -116,7 +117,7 @@
 // further pages of the same team and class.
 func (c *Core) flushPages(first *page, more []*page) {
 	tm := c.teams[first.rec.spec.Team]
-	b := &batch{team: tm, charge: tm != nil && limited(tm), machines: map[string]bool{}}
+	b := &batch{team: tm, charge: tm != nil && limited(tm), machines: map[string]bool{}, class: first.class()}
 	if first.tasks != nil && b.charge && tm.busy {
 		return
 	}
@@ -129,10 +130,10 @@
 		for _, p := range more {
 			// One page of a job at a time: its zones and its end are judged
 			// with the other pages as the mirror has them.
-			if p.class() != first.class() || p.rec.spec.Team != first.rec.spec.Team || p.tasks == nil || jobs[p.rec] || p.busy {
+			if p.class() != b.class || p.rec.spec.Team != first.rec.spec.Team || p.tasks == nil || jobs[p.rec] || p.busy {
 				continue
 			}
-			if !c.hasPlace(b, p) || !c.store.Could(first.class(), len(b.ops)+opsOfPage) {
+			if !c.hasPlace(b, p) || !c.store.Could(b.class, len(b.ops)+opsOfPage) {
 				break
 			}
 			jobs[p.rec] = true
@@ -259,7 +260,7 @@
 		drop()
 		return
 	}
-	p.queue, p.since = rest, c.now
+	p.queue, p.since, p.rush = rest, c.now, false
 	if len(rest) == 0 {
 		delete(c.dirty, p)
 	}
@@ -302,7 +303,7 @@
 	for _, part := range b.parts {
 		part.p.busy = true
 	}
-	c.store.Txn(b.parts[0].p.class(), b.conds, b.ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
+	c.store.Txn(b.class, b.conds, b.ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
 		if b.charge {
 			tm.busy = false
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -43,6 +43,56 @@
 	deleting map[string]bool
 	lost     map[string]time.Duration // claimed by the dead, since when
 	planAt   time.Duration
+	seen     map[string]sight // by controller
+}
+
+// sight is in which zones a controller hears machines of its own, and in which
+// none of them any more.
+type sight struct {
+	at        time.Duration
+	lit, dark []string
+}
+
+// see takes what this controller hears. A zone is dark when nothing of it was
+// heard for a while.
+func (f *fleet) see(node string, now time.Duration, zones map[string]*zoneHeard, while time.Duration) {
+	v := sight{at: now}
+	for _, z := range sortedKeys(zones) {
+		switch h := zones[z]; {
+		case now-h.newest <= while:
+			v.lit = append(v.lit, z)
+		case h.held >= 4:
+			v.dark = append(v.dark, z)
+		}
+	}
+	f.seen[node] = v
+}
+
+// zoneDark tells whether a zone seems to be cut off: no controller that can be
+// heard hears a machine there, and one has lost all it held there, or the zone's
+// own controllers are gone. What is rented or counted on there is of no use until
+// it is back. It is a guess that costs money or time and never a rule.
+func (c *Core) zoneDark(zone string) bool {
+	dark := false
+	for _, v := range c.fleet.seen {
+		if c.now-v.at > seconds(c.cfg.Facts.Workers.Report) {
+			continue
+		}
+		if slices.Contains(v.lit, zone) {
+			return false
+		}
+		dark = dark || slices.Contains(v.dark, zone)
+	}
+	locals, gone := 0, 0
+	for _, p := range c.cfg.Peers {
+		if p.Zone == zone {
+			locals++
+			if !c.alive(p.Node) && c.held[p.Node] > 0 {
+				gone++
+			}
+		}
+	}
+	return dark || locals > 0 && gone == locals && c.cfg.Zone != zone
 }
 
 type place struct {
@@ -72,7 +122,7 @@
 }
 
 func (f *fleet) init() {
-	f.rentals = map[string]*rental{}
+	f.rentals, f.seen = map[string]*rental{}, map[string]sight{}
 	f.refused, f.strikes = map[place]time.Duration{}, map[place]int{}
 	f.fenced = map[string]bool{}
 	f.gone, f.deleting, f.lost = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
@@ -494,6 +544,12 @@
 	}
 	known := map[string]bool{}
 	zones := map[string]int{} // machines in each
+	dark := map[string]bool{}
+	for _, z := range c.cfg.Facts.Zones {
+		if dark[z] = c.zoneDark(z); dark[z] {
+			zones[z] = 1 << 20 // nothing is rented there while there is another way
+		}
+	}
 	for id, m := range c.machines {
 		known[id] = m.stamp != 0
 		if m.stamp != 0 {
@@ -502,6 +558,10 @@
 		if _, drained := c.drains[id]; drained || m.stamp == 0 || m.draining {
 			continue
 		}
+		if dark[m.claim.Zone] || c.mine(m) && m.released {
+			m.idleAt = c.now // nobody can use it now; it is not idle by choice
+			continue
+		}
 		add(id, place{m.claim.Type, m.claim.Zone, m.claim.Spot}, m)
 	}
 	for id, l := range f.listed {
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -31,11 +31,13 @@
 	Offer   *Offer
 }
 
-// Beat tells peers how old the sender's last proof of a fresh mirror is, and
-// whether its work waits for the state service's rates.
+// Beat tells peers how old the sender's last proof of a fresh mirror is, whether
+// its work waits for the state service's rates, and in which zones it hears
+// machines of its own, or none of them any more.
 type Beat struct {
-	FreshMS int64
-	Hungry  bool
+	FreshMS   int64
+	Hungry    bool
+	Lit, Dark []string
 }
 
 // Ask asks a peer which cancellations it knows of that the asker's mirror,
@@ -101,6 +103,7 @@
 	if c.now >= c.beatAt {
 		c.beatAt = c.now + seconds(c.cfg.Facts.Workers.Report/3)
 		c.shareOut()
+		own := c.fleet.seen[c.cfg.Node]
 		age := c.now - c.store.Fresh()
 		if !c.store.Ready() {
 			age = starting
@@ -110,7 +113,7 @@
 			if blind {
 				c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Ask: &Ask{c.now, c.store.Ledger()}}})
 			}
-			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds(), c.store.Hungry()}}})
+			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds(), c.store.Hungry(), own.lit, own.dark}}})
 		}
 	}
 	if !c.store.Ready() || c.granting {
@@ -162,6 +165,7 @@
 	switch {
 	case m.Beat != nil:
 		c.beats[from] = beat{c.now, time.Duration(m.Beat.FreshMS) * time.Millisecond, m.Beat.Hungry}
+		c.fleet.seen[from] = sight{c.now, m.Beat.Lit, m.Beat.Dark}
 		c.shareOut()
 	case m.Ask != nil && c.store.Ready():
 		// Not before the records are read: an earlier life of ours may have
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -65,6 +65,7 @@
 	queue   []change
 	since   time.Duration // when the first change of the queue was proposed
 	busy    bool
+	rush    bool // an ending in the queue makes room that production work waits for
 	retry   time.Duration
 }
 
@@ -356,8 +357,15 @@
 	n := c.pageTasks()
 	p := r.pages[index/n]
 	ch.index = index % n
-	if m := c.machines[ch.machine]; m != nil && ch.guard {
-		ch.token = m.stamp
+	if m := c.machines[ch.machine]; m != nil && !ch.place {
+		if ch.guard {
+			ch.token = m.stamp
+		}
+		// Guards against room that urgent work has had cleared and that stays
+		// bound, as the ending of what was stopped there waits with lesser work.
+		if r := c.jobs[m.holdFor]; r != nil && r.spec.Priority == job.Production && c.now < m.holdTill {
+			p.rush = true
+		}
 	}
 	for i := range p.queue {
 		if p.queue[i].index == ch.index && p.queue[i].place == ch.place {
--- a/internal/coordination/recover_test.go
+++ b/internal/coordination/recover_test.go
@@ -52,3 +52,65 @@
 		s.report(t)
 	}
 }
+
+// TestZoneThatIsCutOffIsSeenAtOnce guards against the machines that reported
+// longest ago: in the first seconds of a cut they alone were overdue, and were
+// returned (34 of shiftbook-akl-fleet's, day zone).
+func TestZoneThatIsCutOffIsSeenAtOnce(t *testing.T) {
+	now, report := 100*time.Second, 8*time.Second
+	for _, c := range []struct {
+		name string
+		z    zoneHeard
+		cut  bool
+	}{
+		{"no report of a hundred for a second", zoneHeard{held: 100, quiet: 12, newest: now - time.Second}, true},
+		{"a hundred, the last just now", zoneHeard{held: 100, quiet: 12, newest: now - 100*time.Millisecond}, false},
+		{"half of a hundred quiet", zoneHeard{held: 100, quiet: 50, newest: now - 200*time.Millisecond}, false},
+		{"most quiet, one heard just now", zoneHeard{held: 100, quiet: 80, newest: now}, true},
+		{"three machines, all quiet", zoneHeard{held: 3, quiet: 3, newest: now - 30*time.Second}, false},
+		{"five machines, all quiet", zoneHeard{held: 5, quiet: 5, newest: now - 11*time.Second}, true},
+	} {
+		if got := c.z.cut(now, report); got != c.cut {
+			t.Errorf("%s: cut %v", c.name, got)
+		}
+	}
+}
+
+// TestMostOfAControllersMachinesHang guards against a controller that took itself
+// for cut off when more than half of its machines hung: they were returned twice
+// as late, and their free room was planned with meanwhile (carbura-iasi-fleet,
+// day zone: replicas without room for 45 s).
+func TestMostOfAControllersMachinesHang(t *testing.T) {
+	s := grownSim(41)
+	s.told.Limits.MaxSockets = 2000
+	s.loadGrown(140 * time.Second)
+	s.run(100 * time.Second)
+	c := s.nodes[0].core
+	hung := map[string]bool{}
+	for i, m := range c.ours {
+		if i%5 < 3 {
+			for _, w := range s.cloud.sorted() {
+				if w.name == m.id {
+					w.hung = s.now + 60*time.Second
+					hung[m.id] = true
+				}
+			}
+		}
+	}
+	found := func() (n int) {
+		for id := range hung {
+			if s.kv.drains[keyDrain+id] > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	s.run(100*time.Second + seconds(3*s.facts.Workers.Report))
+	n := found()
+	t.Logf("%d of %d hung machines found, of %d", n, len(hung), len(c.ours))
+	if len(hung) < 20 || n < len(hung)*9/10 {
+		t.Errorf("%d of %d hung machines are found three report periods later", n, len(hung))
+	}
+	s.finish(t, 160*time.Second)
+	s.report(t)
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -681,7 +681,9 @@
 			z.quiet++
 		}
 		z.held++
+		z.newest = max(z.newest, m.heard)
 	}
+	c.fleet.see(c.cfg.Node, c.now, zones, seconds(1.25*w.Report))
 	for _, m := range c.ours {
 		if c.now-m.heard > entryAge {
 			c.unlist(m)
@@ -698,37 +700,48 @@
 			}
 		}
 		// A report is overdue, the machine did not answer us twice either, and
-		// most others were heard within one report period, so it is not we
+		// a quarter of all were heard within one report period, so it is not we
 		// who are cut off: that is enough. (Cut off from all workers, nobody
-		// would have been heard for so long.)
+		// would have been heard for so long.) Guards against a controller that
+		// takes itself for cut off when more than half of its machines hang.
 		quiet := c.now - m.heard
 		if quiet > seconds(1.35*w.Report) && !m.asking && c.now >= m.askAt {
 			c.askStatus(m)
 		}
-		fast := quiet > seconds(1.75*w.Report) && m.mute > 1 && recent*2 >= mine
-		if !blind && (fast || quiet > silent && (heard*2 >= mine || quiet > c.leaseOver())) &&
-			(!zones[m.claim.Zone].cut() || quiet > c.leaseOver()+silent) {
+		fast := quiet > seconds(1.75*w.Report) && m.mute > 1 && recent*4 >= mine
+		if !blind && (fast || quiet > silent && (heard*4 >= mine || quiet > c.leaseOver())) &&
+			(!zones[m.claim.Zone].cut(c.now, seconds(w.Report)) || quiet > c.leaseOver()+silent+seconds(c.kind(m).StartupS)) {
 			c.drain(m, drainSilent)
 		}
 	}
 	if c.held[c.cfg.Node] > len(c.ours) && !blind {
-		c.watchEarlier(recent*2 >= mine)
+		c.watchEarlier(recent*4 >= mine)
 	}
 }
 
 // zoneHeard counts machines of ours in a zone, and those of them whose report
 // is overdue.
-type zoneHeard struct{ held, quiet int }
+type zoneHeard struct {
+	held, quiet int
+	newest      time.Duration // when the last report of any came
+}
 
 // cut tells whether it is the zone that can't be heard, and not single machines
-// of it: several are quiet, and more than three quarters of all.
+// of it: several are quiet, and more than three quarters of all; or no report
+// came in a time in which eight should have.
 //
 // Guards against a zone that is cut off, has no controller in it, and has all
 // its machines returned. Their tasks run on for the lease, and may outlast the
 // cut; after that they are free without a deletion, and the machines go on when
 // the zone is back, while rented ones would have to boot first, in the same zone
-// where the others are full.
-func (z *zoneHeard) cut() bool { return z.quiet >= 4 && 4*z.quiet > 3*z.held }
+// where the others are full. The second condition is for the first seconds, in
+// which those that reported longest ago are overdue and the others are not.
+//
+// They are returned when they have been of no use for as long as another takes to
+// boot: that at most doubles what the wrong guess costs, whichever it was.
+func (z *zoneHeard) cut(now, report time.Duration) bool {
+	return z.quiet >= 4 && 4*z.quiet > 3*z.held || z.held >= 4 && (now-z.newest)*time.Duration(z.held) > 8*report
+}
 
 // asksAtOnce is how many workers may be asked for their status at a time:
 // questions to a zone that is cut off hang, and must not take the connections
@@ -751,7 +764,9 @@
 		if quiet > seconds(1.75*w.Report) && !m.asking && c.now >= m.askAt {
 			c.askStatus(m)
 		}
-		if well && m.mute > 1 && quiet > seconds(2.5*w.Report) || quiet > c.horizon()+seconds(3*w.Report) {
+		// In a zone that nobody hears, only the machines of production work are
+		// returned that soon: their tasks are known to be gone by it.
+		if well && m.mute > 1 && quiet > seconds(2.5*w.Report) && (m.levels[job.Production] > 0 || !c.zoneDark(m.claim.Zone)) || quiet > c.horizon()+seconds(3*w.Report) {
 			c.drain(m, drainSilent)
 		}
 	}
