Lesser work yields its place to urgent work until its start is committed

Cause: the simulated clusters' checker now judges every launch of lower work: whether a production task that fits there has waited in that controller's lines for longer than a report period. A placement gives way as long as its transaction is not built.

--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -26,6 +26,7 @@
 	ops      []protocol.Op
 	size     int // of the transaction at the most, in bytes
 	parts    []part
+	yielded  []string // machines whose room urgent work is to have
 	class    budget.Class
 }
 
@@ -143,6 +144,30 @@
 	if len(b.parts) > 0 {
 		c.commit(b)
 	}
+	for _, id := range b.yielded {
+		c.freed(id)
+	}
+}
+
+// yields tells whether a placement gives its room to production work that has
+// come to wait here since it was chosen.
+//
+// Guards against lesser work that starts first because its place was chosen
+// before: in a storm its commit may wait for seconds, and room that is only
+// reserved is none that urgent work could have cleared.
+func (c *Core) yields(r *record, m *machine) bool {
+	if r.spec.Priority == job.Production || !c.mine(m) || multi(r) {
+		return false
+	}
+	m.use(r.spec, -1)
+	defer m.use(r.spec, 1)
+	for _, u := range c.lines {
+		if u.spec.Priority == job.Production && c.fits(u, m) &&
+			slices.ContainsFunc(u.line, func(w *waiter) bool { return c.placeable(u, w.key.index) }) {
+			return true
+		}
+	}
+	return false
 }
 
 // hasPlace tells whether a page's changes fit into the transaction.
@@ -196,6 +221,10 @@
 			// after this one was proposed: zones are judged again with what
 			// the transaction is conditional on.
 			ok = ok && c.zoneStillOK(r, p, tasks, m.claim.Zone)
+			if ok && c.yields(r, m) {
+				b.yielded = append(b.yielded, m.id)
+				ok = false
+			}
 			if !ok {
 				c.unreserve(r, k.index)
 				spoilt = multi(r)
--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -31,7 +31,11 @@
 	if sp.Zone != "" {
 		depot = sp.Zone
 	}
-	body := map[string]any{"ref": sp.ID, "jobclass": sp.Class, "crew": sp.Team, "shape": names[sp.Shape], "urgency": prio[sp.Priority],
+	urgency := prio[sp.Priority]
+	if s.misled && sp.Priority == job.Production {
+		urgency = prio[job.Low]
+	}
+	body := map[string]any{"ref": sp.ID, "jobclass": sp.Class, "crew": sp.Team, "shape": names[sp.Shape], "urgency": urgency,
 		"loads": sp.Tasks, "cpus": sp.CPUs, "accelerators": sp.GPUs, "ramGb": sp.MemoryGB, "kit": "img", "sizeGb": 1.0, "rigs": sp.Types, "depot": depot,
 		"oneZone": sp.OneZone, "apart": sp.Spread, "casual": sp.Spot, "etaS": runs, "waypointS": 0.0, "stowS": 0.0, "dueS": nil}
 	if s.sets != nil && s.now > 15*time.Second { // registered by then
@@ -193,3 +197,71 @@
 	}
 	s.after(500*time.Millisecond, s.watchCancelled)
 }
+
+// judgeOrder judges the launches among a step's effects: work of lower priority
+// must not be started where a production task fits that has waited in this
+// controller's lines, free to be placed, for longer than a report period. It is
+// the order as an outsider sees it, whatever decided it: lines, pops, hand-overs,
+// changes that waited for the state service's rate.
+func (n *simNode) judgeOrder(e Effects) {
+	c, s := n.core, n.s
+	waits := map[taskKey]time.Duration{}
+	for _, r := range c.lines {
+		u := s.users[r.spec.ID]
+		if u == nil || u.spec.Priority < job.Production {
+			continue
+		}
+		for _, w := range r.line {
+			if !c.placeable(r, w.key.index) {
+				continue
+			}
+			since, was := n.waits[w.key]
+			if !was {
+				since = s.now
+			}
+			waits[w.key] = since
+		}
+	}
+	n.waits = waits
+	if len(waits) == 0 {
+		return
+	}
+	launches := func(m *machine, orders []protocol.Order) {
+		for _, o := range orders {
+			id, _, err := job.SplitTaskName(o.Load)
+			if err != nil || o.Verb != protocol.VerbLaunch || m == nil || s.users[id].spec.Priority == job.Production {
+				continue
+			}
+			s.judged++
+			lesser := c.jobs[id].spec
+			for k, since := range waits {
+				r := c.jobs[k.id]
+				if s.now-since <= seconds(s.facts.Workers.Report) {
+					continue
+				}
+				m.use(lesser, -1)
+				fits := c.fits(r, m) && !c.barred(m)
+				m.use(lesser, 1)
+				if fits {
+					s.breaks("lesser first", "%s is launched on %s, where %s/%d would fit that has waited for %v", o.Load, m.id, k.id, k.index, s.now-since)
+				}
+			}
+		}
+	}
+	for _, k := range e.Calls {
+		var d protocol.DirectOrders
+		if k.Path == protocol.PathOrders && json.Unmarshal(k.Body, &d) == nil {
+			for _, m := range c.ours {
+				if m.claim.Address == k.Address {
+					launches(m, d.Orders)
+				}
+			}
+		}
+	}
+	for _, a := range e.Answers {
+		var d protocol.CheckinAnswer
+		if who := n.askers[a.ID]; who != "" && a.Status == 200 && json.Unmarshal(a.Body, &d) == nil {
+			launches(c.machines[who], d.Orders)
+		}
+	}
+}
--- a/internal/coordination/recover_test.go
+++ b/internal/coordination/recover_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,3 +118,75 @@
 	s.finish(t, 160*time.Second)
 	s.report(t)
 }
+
+// TestUrgentWorkGoesFirst loses a third of the machines, in a zone or anywhere,
+// crashes all controllers or hangs a tenth, while more is submitted than fits. No
+// work of lower priority is launched where production work waits that fits; told
+// that production is idle work, the controllers do just that, and the checker says so.
+func TestUrgentWorkGoesFirst(t *testing.T) {
+	day := func(seed uint64, misled bool) *sim {
+		s := grownSim(seed)
+		s.misled = misled
+		s.loadGrown(130 * time.Second)
+		s.after(80*time.Second, func() {
+			kind := seed % 4
+			for i, w := range s.cloud.sorted() {
+				switch {
+				case kind == 0 && i%3 == 0, kind == 1 && w.zone == "b":
+					w.die()
+					w.taken = true
+					name := w.name
+					s.after(30*time.Second, func() { delete(s.cloud.all, name) })
+				case kind == 2 && i%10 == 0:
+					w.hung = s.now + 40*time.Second
+				}
+			}
+			if kind == 3 {
+				for _, n := range s.nodes {
+					n.crash(3 * time.Second)
+				}
+			}
+			n := 0
+			for range 30 { // and as many services again
+				n++
+				s.submit(&job.Spec{ID: fmt.Sprintf("wk-6%05d", n), Class: "svc", Team: "blue", Shape: job.Service, Priority: job.Production,
+					Tasks: 4, CPUs: 4, GPUs: 1, MemoryGB: 8, Spread: true}, 0, 60*time.Second)
+			}
+		})
+		s.run(130 * time.Second)
+		return s
+	}
+	days := uint64(8)
+	if v, err := strconv.Atoi(os.Getenv("SIM_DAYS")); err == nil {
+		days = uint64(v)
+	}
+	judged := make(chan int, days)
+	t.Run("days", func(t *testing.T) {
+		for seed := range days {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				s := day(200+seed, false)
+				s.report(t)
+				judged <- s.judged
+			})
+		}
+	})
+	close(judged)
+	n := 0
+	for k := range judged {
+		n += k
+	}
+	t.Logf("%d launches of lower work while production work waited, on %d days", n, days)
+	if n == 0 {
+		t.Error("nothing was judged")
+	}
+	for seed := uint64(0); ; seed++ {
+		s := day(200+seed, true)
+		if slices.ContainsFunc(s.broken, func(b string) bool { return strings.Contains(b, "lesser first") }) {
+			break
+		}
+		if seed == 8 {
+			t.Fatal("the checker does not see that idle work goes first")
+		}
+	}
+}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -57,6 +57,8 @@
 	trace  io.Writer          // of the controllers' logs, if wanted
 	noise  float64            // probability that a message is lost, late or loses its answer
 	sets   []protocol.DataSet // data sets that jobs read; nil: staging is off
+	misled bool               // broken on purpose: production jobs are submitted as idle ones
+	judged int                // launches of lesser work while production work waited
 	warm   int                // starts on machines that held the inputs when the launch came
 	cold   int
 }
@@ -103,6 +105,8 @@
 	cut     map[string]time.Duration // "state", "workers", "peers", "users": cut off until
 	refused time.Duration            // by the state service alone
 	reqs    map[uint64]func(status int, body []byte)
+	askers  map[uint64]string // workers whose reports are being answered
+	waits   map[taskKey]time.Duration
 	nextReq uint64
 }
 
@@ -110,7 +114,7 @@
 	s := n.s
 	n.life++
 	n.started = s.now
-	n.reqs = map[uint64]func(int, []byte){}
+	n.reqs, n.askers, n.waits = map[uint64]func(int, []byte){}, map[uint64]string{}, map[taskKey]time.Duration{}
 	cfg := &config.Settings{Node: n.name, Zone: n.zone, Facts: s.told, Operator: config.DefaultOperator()}
 	if s.sets != nil {
 		cfg.Operator.Staging = &config.Staging{ServerStreams: 6, PeerStreams: 2, MachineStreams: 1, RateMBPerS: 100}
@@ -199,6 +203,11 @@
 			}
 		})
 	}
+	if path == protocol.PathCheckin {
+		if r, err := protocol.ParseReport(body); err == nil {
+			n.askers[id] = r.Stoker
+		}
+	}
 	n.effects(n.core.Request(n.clock(), id, method, path, body))
 }
 
@@ -206,7 +215,9 @@
 	s := n.s
 	life := n.life
 	n.plan()
+	n.judgeOrder(e)
 	for _, a := range e.Answers {
+		delete(n.askers, a.ID)
 		if done := n.reqs[a.ID]; done != nil {
 			delete(n.reqs, a.ID)
 			done(a.Status, a.Body)
