--- /dev/null
+++ b/internal/coordination/start_test.go
@@ -0,0 +1,165 @@
+package coordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"silvergate/internal/config"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// fleetRecords are the records of a site with so many machines: each with eight
+// tasks of jobs of twenty-five, a fifth of them services, and as many jobs again
+// that are over.
+func fleetRecords(machines int, owner string) (keys []string, data map[string][]byte) {
+	data = map[string][]byte{keyFlavors: encode(protocol.Flavors{Rigs: []protocol.Flavor{{SKU: "large", CPUs: 64, GPUs: 8, RAM: 256, PullRate: 1, Hourly: 12, SpotPrice: 4, StartupS: 40, Depots: []string{"a", "b"}}}})}
+	for i := range machines {
+		data[fmt.Sprintf("%si-%06d", keyClaim, i)] = encode(claim{owner, 1, fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), "large", []string{"a", "b"}[i%2], i%2 == 0})
+	}
+	const each = 25
+	for j := range machines * 8 / each * 2 {
+		sp := &job.Spec{ID: fmt.Sprintf("wk-%06d", j), Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Low, Tasks: each, CPUs: 4, GPUs: 1, MemoryGB: 8, Image: "img", ImageGB: 4, Spot: true}
+		if j%5 == 0 {
+			sp.Class, sp.Shape, sp.Priority = "svc", job.Service, job.Production
+		}
+		rec := storedJob{sp, job.Open, 1_700_000_000_000 + int64(j), owner}
+		tasks := make([]job.Task, each)
+		for i := range tasks {
+			if j%2 == 1 {
+				rec.Status = job.Done
+				tasks[i] = job.Task{Phase: job.Finished, Try: 1}
+			} else {
+				tasks[i] = job.Task{Phase: job.Bound, Try: 1, Machine: fmt.Sprintf("i-%06d", (j/2*each+i)/8), Session: 1}
+			}
+		}
+		data[keyJob+sp.ID], data[pageKey(sp.ID, 0)] = encode(rec), writePage(tasks)
+	}
+	for k := range data {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys, data
+}
+
+// startCore starts a controller against records and tells how many requests its
+// reading took, and the time of its steps until it answers a health check, a user
+// and a worker of its earlier life.
+func startCore(tb testing.TB, keys []string, data map[string][]byte) (requests int, whole, longest time.Duration) {
+	facts := newSim(1, 0).facts
+	facts.Teams = []config.Team{{Name: "blue"}}
+	cfg := &config.Settings{Node: "n0", Zone: "a", Facts: facts, Operator: config.DefaultOperator()}
+	c := New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), rand.New(rand.NewPCG(1, 2)), 2)
+	at := time.Duration(0)
+	clock := func() Clock { return Clock{at, time.UnixMilli(1_700_000_100_000 + at.Milliseconds())} }
+	step := func(do func() Effects) Effects {
+		begin := time.Now()
+		e := do()
+		d := time.Since(begin)
+		whole, longest = whole+d, max(longest, d)
+		return e
+	}
+	up, served, answered := false, false, false
+	var todo []protocol.Call
+	var asked uint64 = 1 << 40
+	ask := func(method, path string, body []byte) int {
+		asked++
+		e := step(func() Effects { return c.Request(clock(), asked, method, path, body) })
+		todo = append(todo, e.Calls...)
+		for _, a := range e.Answers {
+			if a.ID == asked {
+				return a.Status
+			}
+		}
+		return 0
+	}
+	for range 5000 {
+		at += 10 * time.Millisecond
+		todo = append(todo, step(func() Effects { return c.Tick(clock()) }).Calls...)
+		for len(todo) > 0 {
+			k := todo[0]
+			todo = todo[1:]
+			r := protocol.Reply{ID: k.ID, Sent: true, Status: 200, Body: []byte(`{"ledger":7,"permit":1,"news":[]}`)}
+			if u, _ := url.Parse(k.Path); k.Target == protocol.ToState && u.Path == protocol.PathKeys {
+				requests++
+				p := protocol.EntryPage{Ledger: 7}
+				size := 0
+				for i := sort.SearchStrings(keys, u.Query().Get("from")); i < len(keys); i++ {
+					if keys[i] == u.Query().Get("from") {
+						continue
+					}
+					if size += len(data[keys[i]]) + 80; len(p.Entries) == 1000 || size > 512<<10 {
+						p.Truncated = true
+						break
+					}
+					p.Entries = append(p.Entries, protocol.Entry{Key: keys[i], Data: data[keys[i]], Stamp: 5})
+				}
+				r.Body = encode(p)
+			} else if strings.HasPrefix(k.Path, protocol.PathWatch) || k.Target == protocol.ToCloud {
+				if k.Path != protocol.PathFlavors {
+					continue
+				}
+				r.Status = 503
+			}
+			todo = append(todo, step(func() Effects { return c.Reply(clock(), r) }).Calls...)
+		}
+		if !up {
+			up = ask("GET", protocol.PathUp, nil) == 200
+		}
+		if !served {
+			served = ask("GET", protocol.PathRuns+"/wk-000001", nil) == 200 // over
+		}
+		if up && !answered {
+			rep := protocol.Report{Stoker: "i-000000", Address: "10.1.0.0:9000", Rig: "large", Depot: "a", Casual: true, Shift: 1, Tally: 9, Baton: 5}
+			for i := range 8 {
+				rep.Loads = append(rep.Loads, protocol.Load{Load: job.TaskName("wk-000000", i), Try: 1, Status: protocol.LoadRunning})
+			}
+			answered = ask("POST", protocol.PathCheckin, encode(rep)) == 200
+		}
+		if up && served && answered {
+			return requests, whole, longest
+		}
+	}
+	tb.Fatalf("not started: up %v, served %v, answered %v", up, served, answered)
+	return
+}
+
+// TestStartReadsInPages guards against a start whose work grows faster than the
+// records do: it takes the requests that the protocol's pages need, and adopts
+// the workers of its earlier life.
+func TestStartReadsInPages(t *testing.T) {
+	keys, data := fleetRecords(1000, "n0")
+	requests, _, _ := startCore(t, keys, data)
+	if least := (len(keys) + 999) / 1000; requests > least+2 {
+		t.Errorf("%d requests for %d records", requests, len(keys))
+	}
+}
+
+// BenchmarkStart measures the processor time from a controller's start to its
+// first answers to a health check, a user and a worker.
+func BenchmarkStart(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		keys, data := fleetRecords(n, "n0")
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			b.ReportAllocs()
+			var sum, most time.Duration
+			var requests int
+			for range b.N {
+				r, whole, longest := startCore(b, keys, data)
+				requests, sum, most = r, sum+whole, max(most, longest)
+			}
+			b.ReportMetric(sum.Seconds()*1e3/float64(b.N), "ms/start")
+			b.ReportMetric(most.Seconds()*1e3, "ms-longest-step")
+			b.ReportMetric(float64(requests), "requests")
+			b.ReportMetric(float64(len(keys)), "records")
+		})
+	}
+}
