Store: a disk that is full at any write, caused in tests

Found: a full disk was told as the bare error of the write when it met a manifest, a folder or a file's making; it is ErrFull now, which says what to do.

--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -12,9 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/renameio/v2"
-	"golang.org/x/sys/unix"
-
 	"silvergate/internal/dataset"
 )
 
@@ -158,10 +155,10 @@
 	if err != nil {
 		return err
 	}
-	if err := renameio.WriteFile(s.manifestPath(id), raw, 0o600); err != nil {
-		return err
-	}
 	t := &target{s: s, f: f, m: m}
+	if err := s.disk.Replace(s.manifestPath(id), raw); err != nil {
+		return t.failed(err)
+	}
 	missing, err := t.prepare()
 	if err != nil {
 		return err
@@ -345,7 +342,7 @@
 		t.starts = append(t.starts, n)
 		path := t.path(i)
 		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-			return nil, err
+			return nil, t.failed(err)
 		}
 		if t.share(i) {
 			n += len(f.Chunks)
@@ -357,7 +354,7 @@
 		}
 		file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, mode)
 		if err != nil {
-			return nil, err
+			return nil, t.failed(err)
 		}
 		old, err := file.Stat()
 		if err == nil && old.Size() != f.Size {
@@ -365,7 +362,7 @@
 		}
 		if err != nil {
 			file.Close()
-			return nil, err
+			return nil, t.failed(err)
 		}
 		for k, want := range f.Chunks {
 			buf := make([]byte, chunkLen(f, k))
@@ -378,7 +375,7 @@
 				}
 			}
 			if data := t.local(want); data != nil {
-				if _, err := file.WriteAt(data, at); err != nil {
+				if err := t.s.disk.WriteAt(file, data, at); err != nil {
 					file.Close()
 					return nil, t.failed(err)
 				}
@@ -471,7 +468,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = f.WriteAt(data, int64(chunk)*dataset.ChunkSize)
+		err = t.s.disk.WriteAt(f, data, int64(chunk)*dataset.ChunkSize)
 		if err = errors.Join(err, f.Close()); err == nil {
 			return nil
 		}
@@ -497,7 +494,7 @@
 	if err != nil {
 		return err
 	}
-	err = errors.Join(unix.Syncfs(int(d.Fd())), d.Close())
+	err = errors.Join(t.s.disk.Sync(d), d.Close())
 	if err != nil {
 		return t.failed(err)
 	}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/renameio/v2"
 	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
 
@@ -87,6 +88,7 @@
 	client *http.Client
 	fetch  *rate.Limiter
 	serve  *rate.Limiter
+	disk   disk
 	begun  time.Time
 	// Observe, if set before anything is wanted, is told of events.
 	Observe func(Event)
@@ -147,7 +149,7 @@
 	}
 	s := &Store{cfg: cfg, log: log, begun: time.Now(), copies: map[dataset.ID]*held{}, pulls: map[dataset.ID]*fetching{},
 		chunks: map[dataset.Hash][]place{}, pins: map[dataset.ID]int{},
-		fetch: limiter(cfg.FetchRate), serve: limiter(cfg.ServeRate)}
+		disk: osDisk{}, fetch: limiter(cfg.FetchRate), serve: limiter(cfg.ServeRate)}
 	s.src = newSources(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), func(address string) {
 		s.log.Error("a source served damaged bytes and is put aside", "source", address, "for", asideFor)
 		s.tell(Event{Kind: "aside", Source: address})
@@ -620,6 +622,26 @@
 	s.client.CloseIdleConnections()
 }
 
+// disk is what can find the disk full: every write of a store goes through it.
+type disk interface {
+	// WriteAt writes a part of a copy.
+	WriteAt(f *os.File, b []byte, off int64) error
+	// Replace writes a small file whole or not at all, durably.
+	Replace(path string, b []byte) error
+	// Sync makes all that was written in a folder's file system durable, which is
+	// when some file systems first find out that they are full.
+	Sync(dir *os.File) error
+}
+
+type osDisk struct{}
+
+func (osDisk) WriteAt(f *os.File, b []byte, off int64) error {
+	_, err := f.WriteAt(b, off)
+	return err
+}
+func (osDisk) Replace(path string, b []byte) error { return renameio.WriteFile(path, b, 0o600) }
+func (osDisk) Sync(dir *os.File) error             { return unix.Syncfs(int(dir.Fd())) }
+
 // full tells whether an error means that the disk is full.
 func full(err error) bool {
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
