Staging: orders for tasks placed elsewhere are withdrawn, announcements end when met

Need: what was brought for a waiting task went on when it was placed elsewhere, at the cost of the file servers' rate, and announced copies were kept until a lease after their time. Unwant is used now; an announcement is over when as many tasks of its team and urgency that read the version were placed.

--- a/internal/coordination/conform_test.go
+++ b/internal/coordination/conform_test.go
@@ -141,7 +141,7 @@
 // and demands what every day does; and that tasks mostly start where their
 // inputs are, though these are elsewhere for most machines.
 func TestRulesHoldWithDataSets(t *testing.T) {
-	warm, cold := 0, 0
+	warm, cold, withdrawn := 0, 0, 0
 	for seed := uint64(300); seed < 308; seed++ {
 		s := newSim(seed, 0.004)
 		for i := range 4 {
@@ -176,9 +176,43 @@
 		s.finish(t, 4*time.Minute)
 		s.report(t)
 		warm, cold = warm+s.warm, cold+s.cold
+		for _, n := range s.nodes {
+			withdrawn += int(n.core.data.p.Stats.Withdrawn)
+			if k := len(n.core.data.ahead); k > 0 {
+				t.Errorf("seed %d: %s still brings %d copies for jobs that are over", seed, n.name, k)
+			}
+		}
+	}
+	t.Logf("%d launches where the inputs were, %d elsewhere, %d orders withdrawn", warm, cold, withdrawn)
+	// Guards against copies that go on being fetched for tasks placed elsewhere.
+	if withdrawn == 0 {
+		t.Error("no order was withdrawn")
 	}
-	t.Logf("%d launches where the inputs were, %d elsewhere", warm, cold)
 	if warm < cold {
 		t.Errorf("%d launches where the inputs were, %d elsewhere", warm, cold)
 	}
 }
+
+// TestAnnouncementEndsWhenMet guards against copies that are kept for work that
+// has come.
+func TestAnnouncementEndsWhenMet(t *testing.T) {
+	s := newSim(1, 0)
+	s.sets = []protocol.DataSet{{Set: "set0", Version: "1"}}
+	s.run(time.Second)
+	c := s.nodes[0].core
+	a := &announcement{Staging: protocol.Staging{Set: "set0", Version: "1", Crew: "red", Urgency: "urgent", Machines: 3}}
+	put := func(id, team string, p job.Priority, input string, bound, finished int) {
+		c.jobs[id] = &record{spec: &job.Spec{ID: id, Team: team, Priority: p, Inputs: []string{input}}, bound: bound, finished: finished}
+	}
+	put("other-set", "red", job.High, "set1/1", 9, 0)
+	put("other-team", "blue", job.High, "set0/1", 9, 0)
+	put("lesser", "red", job.Normal, "set0/1", 9, 0)
+	put("first", "red", job.High, "set0/1", 1, 1)
+	if c.data.met(a) {
+		t.Error("two of three tasks were placed, and it is called met")
+	}
+	put("second", "red", job.Production, "set0/1", 1, 0)
+	if !c.data.met(a) {
+		t.Error("three of three tasks were placed, and it is not called met")
+	}
+}
--- a/internal/coordination/data.go
+++ b/internal/coordination/data.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/url"
 	"slices"
@@ -29,9 +30,16 @@
 	byCopy    map[staging.ID]*protocol.DataSet
 	announced map[string]*announcement
 	since     map[taskKey]time.Duration // tasks that wait for a machine with their inputs
+	ahead     map[ahead]string          // the job for which a copy is brought before a task is bound
 	tickAt    time.Duration
 }
 
+// ahead is a copy on its way to a machine.
+type ahead struct {
+	machine string
+	copy    staging.ID
+}
+
 type announcement struct {
 	protocol.Staging
 	AtMS   int64 `json:"atMs"` // when it should be there, by the day's clock
@@ -59,7 +67,7 @@
 		return datastore.DigestOf(out)
 	}
 	return &data{c: c, p: staging.New(cfg, sum, c.rnd), sets: map[string]*protocol.DataSet{}, latest: map[string]*protocol.DataSet{}, byCopy: map[staging.ID]*protocol.DataSet{},
-		announced: map[string]*announcement{}, since: map[taskKey]time.Duration{}}
+		announced: map[string]*announcement{}, since: map[taskKey]time.Duration{}, ahead: map[ahead]string{}}
 }
 
 // applySet and applyStaging take records.
@@ -317,10 +325,68 @@
 			d.stageFor(r)
 		}
 	}
+	d.withdraw()
 	d.announce()
 	d.p.Tick(c.now)
 }
 
+// withdraw takes back what was brought for tasks that were placed elsewhere:
+// what nobody waits for must not take the file servers' rate from others.
+func (d *data) withdraw() {
+	c := d.c
+	list := make([]ahead, 0, len(d.ahead))
+	for a := range d.ahead {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(x, y ahead) int {
+		return cmp.Or(cmp.Compare(x.machine, y.machine), cmp.Compare(x.copy, y.copy))
+	})
+	for _, a := range list {
+		id := d.ahead[a]
+		if d.p.Holds(a.machine, []staging.ID{a.copy}) {
+			delete(d.ahead, a) // it is there
+			continue
+		}
+		if r := c.jobs[id]; r != nil && !r.final() && r.bound+r.finished < r.spec.Tasks {
+			continue
+		}
+		delete(d.ahead, a)
+		if !d.needed(a) {
+			d.p.Unwant(c.now, a.machine, a.copy)
+		}
+	}
+}
+
+// needed tells whether a task on the machine reads the copy, or announced work
+// will.
+func (d *data) needed(a ahead) bool {
+	if m := d.c.machines[a.machine]; m != nil {
+		for _, r := range m.bound {
+			if slices.Contains(d.copies(r.spec), a.copy) {
+				return true
+			}
+		}
+	}
+	for _, x := range d.announced {
+		if v := d.sets[x.Set+"/"+x.Version]; v != nil && staging.ID(v.CopyID()) == a.copy {
+			return true
+		}
+	}
+	return false
+}
+
+// met tells whether announced work has come: as many tasks that read the version
+// and are as urgent have been placed as machines were asked for.
+func (d *data) met(a *announcement) bool {
+	placed, name := 0, a.Set+"/"+a.Version
+	for _, r := range d.c.jobs {
+		if r.spec.Team == a.Crew && r.spec.Priority >= protocol.PriorityOf(a.Urgency) && slices.Contains(r.spec.Inputs, name) {
+			placed += r.bound + r.finished
+		}
+	}
+	return placed >= a.Machines
+}
+
 // stageFor brings the inputs of a job that waits to the machines on which its
 // tasks can start soonest.
 func (d *data) stageFor(r *record) {
@@ -341,14 +407,15 @@
 		func(m string) bool { return d.p.Holds(m, copies) })
 	for _, m := range bring {
 		for _, id := range copies {
+			d.ahead[ahead{m, id}] = r.spec.ID
 			d.p.Want(c.now, m, id, class(r.spec.Priority), r.spec.Team, 0)
 		}
 	}
 }
 
 // announce stages for work that will come. Each controller takes its share, by
-// the number of its machines; a record is kept until it is met or its time has
-// passed by a lease.
+// the number of its machines; a record is kept until the work has come or its
+// time has passed by a lease.
 func (d *data) announce() {
 	c := d.c
 	wall := c.wall.UnixMilli()
@@ -360,7 +427,7 @@
 		}
 		id := staging.ID(v.CopyID())
 		by := c.now + time.Duration(a.AtMS-wall)*time.Millisecond
-		if over := c.now - by; over > seconds(c.cfg.Facts.Workers.Lease) {
+		if over := c.now - by; over > seconds(c.cfg.Facts.Workers.Lease) || d.met(a) {
 			if !a.ending && c.successor(c.cfg.Node) == c.cfg.Node && c.leads() {
 				a.ending = true
 				c.store.Txn(budget.Rest, []protocol.Cond{{Key: keyStaging + name, Stamp: a.stamp}}, []protocol.Op{{Drop: keyStaging + name}},
--- a/internal/staging/planner.go
+++ b/internal/staging/planner.go
@@ -139,8 +139,8 @@
 
 // Stats counts decisions.
 type Stats struct {
-	Wanted, Started, Finished, Displaced, Failed uint64
-	FromPeers, FromServers                       uint64
+	Wanted, Withdrawn, Started, Finished, Displaced, Failed uint64
+	FromPeers, FromServers                                  uint64
 }
 
 // New makes a planner. digest is how machines sum up the list of their copies.
@@ -464,6 +464,7 @@
 		return
 	}
 	p.drop(m.pulls[d])
+	p.Stats.Withdrawn++
 	p.dispatch(now)
 }
 
