--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -41,6 +41,9 @@
 	GiveUpS     float64            `yaml:"give_up_s"`
 	Environment []string           `yaml:"environment"`
 	Staging     *Staging           `yaml:"staging"`
+	// OutsideKeepS is how long results and checkpoints of jobs that are over are
+	// kept, in seconds; 0: for ever.
+	OutsideKeepS float64 `yaml:"outside_keep_s"`
 }
 
 // Staging switches data sets on: the controllers' budgets and the machines'
@@ -67,6 +70,9 @@
 	if c.Controllers < 1 || c.Controllers > 9 {
 		return nil, errors.New("controllers: must be from 1 to 9")
 	}
+	if c.OutsideKeepS != 0 && !(c.OutsideKeepS >= leastKeep.Seconds()) {
+		return nil, fmt.Errorf("outside_keep_s: must be 0 or at least %v", leastKeep.Seconds())
+	}
 	if len(c.Zones) == 0 {
 		return nil, errors.New("zones: missing")
 	}
@@ -228,7 +234,7 @@
 	if c.Staging != nil {
 		a.Staging = &c.Staging.Store
 	}
-	a.Outside = filepath.Join(l.dir, "outside")
+	a.Outside = filepath.Join(l.dir, outsideDir)
 	a.Controllers = nil
 	for i := range l.ports.Controllers[:c.Controllers] {
 		a.Controllers = append(a.Controllers, agent.Node{Name: nodeName(i), Address: address(l.ports.Controllers[i])})
--- /dev/null
+++ b/internal/site/outside.go
@@ -0,0 +1,132 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+	"silvergate/internal/transport"
+)
+
+// The folder outside keeps what must outlive machines: checkpoints, and that a
+// task is done. When a job is over they are of use for a while only: a launch that
+// is carried out late finds that its task is done, and a person may want to look.
+
+const (
+	outsideDir = "outside"
+	// gonePrefix marks a folder that is being removed, so that a removal that was
+	// cut short is gone on with.
+	gonePrefix = ".gone-"
+	// leastKeep is the least time to keep them: commands come minutes late.
+	leastKeep = 10 * time.Minute
+	// sweepAtMost bounds the jobs that one sweep asks about.
+	sweepAtMost = 200
+)
+
+// sweepOutside removes the folders of jobs that are over and in which nothing has
+// changed for keep. over tells whether a job is; what it can't tell stays. It
+// returns the jobs whose folders it has removed.
+func sweepOutside(dir string, keep time.Duration, now time.Time, over func(ref string) bool) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	type folder struct {
+		ref string
+		at  time.Time
+	}
+	var old []folder
+	var errs []error
+	for _, e := range entries {
+		switch {
+		case strings.HasPrefix(e.Name(), gonePrefix):
+			errs = append(errs, os.RemoveAll(filepath.Join(dir, e.Name())))
+		case e.IsDir() && protocol.ValidRef(e.Name()):
+			at, err := newest(filepath.Join(dir, e.Name()))
+			if err == nil && now.Sub(at) > keep {
+				old = append(old, folder{e.Name(), at})
+			}
+		}
+	}
+	sort.Slice(old, func(i, j int) bool { return old[i].at.Before(old[j].at) })
+	var removed []string
+	for _, f := range old[:min(len(old), sweepAtMost)] {
+		if !over(f.ref) {
+			continue
+		}
+		gone := filepath.Join(dir, gonePrefix+f.ref)
+		if err := os.Rename(filepath.Join(dir, f.ref), gone); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		errs = append(errs, os.RemoveAll(gone))
+		removed = append(removed, f.ref)
+	}
+	return removed, errors.Join(errs...)
+}
+
+// newest is when something last changed in a folder.
+func newest(dir string) (at time.Time, err error) {
+	err = filepath.WalkDir(dir, func(_ string, e fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		info, err := e.Info()
+		if err != nil {
+			return err
+		}
+		if info.ModTime().After(at) {
+			at = info.ModTime()
+		}
+		return nil
+	})
+	return at, err
+}
+
+// keepOutside sweeps now and then until ctx ends.
+func (s *Site) keepOutside(ctx context.Context) {
+	keep := time.Duration(s.cfg.OutsideKeepS * float64(time.Second))
+	if keep <= 0 {
+		return
+	}
+	pool := transport.NewPool(2)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(max(time.Minute, keep/20)):
+		}
+		removed, err := sweepOutside(filepath.Join(s.Dir, outsideDir), keep, time.Now(), func(ref string) bool {
+			return ctx.Err() == nil && s.over(pool, ref)
+		})
+		if len(removed) > 0 {
+			s.log.Info("results of jobs that are over were removed", "jobs", len(removed))
+		}
+		if err != nil {
+			s.log.Error("results of jobs that are over can't be removed", "err", err)
+		}
+	}
+}
+
+// over asks the controllers whether a job is done or cancelled, which never
+// changes. No answer, and a job that they don't know, are no.
+func (s *Site) over(pool *transport.Pool, ref string) bool {
+	for _, a := range s.Ports.Addresses() {
+		stop := time.AfterFunc(time.Second, func() { pool.Expire(time.Now().Add(time.Minute)) })
+		r, _, err := pool.Do(a, "GET", protocol.PathRuns+"/"+ref, nil, time.Second)
+		stop.Stop()
+		var st protocol.RunState
+		if err == nil && r.Status == 200 && json.Unmarshal(r.Body, &st) == nil && st.Ref == ref {
+			return st.Status == string(job.Done) || st.Status == string(job.Cancelled)
+		}
+	}
+	return false
+}
--- a/internal/site/up.go
+++ b/internal/site/up.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, d := range []string{dir, filepath.Join(dir, logsDir), filepath.Join(dir, runDir), filepath.Join(dir, "outside")} {
+	for _, d := range []string{dir, filepath.Join(dir, logsDir), filepath.Join(dir, runDir), filepath.Join(dir, outsideDir)} {
 		if err := os.MkdirAll(d, 0o700); err != nil {
 			return nil, err
 		}
@@ -182,6 +182,11 @@
 			do()
 		}
 	}()
+	s.wait.Add(1)
+	go func() {
+		defer s.wait.Done()
+		s.keepOutside(ctx)
+	}()
 	for _, p := range s.parts {
 		s.wait.Add(1)
 		go func() {
