Retry-After tells when the budget will have room

Need: refused users were told a second whatever waited. Now it is what waits for the state service's rates divided by this controller's share, a second at least and 30 at the most. Property test: what came is never more than 0.2 s over what was told.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -111,6 +111,17 @@
 	return n
 }
 
+// Clears is about how long what waits for the budget will take.
+func (s *Store) Clears() time.Duration {
+	requests, changes := 0.0, 0.0
+	for _, q := range s.queue {
+		for _, r := range q {
+			requests, changes = requests+1, changes+r.writes
+		}
+	}
+	return s.budget.Clears(requests, changes)
+}
+
 // Waits tells whether something is to be sent when time has passed, and not
 // when an answer comes: a queued request, or the next watch.
 func (s *Store) Waits() bool { return s.Backlog() > 0 || !s.loading && !s.watching }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -217,5 +217,12 @@
 	return true
 }
 
+// Clears is about how long so many requests with so many changes take at the
+// present share.
+func (b *Budget) Clears(requests, changes float64) time.Duration {
+	s := max((requests-b.requests.level)/(b.requests.rate*b.share), (changes-b.changes.level)/(b.changes.rate*b.share))
+	return time.Duration(max(0, s) * float64(time.Second))
+}
+
 // Ample tells whether the budget of requests is at least half full.
 func (b *Budget) Ample() bool { return b.requests.level >= b.requests.burst/2 }
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -155,6 +155,28 @@
 	}
 }
 
+// TestClearsIsWhatItTakes compares the estimate that refused users are told with
+// what came.
+func TestClearsIsWhatItTakes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := New(Rates{Requests: 300, Changes: rapid.Float64Range(30, 150).Draw(rt, "changes"), Controllers: 1, Txn: 4})
+		var d demand
+		n := rapid.IntRange(0, 600).Draw(rt, "n")
+		for range n {
+			d[Users] = append(d[Users], 1)
+		}
+		d.tell(b, Users)
+		told, took := b.Clears(float64(n), float64(n)), time.Duration(0)
+		for now := time.Duration(0); len(d[Users]) > 0; now += 10 * time.Millisecond {
+			b.Advance(now)
+			d.send(b, func(Class, float64) { took = now })
+		}
+		if took > told+200*time.Millisecond {
+			rt.Fatalf("%v were told for %d changes, %v came", told, n, took)
+		}
+	})
+}
+
 func BenchmarkNext(bm *testing.B) {
 	b := New(Rates{Requests: 1e9, Changes: 1e9, Controllers: 1, Txn: 12})
 	for c := range Class(Classes) {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -286,10 +286,20 @@
 	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: status, Body: encode(v), RetryAfter: retryAfter})
 }
 
+// retryAfter is when a request that is refused has a chance: when what waits for
+// the state service will have gone, and a second at least. Of a service that can't
+// be reached nobody knows.
+func (c *Core) retryAfter() int {
+	return min(maxRetry, 1+int(c.store.Clears().Seconds()))
+}
+
+// maxRetry is the longest wait that users heed (PROTOCOL).
+const maxRetry = 30
+
 func (c *Core) refuse(id uint64, status int, why string) {
 	retry := 0
 	if status == 503 {
-		retry = 1
+		retry = c.retryAfter()
 		c.Stats.Unavailable++
 	}
 	c.answer(id, status, protocol.Problem{Error: why}, retry)
