Budget: claims of machines with work go before other placements

A claim is one change that keeps several tasks running; to start them anew costs more changes and their work.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -7,9 +7,9 @@
 // the classes, and promises:
 //   - Rules go first, always;
 //   - while something of the first tier waits (Rescue, Users, Claims), nothing of
-//     the second is sent; what is meant for one class of a tier is not taken by
-//     another: each gets its part of what the tier gets, as long as it has any use
-//     for it;
+//     the later ones is sent, and so on; what is meant for one class of a tier is not
+//     taken by another: each gets an equal part of what the tier gets, as long as it
+//     has any use for it;
 //   - Rest goes when nothing else waits;
 //   - a request is never held up by one that waits for a rate it doesn't use.
 //
@@ -28,18 +28,18 @@
 	Users                // answers that users wait for
 	Claims               // workers on whose machines such work runs
 	Holders              // second tier: workers on whose machines other work runs
-	Work                 // placements and endings of other work, and the fleet
+	Work                 // third: placements and endings of other work, and the fleet
 	Spare                // workers without any work
 	Rest                 // publications and what can wait
 	Classes = 8
 )
 
-// tier and weight of each class: a lower tier goes first; within one, what is
-// sent is divided as the weights are.
-var (
-	tier   = [Classes]int{0, 1, 1, 1, 2, 2, 2, 3}
-	weight = [Classes]float64{1, 1, 1, 1, 2, 1, 1, 1}
-)
+// tier of each class: a lower one goes first; within one, classes take turns by
+// what they cost. A claim that keeps several tasks running goes before what starts
+// or ends as many, which costs more changes and loses their work.
+var tier = [Classes]int{0, 1, 1, 1, 2, 3, 3, 4}
+
+const tiers = 5
 
 // Rates are the state service's limits as this controller sees them.
 type Rates struct {
@@ -85,7 +85,7 @@
 
 	waits [Classes]wait
 	tags  [Classes]float64 // when a class's next turn begins, in its tier's virtual time
-	clock [4]float64       // each tier's virtual time
+	clock [tiers]float64   // each tier's virtual time
 }
 
 type wait struct {
@@ -204,7 +204,7 @@
 	b.changes.level -= changes
 	t := &b.clock[tier[c]]
 	start := max(b.tags[c], *t)
-	*t, b.tags[c] = start, start+(1+changes)/weight[c]
+	*t, b.tags[c] = start, start+1+changes
 }
 
 // Read takes a request out of the budget that belongs to no class: the watch and
