The room of what has left is free before its ending is committed

A report under our token that shows an attempt ended, or a later session, is a fact about the machine: its room is used at once, the record follows, and the team's charge stays until then. The rush of such endings goes again.

Found by the new check of the room that is counted: what was reserved on a machine that was forgotten meanwhile was given back to one met anew under its name.

--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -80,7 +80,7 @@
 
 // class is what a page's changes are for.
 func (p *page) class() budget.Class {
-	if p.rush || p.rec.spec.Priority == job.Production {
+	if p.rec.spec.Priority == job.Production {
 		return budget.Rescue
 	}
 	return budget.Work
@@ -289,7 +289,7 @@
 		drop()
 		return
 	}
-	p.queue, p.since, p.rush = rest, c.now, false
+	p.queue, p.since = rest, c.now
 	if len(rest) == 0 {
 		delete(c.dirty, p)
 	}
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -225,6 +226,40 @@
 	if s.starts == 0 {
 		t.Error("nothing ran")
 	}
+	for _, n := range s.nodes {
+		if n.core != nil {
+			n.core.checkRoom(t, n.name)
+		}
+	}
+}
+
+// checkRoom compares what is counted as taken on each machine with what is bound
+// and reserved there, without what is known to have left.
+func (c *Core) checkRoom(t *testing.T, name string) {
+	t.Helper()
+	sums := map[string]usage{}
+	for id, m := range c.machines {
+		for k, r := range m.bound {
+			if m.gone[k] == nil {
+				sums[id] = sums[id].plus(r.spec, 1)
+			}
+		}
+		for k := range m.gone {
+			if m.bound[k] == nil {
+				t.Errorf("%s: %v has left %s, where it is not bound", name, k, id)
+			}
+		}
+	}
+	for _, r := range c.jobs {
+		for _, h := range r.held {
+			sums[h.machine] = sums[h.machine].plus(r.spec, 1)
+		}
+	}
+	for id, m := range c.machines {
+		if d := sums[id]; math.Abs(d.CPUs-m.cpus) > 1e-3 || math.Abs(d.GPUs-m.gpus) > 1e-3 {
+			t.Errorf("%s: %s counts %v processors and %v accelerators as taken, %+v are", name, id, m.cpus, m.gpus, d)
+		}
+	}
 }
 
 func TestQuietDayEndsEverything(t *testing.T) {
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -206,7 +206,7 @@
 		f := c.kind(m)
 		left, cost := slot{cpus: f.CPUs - m.cpus, gpus: f.GPUs - m.gpus, ram: f.RAM - m.ram}, c.fetchTime(r.spec, m)
 		for k, v := range m.bound {
-			if v.spec.Priority < r.spec.Priority && !multi(v) {
+			if v.spec.Priority < r.spec.Priority && !multi(v) && m.gone[k] == nil {
 				left.cpus, left.gpus, left.ram = left.cpus+v.spec.CPUs, left.gpus+v.spec.GPUs, left.ram+v.spec.MemoryGB
 				cost += (c.now - m.boundAt[k]).Seconds()
 			}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -159,7 +159,7 @@
 	}
 	var all []victim
 	for k, v := range m.bound {
-		if v.spec.Priority >= r.spec.Priority || multi(v) && !gangs || v.final() {
+		if v.spec.Priority >= r.spec.Priority || multi(v) && !gangs || v.final() || m.gone[k] != nil {
 			continue
 		}
 		cost := c.lossOf(m, k, v)
@@ -262,6 +262,12 @@
 	if r.Status != http.StatusOK || m.stamp != token || protocol.Decode(r.Body, &rep) != nil || rep.Baton != token || c.store.Ledger() < token {
 		return
 	}
+	left := len(m.gone)
+	defer func() {
+		if len(m.gone) > left {
+			c.freed(m.id)
+		}
+	}()
 	for i := range rep.Loads {
 		l := &rep.Loads[i]
 		id, index, err := job.SplitTaskName(l.Load)
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -65,7 +65,6 @@
 	queue   []change
 	since   time.Duration // when the first change of the queue was proposed
 	busy    bool
-	rush    bool // an ending in the queue makes room that production work waits for
 	retry   time.Duration
 }
 
@@ -284,7 +283,10 @@
 		delete(m.pulling, k)
 		delete(m.boundAt, k)
 		delete(m.stops, k)
-		m.use(r.spec, -1)
+		if m.gone[k] == nil {
+			m.use(r.spec, -1)
+		}
+		delete(m.gone, k)
 		r.zones[m.claim.Zone]--
 	case job.Finished:
 		r.finished--
@@ -357,15 +359,8 @@
 	n := c.pageTasks()
 	p := r.pages[index/n]
 	ch.index = index % n
-	if m := c.machines[ch.machine]; m != nil && !ch.place {
-		if ch.guard {
-			ch.token = m.stamp
-		}
-		// Guards against room that urgent work has had cleared and that stays
-		// bound, as the ending of what was stopped there waits with lesser work.
-		if r := c.jobs[m.holdFor]; r != nil && r.spec.Priority == job.Production && c.now < m.holdTill {
-			p.rush = true
-		}
+	if m := c.machines[ch.machine]; m != nil && ch.guard {
+		ch.token = m.stamp
 	}
 	for i := range p.queue {
 		if p.queue[i].index == ch.index && p.queue[i].place == ch.place {
@@ -410,6 +405,7 @@
 		r.held = map[int]*reservation{}
 	}
 	r.held[index] = &reservation{m.id}
+	m.reserved++
 	m.use(r.spec, 1)
 	r.zones[m.claim.Zone]++
 }
@@ -418,8 +414,10 @@
 	if h := r.held[index]; h != nil {
 		delete(r.held, index)
 		m := c.machine(h.machine)
+		m.reserved--
 		m.use(r.spec, -1)
 		r.zones[m.claim.Zone]--
+		c.forgetGone(m)
 	}
 }
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -79,8 +79,10 @@
 	boundAt    map[taskKey]time.Duration // first seen bound
 	pulling    map[taskKey]bool          // last reported as waiting for the image
 	stops      map[taskKey]stop
-	errors     map[string]bool // jobs whose tasks failed here
-	listed     int             // place in the idle list, counted from 1; 0: not listed
+	reserved   int                 // tasks for which room is reserved
+	gone       map[taskKey]*record // bound by the records, but known to have left: their room is free
+	errors     map[string]bool     // jobs whose tasks failed here
+	listed     int                 // place in the idle list, counted from 1; 0: not listed
 	joined     time.Duration
 	idleAt     time.Duration // since when nothing is bound, for the fleet
 	holdFor    string        // the job for which others were stopped here
@@ -102,7 +104,7 @@
 	m := c.machines[id]
 	if m == nil {
 		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]time.Duration{}, sent: map[taskKey]uint64{},
-			stops: map[taskKey]stop{}, direct: map[taskKey]int{}, begun: map[taskKey]time.Duration{}, pulling: map[taskKey]bool{}, boundAt: map[taskKey]time.Duration{}, errors: map[string]bool{}, idleAt: c.now}
+			stops: map[taskKey]stop{}, gone: map[taskKey]*record{}, direct: map[taskKey]int{}, begun: map[taskKey]time.Duration{}, pulling: map[taskKey]bool{}, boundAt: map[taskKey]time.Duration{}, errors: map[string]bool{}, idleAt: c.now}
 		c.machines[id] = m
 	}
 	return m
@@ -155,11 +157,9 @@
 	if data == nil {
 		m.stamp = 0
 		m.shown = false
+		m.reoccupy()
 		c.unlist(m)
-		if len(m.bound) == 0 {
-			delete(c.machines, id)
-			c.data.lost(id)
-		}
+		c.forgetGone(m)
 		return
 	}
 	var k claim
@@ -170,12 +170,23 @@
 	m.shown, m.released, m.adopted, m.homeAt = false, false, false, 0
 	clear(m.sent)
 	m.soon = nil
+	m.reoccupy()
 	if !c.mine(m) {
 		c.unlist(m)
 		clear(m.stops)
 	}
 }
 
+// forgetGone drops what is known of a machine without a claim. Guards against room
+// that was reserved on a machine that is forgotten meanwhile: given back to one that
+// is met anew under its name, it made more room than there is.
+func (c *Core) forgetGone(m *machine) {
+	if m.stamp == 0 && len(m.bound) == 0 && m.reserved == 0 && c.machines[m.id] == m {
+		delete(c.machines, m.id)
+		c.data.lost(m.id)
+	}
+}
+
 // hold keeps the list of our machines and the count of everybody's in step
 // with a changed claim.
 func (c *Core) hold(m *machine) {
@@ -550,6 +561,7 @@
 		gone := change{machine: m.id, session: t.Session, try: t.Try}
 		if t.Session < r.Shift {
 			gone.why = losses.Session
+			m.vacate(k, rec)
 			c.propose(rec, k.index, gone) // its session is over
 			continue
 		}
@@ -567,6 +579,7 @@
 			}
 			if at, ok := m.sent[k]; !ok || at < r.Tally {
 				gone.guard, gone.why = true, losses.Absent
+				m.vacate(k, rec)
 				c.propose(rec, k.index, gone)
 				delete(m.stops, k)
 			}
@@ -633,9 +646,29 @@
 		}
 		c.log.Info("task failed", "load", l.Load, "stoker", m.id, "fails", t.Fails+1)
 	}
+	m.vacate(k, rec)
 	c.propose(rec, k.index, ch)
 }
 
+// vacate frees the room of a task that a report under our token shows to have left,
+// though its ending is not committed yet: that is a fact about the machine, whatever
+// becomes of the record, and under load the commit takes seconds that urgent work
+// would wait for. The team's charge stays until then.
+func (m *machine) vacate(k taskKey, r *record) {
+	if m.gone[k] == nil && m.bound[k] == r {
+		m.gone[k] = r
+		m.use(r.spec, -1)
+	}
+}
+
+// reoccupy takes that back: with the claim goes what was known under it.
+func (m *machine) reoccupy() {
+	for _, r := range m.gone {
+		m.use(r.spec, 1)
+	}
+	clear(m.gone)
+}
+
 // drain writes a machine's drain record.
 func (c *Core) drain(m *machine, why string) {
 	// Guards against two judgements that take turns on one machine and eat up
