--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -302,11 +302,16 @@
 	return out
 }
 
+// Least is when the task would have run again had its ending and its start been
+// written, and room been there, at once: what is left is the evidence that the
+// protocol asks for and the image on the machine that it got.
+func (l *Loss) Least() time.Duration { return l.At + l.Took[Detect] + l.Took[Image] }
+
 // Worst is the span of the given length in which most of a class's time was
-// lost, and how many task-seconds that were.
-func (r *Reader) Worst(class string, span time.Duration) (from time.Duration, seconds float64) {
+// lost, how many task-seconds that were, and how many at the least.
+func (r *Reader) Worst(class string, span time.Duration) (from time.Duration, seconds, least float64) {
 	for at := time.Duration(0); at <= r.last; at += time.Second {
-		sum := 0.0
+		sum, low := 0.0, 0.0
 		for _, l := range r.lost {
 			if l.Class != class {
 				continue
@@ -315,11 +320,12 @@
 			if !l.Back {
 				until = r.last
 			}
-			sum += max(0, (min(until, at+span) - max(l.At, at)).Seconds())
+			in := func(until time.Duration) float64 { return max(0, (min(until, at+span) - max(l.At, at)).Seconds()) }
+			sum, low = sum+in(until), low+in(l.Least())
 		}
 		if sum > seconds {
-			from, seconds = at, sum
+			from, seconds, least = at, sum, low
 		}
 	}
-	return from, seconds
+	return from, seconds, least
 }
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -47,9 +47,12 @@
 			t.Errorf("steps %v, not %v", got[0].Seconds, want)
 		}
 		// Lost from 6 s on, back at 23.6: the worst ten seconds are lost whole.
-		if _, sum := r.Worst("svc", 10*time.Second); sum < 9.9 || sum > 10.1 {
+		if _, sum, _ := r.Worst("svc", 10*time.Second); sum < 9.9 || sum > 10.1 {
 			t.Errorf("worst 10 s: %v task-seconds", sum)
 		}
+		if _, sum, least := r.Worst("svc", 30*time.Second); sum < 17.5 || sum > 17.7 || least < 13.9 || least > 14.1 {
+			t.Errorf("worst 30 s: %v task-seconds, %v at the least", sum, least)
+		}
 		if later := r.Report(15 * time.Second); len(later) != 1 || later[0].Class != "arr" {
 			t.Errorf("from 15 s on: %+v", later)
 		}
