Staging: the only holder of a copy is drained while a task needs it, tested

The fetch goes on from it while it drains, waits without being counted once it is gone, and goes on from whoever has the copy next.

--- a/internal/staging/planner_test.go
+++ b/internal/staging/planner_test.go
@@ -377,3 +377,54 @@
 		}
 	})
 }
+
+// TestOnlyHolderIsDrained guards against a task whose inputs are on one machine
+// alone, which is drained while they are fetched from it: as long as it is there
+// it serves; once it is gone the fetch waits, without being given up or counted as
+// under way, and goes on from whoever has the copy next.
+func TestOnlyHolderIsDrained(t *testing.T) {
+	p := newPlanner(2)
+	p.SetCopy(0, Copy{ID: "only", Bytes: 10e6})
+	p.Join("holder", "a", "10.0.0.1:9000")
+	p.Join("task", "b", "10.0.0.2:9000")
+	p.Held(0, "holder", Report{Digest: "?", Listed: true, List: []ID{"only"}})
+	p.Want(0, "task", "only", Urgent, "red", 0)
+	from := func() string {
+		out := ""
+		for _, o := range p.Orders("task") {
+			out += o.Peer + o.Server
+		}
+		return out
+	}
+	if got := from(); got != "10.0.0.1:9000" {
+		t.Fatalf("fetches from %q, not from the only holder", got)
+	}
+	// Drained, it takes no tasks, but reports on and serves on.
+	p.Held(time.Second, "holder", Report{Digest: "?", Listed: true, List: []ID{"only"}})
+	p.Held(time.Second, "task", Report{Digest: "?", Listed: true, Pulls: []Pull{{ID: "only", Done: 4e6, Total: 10e6, Rate: 1e6}}})
+	p.Tick(time.Second)
+	if got := from(); got != "10.0.0.1:9000" {
+		t.Errorf("fetches from %q while the only holder drains", got)
+	}
+	p.Lost(2*time.Second, "holder")
+	p.Tick(3 * time.Second)
+	if got := from(); got != "" {
+		t.Errorf("fetches from %q, which is gone", got)
+	}
+	if err := audit(p, 3*time.Second); err != nil {
+		t.Error(err)
+	}
+	// Another machine turns out to hold it, or a file server publishes it again.
+	p.Join("other", "a", "10.0.0.3:9000")
+	p.Held(4*time.Second, "other", Report{Digest: "?", Listed: true, List: []ID{"only"}})
+	p.Tick(4 * time.Second)
+	if got := from(); got != "10.0.0.3:9000" {
+		t.Errorf("fetches from %q when another machine has the copy", got)
+	}
+	p.Lost(5*time.Second, "other")
+	p.SetCopy(6*time.Second, Copy{ID: "only", Bytes: 10e6, Servers: []string{"10.9.0.1:80"}})
+	p.Tick(6 * time.Second)
+	if got := from(); got != "10.9.0.1:80" {
+		t.Errorf("fetches from %q when a file server has the copy again", got)
+	}
+}
