--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -76,6 +76,9 @@
 	At               time.Duration // last heard of
 	Took             [Steps]time.Duration
 	Back             bool // it runs again; else the log ends, or the job, before
+	// Sure: something followed from the evidence. A controller that is cut off
+	// judges leases that peers keep up, and can't commit what it finds.
+	Sure bool
 }
 
 // Until is when the task ran again, or when it was last heard of here.
@@ -219,7 +222,7 @@
 	next := func(from, to Step) {
 		if w != nil && w.step >= from && w.step < to {
 			w.loss.Took[w.step] += max(0, e.At-w.at)
-			w.step, w.at = to, e.At
+			w.step, w.at, w.loss.Sure = to, e.At, true
 		}
 	}
 	switch e.Msg {
@@ -267,12 +270,13 @@
 }
 
 // Report sums up, the most urgent first. Losses from the time on alone are
-// counted; those that never came back count as they stand.
+// counted, and only such as are sure; those that never came back count as they
+// stand.
 func (r *Reader) Report(from time.Duration) []Line {
 	type key struct{ class, why string }
 	by := map[key][]*Loss{}
 	for _, l := range r.lost {
-		if l.At >= from {
+		if l.Sure && l.At >= from {
 			k := key{l.Class, l.Why}
 			by[k] = append(by[k], l)
 		}
@@ -313,7 +317,7 @@
 	for at := time.Duration(0); at <= r.last; at += time.Second {
 		sum, low := 0.0, 0.0
 		for _, l := range r.lost {
-			if l.Class != class {
+			if l.Class != class || !l.Sure {
 				continue
 			}
 			until := l.Until()
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -33,6 +33,8 @@
 			log(20_000, marked, `msg=evidence load=wk-000009/0 try=1 stoker=i-3 class=arr urgency=0 why=done done=true silentMs=0`) +
 			log(20_000, marked, `msg=evidence load=wk-000009/1 try=1 stoker=i-3 class=arr urgency=0 why=stopped done=false silentMs=0`) +
 			log(21_000, marked, `msg=evidence load=wk-000009/2 try=1 stoker=i-3 class=arr urgency=0 why=lease done=false silentMs=500`) +
+			log(21_500, marked, `msg=ended load=wk-000009/2 try=1 stoker=i-3 class=arr urgency=0 why=lease done=false silentMs=500`) +
+			log(22_000, marked, `msg=evidence load=wk-000009/3 try=1 stoker=i-3 class=arr urgency=0 why=lease done=false silentMs=500`) + // by one that is cut off
 			log(23_600, marked, `msg=began load=wk-000001/2 try=2 stoker=i-2`)
 		r := NewReader()
 		if err := r.Read(strings.NewReader(in)); err != nil {
