Review: one way to ask a controller, one word for urgent machines

That production work is bound to a machine stood in three places and is machine.urgent. A bound in Budget.Peers that always held is gone. Same behaviour; no test changed.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -133,7 +133,7 @@
 	calm := b.most - 1 - float64(others)
 	b.offered = max(1, (b.most-calm*calmUse)/(1+float64(others)))
 	if others > 0 {
-		b.share = min(b.share, max(1, b.offered))
+		b.share = min(b.share, b.offered)
 	}
 }
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -409,10 +409,13 @@
 	return false
 }
 
+// urgent tells whether production work is bound to the machine.
+func (m *machine) urgent() bool { return m.levels[job.Production] > 0 }
+
 // class is what a change of a machine's records is for: the most urgent work on it.
 func (m *machine) class() budget.Class {
 	switch {
-	case m.levels[job.Production] > 0:
+	case m.urgent():
 		return budget.Claims
 	case len(m.bound) > 0:
 		return budget.Holders
@@ -489,7 +492,7 @@
 	}
 	ans.Store = c.data.report(m, r.Store)
 	m.answered = c.now
-	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: 200, Body: encode(ans), Urgent: m.levels[job.Production] > 0})
+	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: 200, Body: encode(ans), Urgent: m.urgent()})
 }
 
 // orders compares a report with the records: what should be on the machine is
@@ -799,7 +802,7 @@
 		}
 		// In a zone that nobody hears, only the machines of production work are
 		// returned that soon: their tasks are known to be gone by it.
-		if well && m.mute > 1 && quiet > seconds(2.5*w.Report) && (m.levels[job.Production] > 0 || !c.zoneDark(m.claim.Zone)) || quiet > c.horizon()+seconds(3*w.Report) {
+		if well && m.mute > 1 && quiet > seconds(2.5*w.Report) && (m.urgent() || !c.zoneDark(m.claim.Zone)) || quiet > c.horizon()+seconds(3*w.Report) {
 			c.drain(m, drainSilent)
 		}
 	}
--- a/internal/site/outside.go
+++ b/internal/site/outside.go
@@ -120,11 +120,9 @@
 // changes. No answer, and a job that they don't know, are no.
 func (s *Site) over(pool *transport.Pool, ref string) bool {
 	for _, a := range s.Ports.Addresses() {
-		stop := time.AfterFunc(time.Second, func() { pool.Expire(time.Now().Add(time.Minute)) })
-		r, _, err := pool.Do(a, "GET", protocol.PathRuns+"/"+ref, nil, time.Second)
-		stop.Stop()
+		r := ask(pool, a, protocol.PathRuns+"/"+ref)
 		var st protocol.RunState
-		if err == nil && r.Status == 200 && json.Unmarshal(r.Body, &st) == nil && st.Ref == ref {
+		if r != nil && json.Unmarshal(r.Body, &st) == nil && st.Ref == ref {
 			return st.Status == string(job.Done) || st.Status == string(job.Cancelled)
 		}
 	}
--- a/internal/site/up.go
+++ b/internal/site/up.go
@@ -308,10 +308,7 @@
 	pool := transport.NewPool(4)
 	for {
 		for _, a := range s.Ports.Addresses() {
-			stop := time.AfterFunc(time.Second, func() { pool.Expire(time.Now().Add(time.Minute)) })
-			r, _, err := pool.Do(a, "GET", protocol.PathUp, nil, time.Second)
-			stop.Stop()
-			if err == nil && r.Status == 200 {
+			if ask(pool, a, protocol.PathUp) != nil {
 				return nil
 			}
 		}
@@ -325,6 +322,18 @@
 	}
 }
 
+// ask gets a path from a controller and gives up after a second; nil is any answer
+// but 200, and none.
+func ask(pool *transport.Pool, address, path string) *transport.Response {
+	stop := time.AfterFunc(time.Second, func() { pool.Expire(time.Now().Add(time.Minute)) })
+	defer stop.Stop()
+	r, _, err := pool.Do(address, "GET", path, nil, time.Second)
+	if err != nil || r.Status != 200 {
+		return nil
+	}
+	return r
+}
+
 // StateFile is the state service's file.
 func (s *Site) StateFile() string { return filepath.Join(s.Dir, "state", statestore.FileName) }
 
