--- a/cmd/silvergate/serve.go
+++ b/cmd/silvergate/serve.go
@@ -7,11 +7,13 @@
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
 	"silvergate/internal/config"
 	"silvergate/internal/coordination"
+	"silvergate/internal/doors"
 	"silvergate/internal/metrics"
 	"silvergate/internal/protocol"
 	"silvergate/internal/transport"
@@ -37,6 +39,9 @@
 	tick    *time.Timer
 	tickAt  time.Duration // when the next tick comes, by the steady clock
 	sweptAt time.Duration
+
+	refused  uint64 // connections, when operators were last told
+	warnedAt time.Duration
 }
 
 func newLogger(level string) *slog.Logger {
@@ -72,6 +77,10 @@
 		n.page = metrics.New(cfg.Node, n.figures)
 	}
 	n.server = transport.NewServer(&n.mu, n, 10*time.Second, 8*tenth)
+	n.server.Doors, n.server.Classify = doors.New(doors.Share(8*tenth)), class
+	// After its lease a worker has no use for a connection it says nothing on;
+	// it may be gone without a word.
+	n.server.Idle[doors.Worker] = time.Duration(cfg.Facts.Workers.Lease * float64(time.Second))
 	n.mu.Lock()
 	n.tick = time.AfterFunc(0, n.onTick)
 	n.mu.Unlock()
@@ -96,12 +105,37 @@
 			return
 		}
 		n.log.Error("metrics can't be shown", "err", err)
+	case path == coordination.PathStats:
+		n.core.Stats.Doors = n.server.Doors.Stats()
 	case r.Query != "" && (path == protocol.PathJobs || path == protocol.PathNodes || path == protocol.PathDataSets):
 		path += "?" + r.Query
 	}
 	n.do(n.core.Request(n.clock(), id, r.Method, path, r.Body))
 }
 
+// class tells what a request's connection is used for.
+func class(r *transport.Request) doors.Class {
+	switch {
+	case r.Path == protocol.PathCheckin:
+		return doors.Worker
+	case r.Path == protocol.PathRuns, strings.HasPrefix(r.Path, protocol.PathRuns+"/"):
+		return doors.User
+	}
+	return doors.Operator
+}
+
+// watchDoors tells operators, once a minute at the most, that the site has
+// outgrown its controllers' sockets.
+func (n *node) watchDoors(now time.Duration) {
+	s := n.server.Doors.Stats()
+	if (s.Refused == n.refused && !n.server.Doors.Tight()) || n.warnedAt > 0 && now-n.warnedAt < time.Minute {
+		return
+	}
+	n.log.Warn("more workers than sockets to keep for them: they connect anew for each report; give the controllers more sockets or add one",
+		"workers", s.Workers, "open", s.Open, "limit", s.Limit, "refused", s.Refused-n.refused, "released", s.Released)
+	n.refused, n.warnedAt = s.Refused, now
+}
+
 // figures are the core's counters for GET /metrics.
 func (n *node) figures() []metrics.Figure {
 	s := &n.core.Stats
@@ -118,6 +152,12 @@
 	}
 	out := []metrics.Figure{{Name: "controller_longest_step_seconds", Help: "The longest step so far.", Value: s.LongestStepMS / 1000},
 		{Name: "controller_uptime_seconds", Help: "Time since the start.", Value: time.Since(n.start).Seconds()}}
+	d := n.server.Doors.Stats()
+	out = append(out, metrics.Figure{Name: "controller_connections", Help: "Connections open for requests.", Value: float64(d.Open)},
+		metrics.Figure{Name: "controller_connections_workers", Help: "Those of workers.", Value: float64(d.Workers)},
+		metrics.Figure{Name: "controller_connections_limit", Help: "How many may be open.", Value: float64(d.Limit)},
+		metrics.Figure{Name: "controller_connections_refused", Help: "Connections refused as the limit was reached.", Value: float64(d.Refused), Count: true},
+		metrics.Figure{Name: "controller_connections_released", Help: "Connections closed with an answer to make room.", Value: float64(d.Released), Count: true})
 	for name, c := range counts {
 		out = append(out, metrics.Figure{Name: "controller_" + name, Help: c.help, Value: float64(c.v), Count: true})
 	}
@@ -146,6 +186,7 @@
 	if t.Steady-n.sweptAt > time.Second {
 		n.sweptAt = t.Steady
 		n.server.Sweep(t.Wall)
+		n.watchDoors(t.Steady)
 	}
 	var late time.Time
 	for _, p := range []*transport.Pool{n.state, n.cloud, n.work} {
@@ -170,7 +211,7 @@
 
 func (n *node) do(e coordination.Effects) {
 	for _, a := range e.Answers {
-		n.server.Answer(a.ID, a.Status, a.Body, a.RetryAfter)
+		n.server.AnswerFor(a.ID, a.Status, a.Body, a.RetryAfter, a.Urgent)
 	}
 	for _, s := range e.Sends {
 		if l := n.peers[s.To]; l != nil {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -19,6 +19,7 @@
 
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/config"
+	"silvergate/internal/doors"
 	"silvergate/internal/protocol"
 )
 
@@ -28,6 +29,7 @@
 	Status     int
 	Body       []byte
 	RetryAfter int
+	Urgent     bool // to a worker with urgent work: its connection is kept before others
 }
 
 // Send is a message for a peer.
@@ -146,6 +148,8 @@
 	Deleted     uint64 `json:"deleted"`
 	Unavailable uint64 `json:"unavailable"`
 
+	Doors doors.Stats `json:"doors"` // connections, as the program tells
+
 	LongestStepMS float64 `json:"longestStepMs"` // how long an answer had to wait for another step, at the most
 }
 
@@ -279,7 +283,7 @@
 }
 
 func (c *Core) answer(id uint64, status int, v any, retryAfter int) {
-	c.out.Answers = append(c.out.Answers, Answer{id, status, encode(v), retryAfter})
+	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: status, Body: encode(v), RetryAfter: retryAfter})
 }
 
 func (c *Core) refuse(id uint64, status int, why string) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -464,7 +464,7 @@
 	}
 	ans.Store = c.data.report(m, r.Store)
 	m.answered = c.now
-	c.answer(id, 200, ans, 0)
+	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: 200, Body: encode(ans), Urgent: m.levels[job.Production] > 0})
 }
 
 // orders compares a report with the records: what should be on the machine is
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/tidwall/evio"
+
+	"silvergate/internal/doors"
 )
 
 // Handler is what the server calls, always with the server's lock held.
@@ -34,13 +36,17 @@
 	handler  Handler
 	peers    PeerHandler // the handler, if it takes peer links
 	patience time.Duration
-	maxConns int
 	open     map[*conn]bool
 	conns    map[uint64]*conn
-	http     int
 	next     uint64
 	stopping bool
 	addrs    []net.Addr
+	// Doors decides which HTTP connections may be open. It may be replaced before
+	// Run, as may what tells it the use of a connection from a request, and how
+	// long one of a class may stay open without any.
+	Doors    *doors.Doors
+	Classify func(*Request) doors.Class
+	Idle     [doors.Classes]time.Duration
 	// Ready, if set before Run, is called once with the addresses that the
 	// server listens at; a port of 0 in them was chosen by the system.
 	Ready func(addrs []net.Addr)
@@ -56,18 +62,25 @@
 	busy    bool
 	last    bool // close after the answer
 	closing bool
+	entered bool // the doors count it
+	class   doors.Class
 	started time.Time // when the pending or the last request began to arrive
 }
 
 // idlePatience is how many times longer than a slow request a connection may
-// stay open without any.
+// stay open without any, if Server.Idle does not say otherwise.
 const idlePatience = 60
 
 // NewServer makes a server. Slow senders are cut off after patience, and HTTP
 // connections beyond maxConns are closed on arrival.
 func NewServer(mu *sync.Mutex, h Handler, patience time.Duration, maxConns int) *Server {
 	peers, _ := h.(PeerHandler)
-	return &Server{mu: mu, handler: h, peers: peers, patience: patience, maxConns: maxConns, open: map[*conn]bool{}, conns: map[uint64]*conn{}}
+	s := &Server{mu: mu, handler: h, peers: peers, patience: patience, Doors: doors.New(doors.Limits{Total: maxConns}),
+		Classify: func(*Request) doors.Class { return doors.User }, open: map[*conn]bool{}, conns: map[uint64]*conn{}}
+	for c := range s.Idle {
+		s.Idle[c] = idlePatience * patience
+	}
+	return s
 }
 
 // Run serves until the loop fails or Stop is called. Without a peerAddr there
@@ -97,7 +110,7 @@
 		s.open[k] = true
 		if c.AddrIndex() == 1 {
 			k.peer = newInLink()
-		} else if s.http++; s.http > s.maxConns {
+		} else if k.entered = s.Doors.Enter(); !k.entered {
 			return AppendResponse(nil, http.StatusServiceUnavailable, []byte(`{"error":"too many connections"}`), 1, true), evio.Options{}, evio.Close
 		}
 		return nil, evio.Options{ReuseInputBuffer: true}, evio.None
@@ -106,8 +119,8 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if k, ok := c.Context().(*conn); ok {
-			if k.peer == nil {
-				s.http--
+			if k.entered {
+				s.Doors.Leave(k.class)
 			}
 			delete(s.conns, k.id)
 			delete(s.open, k)
@@ -167,7 +180,7 @@
 			k.out = AppendResponse(k.out, http.StatusRequestTimeout, []byte(`{"error":"request too slow"}`), 0, true)
 			k.closing = true
 			k.ev.Wake()
-		case now.Sub(k.started) > idlePatience*s.patience:
+		case now.Sub(k.started) > s.Idle[k.class]:
 			// Guards against connections whose other end is gone without a
 			// word: they would fill the limit in time.
 			k.closing = true
@@ -198,6 +211,10 @@
 		k.id, k.busy = s.next, true
 		s.conns[k.id] = k
 		k.last = r.Close
+		if is := s.Classify(r); is != k.class {
+			s.Doors.Ask(k.class, is)
+			k.class = is
+		}
 		s.handler.Serve(k.id, r)
 		k.in = append(k.in[:0], k.in[n:]...)
 		if cap(k.in) > 8<<10 && len(k.in) == 0 {
@@ -218,7 +235,13 @@
 
 // Answer sends the response to request id. The server's lock must be held.
 func (s *Server) Answer(id uint64, status int, body []byte, retryAfter int) {
-	s.answer(id, func(dst []byte, closing bool) []byte {
+	s.AnswerFor(id, status, body, retryAfter, false)
+}
+
+// AnswerFor is Answer for one whose connection is given up after others: urgent
+// work depends on it.
+func (s *Server) AnswerFor(id uint64, status int, body []byte, retryAfter int, urgent bool) {
+	s.answer(id, status == http.StatusOK, urgent, func(dst []byte, closing bool) []byte {
 		return AppendResponse(dst, status, body, retryAfter, closing)
 	})
 }
@@ -226,18 +249,19 @@
 // AnswerAs answers request id with status 200 and a body that is not JSON. The
 // server's lock must be held.
 func (s *Server) AnswerAs(id uint64, contentType string, body []byte) {
-	s.answer(id, func(dst []byte, closing bool) []byte {
+	s.answer(id, true, false, func(dst []byte, closing bool) []byte {
 		return appendResponse(dst, http.StatusOK, contentType, body, 0, closing)
 	})
 }
 
-func (s *Server) answer(id uint64, write func(dst []byte, closing bool) []byte) {
+func (s *Server) answer(id uint64, served, urgent bool, write func(dst []byte, closing bool) []byte) {
 	k := s.conns[id]
 	if k == nil {
 		return
 	}
 	delete(s.conns, id)
 	k.busy = false
+	k.last = k.last || !s.Doors.Stay(k.class, served, urgent)
 	k.out = write(k.out, k.last)
 	k.closing = k.closing || k.last
 	if !k.inside {
--- /dev/null
+++ b/tools/regress/main.go
@@ -0,0 +1,214 @@
+// Command regress runs the scores that a change owes and compares them with
+// what was last committed to the journal.
+//
+//	go run ./tools/regress --kit ../given/kit --why "what was changed"
+//
+// It looks at the paths changed since a commit (and those not committed yet),
+// plays the sites they call for with the newest bench of the kit, and compares
+// each site with the last committed entry of the same site, kind and set of
+// days. Exit status: 0, nothing fell by more than noise; 1, a score fell; 2, a
+// rule is broken or a day failed; 3, it could not be run.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// status is an exit status that says what was found.
+type status int
+
+func (s status) Error() string {
+	return [...]string{"", "a score fell by more than noise", "a rule is broken or a day failed"}[s]
+}
+
+type options struct {
+	kit, since, why, journal string
+	noise                    float64
+	full, dry, all, judge    bool
+}
+
+func main() {
+	var o options
+	cmd := &cobra.Command{
+		Use:           "regress --kit DIR --why TEXT",
+		Short:         "Run the scores that a change owes and compare them with the journal",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(c *cobra.Command, _ []string) error { return o.run(c.OutOrStdout()) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.kit, "kit", "", "the folder of the users' kit")
+	f.StringVar(&o.since, "since", "HEAD", "compare the tree with this commit: the last one that was scored")
+	f.StringVar(&o.why, "why", "", "what was changed, for the journal")
+	f.StringVar(&o.journal, "journal", "journal", "the folder of the journal")
+	f.Float64Var(&o.noise, "noise", 0.03, "a fall of the score up to this is taken for chance")
+	f.BoolVar(&o.full, "full", false, "full scores in place of quick ones")
+	f.BoolVar(&o.all, "all", false, "all sites, whatever was changed")
+	f.BoolVar(&o.dry, "dry-run", false, "only tell what is owed")
+	f.BoolVar(&o.judge, "judge", false, "run nothing: judge the entries that are not committed yet")
+	err := cmd.Execute()
+	var s status
+	switch {
+	case err == nil:
+	case errors.As(err, &s):
+		fmt.Fprintln(os.Stderr, "regress:", err)
+		os.Exit(int(s))
+	default:
+		fmt.Fprintln(os.Stderr, "regress:", err)
+		os.Exit(3)
+	}
+}
+
+func (o *options) run(out io.Writer) error {
+	if o.judge {
+		return o.judged(out, nil)
+	}
+	if o.kit == "" {
+		return errors.New("--kit: missing; name the folder of the users' kit")
+	}
+	runs := []Run{earlier, fleet}
+	if !o.all {
+		paths, err := changed(o.since)
+		if err != nil {
+			return err
+		}
+		runs = owed(paths)
+	}
+	if len(runs) == 0 {
+		fmt.Fprintln(out, "nothing that is built has changed: no run is owed")
+		return nil
+	}
+	var sites []string
+	for _, r := range runs {
+		for _, pattern := range r.Sites {
+			found, err := filepath.Glob(filepath.Join(o.kit, pattern))
+			if err != nil {
+				return err
+			}
+			if len(found) == 0 {
+				return fmt.Errorf("no site files at %s", filepath.Join(o.kit, pattern))
+			}
+			sites = append(sites, found...)
+		}
+		fmt.Fprintf(out, "owed for %s: %s\n", r.Why, strings.Join(r.Sites, " "))
+	}
+	if o.dry {
+		return nil
+	}
+	if o.why == "" {
+		return errors.New("--why: missing; say what was changed")
+	}
+	before, err := readJournal(o.journal)
+	if err != nil {
+		return err
+	}
+	args := append([]string{"score"}, sites...)
+	if !o.full {
+		args = append(args, "--quick")
+	}
+	bench, err := filepath.Abs(filepath.Join(o.kit, "more/fleet/bin/fleetbench"))
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(bench, append(args, "--why", o.why)...)
+	cmd.Stdout, cmd.Stderr = out, os.Stderr
+	if err := cmd.Run(); err != nil {
+		fmt.Fprintln(out, "the bench ended with:", err) // its entries tell more
+	}
+	return o.judged(out, before)
+}
+
+// judged compares the entries that are not in before (nil: not committed) with
+// the committed ones.
+func (o *options) judged(out io.Writer, before map[string]Entry) error {
+	now, err := readJournal(o.journal)
+	if err != nil {
+		return err
+	}
+	old, err := committed(o.journal, now)
+	if err != nil {
+		return err
+	}
+	var list []Entry
+	for _, e := range old {
+		list = append(list, e)
+	}
+	var names []string
+	for name := range now {
+		_, was := before[name]
+		_, kept := old[name]
+		if before == nil && !kept || before != nil && !was {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return errors.New("no new entry in the journal: nothing was scored")
+	}
+	sort.Strings(names)
+	var worst status
+	for _, name := range names {
+		e := now[name]
+		b, known := baseline(list, e)
+		kind := e.Mode
+		if kind == "" {
+			kind = "full"
+		}
+		fmt.Fprintf(out, "%s (%s): %.3f, before %.3f (%s)\n", e.Site, kind, e.Score, b.Score, b.ID)
+		for _, f := range compare(b, e, known, o.noise) {
+			fmt.Fprintln(out, "  "+f.Text)
+			switch {
+			case f.Grave:
+				worst = 2
+			case f.Fall:
+				worst = max(worst, 1)
+			}
+		}
+	}
+	if worst > 0 {
+		return worst
+	}
+	return nil
+}
+
+// committed picks the entries that are in HEAD, as they are there.
+func committed(dir string, all map[string]Entry) (map[string]Entry, error) {
+	names, err := git("ls-tree", "--name-only", "HEAD", dir+"/")
+	if err != nil {
+		return nil, err
+	}
+	kept := map[string]Entry{}
+	for _, n := range names {
+		if e, ok := all[filepath.Base(n)]; ok {
+			kept[filepath.Base(n)] = e
+		}
+	}
+	return kept, nil
+}
+
+// changed lists the paths that differ from a commit, new ones included.
+func changed(since string) ([]string, error) {
+	paths, err := git("diff", "--name-only", since)
+	if err != nil {
+		return nil, err
+	}
+	fresh, err := git("ls-files", "--others", "--exclude-standard")
+	return append(paths, fresh...), err
+}
+
+func git(args ...string) ([]string, error) {
+	out, err := exec.Command("git", args...).Output()
+	if err != nil {
+		return nil, fmt.Errorf("git %s: %w", strings.Join(args, " "), err)
+	}
+	return strings.Fields(string(out)), nil
+}
