Certificates of a site: authority, identities, revocation

Need: logs and files of tasks are to be read by whom they belong to and nobody else, and written by the machine that ran the task; both need to know who is at the other end of a connection.

Renewal and revocations take effect without a restart. Reasons for a refusal stand in the log and not in the answer. silvergate certs is the tool.

Shown: a table of ten kinds of refused connections over loopback, revocation and expiry on open connections, drawn identities, two fuzz targets.

--- /dev/null
+++ b/cmd/silvergate/certs.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"silvergate/internal/identity"
+)
+
+// certsCommands are the site's small authority.
+func certsCommands() *cobra.Command {
+	cmd := &cobra.Command{Use: "certs", Short: "The site's authority: init, issue, renew, revoke, list",
+		Long: `certs keeps the site's authority: a folder with its key, the list of what it
+issued and the list of revocations. Whoever can read that folder can be anyone on
+the site. Identities are written node/NAME, agent/MACHINE, operator/NAME,
+team/TEAM and customer/TEAM/CUSTOMER (docs/security.md).`}
+	var dir string
+	cmd.PersistentFlags().StringVar(&dir, "authority", "", "the authority's folder")
+	_ = cmd.MarkPersistentFlagRequired("authority")
+	k := newClient()
+	issuing := func(c *cobra.Command, life *time.Duration) {
+		c.Flags().DurationVar(life, "life", identity.DefaultLife, "how long the certificate holds")
+		k.output(c)
+	}
+	told := func(c *cobra.Command, i identity.Issued, to string) error {
+		return k.show(c, i, fmt.Sprintf("%s: serial %s, until %s, in %s", i.Identity, i.Serial, i.NotAfter.Format(time.RFC3339), to))
+	}
+
+	var site string
+	initialize := &cobra.Command{
+		Use: "init --authority DIR --site NAME", Short: "Make the site's authority in a folder that has none", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if _, err := identity.Init(dir, site, time.Now()); err != nil {
+				return err
+			}
+			return k.show(c, map[string]string{"site": site, "authority": dir}, fmt.Sprintf("the authority of %s is in %s; keep that folder to yourself", site, dir))
+		},
+	}
+	initialize.Flags().StringVar(&site, "site", "site", "the site's name, which stands in all identities")
+	k.output(initialize)
+
+	var life time.Duration
+	var to string
+	issue := &cobra.Command{
+		Use: "issue IDENTITY --authority DIR --to DIR", Short: "Issue a certificate into a folder", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			a, err := identity.Open(dir)
+			if err != nil {
+				return err
+			}
+			who, err := identity.Parse(a.Site(), args[0])
+			if err != nil {
+				return err
+			}
+			i, err := a.Issue(who, to, life)
+			if err != nil {
+				return err
+			}
+			return told(c, i, to)
+		},
+	}
+	issue.Flags().StringVar(&to, "to", "", "the party's folder")
+	_ = issue.MarkFlagRequired("to")
+	issuing(issue, &life)
+
+	renew := &cobra.Command{
+		Use: "renew DIR --authority DIR", Short: "Replace the certificate in a party's folder; the party goes on without a restart", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			a, err := identity.Open(dir)
+			if err != nil {
+				return err
+			}
+			who, err := identity.ReadIdentity(args[0])
+			if err != nil {
+				return err
+			}
+			i, err := a.Issue(who, args[0], life)
+			if err != nil {
+				return err
+			}
+			return told(c, i, filepath.Clean(args[0]))
+		},
+	}
+	issuing(renew, &life)
+
+	revoke := &cobra.Command{
+		Use: "revoke SERIAL|IDENTITY --authority DIR", Short: "Revoke a certificate, or all of an identity", Args: cobra.ExactArgs(1),
+		Long: `revoke adds certificates to the signed list of revocations in the authority's
+folder. Archive nodes that can read that folder follow it; give it to others by
+silvergate archive revocations. docs/security.md tells how soon it holds everywhere.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			a, err := identity.Open(dir)
+			if err != nil {
+				return err
+			}
+			n, err := a.Revoke(args[0])
+			if err != nil {
+				return err
+			}
+			return k.show(c, map[string]any{"revoked": n, "what": args[0]}, fmt.Sprintf("%d certificates of %s revoked", n, args[0]))
+		},
+	}
+	k.output(revoke)
+
+	list := &cobra.Command{
+		Use: "list --authority DIR", Short: "List what was issued", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			a, err := identity.Open(dir)
+			if err != nil {
+				return err
+			}
+			all, err := a.List()
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, i := range all {
+				state := "holds"
+				switch {
+				case i.Revoked:
+					state = "revoked"
+				case time.Now().After(i.NotAfter):
+					state = "expired"
+				}
+				rows = append(rows, []string{i.Serial, i.Identity, i.NotAfter.Format(time.RFC3339), state})
+			}
+			return k.list(c, all, "SERIAL IDENTITY UNTIL STATE", rows)
+		},
+	}
+	k.output(list)
+	cmd.AddCommand(initialize, issue, renew, revoke, list)
+	return cmd
+}
--- a/cmd/silvergate/client.go
+++ b/cmd/silvergate/client.go
@@ -128,6 +128,14 @@
 	return err
 }
 
+// list prints a list: a table for people, JSON for programs.
+func (k *client) list(c *cobra.Command, v any, head string, rows [][]string) error {
+	if k.format == "json" {
+		return json.NewEncoder(c.OutOrStdout()).Encode(v)
+	}
+	return table(c.OutOrStdout(), head, rows)
+}
+
 // jobFile is a job as people write it: the protocol's fields in YAML, of which
 // those that have a usual value may be left out.
 type jobFile struct {
--- a/cmd/silvergate/root.go
+++ b/cmd/silvergate/root.go
@@ -71,7 +71,7 @@
 		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "silvergate", version) },
 	})
 	cmd.AddCommand(clientCommands()...)
-	cmd.AddCommand(upCommand(), lossesCommand(), stateCommands(), providerCommand(), soakCommand(), dataCommands(), benchCommands())
+	cmd.AddCommand(upCommand(), lossesCommand(), stateCommands(), providerCommand(), soakCommand(), dataCommands(), certsCommands(), benchCommands())
 	cmd.AddCommand(agentCommands()...)
 	return cmd
 }
--- /dev/null
+++ b/internal/identity/authority.go
@@ -0,0 +1,425 @@
+package identity
+
+import (
+	"bufio"
+	"bytes"
+	"crypto"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/big"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"golang.org/x/sys/unix"
+)
+
+// Names in an authority's folder, and in a party's.
+const (
+	authorityKey  = "authority.key"
+	authorityFile = "authority.crt"
+	issuedFile    = "issued.jsonl"
+	lockFile      = "lock"
+	revokedFile   = "revoked.crl"
+	certFile      = "cert.pem"
+)
+
+// Lives of what is issued.
+const (
+	authorityLife = 10 * 365 * 24 * time.Hour
+	// DefaultLife is a certificate's unless another is asked for.
+	DefaultLife = 30 * 24 * time.Hour
+	// Skew is how much earlier than issued a certificate holds: clocks differ.
+	Skew = 5 * time.Minute
+)
+
+// Authority issues a site's certificates. Its folder must be nobody else's to
+// read; whoever holds the key can be anyone on the site.
+type Authority struct {
+	dir  string
+	cert *x509.Certificate
+	key  crypto.Signer
+	// Now is the day's clock.
+	Now func() time.Time
+}
+
+// Issued is a certificate on record.
+type Issued struct {
+	Serial    string    `json:"serial"`
+	Identity  string    `json:"identity"`
+	NotBefore time.Time `json:"notBefore"`
+	NotAfter  time.Time `json:"notAfter"`
+	Revoked   bool      `json:"revoked,omitempty"`
+}
+
+// Init makes a site's authority in a folder that has none.
+func Init(dir, site string, now time.Time) (*Authority, error) {
+	if !ValidName(site) {
+		return nil, fmt.Errorf("site %.40q: not a name of letters, digits, '-', '_' and '.'", site)
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	unlock, err := lock(dir)
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	if _, err := os.Stat(filepath.Join(dir, authorityFile)); err == nil {
+		return nil, fmt.Errorf("%s has an authority already: %w", dir, fs.ErrExist)
+	}
+	pub, key, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	serial, err := newSerial()
+	if err != nil {
+		return nil, err
+	}
+	t := &x509.Certificate{SerialNumber: serial, Subject: pkix.Name{CommonName: "silvergate authority of " + site, Organization: []string{site}},
+		NotBefore: now.Add(-Skew), NotAfter: now.Add(authorityLife), IsCA: true, BasicConstraintsValid: true, MaxPathLenZero: true,
+		KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageCRLSign}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, pub, key)
+	if err != nil {
+		return nil, err
+	}
+	// The certificate is last: a folder without it has no authority yet.
+	if err := writeKey(filepath.Join(dir, authorityKey), key); err != nil {
+		return nil, err
+	}
+	if err := writePEM(filepath.Join(dir, authorityFile), "CERTIFICATE", der, 0o644); err != nil {
+		return nil, err
+	}
+	a, err := Open(dir)
+	if err != nil {
+		return nil, err
+	}
+	a.Now = func() time.Time { return now }
+	err = a.writeRevoked(nil, 1)
+	a.Now = time.Now
+	return a, err
+}
+
+// Open takes the authority in a folder.
+func Open(dir string) (*Authority, error) {
+	raw, err := os.ReadFile(filepath.Join(dir, authorityFile))
+	if err != nil {
+		return nil, fmt.Errorf("%s has no authority; make one with silvergate certs init: %w", dir, err)
+	}
+	cert, err := parseCert(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", filepath.Join(dir, authorityFile), err)
+	}
+	key, err := readKey(filepath.Join(dir, authorityKey))
+	if err != nil {
+		return nil, err
+	}
+	if pub, ok := key.Public().(ed25519.PublicKey); !ok || !pub.Equal(cert.PublicKey) {
+		return nil, fmt.Errorf("%s: not the key of %s", filepath.Join(dir, authorityKey), authorityFile)
+	}
+	return &Authority{dir: dir, cert: cert, key: key, Now: time.Now}, nil
+}
+
+// Site is whose authority it is.
+func (a *Authority) Site() string { return a.cert.Subject.Organization[0] }
+
+// Issue writes a new certificate and key for a party into a folder, beside the
+// site's own certificate and its revocations. What was there is replaced: the
+// party goes on with the new one without a restart. It says nothing of addresses:
+// who serves is judged by identity.
+func (a *Authority) Issue(who Identity, to string, life time.Duration) (Issued, error) {
+	if who.Site == "" {
+		who.Site = a.Site()
+	}
+	if err := who.Check(); err != nil {
+		return Issued{}, err
+	}
+	if who.Site != a.Site() {
+		return Issued{}, fmt.Errorf("this is the authority of %s, not of %s", a.Site(), who.Site)
+	}
+	if life <= 0 {
+		life = DefaultLife
+	}
+	unlock, err := lock(a.dir)
+	if err != nil {
+		return Issued{}, err
+	}
+	defer unlock()
+	pub, key, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return Issued{}, err
+	}
+	serial, err := newSerial()
+	if err != nil {
+		return Issued{}, err
+	}
+	now := a.Now()
+	t := &x509.Certificate{SerialNumber: serial, Subject: pkix.Name{CommonName: who.String(), Organization: []string{who.Site}},
+		NotBefore: now.Add(-Skew), NotAfter: minTime(now.Add(life), a.cert.NotAfter), KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}, BasicConstraintsValid: true}
+	t.URIs = append(t.URIs, who.URI())
+	der, err := x509.CreateCertificate(rand.Reader, t, a.cert, pub, a.key)
+	if err != nil {
+		return Issued{}, err
+	}
+	rec := Issued{Serial: serial.Text(16), Identity: who.String(), NotBefore: t.NotBefore.UTC(), NotAfter: t.NotAfter.UTC()}
+	// On record before it can be used: what is not on record can't be revoked.
+	if err := a.note(rec); err != nil {
+		return Issued{}, err
+	}
+	if err := os.MkdirAll(to, 0o700); err != nil {
+		return Issued{}, err
+	}
+	crl, err := os.ReadFile(filepath.Join(a.dir, revokedFile))
+	if err != nil {
+		return Issued{}, err
+	}
+	// Key and certificate are one file's contents, so that no reader ever sees
+	// the one without the other.
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Issued{}, err
+	}
+	both := append(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw})...)
+	for _, f := range []struct {
+		name string
+		data []byte
+		mode fs.FileMode
+	}{{authorityFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw}), 0o644}, {revokedFile, crl, 0o644}, {certFile, both, 0o600}} {
+		if err := renameio.WriteFile(filepath.Join(to, f.name), f.data, f.mode); err != nil {
+			return Issued{}, err
+		}
+	}
+	return rec, nil
+}
+
+// note appends a line to the list of what was issued, and syncs it.
+func (a *Authority) note(rec Issued) error {
+	raw, err := json.Marshal(rec)
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(filepath.Join(a.dir, issuedFile), os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	// A line that a crash cut off has no end; the next must not continue it.
+	if end, err := f.Seek(0, 2); err == nil && end > 0 {
+		last := make([]byte, 1)
+		if _, err := f.ReadAt(last, end-1); err == nil && last[0] != '\n' {
+			raw = append([]byte{'\n'}, raw...)
+		}
+	}
+	if _, err := f.Write(append(raw, '\n')); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// List tells what was issued, the oldest first.
+func (a *Authority) List() ([]Issued, error) {
+	raw, err := os.ReadFile(filepath.Join(a.dir, issuedFile))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	l, err := a.revoked()
+	if err != nil {
+		return nil, err
+	}
+	gone := map[string]bool{}
+	for _, e := range l.RevokedCertificateEntries {
+		gone[e.SerialNumber.Text(16)] = true
+	}
+	out := []Issued{}
+	for sc := bufio.NewScanner(bytes.NewReader(raw)); sc.Scan(); {
+		var i Issued
+		if json.Unmarshal(sc.Bytes(), &i) == nil { // a cut line was never used
+			i.Revoked = gone[i.Serial]
+			out = append(out, i)
+		}
+	}
+	return out, nil
+}
+
+// ErrUnknown is a certificate that was never issued here.
+var ErrUnknown = errors.New("no such certificate was issued here")
+
+// Revoke puts certificates on the list of revocations: the one with that serial
+// number, or all of the identity with that name. It returns how many were added.
+func (a *Authority) Revoke(serialOrIdentity string) (int, error) {
+	unlock, err := lock(a.dir)
+	if err != nil {
+		return 0, err
+	}
+	defer unlock()
+	all, err := a.List()
+	if err != nil {
+		return 0, err
+	}
+	old, err := a.revoked()
+	if err != nil {
+		return 0, err
+	}
+	list := old.RevokedCertificateEntries
+	found, added := false, 0
+	for _, i := range all {
+		if i.Serial != serialOrIdentity && i.Identity != serialOrIdentity {
+			continue
+		}
+		found = true
+		if n, ok := new(big.Int).SetString(i.Serial, 16); ok && !i.Revoked {
+			list = append(list, x509.RevocationListEntry{SerialNumber: n, RevocationTime: a.Now().UTC()})
+			added++
+		}
+	}
+	if !found {
+		return 0, fmt.Errorf("%s: %w", serialOrIdentity, ErrUnknown)
+	}
+	if added == 0 {
+		return 0, nil
+	}
+	return added, a.writeRevoked(list, old.Number.Int64()+1)
+}
+
+// RevokedList is the newest signed list of revocations.
+func (a *Authority) RevokedList() ([]byte, error) {
+	return os.ReadFile(filepath.Join(a.dir, revokedFile))
+}
+
+func (a *Authority) revoked() (*x509.RevocationList, error) {
+	raw, err := a.RevokedList()
+	if err != nil {
+		return nil, err
+	}
+	return parseRevoked(raw, a.cert)
+}
+
+func (a *Authority) writeRevoked(list []x509.RevocationListEntry, number int64) error {
+	der, err := x509.CreateRevocationList(rand.Reader, &x509.RevocationList{RevokedCertificateEntries: list, Number: big.NewInt(number),
+		ThisUpdate: a.Now(), NextUpdate: a.cert.NotAfter}, a.cert, a.key)
+	if err != nil {
+		return err
+	}
+	return renameio.WriteFile(filepath.Join(a.dir, revokedFile), der, 0o644)
+}
+
+func parseRevoked(raw []byte, by *x509.Certificate) (*x509.RevocationList, error) {
+	l, err := x509.ParseRevocationList(raw)
+	if err != nil {
+		return nil, fmt.Errorf("list of revocations: %w", err)
+	}
+	if err := l.CheckSignatureFrom(by); err != nil {
+		return nil, fmt.Errorf("list of revocations: %w", err)
+	}
+	if l.Number == nil || !l.Number.IsInt64() {
+		return nil, errors.New("list of revocations: it has no number")
+	}
+	return l, nil
+}
+
+func parseCert(raw []byte) (*x509.Certificate, error) {
+	b, _ := pem.Decode(raw)
+	if b == nil || b.Type != "CERTIFICATE" {
+		return nil, errors.New("no certificate in it")
+	}
+	return x509.ParseCertificate(b.Bytes)
+}
+
+func newSerial() (*big.Int, error) {
+	n, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
+	if err == nil && n.Sign() == 0 {
+		n.SetInt64(1)
+	}
+	return n, err
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func writePEM(path, kind string, der []byte, mode fs.FileMode) error {
+	return renameio.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), mode)
+}
+
+func writeKey(path string, key ed25519.PrivateKey) error {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return err
+	}
+	return writePEM(path, "PRIVATE KEY", der, 0o600)
+}
+
+// readKey reads a key and refuses one that others can read.
+func readKey(path string) (crypto.Signer, error) {
+	raw, err := readPrivate(path)
+	if err != nil {
+		return nil, err
+	}
+	b, _ := pem.Decode(raw)
+	if b == nil {
+		return nil, fmt.Errorf("%s: no key in it", path)
+	}
+	k, err := x509.ParsePKCS8PrivateKey(b.Bytes)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	s, ok := k.(crypto.Signer)
+	if !ok {
+		return nil, fmt.Errorf("%s: not a key that signs", path)
+	}
+	return s, nil
+}
+
+// readPrivate reads a file that must be its owner's alone.
+func readPrivate(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return nil, err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, fmt.Errorf("%s: others can read it (mode %o); make it 0600", path, info.Mode().Perm())
+	}
+	raw := make([]byte, min(info.Size(), 1<<20))
+	n, err := f.ReadAt(raw, 0)
+	if n < len(raw) && err != nil {
+		return nil, err
+	}
+	return raw, nil
+}
+
+// lock keeps two commands from changing an authority at once.
+func lock(dir string) (func(), error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockFile), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		err = unix.Flock(int(f.Fd()), unix.LOCK_EX)
+		if err != syscall.EINTR {
+			break
+		}
+	}
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return func() { f.Close() }, nil
+}
--- /dev/null
+++ b/internal/identity/identity_test.go
@@ -0,0 +1,362 @@
+package identity
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var begin = time.Date(2026, 1, 5, 6, 0, 0, 0, time.UTC)
+
+func authority(t *testing.T, site string) *Authority {
+	t.Helper()
+	a, err := Init(filepath.Join(t.TempDir(), "authority"), site, begin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Now = func() time.Time { return begin }
+	return a
+}
+
+// party issues a certificate and opens it.
+func party(t *testing.T, a *Authority, who string, log io.Writer) *Keeper {
+	t.Helper()
+	i, err := Parse(a.Site(), who)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.Join(t.TempDir(), "party")
+	if _, err := a.Issue(i, dir, time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	k, err := NewKeeper(dir, slog.New(slog.NewTextHandler(log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.Now = func() time.Time { return begin.Add(time.Minute) }
+	return k
+}
+
+// server answers who asks.
+func server(t *testing.T, k *Keeper) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{TLSConfig: k.Serve(), ErrorLog: slog.NewLogLogger(slog.NewTextHandler(io.Discard, nil), slog.LevelError),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			who, ok := k.Who(r)
+			if !ok {
+				w.WriteHeader(http.StatusForbidden)
+				return
+			}
+			_, _ = io.WriteString(w, who.String())
+		})}
+	go func() { _ = s.ServeTLS(l, "", "") }()
+	t.Cleanup(func() { s.Close() })
+	return "https://" + l.Addr().String()
+}
+
+func get(c *http.Client, url string) (string, error) {
+	r, err := c.Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if r.StatusCode != 200 {
+		return "", errors.New(r.Status)
+	}
+	return string(b), err
+}
+
+func client(cfg *tls.Config) *http.Client {
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}, Timeout: 10 * time.Second}
+}
+
+// TestWhoIsRefused guards against connections of anybody who is not of the site
+// now, and against answers that say why.
+func TestWhoIsRefused(t *testing.T) {
+	a, other := authority(t, "valley"), authority(t, "valley") // the same name, another key
+	var log bytes.Buffer
+	node := party(t, a, "node/one", &log)
+	url := server(t, node)
+	good := party(t, a, "customer/office/baker", io.Discard)
+	if who, err := get(client(good.Dial(Node, "one")), url); err != nil || who != "customer/office/baker" {
+		t.Fatalf("%q, %v", who, err)
+	}
+	forged := func(change func(c *x509.Certificate)) *tls.Config { // signed by the site's authority, for something it would not issue
+		pub, key, _ := ed25519.GenerateKey(rand.Reader)
+		u, _ := url2("silvergate://valley/operator/eve")
+		c := &x509.Certificate{SerialNumber: big.NewInt(7), NotBefore: begin.Add(-time.Hour), NotAfter: begin.Add(time.Hour),
+			ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}, URIs: u}
+		change(c)
+		der, err := x509.CreateCertificate(rand.Reader, c, a.cert, pub, a.key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}
+	}
+	revoked := party(t, a, "operator/gone", io.Discard)
+	if n, err := a.Revoke("operator/gone"); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	list, _ := a.RevokedList()
+	if newer, err := node.Learn(list); !newer || err != nil {
+		t.Fatal(newer, err)
+	}
+	for _, c := range []struct {
+		name   string
+		cfg    *tls.Config
+		reason error
+	}{
+		{"no certificate", &tls.Config{InsecureSkipVerify: true}, nil},
+		{"another authority of the same name", party(t, other, "operator/eve", io.Discard).Dial(Node, ""), ErrForeign},
+		{"expired", forged(func(c *x509.Certificate) { c.NotAfter = begin }), ErrExpired},
+		{"not yet valid", forged(func(c *x509.Certificate) { c.NotBefore = begin.Add(30 * time.Minute) }), ErrNotYet},
+		{"revoked", revoked.Dial(Node, ""), ErrRevoked},
+		{"two names", forged(func(c *x509.Certificate) {
+			u, _ := url2("silvergate://valley/node/one")
+			c.URIs = append(c.URIs, u...)
+		}), ErrMalformed},
+		{"no name", forged(func(c *x509.Certificate) { c.URIs = nil }), ErrMalformed},
+		{"another spelling", forged(func(c *x509.Certificate) { c.URIs, _ = url2("silvergate://valley/operator/e%76e") }), ErrMalformed},
+		{"another site", forged(func(c *x509.Certificate) { c.URIs, _ = url2("silvergate://hill/operator/eve") }), ErrForeign},
+		{"for something else", forged(func(c *x509.Certificate) { c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageCodeSigning} }), ErrForeign},
+	} {
+		log.Reset()
+		cfg := c.cfg.Clone()
+		cfg.VerifyConnection = nil // this client takes any server
+		_, err := get(client(cfg), url)
+		if err == nil {
+			t.Errorf("%s: answered", c.name)
+			continue
+		}
+		for _, word := range []string{"expired", "revoked", "authority", "certificate holds", "silvergate"} {
+			if strings.Contains(err.Error(), word) {
+				t.Errorf("%s: the answer says why: %v", c.name, err)
+			}
+		}
+		if c.reason != nil && !strings.Contains(log.String(), c.reason.Error()) {
+			t.Errorf("%s: not in the log: %s", c.name, log.String())
+		}
+	}
+	if _, err := http.Get(strings.Replace(url, "https:", "http:", 1)); err == nil {
+		if r, _ := http.Get(strings.Replace(url, "https:", "http:", 1)); r.StatusCode != http.StatusBadRequest {
+			t.Errorf("a plain connection is answered: %s", r.Status)
+		}
+	}
+	// A client wants the party that it asked for.
+	for _, d := range []*tls.Config{good.Dial(Node, "two"), good.Dial(Agent, "one")} {
+		if _, err := get(client(d), url); err == nil {
+			t.Error("the wrong party is taken")
+		}
+	}
+}
+
+func url2(s string) ([]*url.URL, error) {
+	u, err := url.Parse(s)
+	return []*url.URL{u}, err
+}
+
+// TestRevocationEndsConnections guards against a connection that goes on after
+// what it was accepted with was revoked, or has expired.
+func TestRevocationEndsConnections(t *testing.T) {
+	a := authority(t, "valley")
+	node := party(t, a, "node/one", io.Discard)
+	c := client(party(t, a, "operator/ann", io.Discard).Dial(Node, ""))
+	url := server(t, node)
+	if _, err := get(c, url); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := a.Revoke("operator/ann"); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	if n, err := a.Revoke("operator/ann"); n != 0 || err != nil {
+		t.Fatal("revoked twice", n, err)
+	}
+	if _, err := a.Revoke("operator/bob"); !errors.Is(err, ErrUnknown) {
+		t.Fatal(err)
+	}
+	if _, err := get(c, url); err != nil { // not heard of yet
+		t.Fatal(err)
+	}
+	list, _ := a.RevokedList()
+	if _, err := node.Learn(list); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := get(c, url); err == nil {
+		t.Error("a revoked certificate is served on its old connection")
+	}
+	old := list
+	if n, err := a.Revoke("node/one"); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	list, _ = a.RevokedList()
+	if newer, err := node.Learn(list); !newer || err != nil {
+		t.Fatal(newer, err)
+	}
+	if newer, err := node.Learn(old); newer || err != nil {
+		t.Error("an older list replaces a newer one", newer, err)
+	}
+	bad := bytes.Clone(list)
+	bad[len(bad)-1] ^= 1
+	if _, err := node.Learn(bad); err == nil {
+		t.Error("a list with another signature is taken")
+	}
+	again, err := NewKeeper(node.dir, node.log)
+	if err != nil || !bytes.Equal(again.Revocations(), list) {
+		t.Error("what was learnt is not kept", err)
+	}
+	late := client(party(t, a, "operator/cat", io.Discard).Dial(Node, ""))
+	late.Transport.(*http.Transport).TLSClientConfig.VerifyConnection = nil
+	if _, err := get(late, url); err != nil {
+		t.Fatal(err)
+	}
+	node.Now = func() time.Time { return begin.Add(2 * time.Hour) }
+	if _, err := get(late, url); err == nil {
+		t.Error("an expired certificate is served on its old connection")
+	}
+}
+
+// TestRenewal guards against a renewal that needs a restart, and against another
+// party's certificate in its place.
+func TestRenewal(t *testing.T) {
+	a := authority(t, "valley")
+	node := party(t, a, "node/one", io.Discard)
+	first := node.own.Load().Leaf.SerialNumber
+	touch := func(kind Kind, name string) {
+		t.Helper()
+		if _, err := a.Issue(Identity{Kind: kind, Name: name}, node.dir, time.Hour); err != nil {
+			t.Fatal(err)
+		}
+		node.looked = time.Time{}
+		node.seen = map[string]time.Time{}
+		node.look()
+	}
+	touch(Node, "one")
+	second := node.own.Load().Leaf.SerialNumber
+	if second.Cmp(first) == 0 {
+		t.Error("the new certificate is not used")
+	}
+	touch(Node, "two")
+	if node.own.Load().Leaf.SerialNumber.Cmp(second) != 0 || node.Me().Name != "one" {
+		t.Error("it has become somebody else")
+	}
+	if err := os.Chmod(filepath.Join(node.dir, certFile), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := NewKeeper(node.dir, node.log); err == nil || !strings.Contains(err.Error(), "0600") {
+		t.Errorf("a key that others can read is taken: %v", err)
+	}
+}
+
+// TestAuthoritysFolder guards against a second authority in a folder, against
+// what a crash leaves in the list, and against certificates that aren't on it.
+func TestAuthoritysFolder(t *testing.T) {
+	a := authority(t, "valley")
+	if _, err := Init(a.dir, "valley", begin); !errors.Is(err, os.ErrExist) {
+		t.Errorf("made twice: %v", err)
+	}
+	party(t, a, "agent/m-1", io.Discard)
+	f, err := os.OpenFile(filepath.Join(a.dir, issuedFile), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = f.WriteString(`{"serial":"ab`)
+	f.Close()
+	party(t, a, "agent/m-2", io.Discard)
+	all, err := a.List()
+	if err != nil || len(all) != 2 || all[1].Identity != "agent/m-2" {
+		t.Errorf("%v, %v", all, err)
+	}
+	if _, err := a.Issue(Identity{Site: "hill", Kind: Node, Name: "x"}, t.TempDir(), 0); err == nil {
+		t.Error("issued for another site")
+	}
+	b := authority(t, "hill")
+	raw, _ := os.ReadFile(filepath.Join(b.dir, authorityKey))
+	if err := os.WriteFile(filepath.Join(a.dir, authorityKey), raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(a.dir); err == nil {
+		t.Error("an authority with another's key is opened")
+	}
+}
+
+// TestIdentitiesHaveOneSpelling draws identities and checks that they are read as
+// they were written.
+func TestIdentitiesHaveOneSpelling(t *testing.T) {
+	name := rapid.StringMatching(`[a-zA-Z0-9_][a-zA-Z0-9_.-]{0,30}`)
+	rapid.Check(t, func(t *rapid.T) {
+		i := Identity{Site: name.Draw(t, "site"), Kind: rapid.SampledFrom([]Kind{Node, Agent, Operator, Team, Customer}).Draw(t, "kind"), Name: name.Draw(t, "name")}
+		if i.Kind == Customer {
+			i.Customer = name.Draw(t, "customer")
+		}
+		u, err := url.Parse(i.URI().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := ParseURI(u); err != nil || got != i {
+			t.Fatalf("%s: %+v, %v", u, got, err)
+		}
+		if got, err := Parse(i.Site, i.String()); err != nil || got != i {
+			t.Fatalf("%s: %+v, %v", i, got, err)
+		}
+	})
+}
+
+// FuzzIdentity guards against certificates whose names read as two parties: what
+// is read must be written the same way.
+func FuzzIdentity(f *testing.F) {
+	for _, s := range []string{"silvergate://a/node/b", "silvergate://a/customer/b/c", "silvergate://a/operator/b?x", "silvergate://u@a/node/b", "silvergate://a/node/b/../c", "silvergate://a/node/%62", "SILVERGATE://a/node/b"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		u, err := url.Parse(s)
+		if err != nil {
+			return
+		}
+		i, err := ParseURI(u)
+		if err != nil {
+			return
+		}
+		if i.Check() != nil || i.URI().String() != u.String() {
+			t.Errorf("%q is read as %+v", s, i)
+		}
+	})
+}
+
+// FuzzCertificate has certificates read from damaged files.
+func FuzzCertificate(f *testing.F) {
+	a, err := Init(filepath.Join(f.TempDir(), "authority"), "valley", begin)
+	if err != nil {
+		f.Fatal(err)
+	}
+	list, _ := a.RevokedList()
+	f.Add(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw}), list)
+	f.Fuzz(func(t *testing.T, cert, list []byte) {
+		if c, err := parseCert(cert); err == nil {
+			_, _ = identityOf(c)
+		}
+		if l, err := parseRevoked(list, a.cert); err == nil && l.CheckSignatureFrom(a.cert) != nil {
+			t.Error("a list that is not signed is taken")
+		}
+	})
+}
--- /dev/null
+++ b/internal/identity/keeper.go
@@ -0,0 +1,321 @@
+package identity
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/renameio/v2"
+)
+
+// Reasons for which somebody is refused. They are for the log.
+var (
+	ErrNone      = errors.New("no certificate")
+	ErrForeign   = errors.New("its certificate is not of this site's authority")
+	ErrExpired   = errors.New("its certificate is expired")
+	ErrNotYet    = errors.New("its certificate does not hold yet")
+	ErrRevoked   = errors.New("its certificate is revoked")
+	ErrMalformed = errors.New("its certificate names nobody")
+	ErrRole      = errors.New("it is not what is expected here")
+)
+
+// Keeper holds one party's certificate and what it must know to judge others'.
+// It is safe for concurrent use.
+type Keeper struct {
+	dir  string
+	log  *slog.Logger
+	me   Identity
+	root *x509.Certificate
+	pool *x509.CertPool
+	// Now is the day's clock.
+	Now func() time.Time
+
+	own  atomic.Pointer[tls.Certificate]
+	gone atomic.Pointer[revocations]
+
+	mu     sync.Mutex // of reading again
+	looked time.Time
+	seen   map[string]time.Time // times of change, by file
+}
+
+type revocations struct {
+	raw    []byte
+	number int64
+	serial map[string]bool
+}
+
+// lookEvery is how often the files are looked at: a renewal and a revocation
+// that comes by file are effective within it.
+const lookEvery = time.Second
+
+// NewKeeper takes the certificate in a folder that Authority.Issue wrote.
+func NewKeeper(dir string, log *slog.Logger) (*Keeper, error) {
+	k := &Keeper{dir: dir, log: log, Now: time.Now, seen: map[string]time.Time{}}
+	raw, err := os.ReadFile(filepath.Join(dir, authorityFile))
+	if err != nil {
+		return nil, fmt.Errorf("certificates: %w", err)
+	}
+	if k.root, err = parseCert(raw); err != nil {
+		return nil, fmt.Errorf("%s: %w", filepath.Join(dir, authorityFile), err)
+	}
+	if len(k.root.Subject.Organization) != 1 {
+		return nil, fmt.Errorf("%s: not an authority's certificate", filepath.Join(dir, authorityFile))
+	}
+	k.pool = x509.NewCertPool()
+	k.pool.AddCert(k.root)
+	if err := k.readOwn(); err != nil {
+		return nil, err
+	}
+	if err := k.readRevoked(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Me is whose certificate it is.
+func (k *Keeper) Me() Identity { return k.me }
+
+// Expires is when the certificate does.
+func (k *Keeper) Expires() time.Time { return k.own.Load().Leaf.NotAfter }
+
+func (k *Keeper) readOwn() error {
+	path := filepath.Join(k.dir, certFile)
+	raw, err := readPrivate(path)
+	if err != nil {
+		return fmt.Errorf("certificates: %w", err)
+	}
+	c, err := tls.X509KeyPair(raw, raw)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if c.Leaf == nil {
+		if c.Leaf, err = x509.ParseCertificate(c.Certificate[0]); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	who, err := identityOf(c.Leaf)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if k.me != (Identity{}) && who != k.me {
+		return fmt.Errorf("%s: it was %s and is now %s", path, k.me, who)
+	}
+	k.me = who
+	k.own.Store(&c)
+	return nil
+}
+
+func (k *Keeper) readRevoked() error {
+	raw, err := os.ReadFile(filepath.Join(k.dir, revokedFile))
+	if err != nil {
+		return fmt.Errorf("certificates: %w", err)
+	}
+	_, err = k.take(raw)
+	return err
+}
+
+// take goes on with a list of revocations if it is newer than what is known.
+func (k *Keeper) take(raw []byte) (newer bool, err error) {
+	l, err := parseRevoked(raw, k.root)
+	if err != nil {
+		return false, err
+	}
+	r := &revocations{raw: raw, number: l.Number.Int64(), serial: map[string]bool{}}
+	for _, e := range l.RevokedCertificateEntries {
+		r.serial[e.SerialNumber.Text(16)] = true
+	}
+	for {
+		old := k.gone.Load()
+		if old != nil && old.number >= r.number {
+			return false, nil
+		}
+		if k.gone.CompareAndSwap(old, r) {
+			return true, nil
+		}
+	}
+}
+
+// Revocations is the newest list that is known, for others: it is signed, so it
+// does not matter from whom one has it.
+func (k *Keeper) Revocations() []byte {
+	k.look()
+	return k.gone.Load().raw
+}
+
+// MaxRevocations bounds a list of revocations, in bytes.
+const MaxRevocations = 4 << 20
+
+// Learn takes a list of revocations from anybody, and keeps it on disk if it is
+// newer than what was known.
+func (k *Keeper) Learn(raw []byte) (newer bool, err error) {
+	if len(raw) > MaxRevocations {
+		return false, fmt.Errorf("list of revocations: larger than %d bytes", MaxRevocations)
+	}
+	newer, err = k.take(raw)
+	if !newer || err != nil {
+		return newer, err
+	}
+	k.log.Info("newer list of revocations", "number", k.gone.Load().number, "revoked", len(k.gone.Load().serial))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return true, renameio.WriteFile(filepath.Join(k.dir, revokedFile), raw, 0o644)
+}
+
+// look reads files again that have changed.
+func (k *Keeper) look() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if now.Sub(k.looked) < lookEvery {
+		return
+	}
+	k.looked = now
+	for _, f := range []struct {
+		name string
+		read func() error
+	}{{certFile, k.readOwn}, {revokedFile, k.readRevoked}} {
+		info, err := os.Stat(filepath.Join(k.dir, f.name))
+		if err != nil {
+			continue // what was read before holds
+		}
+		if was, ok := k.seen[f.name]; ok && was.Equal(info.ModTime()) {
+			continue
+		}
+		k.seen[f.name] = info.ModTime()
+		if err := f.read(); err != nil {
+			k.log.Error("a certificate's file can't be used; the earlier one holds", "file", f.name, "err", err)
+		}
+	}
+}
+
+// identityOf reads who a certificate was issued to.
+func identityOf(c *x509.Certificate) (Identity, error) {
+	if len(c.URIs) != 1 {
+		return Identity{}, ErrMalformed
+	}
+	i, err := ParseURI(c.URIs[0])
+	if err != nil {
+		return i, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return i, nil
+}
+
+// Judge says who a certificate belongs to, or why it counts for nothing now. It
+// is the one place where that is decided.
+func (k *Keeper) Judge(c *x509.Certificate) (Identity, error) {
+	if c == nil {
+		return Identity{}, ErrNone
+	}
+	now := k.Now()
+	switch {
+	case now.Before(c.NotBefore):
+		return Identity{}, ErrNotYet
+	case now.After(c.NotAfter):
+		return Identity{}, ErrExpired
+	}
+	// The time is judged above, each way with its own reason.
+	if _, err := c.Verify(x509.VerifyOptions{Roots: k.pool, CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}); err != nil {
+		return Identity{}, fmt.Errorf("%w: %w", ErrForeign, err)
+	}
+	k.look()
+	if k.gone.Load().serial[c.SerialNumber.Text(16)] {
+		return Identity{}, ErrRevoked
+	}
+	who, err := identityOf(c)
+	if err == nil && who.Site != k.me.Site {
+		err = ErrForeign
+	}
+	return who, err
+}
+
+// judge judges the other end of a connection.
+func (k *Keeper) judge(s *tls.ConnectionState) (Identity, error) {
+	if s == nil || len(s.PeerCertificates) == 0 {
+		return Identity{}, ErrNone
+	}
+	return k.Judge(s.PeerCertificates[0])
+}
+
+// config is what both ends share. The library's own check of the chain is not
+// used: it would tell the other end what is wrong with its certificate.
+func (k *Keeper) config(check func(Identity) error, where string) *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		ClientAuth:             tls.RequireAnyClientCert,
+		InsecureSkipVerify:     true, // VerifyConnection verifies
+		SessionTicketsDisabled: true,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			k.look()
+			return k.own.Load(), nil
+		},
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			k.look()
+			return k.own.Load(), nil
+		},
+		VerifyConnection: func(s tls.ConnectionState) error {
+			who, err := k.judge(&s)
+			if err == nil {
+				err = check(who)
+			}
+			if err != nil {
+				k.log.Warn("connection refused", "with", where, "who", who.String(), "reason", err)
+				return errRefused
+			}
+			return nil
+		},
+	}
+}
+
+var errRefused = errors.New("refused")
+
+// Serve is the TLS configuration of a server that talks to everybody of the site.
+func (k *Keeper) Serve() *tls.Config {
+	return k.config(func(Identity) error { return nil }, "a client")
+}
+
+// Dial is that of a client which wants to reach a party of that kind; with a
+// name, that one and no other.
+func (k *Keeper) Dial(kind Kind, name string) *tls.Config {
+	return k.config(func(who Identity) error {
+		if who.Kind != kind || name != "" && who.Name != name {
+			return fmt.Errorf("%w: %s/%s", ErrRole, kind, name)
+		}
+		return nil
+	}, string(kind)+"/"+name)
+}
+
+// Who says who sent a request, as of now: a connection outlives what it was
+// accepted with. The reason for a refusal is logged.
+func (k *Keeper) Who(r *http.Request) (Identity, bool) {
+	who, err := k.judge(r.TLS)
+	if err != nil {
+		k.log.Warn("request refused", "from", r.RemoteAddr, "who", who.String(), "reason", err)
+	}
+	return who, err == nil
+}
+
+// ReadIdentity reads who the certificate in a folder was issued to.
+func ReadIdentity(dir string) (Identity, error) {
+	raw, err := os.ReadFile(filepath.Join(dir, certFile))
+	if err != nil {
+		return Identity{}, err
+	}
+	b, _ := pem.Decode(raw)
+	if b == nil {
+		return Identity{}, fmt.Errorf("%s: no certificate in it", filepath.Join(dir, certFile))
+	}
+	c, err := x509.ParseCertificate(b.Bytes)
+	if err != nil {
+		return Identity{}, err
+	}
+	return identityOf(c)
+}
