--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -31,10 +31,10 @@
 		return NewRecord(a, KindGrant, "", Encode(Grant{Attempt: a, Owner: Owner{Team: "office"}}))
 	case 1:
 		s := Segment{Marks: []Mark{{len(data), rapid.Int64Range(0, 1<<45).Draw(t, "at")}}, Data: data}
-		return NewRecord(a, KindSegment, At(Stdout, rapid.Int64Range(0, 1<<40).Draw(t, "from")), s.Encode())
+		return NewRecord(a, KindSegment, At(Stdout, rapid.Int64Range(0, 1<<40).Draw(t, "from"), len(data)), s.Encode())
 	case 2:
 		from := rapid.Int64Range(0, 1<<40).Draw(t, "from")
-		return NewRecord(a, KindGap, At(Stderr, from), Encode(Gap{From: from, To: from + 5, Reason: GapQuota}))
+		return NewRecord(a, KindGap, At(Stderr, from, 0), Encode(Gap{From: from, To: from + 5, Reason: GapQuota}))
 	case 3:
 		return NewRecord(a, KindEnd, "", Encode(End{Cause: "done", Sizes: map[string]int64{Stdout: 3}}))
 	}
@@ -397,8 +397,8 @@
 // way, and its payload be readable within bounds.
 func FuzzFrame(f *testing.F) {
 	s := Segment{Marks: []Mark{{5, 1}}, Data: []byte("hello")}
-	for _, r := range []Record{NewRecord(one, KindSegment, At(Stdout, 0), s.Encode()), NewRecord(one, KindGrant, "", Encode(Grant{Attempt: one})), NewRecord(Files(one.Job), KindChunk, "", []byte("x")),
-		NewRecord(one, KindGap, At(Stderr, 7), Encode(Gap{From: 7, To: 9, Reason: GapCut})), NewRecord(one, KindFile, "", Encode(File{Path: "a"}))} {
+	for _, r := range []Record{NewRecord(one, KindSegment, At(Stdout, 0, 5), s.Encode()), NewRecord(one, KindGrant, "", Encode(Grant{Attempt: one})), NewRecord(Files(one.Job), KindChunk, "", []byte("x")),
+		NewRecord(one, KindGap, At(Stderr, 7, 0), Encode(Gap{From: 7, To: 9, Reason: GapCut})), NewRecord(one, KindFile, "", Encode(File{Path: "a"}))} {
 		f.Add(AppendFrame(nil, &r))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- /dev/null
+++ b/internal/archive/history/history.go
@@ -0,0 +1,632 @@
+// Package history runs a small archive in one process, with everything that can
+// happen to it drawn from a seed, and judges what readers get against what was
+// written. The nodes and the machines' shippers are the product's own, on loopback
+// with mutual TLS; only the programs are made up.
+package history
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"silvergate/internal/archive"
+	"silvergate/internal/archive/node"
+	"silvergate/internal/archive/reader"
+	"silvergate/internal/archive/ship"
+	"silvergate/internal/identity"
+)
+
+// Site is an archive with its authority.
+type Site struct {
+	Dir     string
+	Auth    *identity.Authority
+	Key     archive.GrantKey
+	Members []node.Member
+	Nodes   map[string]*node.Node
+	Log     *slog.Logger
+	// Config is changed before nodes start.
+	Config func(*node.Config)
+}
+
+// New makes a site of so many nodes, and starts them.
+func New(dir string, nodes int, log *slog.Logger, config func(*node.Config)) (*Site, error) {
+	s := &Site{Dir: dir, Nodes: map[string]*node.Node{}, Log: log, Config: config}
+	var err error
+	if s.Auth, err = identity.Init(filepath.Join(dir, "authority"), "valley", time.Now()); err != nil {
+		return nil, err
+	}
+	s.Key = bytes.Repeat([]byte{7}, archive.KeySize)
+	if err := os.WriteFile(filepath.Join(dir, "grant.key"), []byte(hex.EncodeToString(s.Key)), 0o600); err != nil {
+		return nil, err
+	}
+	for i := range nodes {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		s.Members = append(s.Members, node.Member{Name: fmt.Sprintf("archive-%d", i), Address: l.Addr().String()})
+		l.Close()
+	}
+	for _, m := range s.Members {
+		if err := s.Start(m.Name); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Certs issues a certificate and returns its folder.
+func (s *Site) Certs(who string) (string, error) {
+	dir := filepath.Join(s.Dir, "certs", strings.ReplaceAll(who, "/", "."))
+	if _, err := os.Stat(dir); err == nil {
+		return dir, nil
+	}
+	i, err := identity.Parse(s.Auth.Site(), who)
+	if err != nil {
+		return "", err
+	}
+	_, err = s.Auth.Issue(i, dir, 0)
+	return dir, err
+}
+
+// Start starts a node.
+func (s *Site) Start(name string) error {
+	certs, err := s.Certs("node/" + name)
+	if err != nil {
+		return err
+	}
+	c := node.DefaultConfig()
+	c.Name, c.Dir, c.Certs, c.GrantKey, c.Members = name, filepath.Join(s.Dir, name), certs, filepath.Join(s.Dir, "grant.key"), s.Members
+	c.SyncS = 0.2
+	if s.Config != nil {
+		s.Config(&c)
+	}
+	n, err := node.Open(c, s.Log.With("node", name))
+	if err != nil {
+		return err
+	}
+	for _, m := range s.Members {
+		if m.Name != name {
+			continue
+		}
+		l, err := listen(m.Address)
+		if err != nil {
+			n.Stop()
+			return err
+		}
+		go func() { _ = n.Serve(l) }()
+	}
+	s.Nodes[name] = n
+	return nil
+}
+
+// listen waits for a port that another has just given back.
+func listen(address string) (net.Listener, error) {
+	for until := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		l, err := net.Listen("tcp4", address)
+		if err == nil || time.Now().After(until) {
+			return l, err
+		}
+	}
+}
+
+// Stop stops a node.
+func (s *Site) Stop(name string) {
+	if n := s.Nodes[name]; n != nil {
+		n.Stop()
+		delete(s.Nodes, name)
+	}
+}
+
+// LoseDisk stops a node and removes all that it kept.
+func (s *Site) LoseDisk(name string) error {
+	s.Stop(name)
+	return os.RemoveAll(filepath.Join(s.Dir, name))
+}
+
+// Close stops all nodes.
+func (s *Site) Close() {
+	for name := range s.Nodes {
+		s.Stop(name)
+	}
+}
+
+// Reader reads as somebody.
+func (s *Site) Reader(who string) (*reader.Client, error) {
+	dir, err := s.Certs(who)
+	if err != nil {
+		return nil, err
+	}
+	k, err := identity.NewKeeper(dir, s.Log)
+	if err != nil {
+		return nil, err
+	}
+	return reader.New(k, s.Members, 10*time.Second), nil
+}
+
+// Machine is a machine's shipper.
+type Machine struct {
+	*ship.Shipper
+	Name string
+	Dir  string
+}
+
+// Machine starts a machine's shipper. Its grants come at once, as owner says.
+func (s *Site) Machine(name string, owner func(job string) archive.Owner, config func(*ship.Config)) (*Machine, error) {
+	certs, err := s.Certs("agent/" + name)
+	if err != nil {
+		return nil, err
+	}
+	c := ship.DefaultConfig()
+	c.Members, c.Certs, c.BoundS = s.Members, certs, 0.1
+	if config != nil {
+		config(&c)
+	}
+	sh, err := ship.New(c, s.Log.With("machine", name))
+	if err != nil {
+		return nil, err
+	}
+	sh.Ask = func(_ context.Context, a archive.Attempt) (*archive.Grant, error) {
+		g := s.Key.Sign(archive.Grant{Attempt: a, Owner: owner(a.Job), Class: "forecast", Urgency: "standard", At: time.Now().UnixMilli(), Keep: []string{"out"}})
+		return &g, nil
+	}
+	sh.Start()
+	return &Machine{sh, name, filepath.Join(s.Dir, "machines", name)}, nil
+}
+
+// Folder is an attempt's folder.
+func (m *Machine) Folder(a archive.Attempt) string {
+	return filepath.Join(m.Dir, a.Job, fmt.Sprintf("%d.%d", a.Task, a.Try))
+}
+
+// Run follows a new attempt.
+func (m *Machine) Run(a archive.Attempt) error {
+	if err := os.MkdirAll(filepath.Join(m.Folder(a), ship.WorkDir, "out"), 0o700); err != nil {
+		return err
+	}
+	m.Begin(a, m.Folder(a), false)
+	return nil
+}
+
+// Write appends to a stream, as a program does.
+func (m *Machine) Write(a archive.Attempt, stream, text string) error {
+	f, err := os.OpenFile(filepath.Join(m.Folder(a), stream), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.WriteString(text)
+	return err
+}
+
+// Written is what a program wrote, for the judge.
+type Written struct {
+	Attempt archive.Attempt
+	Owner   archive.Owner
+	Out     string            // its stdout
+	Files   map[string]string // that are to be kept
+	// Promised is how much of Out must be there: all, unless the machine was lost
+	// with its disk; then what was written a bound before.
+	Promised int
+	// Ended attempts must have their end and all their files.
+	Ended bool
+}
+
+// Read is what a reader got.
+type Read struct {
+	Found bool
+	Out   []node.Piece
+	Over  bool
+	Files map[string]string
+}
+
+// Judge compares what a reader got with what was written. It names what breaks the
+// promise: bytes that are not what was written there, are out of order or twice, a
+// loss without a word within what is promised, and files that are not whole.
+func Judge(w *Written, r *Read) error {
+	if !r.Found {
+		if w.Promised > 0 || w.Ended {
+			return fmt.Errorf("%s: not found", w.Attempt)
+		}
+		return nil
+	}
+	pos := int64(0)
+	for _, p := range r.Out {
+		if p.From != pos || p.To < p.From {
+			return fmt.Errorf("%s: a piece from %d to %d comes at %d", w.Attempt, p.From, p.To, pos)
+		}
+		pos = p.To
+		switch {
+		case p.What != archive.PieceData:
+			if p.What == archive.PieceMissing && p.From < int64(w.Promised) {
+				return fmt.Errorf("%s: bytes %d to %d are missing without a reason; %d are promised", w.Attempt, p.From, p.To, w.Promised)
+			}
+		case p.To > int64(len(w.Out)) || string(p.Data) != w.Out[p.From:p.To]:
+			return fmt.Errorf("%s: bytes %d to %d are not what was written", w.Attempt, p.From, p.To)
+		}
+	}
+	switch {
+	case pos < int64(w.Promised):
+		return fmt.Errorf("%s: ends at %d; %d bytes are promised", w.Attempt, pos, w.Promised)
+	case w.Ended && !r.Over:
+		return fmt.Errorf("%s: its end is not on record", w.Attempt)
+	case w.Ended && pos != int64(len(w.Out)):
+		return fmt.Errorf("%s: %d bytes of %d, though it is over", w.Attempt, pos, len(w.Out))
+	}
+	for name, data := range r.Files {
+		if w.Files[name] != data {
+			return fmt.Errorf("%s: file %s is not what was written", w.Attempt, name)
+		}
+	}
+	if w.Ended && len(r.Files) != len(w.Files) {
+		return fmt.Errorf("%s: %d files of %d", w.Attempt, len(r.Files), len(w.Files))
+	}
+	return nil
+}
+
+// Collect reads all of an attempt.
+func Collect(ctx context.Context, c *reader.Client, a archive.Attempt) (*Read, error) {
+	out := &Read{Files: map[string]string{}}
+	all, answered, err := c.Attempts(ctx, reader.Query{Job: a.Job, Files: true})
+	if err != nil {
+		return nil, err
+	}
+	if !answered.Whole {
+		return nil, fmt.Errorf("%v are silent", answered.Silent)
+	}
+	for i := range all {
+		if all[i].Attempt != a {
+			continue
+		}
+		out.Found = true
+		for _, f := range all[i].Files {
+			var b bytes.Buffer
+			if err := c.File(ctx, a, &f, &b); err != nil {
+				return nil, err
+			}
+			out.Files[f.Path] = b.String()
+		}
+	}
+	if !out.Found {
+		return out, nil
+	}
+	for from := int64(0); ; {
+		p, err := c.Page(ctx, a, archive.Stdout, from)
+		if err != nil {
+			return nil, err
+		}
+		out.Out = append(out.Out, p.Pieces...)
+		out.Over = p.Over
+		if !p.More || p.Next <= from {
+			return out, nil
+		}
+		from = p.Next
+	}
+}
+
+// Drawn is what a drawn history did.
+type Drawn struct {
+	Attempts, Bytes, Files        int
+	NodeStops, DisksLost          int
+	AgentStops, MachinesLost      int
+	Reads, Denied                 int
+	Mended, Pulled, Gaps, Retried int64
+}
+
+// Draw plays a history of some rounds and judges it: machines run attempts that
+// write; shippers and nodes are stopped and started, at most as many nodes at a
+// time as the quorum allows; nodes and machines are lost with their disks. In the
+// end every attempt is read by its customer, through any node, and by another, who
+// must be told that there is nothing.
+func Draw(dir string, seed uint64, rounds int) (d Drawn, err error) {
+	rnd := rand.New(rand.NewPCG(seed, 14))
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	s, err := New(dir, 3, log, nil)
+	if err != nil {
+		return d, err
+	}
+	defer s.Close()
+	customers := []string{"baker", "miller", "smith"}
+	owner := func(job string) archive.Owner {
+		return archive.Owner{Team: "office", Customer: customers[int(job[len(job)-1]-'0')%len(customers)]}
+	}
+	machines := map[string]*Machine{}
+	defer func() {
+		for _, m := range machines {
+			m.Stop()
+		}
+	}()
+	start := func(name string) error {
+		m, err := s.Machine(name, owner, nil)
+		machines[name] = m
+		return err
+	}
+	type running struct {
+		w  *Written
+		m  string
+		on bool // its program writes
+	}
+	var all []*running
+	jobs, names := 0, 3
+	for i := range names {
+		if err := start(fmt.Sprint("m-", i)); err != nil {
+			return d, err
+		}
+	}
+	live := func() []string {
+		var out []string
+		for name := range machines {
+			out = append(out, name)
+		}
+		slices.Sort(out)
+		return out
+	}
+	begin := func(name string, a archive.Attempt) error {
+		all = append(all, &running{&Written{Attempt: a, Owner: owner(a.Job), Files: map[string]string{}}, name, true})
+		d.Attempts++
+		return machines[name].Run(a)
+	}
+	for round := range rounds {
+		for _, name := range live() { // each machine begins something now and then
+			if rnd.IntN(3) == 0 {
+				jobs++
+				if err := begin(name, archive.Attempt{Job: fmt.Sprintf("wk-%06d", jobs), Task: rnd.IntN(3), Try: 1, Machine: name}); err != nil {
+					return d, err
+				}
+			}
+		}
+		for i, r := range all {
+			m := machines[r.m]
+			if !r.on || m == nil {
+				continue
+			}
+			var text strings.Builder
+			for range rnd.IntN(20) {
+				fmt.Fprintf(&text, "line %d of %s %s\n", len(r.w.Out)+text.Len(), r.w.Attempt, strings.Repeat("x", rnd.IntN(200)))
+			}
+			if rnd.IntN(15) == 0 {
+				text.WriteString(strings.Repeat("a long line ", 30_000))
+			}
+			if err := m.Write(r.w.Attempt, archive.Stdout, text.String()); err != nil {
+				return d, err
+			}
+			r.w.Out += text.String()
+			d.Bytes += text.Len()
+			if rnd.IntN(8) == 0 { // it ends, or is killed for urgent work and goes on elsewhere
+				if rnd.IntN(2) == 0 {
+					body := strings.Repeat(fmt.Sprint("result ", i%3), 1+rnd.IntN(200_000))
+					if err := os.WriteFile(filepath.Join(m.Folder(r.w.Attempt), ship.WorkDir, "out", "result.csv"), []byte(body), 0o600); err != nil {
+						return d, err
+					}
+					r.w.Files["out/result.csv"] = body
+					d.Files++
+				}
+				r.on, r.w.Ended = false, true
+				m.Ended(r.w.Attempt, "done", 0)
+				if to := live(); rnd.IntN(3) == 0 {
+					next := r.w.Attempt
+					next.Try, next.Machine = next.Try+1, to[rnd.IntN(len(to))]
+					if err := begin(next.Machine, next); err != nil {
+						return d, err
+					}
+				}
+			}
+		}
+		switch name := s.Members[rnd.IntN(3)].Name; rnd.IntN(9) {
+		case 0: // a node is away for a while
+			if len(s.Nodes) == 3 {
+				s.Stop(name)
+				d.NodeStops++
+			}
+		case 1: // and comes back
+			for _, m := range s.Members {
+				if s.Nodes[m.Name] == nil {
+					if err := s.Start(m.Name); err != nil {
+						return d, err
+					}
+				}
+			}
+		case 2: // a node loses its disk, when the others are level
+			if len(s.Nodes) == 3 && rnd.IntN(2) == 0 {
+				if err := s.level(name); err != nil {
+					return d, err
+				}
+				if err := s.LoseDisk(name); err != nil {
+					return d, err
+				}
+				if err := s.Start(name); err != nil {
+					return d, err
+				}
+				d.DisksLost++
+			}
+		case 3, 4: // an agent is killed and starts again; its programs are gone
+			list := live()
+			who := list[rnd.IntN(len(list))]
+			machines[who].Stop()
+			d.AgentStops++
+			if rnd.IntN(3) == 0 { // with an old account
+				for _, r := range all {
+					if r.m == who {
+						_ = os.Remove(filepath.Join(machines[who].Folder(r.w.Attempt), "archive.json"))
+					}
+				}
+			}
+			if err := start(who); err != nil {
+				return d, err
+			}
+			for _, r := range all {
+				if r.m != who {
+					continue
+				}
+				machines[who].Begin(r.w.Attempt, machines[who].Folder(r.w.Attempt), false)
+				r.on, r.w.Ended = false, true
+				machines[who].Ended(r.w.Attempt, "lost with its agent", -1)
+			}
+		case 5: // a machine is lost with its disk
+			if list := live(); len(s.Nodes) == 3 && rnd.IntN(2) == 0 {
+				who := list[rnd.IntN(len(list))]
+				before := map[*running]int{}
+				for _, r := range all {
+					if r.m == who {
+						before[r] = len(r.w.Out)
+					}
+				}
+				// What was written a bound ago is kept; how long this takes on a busy
+				// machine is not the promise, so it is waited for by the account.
+				if err := settle(machines[who], false); err != nil {
+					return d, err
+				}
+				for r, n := range before {
+					r.w.Promised = n
+					if r.on {
+						_ = machines[who].Write(r.w.Attempt, archive.Stdout, "and this may be lost\n")
+						r.w.Out += "and this may be lost\n"
+						r.on = false
+					}
+				}
+				machines[who].Stop()
+				if err := os.RemoveAll(machines[who].Dir); err != nil {
+					return d, err
+				}
+				delete(machines, who)
+				d.MachinesLost++
+				names++
+				if err := start(fmt.Sprint("m-", names)); err != nil {
+					return d, err
+				}
+			}
+		}
+		time.Sleep(time.Duration(rnd.IntN(30)) * time.Millisecond)
+		_ = round
+	}
+	for _, m := range s.Members {
+		if s.Nodes[m.Name] == nil {
+			if err := s.Start(m.Name); err != nil {
+				return d, err
+			}
+		}
+	}
+	for _, r := range all {
+		m := machines[r.m]
+		if m == nil {
+			continue
+		}
+		r.w.Promised = len(r.w.Out)
+		if r.on {
+			r.on, r.w.Ended = false, true
+			m.Ended(r.w.Attempt, "done", 0)
+		}
+	}
+	for _, name := range live() {
+		if err := settle(machines[name], true); err != nil {
+			return d, err
+		}
+	}
+	// One node of three may go for good now.
+	if err := s.level(""); err != nil {
+		return d, err
+	}
+	if rnd.IntN(2) == 0 {
+		if err := s.LoseDisk(s.Members[rnd.IntN(3)].Name); err != nil {
+			return d, err
+		}
+	}
+	ctx := context.Background()
+	for _, r := range all {
+		mine, err := s.Reader("customer/office/" + r.w.Owner.Customer)
+		if err != nil {
+			return d, err
+		}
+		got, err := Collect(ctx, mine, r.w.Attempt)
+		if err != nil {
+			return d, fmt.Errorf("%s: %w", r.w.Attempt, err)
+		}
+		d.Reads++
+		if machines[r.m] == nil { // lost: its end and files may be
+			r.w.Ended = false
+		}
+		if err := Judge(r.w, got); err != nil {
+			return d, err
+		}
+		other, err := s.Reader("customer/office/" + customers[(slices.Index(customers, r.w.Owner.Customer)+1)%3])
+		if err != nil {
+			return d, err
+		}
+		if err := Closed(ctx, other, r.w.Attempt); err != nil {
+			return d, err
+		}
+		d.Denied++
+	}
+	for _, n := range s.Nodes {
+		st := n.Stats()
+		d.Mended, d.Pulled = d.Mended+st.Mended, d.Pulled+st.Pulled
+	}
+	return d, nil
+}
+
+// Closed tells whether a reader is told anything of an attempt.
+func Closed(ctx context.Context, c *reader.Client, a archive.Attempt) error {
+	if got, err := Collect(ctx, c, a); err != nil || got.Found {
+		return fmt.Errorf("%s: another customer finds it: %v", a, err)
+	}
+	if _, err := c.Page(ctx, a, archive.Stdout, 0); !errors.Is(err, reader.ErrNotFound) {
+		return fmt.Errorf("%s: another customer reads its output: %v", a, err)
+	}
+	if err := c.File(ctx, a, &archive.File{Path: "out/result.csv", Chunks: []string{""}}, io.Discard); !errors.Is(err, reader.ErrNotFound) {
+		return fmt.Errorf("%s: another customer reads its files: %v", a, err)
+	}
+	return nil
+}
+
+// settleFor bounds how long is waited for what must come.
+const settleFor = 60 * time.Second
+
+// settle waits until a machine has nothing to ship; with ends, the ends too.
+func settle(m *Machine, ends bool) error {
+	for until := time.Now().Add(settleFor); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		// Its files must have been looked at after the last write.
+		time.Sleep(60 * time.Millisecond)
+		st := m.Stats()
+		if st.Left == 0 && st.WithoutGrant == 0 && (!ends || m.Left() == 0) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s still has %+v to ship", m.Name, m.Stats())
+}
+
+// level waits until the nodes, but for one, agree.
+func (s *Site) level(but string) error {
+	var last error
+	for until := time.Now().Add(settleFor); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		last = nil
+		count := map[int64]bool{}
+		for name, n := range s.Nodes {
+			if name == but {
+				continue
+			}
+			if err := n.Level(context.Background()); err != nil {
+				last = err
+			}
+		}
+		for name, n := range s.Nodes {
+			if name != but {
+				count[n.Stats().Records] = true
+			}
+		}
+		if last == nil && len(count) == 1 {
+			return nil
+		}
+	}
+	return fmt.Errorf("the nodes do not come level: %w", last)
+}
--- /dev/null
+++ b/internal/archive/node/expire.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"silvergate/internal/archive"
+)
+
+func covered(e archive.Expired, k archive.Key) bool { return e.Covers(k) }
+
+// learnExpiry takes a mark of expiry in and drops what it covers.
+func (n *Node) learnExpiry(k archive.Key) {
+	r, err := n.vault.Get(k)
+	var e archive.Expired
+	if err != nil || json.Unmarshal(r.Payload, &e) != nil {
+		return
+	}
+	name := k.Attempt.String()
+	n.mu.Lock()
+	e = archive.MergeExpired(n.expired[name], e)
+	n.expired[name] = e
+	n.mu.Unlock()
+	if err := n.dropCovered(n.ctx, name, e); err != nil {
+		n.log.Error("what expired can't be dropped", "attempt", name, "err", err)
+	}
+}
+
+func (n *Node) dropCovered(ctx context.Context, name string, e archive.Expired) error {
+	var keys []string
+	for from := ""; ; {
+		infos, more, err := n.vault.Keys(name+"/", from, 1000)
+		if err != nil {
+			return err
+		}
+		for _, i := range infos {
+			from = i.Key.String()
+			if e.Covers(i.Key) {
+				keys = append(keys, from)
+			}
+		}
+		if !more {
+			break
+		}
+	}
+	if len(keys) == 0 {
+		return nil
+	}
+	n.count(func(s *Stats) { s.Expired += int64(len(keys)) })
+	return n.vault.Drop(ctx, keys)
+}
+
+// expireEvery is how often a node looks for what is to go.
+const expireEvery = 10 * time.Second
+
+func (n *Node) expireAll() {
+	n.every(expireEvery, func() {
+		if err := n.Expire(n.ctx); err != nil {
+			n.log.Error("retention", "err", err)
+		}
+	})
+}
+
+// Expire lets go what the settings say. The first node of a task's decides for it;
+// the others learn of it from the mark that it leaves, which is a record like any
+// other. So two nodes never drop what each takes the other to have.
+func (n *Node) Expire(ctx context.Context) error {
+	if err := n.forget(ctx); err != nil || len(n.cfg.Retention.Rules) == 0 {
+		return err
+	}
+	uses, err := n.account()
+	if err != nil {
+		return err
+	}
+	r := archive.Retention{Rules: slices.Clone(n.cfg.Retention.Rules)}
+	for i := range r.Rules {
+		// Each node keeps its share of a team's whole.
+		r.Rules[i].MaxMB /= float64(len(n.members.Names))
+	}
+	now := n.Now()
+	for _, d := range r.Decide(now, uses) {
+		e, err := n.mark(d, now)
+		if err != nil {
+			return err
+		}
+		rec := archive.NewRecord(d.Attempt, archive.KindExpired, "", archive.Encode(e))
+		n.log.Info("expired", "attempt", d.Attempt.String(), "all", e.All, "reason", d.Reason)
+		if err := n.store(ctx, []archive.Record{rec}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// account lists what each attempt that this node decides about takes.
+func (n *Node) account() (out []archive.Use, err error) {
+	type entry struct {
+		name string
+		u    use
+	}
+	var all []entry
+	n.mu.Lock()
+	for name, u := range n.uses {
+		if !n.expired[name].All {
+			all = append(all, entry{name, *u})
+		}
+	}
+	n.mu.Unlock()
+	for _, e := range all {
+		a, err := archive.ParseAttempt(e.name)
+		if err != nil || n.members.Of(archive.Unit(a))[0] != n.cfg.Name {
+			continue
+		}
+		if e.u.owner == nil {
+			if e.u.owner = n.grantOf(e.name); e.u.owner == nil {
+				continue // its grant has not come yet
+			}
+			n.mu.Lock()
+			if u := n.uses[e.name]; u != nil {
+				u.owner = e.u.owner
+			}
+			n.mu.Unlock()
+		}
+		out = append(out, archive.Use{Attempt: a, Owner: e.u.owner.Owner, Class: e.u.owner.Class, Bytes: e.u.bytes, Last: e.u.last, Over: e.u.over})
+	}
+	return out, nil
+}
+
+func (n *Node) grantOf(name string) *archive.Grant {
+	infos, _, err := n.vault.Keys(name+"/a/", "", 1)
+	if err != nil || len(infos) == 0 {
+		return nil
+	}
+	r, err := n.vault.Get(infos[0].Key)
+	if err != nil {
+		return nil
+	}
+	g, err := n.key.Open(r.Payload)
+	if err != nil {
+		return nil
+	}
+	return &g
+}
+
+// mark says what goes with a drop: all, or the streams up to where enough is freed.
+func (n *Node) mark(d archive.Drop, now time.Time) (archive.Expired, error) {
+	e := archive.Expired{At: now.UnixMilli(), Reason: d.Reason, All: d.Head == 0}
+	if e.All {
+		return e, nil
+	}
+	e.Upto = map[string]int64{}
+	left := d.Head
+	// The streams lose their oldest segments in turn, as their keys order them.
+	for _, stream := range archive.Streams {
+		for from := ""; left > 0; {
+			infos, more, err := n.vault.Keys(d.Attempt.String()+"/s/"+stream+".", from, 1000)
+			if err != nil {
+				return e, err
+			}
+			for _, i := range infos {
+				from = i.Key.String()
+				if _, at, size, err := i.Key.Place(); err == nil && left > 0 {
+					e.Upto[stream], left = max(e.Upto[stream], at+int64(size)), left-i.Bytes
+				}
+			}
+			if !more {
+				break
+			}
+		}
+	}
+	return e, nil
+}
+
+// forget drops the last records of what expired long ago.
+func (n *Node) forget(ctx context.Context) error {
+	limit := n.Now().Add(-time.Duration(n.cfg.TombstoneS * float64(time.Second))).UnixMilli()
+	var names []string
+	n.mu.Lock()
+	for name, e := range n.expired {
+		if e.All && e.At < limit {
+			names = append(names, name)
+		}
+	}
+	n.mu.Unlock()
+	for _, name := range names {
+		infos, _, err := n.vault.Keys(name+"/", "", 1000)
+		if err != nil {
+			return err
+		}
+		var keys []string
+		for _, i := range infos {
+			keys = append(keys, i.Key.String())
+		}
+		if err := n.vault.Drop(ctx, keys); err != nil {
+			return err
+		}
+		n.mu.Lock()
+		delete(n.expired, name)
+		n.mu.Unlock()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/archive/node/put.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"silvergate/internal/archive"
+	"silvergate/internal/archive/vault"
+	"silvergate/internal/identity"
+)
+
+// MaxPut is how large a request with records may be, in bytes.
+const MaxPut = 8 << 20
+
+func readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+}
+
+// reserve takes a share of what may be written at a time.
+func (n *Node) reserve(size int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.pending+size > int64(n.cfg.PendingMB*(1<<20)) {
+		n.stats.Busy++
+		return false
+	}
+	n.pending += size
+	return true
+}
+
+// put keeps records. It is answered when they are on disk.
+func (n *Node) put(w http.ResponseWriter, r *http.Request, who identity.Identity) {
+	if r.ContentLength < 0 || r.ContentLength > MaxPut {
+		refuse(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the length must be given and be at most %d bytes", MaxPut))
+		return
+	}
+	if !n.reserve(r.ContentLength) {
+		refuse(w, http.StatusServiceUnavailable, "too much is being written now")
+		return
+	}
+	defer func() {
+		n.mu.Lock()
+		n.pending -= r.ContentLength
+		n.mu.Unlock()
+	}()
+	raw, err := readAll(w, r, MaxPut)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "the body was cut off")
+		return
+	}
+	recs, err := parse(raw)
+	if err != nil {
+		n.count(func(s *Stats) { s.Refused++ })
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := n.mayWrite(who, recs); err != nil {
+		n.count(func(s *Stats) { s.Refused++ })
+		n.log.Warn("records refused", "from", who.String(), "records", len(recs), "reason", err)
+		n.audit(who, archive.Write, recs[0].Key.Attempt.String(), false)
+		refuse(w, http.StatusForbidden, "refused")
+		return
+	}
+	switch err := n.store(r.Context(), recs); {
+	case err == nil:
+		answer(w, map[string]int{"kept": len(recs)})
+	case errors.Is(err, vault.ErrFull):
+		refuse(w, http.StatusInsufficientStorage, "the disk is full")
+	default:
+		n.log.Error("records can't be kept", "err", err)
+		refuse(w, http.StatusServiceUnavailable, "records can't be kept now")
+	}
+}
+
+// parse reads and checks the records of a body.
+func parse(raw []byte) (recs []archive.Record, err error) {
+	for in := bytes.NewReader(raw); ; {
+		r, err := archive.ReadFrame(in)
+		if err == io.EOF {
+			break
+		}
+		if err == nil {
+			err = r.Check()
+		}
+		if err != nil {
+			return nil, fmt.Errorf("record %d: %w", len(recs), err)
+		}
+		recs = append(recs, r)
+	}
+	if len(recs) == 0 {
+		return nil, errors.New("no records")
+	}
+	return recs, nil
+}
+
+var (
+	errNoGrant = errors.New("records of an attempt without its grant")
+	errKind    = errors.New("a record that only nodes make")
+)
+
+// mayWrite decides whether somebody may have records kept: a node any, an agent
+// those of attempts for which it brings a grant.
+func (n *Node) mayWrite(who identity.Identity, recs []archive.Record) error {
+	node := archive.Access(who, archive.Sync, archive.Owner{}, "")
+	granted, jobs := map[archive.Attempt]bool{}, map[string]bool{}
+	for i := range recs {
+		if recs[i].Key.Kind != archive.KindGrant {
+			continue
+		}
+		g, err := n.key.Open(recs[i].Payload)
+		if err != nil {
+			return err
+		}
+		if !node && !archive.Access(who, archive.Write, g.Owner, g.Machine) {
+			return fmt.Errorf("%s is granted to %s", g.Attempt, g.Machine)
+		}
+		granted[g.Attempt], jobs[g.Job] = true, true
+	}
+	if node {
+		return nil
+	}
+	for i := range recs {
+		k := recs[i].Key
+		switch {
+		case k.Kind == archive.KindExpired:
+			return errKind
+		case k.Attempt == archive.Files(k.Attempt.Job):
+			if !jobs[k.Attempt.Job] {
+				return errNoGrant
+			}
+		case !granted[k.Attempt]:
+			return errNoGrant
+		}
+	}
+	return nil
+}
+
+// store keeps what has not expired, and what is new of expiry.
+func (n *Node) store(ctx context.Context, recs []archive.Record) error {
+	n.mu.Lock()
+	fresh := make([]archive.Record, 0, len(recs))
+	for _, r := range recs {
+		if !covered(n.expired[r.Key.Attempt.String()], r.Key) {
+			fresh = append(fresh, r)
+		}
+	}
+	n.mu.Unlock()
+	n.count(func(s *Stats) { s.Puts++ })
+	if len(fresh) == 0 {
+		return nil
+	}
+	if err := n.vault.Put(ctx, fresh); err != nil {
+		return err
+	}
+	for i := range fresh {
+		if fresh[i].Key.Kind == archive.KindExpired {
+			n.learnExpiry(fresh[i].Key)
+		}
+	}
+	return nil
+}
+
+// peer is another node.
+type peer struct {
+	name, address string
+	http          *http.Client
+}
+
+// peerPatience is how long another node may take for an answer, and readPatience
+// while somebody waits for it.
+const (
+	peerPatience = 30 * time.Second
+	readPatience = 2 * time.Second
+)
+
+func newPeer(k *identity.Keeper, m Member) *peer {
+	t := &http.Transport{TLSClientConfig: k.Dial(identity.Node, m.Name), MaxIdleConnsPerHost: 4, MaxConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
+		TLSHandshakeTimeout: 5 * time.Second, DisableCompression: true}
+	return &peer{m.Name, m.Address, &http.Client{Transport: t, Timeout: peerPatience}}
+}
+
+func (p *peer) do(ctx context.Context, method, target string, body []byte, limit int64) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "https://"+p.address+target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	a, err := p.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if a.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s: %.200s", p.name, a.Status, raw)
+	}
+	if int64(len(raw)) > limit {
+		return nil, fmt.Errorf("%s: an answer of more than %d bytes", p.name, limit)
+	}
+	return raw, nil
+}
+
+func (p *peer) get(ctx context.Context, target string, limit int64) ([]byte, error) {
+	return p.do(ctx, http.MethodGet, target, nil, limit)
+}
+
+func (p *peer) ask(ctx context.Context, target string, v any) error {
+	raw, err := p.get(ctx, target, 32<<20)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, v)
+}
+
+// fetch reads records from another node and checks them.
+func (p *peer) fetch(ctx context.Context, keys []string) ([]archive.Record, error) {
+	body, err := json.Marshal(keys)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := p.do(ctx, http.MethodPost, PathGet, body, 2*MaxPut)
+	if err != nil || len(raw) == 0 {
+		return nil, err
+	}
+	return parse(raw)
+}
+
+// getRecords answers with those of the keys that are here, as far as they fit.
+func (n *Node) getRecords(w http.ResponseWriter, r *http.Request, _ string) {
+	raw, err := readAll(w, r, 4<<20)
+	var keys []string
+	if err == nil {
+		err = json.Unmarshal(raw, &keys)
+	}
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "not a list of keys")
+		return
+	}
+	var out []byte
+	for _, s := range keys {
+		k, err := archive.ParseKey(s)
+		if err != nil {
+			refuse(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		rec, err := n.vault.Get(k)
+		if err != nil {
+			continue
+		}
+		if len(out) > 0 && len(out)+archive.FrameSize(&rec) > MaxPut {
+			break
+		}
+		out = archive.AppendFrame(out, &rec)
+	}
+	_, _ = w.Write(out)
+}
--- /dev/null
+++ b/internal/archive/node/sync.go
@@ -0,0 +1,386 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"silvergate/internal/archive"
+)
+
+// tree answers with the digests of what this node and the one that asks both keep:
+// the branches, or the leaves of one.
+func (n *Node) tree(w http.ResponseWriter, r *http.Request, who string) {
+	n.mu.Lock()
+	t := n.trees[who]
+	var row []uint64
+	if t != nil {
+		if b := r.URL.Query().Get("branch"); b == "" {
+			row = t.Branches()
+		} else if i, err := strconv.Atoi(b); err == nil {
+			row = t.Branch(i)
+		}
+	}
+	n.mu.Unlock()
+	if row == nil {
+		notFound(w)
+		return
+	}
+	answer(w, row)
+}
+
+// leafPage bounds a page of keys.
+const leafPage = 10_000
+
+// leaf lists the keys of a leaf that both keep, a page after a key.
+func (n *Node) leaf(w http.ResponseWriter, r *http.Request, who string) {
+	q := r.URL.Query()
+	i, err := strconv.Atoi(q.Get("leaf"))
+	if err != nil || n.trees[who] == nil {
+		notFound(w)
+		return
+	}
+	keys, err := n.leafKeys(who, map[int]bool{i: true})
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, "the index can't be read now")
+		return
+	}
+	at, _ := slices.BinarySearch(keys, q.Get("from"))
+	if at < len(keys) && keys[at] == q.Get("from") {
+		at++
+	}
+	answer(w, keys[at:min(len(keys), at+leafPage)])
+}
+
+// leafKeys lists the keys here of some leaves that both nodes keep. The attempts
+// come out of memory, their records out of the index.
+func (n *Node) leafKeys(peer string, leaves map[int]bool) ([]string, error) {
+	n.mu.Lock()
+	var names []string
+	for name := range n.uses {
+		a, err := archive.ParseAttempt(name)
+		if err != nil {
+			continue
+		}
+		unit := archive.Unit(a)
+		if leaves[archive.Leaf(unit)] && n.members.Keeps(peer, unit) && n.members.Keeps(n.cfg.Name, unit) {
+			names = append(names, name)
+		}
+	}
+	n.mu.Unlock()
+	slices.Sort(names)
+	keys := []string{}
+	for _, name := range names {
+		for from := ""; ; {
+			infos, more, err := n.vault.Keys(name+"/", from, 1000)
+			if err != nil {
+				return nil, err
+			}
+			for _, i := range infos {
+				from = i.Key.String()
+				keys = append(keys, from)
+			}
+			if !more {
+				break
+			}
+		}
+	}
+	return keys, nil
+}
+
+// syncAll compares with one node after the other, and brings here what is missing.
+func (n *Node) syncAll() {
+	period := time.Duration(n.cfg.SyncS * float64(time.Second))
+	n.every(period/2+rand.N(period/2), func() {
+		for _, p := range n.peers {
+			if err := n.level(n.ctx, p); err != nil {
+				n.log.Info("not level with a node", "node", p.name, "err", err)
+			}
+		}
+		n.handOn()
+	})
+}
+
+// Level brings this node level with the others once, for tests and tools.
+func (n *Node) Level(ctx context.Context) error {
+	var all error
+	for _, p := range n.peers {
+		all = errors.Join(all, n.level(ctx, p))
+	}
+	n.handOn()
+	return all
+}
+
+// level brings here what another node has that both keep.
+func (n *Node) level(ctx context.Context, p *peer) error {
+	defer n.count(func(s *Stats) { s.Rounds++ })
+	var theirs []uint64
+	if err := p.ask(ctx, PathTree, &theirs); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	branches := archive.Differ(n.trees[p.name].Branches(), theirs)
+	n.mu.Unlock()
+	for _, b := range branches {
+		var leaves []uint64
+		if err := p.ask(ctx, fmt.Sprintf("%s?branch=%d", PathTree, b), &leaves); err != nil {
+			return err
+		}
+		n.mu.Lock()
+		differ := archive.Differ(n.trees[p.name].Branch(b), leaves)
+		n.mu.Unlock()
+		for _, l := range differ {
+			if err := n.levelLeaf(ctx, p, b*archive.Fan+l); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (n *Node) levelLeaf(ctx context.Context, p *peer, leaf int) error {
+	for from := ""; ; {
+		var keys []string
+		q := url.Values{"leaf": {strconv.Itoa(leaf)}, "from": {from}}
+		if err := p.ask(ctx, PathLeaf+"?"+q.Encode(), &keys); err != nil {
+			return err
+		}
+		if len(keys) == 0 {
+			return nil
+		}
+		from = keys[len(keys)-1]
+		var want []string
+		for _, s := range keys {
+			k, err := archive.ParseKey(s)
+			if err != nil {
+				return fmt.Errorf("%s: %w", p.name, err)
+			}
+			if !n.gone(k) && !n.vault.Has(k) {
+				want = append(want, s)
+			}
+		}
+		if err := n.bring(ctx, p, want); err != nil {
+			return err
+		}
+		if len(keys) < leafPage {
+			return nil
+		}
+	}
+}
+
+// gone tells whether a record has expired here.
+func (n *Node) gone(k archive.Key) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return covered(n.expired[k.Attempt.String()], k)
+}
+
+// bring fetches records from another node, at the budgeted rate. Marks of expiry
+// come first: what they cover is not fetched.
+func (n *Node) bring(ctx context.Context, p *peer, keys []string) error {
+	slices.SortStableFunc(keys, func(a, b string) int { return order(a) - order(b) })
+	for len(keys) > 0 {
+		batch := keys[:min(len(keys), 256)]
+		recs, err := p.fetch(ctx, batch)
+		if err != nil {
+			return err
+		}
+		if len(recs) == 0 {
+			keys = keys[len(batch):] // gone there meanwhile
+			continue
+		}
+		size := 0
+		for i := range recs {
+			size += archive.FrameSize(&recs[i])
+			if recs[i].Key.Kind == archive.KindGrant {
+				if _, err := n.key.Open(recs[i].Payload); err != nil {
+					return fmt.Errorf("%s: %s: %w", p.name, recs[i].Key, err)
+				}
+			}
+		}
+		if err := n.pace(ctx, size); err != nil {
+			return err
+		}
+		if err := n.store(ctx, recs); err != nil {
+			return err
+		}
+		n.count(func(s *Stats) { s.Pulled += int64(len(recs)); s.PulledBytes += int64(size) })
+		got := map[string]bool{}
+		for i := range recs {
+			got[recs[i].Key.String()] = true
+		}
+		// What did not fit into the answer is asked for again.
+		rest := slices.DeleteFunc(slices.Clone(batch), func(k string) bool { return got[k] })
+		keys = append(rest, keys[len(batch):]...)
+		if len(got) == 0 {
+			return errors.New(p.name + " sends what was not asked for")
+		}
+	}
+	return nil
+}
+
+func order(key string) int {
+	if k, err := archive.ParseKey(key); err == nil && k.Kind == archive.KindExpired {
+		return 0
+	}
+	return 1
+}
+
+// pace waits until so many bytes may have been fetched.
+func (n *Node) pace(ctx context.Context, size int) error {
+	for size > 0 {
+		part := min(size, 2*archive.MaxPayload)
+		if err := n.pull.WaitN(ctx, part); err != nil {
+			return err
+		}
+		size -= part
+	}
+	return nil
+}
+
+// handOn gives records that are here, and that other nodes keep, to all of those,
+// and drops them when each has them: after the members have changed.
+func (n *Node) handOn() {
+	n.mu.Lock()
+	var keys []archive.Key
+	for s := range n.strays {
+		if k, err := archive.ParseKey(s); err == nil {
+			keys = append(keys, k)
+		}
+		if len(keys) == 1000 {
+			break
+		}
+	}
+	n.mu.Unlock()
+	if len(keys) == 0 {
+		return
+	}
+	left := map[string]int{}
+	for _, owner := range n.members.Names {
+		var batch []archive.Record
+		size := 0
+		flush := func() {
+			if len(batch) > 0 && n.give(n.ctx, owner, batch) == nil {
+				for i := range batch {
+					left[batch[i].Key.String()]--
+				}
+			}
+			batch, size = nil, 0
+		}
+		for _, k := range keys {
+			if !n.members.Keeps(owner, archive.Unit(k.Attempt)) {
+				continue
+			}
+			left[k.String()]++
+			r, err := n.vault.Get(k)
+			if err != nil {
+				continue
+			}
+			if size += archive.FrameSize(&r); size > MaxPut && len(batch) > 0 {
+				flush()
+				size = archive.FrameSize(&r)
+			}
+			batch = append(batch, r)
+		}
+		flush()
+	}
+	var done []string
+	for s, n := range left {
+		if n == 0 {
+			done = append(done, s)
+		}
+	}
+	if len(done) > 0 {
+		if err := n.vault.Drop(n.ctx, done); err != nil {
+			n.log.Error("records that others keep can't be dropped", "err", err)
+		}
+	}
+}
+
+// give has another node keep records.
+func (n *Node) give(ctx context.Context, to string, recs []archive.Record) error {
+	p := n.peers[to]
+	if p == nil {
+		return errors.New("no such node")
+	}
+	var body []byte
+	for i := range recs {
+		body = archive.AppendFrame(body, &recs[i])
+	}
+	if err := n.pace(ctx, len(body)); err != nil {
+		return err
+	}
+	_, err := p.do(ctx, http.MethodPost, PathRecords, body, 1<<10)
+	return err
+}
+
+// mend is what a reader found missing at a node.
+type mend struct {
+	key string
+	at  string
+}
+
+// mendLater has what a reader found missing brought there; beyond what can wait it
+// is left to the comparisons.
+func (n *Node) mendLater(_ archive.Attempt, missing map[string][]string) {
+	for key, nodes := range missing {
+		for _, at := range nodes {
+			select {
+			case n.mending <- mend{key, at}:
+			default:
+				return
+			}
+		}
+	}
+}
+
+func (n *Node) mendAll() {
+	for {
+		var m mend
+		select {
+		case <-n.ctx.Done():
+			return
+		case m = <-n.mending:
+		}
+		k, err := archive.ParseKey(m.key)
+		if err != nil || n.gone(k) {
+			continue
+		}
+		r, err := n.record(n.ctx, k, n.members.Of(archive.Unit(k.Attempt)))
+		if err == nil && m.at == n.cfg.Name {
+			err = n.store(n.ctx, []archive.Record{r})
+		} else if err == nil {
+			err = n.give(n.ctx, m.at, []archive.Record{r})
+		}
+		if err != nil {
+			n.log.Debug("not mended", "key", m.key, "at", m.at, "err", err)
+			continue
+		}
+		n.count(func(s *Stats) { s.Mended++ })
+	}
+}
+
+// scrub reads all that lies here, again and again, at a steady rate: damage is
+// found before the other copies are.
+func (n *Node) scrub() {
+	if n.cfg.ScrubMBPerS <= 0 {
+		return
+	}
+	from := ""
+	n.every(time.Second, func() {
+		last, checked, damaged, err := n.vault.Scrub(from, int64(n.cfg.ScrubMBPerS*1e6))
+		if err != nil {
+			n.log.Error("scrubbing stopped", "err", err)
+		}
+		if damaged > 0 {
+			n.log.Error("damaged records found", "records", damaged, "of", checked)
+		}
+		from = last
+	})
+}
--- a/internal/archive/record.go
+++ b/internal/archive/record.go
@@ -150,7 +150,7 @@
 	}
 	switch k.Kind {
 	case KindSegment, KindGap:
-		if _, _, err := k.Place(); err != nil {
+		if _, _, n, err := k.Place(); err != nil || (n == 0) != (k.Kind == KindGap) {
 			return bad()
 		}
 	default:
@@ -158,7 +158,8 @@
 			return bad()
 		}
 	}
-	if (k.Attempt == Files(k.Attempt.Job)) != (k.Kind == KindChunk) {
+	// With the chunks stand the grants under which they came, and their expiry.
+	if shared := k.Attempt == Files(k.Attempt.Job); shared != (k.Kind == KindChunk) && !(shared && (k.Kind == KindGrant || k.Kind == KindExpired)) {
 		return bad()
 	}
 	return k, nil
@@ -173,17 +174,24 @@
 // Streams lists them.
 var Streams = []string{Stdout, Stderr}
 
-// At is the name of a segment or gap of a stream from an offset on.
-func At(stream string, offset int64) string { return fmt.Sprintf("%s.%016x", stream, offset) }
+// At is the name of a segment of a stream from an offset on, with its length; a
+// gap's length stands in its payload, and is 0 here.
+func At(stream string, offset int64, n int) string {
+	return fmt.Sprintf("%s.%016x.%05x", stream, offset, n)
+}
 
-// Place reads the stream and the offset of a segment's or a gap's key.
-func (k Key) Place() (stream string, offset int64, err error) {
-	stream, at, _ := strings.Cut(k.Name, ".")
-	v, err := strconv.ParseUint(at, 16, 63)
-	if err != nil || stream != Stdout && stream != Stderr || At(stream, int64(v)) != k.Name {
-		return "", 0, fmt.Errorf("no place in a stream: %.40q", k.Name)
+// Place reads the stream, the offset and the length out of a segment's or a gap's
+// key.
+func (k Key) Place() (stream string, from int64, n int, err error) {
+	f := strings.Split(k.Name, ".")
+	if len(f) == 3 && (f[0] == Stdout || f[0] == Stderr) {
+		at, err1 := strconv.ParseUint(f[1], 16, 62)
+		size, err2 := strconv.ParseUint(f[2], 16, 32)
+		if err1 == nil && err2 == nil && size <= MaxSegment && At(f[0], int64(at), int(size)) == k.Name {
+			return f[0], int64(at), int(size), nil
+		}
 	}
-	return stream, int64(v), nil
+	return "", 0, 0, fmt.Errorf("no place in a stream: %.40q", k.Name)
 }
 
 // Record is what is kept under a key.
@@ -212,11 +220,16 @@
 	switch r.Key.Kind {
 	case KindGrant:
 		var g Grant
-		if err = decode(r.Payload, &g); err == nil && g.Attempt != r.Key.Attempt {
+		if err = decode(r.Payload, &g); err == nil && g.Attempt != r.Key.Attempt && r.Key.Attempt != Files(g.Job) {
 			err = errors.New("a grant for another attempt")
 		}
 	case KindSegment:
-		_, err = DecodeSegment(r.Payload)
+		var s *Segment
+		if s, err = DecodeSegment(r.Payload); err == nil {
+			if _, _, n, _ := r.Key.Place(); n != len(s.Data) {
+				err = errors.New("its length is another")
+			}
+		}
 	case KindGap:
 		var g Gap
 		if err = decode(r.Payload, &g); err == nil {
@@ -407,7 +420,7 @@
 )
 
 func (g *Gap) check(k Key) error {
-	_, from, err := k.Place()
+	_, from, _, err := k.Place()
 	if err != nil || g.From != from || g.To >= 0 && g.To < g.From || g.To < -1 || g.Reason == "" || len(g.Reason) > 200 {
 		return errors.New("not a gap")
 	}
--- /dev/null
+++ b/internal/archive/ship/put.go
@@ -0,0 +1,182 @@
+package ship
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"silvergate/internal/archive"
+	"silvergate/internal/archive/node"
+	"silvergate/internal/identity"
+)
+
+// Writer has records kept by a quorum of their nodes.
+type Writer struct {
+	log     *slog.Logger
+	members archive.Members
+	nodes   []*remote
+}
+
+// remote is an archive node as an agent sees it.
+type remote struct {
+	name, address string
+	http          *http.Client
+
+	mu    sync.Mutex
+	back  *backoff.ExponentialBackOff
+	until time.Time // not asked before
+	under int       // requests under way
+}
+
+// underWay bounds what is on its way to one node: a slow one must not gather what
+// the others have long kept. It comes level with them by itself.
+const underWay = 3
+
+// NewWriter makes a writer for a party's certificate.
+func NewWriter(k *identity.Keeper, members []node.Member, replicas int, log *slog.Logger) *Writer {
+	w := &Writer{log: log, members: archive.Members{Replicas: replicas}}
+	for _, m := range members {
+		b := backoff.NewExponentialBackOff()
+		b.InitialInterval, b.MaxInterval = 100*time.Millisecond, 5*time.Second
+		w.members.Names = append(w.members.Names, m.Name)
+		w.nodes = append(w.nodes, &remote{name: m.Name, address: m.Address, back: b, http: &http.Client{Timeout: putPatience,
+			Transport: &http.Transport{TLSClientConfig: k.Dial(identity.Node, m.Name), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute,
+				TLSHandshakeTimeout: 3 * time.Second, DisableCompression: true}}})
+	}
+	return w
+}
+
+// putPatience is how long a node may take to keep records: a slow disk must not
+// hold up what the others have kept.
+const putPatience = 5 * time.Second
+
+// errAway is a node that is not asked now, after it did not answer.
+var errAway = errors.New("it did not answer just now")
+
+// errRefused is a record that nodes do not take, now or later.
+var errRefused = errors.New("refused")
+
+func (r *remote) post(ctx context.Context, body []byte) error {
+	r.mu.Lock()
+	if time.Until(r.until) > 0 || r.under == underWay {
+		r.mu.Unlock()
+		return errAway
+	}
+	r.under++
+	r.mu.Unlock()
+	err := r.try(ctx, body)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.under--
+	switch {
+	case err == nil || errors.Is(err, errRefused):
+		r.back.Reset()
+	case ctx.Err() == nil:
+		r.until = time.Now().Add(r.back.NextBackOff())
+	}
+	return err
+}
+
+func (r *remote) try(ctx context.Context, body []byte) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+r.address+node.PathRecords, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	a, err := r.http.Do(q)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(a.Body, 1<<10))
+	switch a.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusForbidden, http.StatusBadRequest:
+		return fmt.Errorf("%w: %s: %s", errRefused, a.Status, bytes.TrimSpace(text))
+	}
+	return fmt.Errorf("%s: %s", a.Status, bytes.TrimSpace(text))
+}
+
+// Put has records kept. kept tells, for each, whether a quorum of its nodes has it
+// on disk; refused whether a quorum says that it never will. A node that is slow
+// is not waited for once all have their quorum.
+func (w *Writer) Put(ctx context.Context, recs []archive.Record) (kept, refused []bool) {
+	kept, refused = make([]bool, len(recs)), make([]bool, len(recs))
+	yes, no := make([]int, len(recs)), make([]int, len(recs))
+	owners := make([][]string, len(recs))
+	for i := range recs {
+		owners[i] = w.members.Of(archive.Unit(recs[i].Key.Attempt))
+	}
+	type result struct {
+		mine []int
+		err  error
+	}
+	results := make(chan result, len(w.nodes))
+	asked := 0
+	for _, r := range w.nodes {
+		var mine []int
+		var body []byte
+		for i := range recs {
+			if slices.Contains(owners[i], r.name) {
+				mine, body = append(mine, i), archive.AppendFrame(body, &recs[i])
+			}
+		}
+		if len(mine) == 0 {
+			continue
+		}
+		asked++
+		go func() {
+			err := r.post(ctx, body)
+			if err != nil && !errors.Is(err, errAway) {
+				w.log.Debug("records not kept", "node", r.name, "records", len(mine), "err", err)
+			}
+			results <- result{mine, err}
+		}()
+	}
+	q := w.members.Quorum()
+	for ; asked > 0; asked-- {
+		res := <-results
+		all := true
+		for _, i := range res.mine {
+			switch {
+			case res.err == nil:
+				yes[i]++
+			case errors.Is(res.err, errRefused):
+				no[i]++
+			}
+		}
+		for i := range recs {
+			kept[i], refused[i] = yes[i] >= q, no[i] >= q
+			all = all && (kept[i] || refused[i])
+		}
+		if all {
+			break
+		}
+	}
+	return kept, refused
+}
+
+func (r *remote) get(ctx context.Context, path string) ([]byte, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+r.address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	a, err := r.http.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return nil, errors.New(a.Status)
+	}
+	return io.ReadAll(io.LimitReader(a.Body, identity.MaxRevocations))
+}
--- a/internal/archive/stream.go
+++ b/internal/archive/stream.go
@@ -216,3 +216,49 @@
 func hidden(r rune) bool {
 	return r >= 0x200b && r <= 0x200f || r >= 0x202a && r <= 0x202e || r >= 0x2060 && r <= 0x206f || r == 0xfeff || r >= 0xe0000 && r <= 0xe0fff
 }
+
+// Range is a part of a stream.
+type Range struct {
+	From int64 `json:"from"`
+	To   int64 `json:"to"`
+}
+
+// Join adds a range to ranges that are in order and apart, and keeps them so.
+func Join(all []Range, r Range) []Range {
+	i, _ := slices.BinarySearchFunc(all, r.From, func(x Range, from int64) int { return compare(x.To, from) })
+	k := i
+	for k < len(all) && all[k].From <= r.To {
+		r.From, r.To = min(r.From, all[k].From), max(r.To, all[k].To)
+		k++
+	}
+	return slices.Replace(all, i, k, r)
+}
+
+// MergeExpired says what expired when two records say so.
+func MergeExpired(a, b Expired) Expired {
+	if b.At > a.At || a.Reason == "" {
+		a.At, a.Reason = b.At, b.Reason
+	}
+	a.All = a.All || b.All
+	upto := map[string]int64{}
+	for _, m := range []map[string]int64{a.Upto, b.Upto} {
+		for s, n := range m {
+			upto[s] = max(upto[s], n)
+		}
+	}
+	a.Upto = upto
+	return a
+}
+
+// Covers tells whether a record is among what expired. Grants and the marks of
+// expiry themselves stay: they tell whose it was.
+func (e Expired) Covers(k Key) bool {
+	if e.Reason == "" || k.Kind == KindExpired || k.Kind == KindGrant {
+		return false
+	}
+	if e.All {
+		return k.Kind != KindEnd
+	}
+	stream, from, n, err := k.Place()
+	return (k.Kind == KindSegment || k.Kind == KindGap) && err == nil && from+int64(n) <= e.Upto[stream] && from < e.Upto[stream]
+}
--- a/internal/archive/vault/vault.go
+++ b/internal/archive/vault/vault.go
@@ -43,7 +43,7 @@
 	Labels func(*archive.Record) []string
 	// Added and Removed are told of keys, after the index has them or has them no
 	// more.
-	Added, Removed func(key archive.Key)
+	Added, Removed func(Info)
 }
 
 // Errors.
@@ -151,10 +151,10 @@
 		cfg.Labels = func(*archive.Record) []string { return nil }
 	}
 	if cfg.Added == nil {
-		cfg.Added = func(archive.Key) {}
+		cfg.Added = func(Info) {}
 	}
 	if cfg.Removed == nil {
-		cfg.Removed = func(archive.Key) {}
+		cfg.Removed = func(Info) {}
 	}
 	if err := os.MkdirAll(filepath.Join(cfg.Dir, volumesDir), 0o700); err != nil {
 		return nil, err
@@ -376,7 +376,7 @@
 	vol.live += l.size
 	v.stats.Records++
 	v.stats.Bytes += l.size
-	v.cfg.Added(k)
+	v.cfg.Added(l.info(k))
 }
 
 // tidy removes volumes that hold nothing, and chooses the one to append to: one
@@ -428,6 +428,8 @@
 	return nil
 }
 
+func (l loc) info(k archive.Key) Info { return Info{k, l.size, time.UnixMilli(l.at)} }
+
 func (l loc) bytes() []byte {
 	b := binary.BigEndian.AppendUint32(nil, l.vol)
 	b = binary.BigEndian.AppendUint64(b, uint64(l.pos))
@@ -651,11 +653,11 @@
 	v.mu.Unlock()
 	for _, w := range add {
 		if w.was == nil {
-			v.cfg.Added(w.rec.Key)
+			v.cfg.Added(w.loc.info(w.rec.Key))
 		}
 	}
 	for _, g := range removed {
-		v.cfg.Removed(g.key)
+		v.cfg.Removed(g.loc.info(g.key))
 	}
 	return nil
 }
@@ -813,7 +815,7 @@
 	}
 	v.stats.Records, v.stats.Bytes, v.stats.Damaged = v.stats.Records-1, v.stats.Bytes-l.size, v.stats.Damaged+1
 	v.mu.Unlock()
-	v.cfg.Removed(k)
+	v.cfg.Removed(l.info(k))
 }
 
 // Info is a record as the index has it.
@@ -848,20 +850,21 @@
 			if err != nil {
 				return err
 			}
-			out = append(out, Info{key, l.size, time.UnixMilli(l.at)})
+			out = append(out, l.info(key))
 		}
 		return nil
 	})
 	return out, more, err
 }
 
-// Find lists the attempts that have a label, after one of them, no more than limit.
-func (v *Vault) Find(label, from string, limit int) (out []string, more bool, err error) {
-	prefix := label + "\x00"
+// Find lists the attempts that have a label, of those whose names begin with
+// prefix, after one of them, no more than limit.
+func (v *Vault) Find(label, prefix, from string, limit int) (out []string, more bool, err error) {
+	head := label + "\x00"
 	err = v.view(func(tx *bolt.Tx) error {
 		c := tx.Bucket(bucketBy).Cursor()
-		for k, _ := c.Seek([]byte(prefix + from)); k != nil && strings.HasPrefix(string(k), prefix); k, _ = c.Next() {
-			a := string(k[len(prefix):])
+		for k, _ := c.Seek([]byte(head + max(prefix, from))); k != nil && strings.HasPrefix(string(k), head+prefix); k, _ = c.Next() {
+			a := string(k[len(head):])
 			if a == from {
 				continue
 			}
@@ -876,6 +879,17 @@
 	return out, more, err
 }
 
+// Labelled tells whether an attempt has a label.
+func (v *Vault) Labelled(label, attempt string) (ok bool) {
+	_ = v.view(func(tx *bolt.Tx) error {
+		key := []byte(label + "\x00" + attempt)
+		k, _ := tx.Bucket(bucketBy).Cursor().Seek(key)
+		ok = bytes.Equal(k, key)
+		return nil
+	})
+	return ok
+}
+
 // compact empties one volume of which little is left, and removes those that hold
 // nothing. It runs in the writer.
 func (v *Vault) compact() {
--- a/internal/archive/vault/vault_test.go
+++ b/internal/archive/vault/vault_test.go
@@ -36,7 +36,7 @@
 	for i := range s.Data {
 		s.Data[i] = byte(i*31 + n*7 + i*i*n)
 	}
-	return archive.NewRecord(archive.Attempt{Job: fmt.Sprintf("wk-%06d", job), Task: n % 3, Try: 1, Machine: "m"}, archive.KindSegment, archive.At(archive.Stdout, int64(n)<<20), s.Encode())
+	return archive.NewRecord(archive.Attempt{Job: fmt.Sprintf("wk-%06d", job), Task: n % 3, Try: 1, Machine: "m"}, archive.KindSegment, archive.At(archive.Stdout, int64(n)<<20, size), s.Encode())
 }
 
 func grant(job int) archive.Record {
@@ -81,15 +81,15 @@
 			}
 			return []string{"team/office"}
 		},
-		Added: func(k archive.Key) {
+		Added: func(i Info) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			h.keys[k.String()] = true
+			h.keys[i.Key.String()] = true
 		},
-		Removed: func(k archive.Key) {
+		Removed: func(i Info) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			delete(h.keys, k.String())
+			delete(h.keys, i.Key.String())
 		}}
 }
 
@@ -336,7 +336,7 @@
 		}
 	}
 	before := v.Stats()
-	if found, more, err := v.Find("team/office", "", 30); len(found) != 30 || !more || err != nil {
+	if found, more, err := v.Find("team/office", "", "", 30); len(found) != 30 || !more || err != nil {
 		t.Fatal(len(found), more, err)
 	}
 	if err := v.Drop(ctx, keys); err != nil {
@@ -351,7 +351,7 @@
 	if after.Volumes*2 > before.Volumes || after.Compacted == 0 {
 		t.Errorf("%d volumes of %d are left, %d emptied", after.Volumes, before.Volumes, after.Compacted)
 	}
-	found, more, err := v.Find("team/office", "", 100)
+	found, more, err := v.Find("team/office", "", "", 100)
 	if len(found) != 7 || more || err != nil {
 		t.Errorf("%d attempts found: %v", len(found), err)
 	}
