Archive: in agents, controllers and silvergate up; logs, artefacts, why

Need: what tasks wrote vanished with their machines.

All of it is off without archive: in the settings.

--- a/cmd/silvergate/client.go
+++ b/cmd/silvergate/client.go
@@ -161,6 +161,8 @@
 	Due      *float64          `yaml:"dueS" json:"dueS"`
 	Command  []string          `yaml:"command" json:"command,omitempty"`
 	Env      map[string]string `yaml:"env" json:"env,omitempty"`
+	Customer string            `yaml:"customer" json:"customer,omitempty"`
+	Keep     []string          `yaml:"keep" json:"keep,omitempty"`
 	Inputs   []struct {
 		Set     string `yaml:"set" json:"set"`
 		Version string `yaml:"version" json:"version"`
--- a/cmd/silvergate/root.go
+++ b/cmd/silvergate/root.go
@@ -34,7 +34,9 @@
   silvergate --config /etc/silvergate/settings.json
   silvergate validate --config settings.json --operator silvergate.yaml
   silvergate submit --address 10.0.0.1:8080 job.json
-  silvergate show --address 10.0.0.1:8080 wk-000412`,
+  silvergate show --address 10.0.0.1:8080 wk-000412
+  silvergate logs --site ./site --follow wk-000412
+  silvergate why --site ./site wk-000412`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
@@ -71,7 +73,7 @@
 		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "silvergate", version) },
 	})
 	cmd.AddCommand(clientCommands()...)
-	cmd.AddCommand(upCommand(), lossesCommand(), stateCommands(), providerCommand(), soakCommand(), dataCommands(), certsCommands(), benchCommands())
+	cmd.AddCommand(upCommand(), lossesCommand(), stateCommands(), providerCommand(), soakCommand(), dataCommands(), certsCommands(), archiveCommands(), logsCommand(), artefactsCommand(), whyCommand(), benchCommands())
 	cmd.AddCommand(agentCommands()...)
 	return cmd
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,6 +33,7 @@
 
 	"github.com/google/renameio/v2"
 
+	"silvergate/internal/archive/ship"
 	"silvergate/internal/job"
 	"silvergate/internal/proc"
 	"silvergate/internal/protocol"
@@ -62,6 +63,8 @@
 	Environment []string `yaml:"environment"` // NAME=value, for every task
 	// Staging switches the store of data sets on; nil: off.
 	Staging *Staging `yaml:"staging,omitempty"`
+	// Archive has what tasks write kept; nil: off.
+	Archive *ship.Config `yaml:"archive,omitempty"`
 	// GiveUpS is how long after its last answered report the agent ends, in
 	// seconds; 0: never.
 	GiveUpS float64 `yaml:"give_up_s"`
@@ -132,6 +135,11 @@
 			return err
 		}
 	}
+	if c.Archive != nil {
+		if err := c.Archive.Check(); err != nil {
+			return fmt.Errorf("archive.%w", err)
+		}
+	}
 	return CheckImages(c.Images)
 }
 
@@ -158,6 +166,7 @@
 	Endings                               map[string]uint64 // by cause
 	Loads, Live                           int
 	Usage                                 proc.Usage
+	Archive                               *ship.Stats // nil: no archive
 }
 
 // Agent is a running worker.
@@ -180,6 +189,7 @@
 	swept   time.Time
 	heard   time.Duration // when a report was last answered
 	data    *inputs       // nil: no data sets
+	keeper  *keeper       // nil: no archive
 	places  map[Key][]protocol.GangPlace
 	before  map[Key]int   // a task's newest checkpoint when it was told to stop
 	watch   *os.File      // to the watchdog
@@ -232,6 +242,12 @@
 			return nil, err
 		}
 	}
+	if cfg.Archive != nil {
+		if a.keeper, err = newKeeper(a); err != nil {
+			return nil, err
+		}
+		a.run.holds = a.keeper.holds
+	}
 	a.server = transport.NewServer(&a.mu, a, 10*time.Second, 256)
 	return a, nil
 }
@@ -262,6 +278,7 @@
 // Run serves until Stop is called or the machine fails.
 func (a *Agent) Run() error {
 	a.run.clear() // whatever an earlier agent left
+	a.keeper.open()
 	if err := a.startWatchdog(); err != nil {
 		return fmt.Errorf("watchdog: %w", err)
 	}
@@ -280,6 +297,7 @@
 	a.mu.Unlock()
 	a.data.close()
 	a.run.clear()
+	a.keeper.close()
 	a.watch.Close()
 	return errors.Join(failed, err)
 }
@@ -541,9 +559,11 @@
 	}
 	p, err := a.program(k, d)
 	if err == nil {
+		a.keeper.begin(k, d.Urgency)
 		err = a.run.start(session, k, p, d.RAM)
 	}
 	if errors.Is(err, errSession) {
+		a.keeper.ended(k, "its session was over", -1)
 		return
 	}
 	if err != nil {
@@ -669,10 +689,13 @@
 }
 
 func (a *Agent) over(k Key, x Exit) {
+	cause := "the lease was over"
+	defer func() { a.keeper.ended(k, cause, x.Code) }()
 	a.step(func() Effects {
 		e := a.w.Exited(a.clock(), k, x)
 		if l := a.w.loads[k]; l != nil && l.phase == ended {
 			a.stats.Endings[l.cause]++
+			cause = l.cause
 			a.log.Info("ended", "load", k.Load(), "try", k.Try, "cause", l.cause, "code", x.Code, "saved", l.saved)
 		}
 		return e
@@ -784,5 +807,9 @@
 func (a *Agent) Stats() Stats {
 	s := a.stats
 	s.Loads, s.Live = a.w.Count()
+	if a.keeper != nil {
+		t := a.keeper.ship.Stats()
+		s.Archive = &t
+	}
 	return s
 }
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -82,6 +82,8 @@
 	log  *slog.Logger
 	// exited is called when all processes of an attempt are gone.
 	exited func(k Key, code int, memory bool)
+	// holds tells of attempts whose folders are still needed; nil: none are.
+	holds func(k Key) bool
 
 	mu       sync.Mutex
 	tasks    map[Key]*task
@@ -279,7 +281,7 @@
 		r.mu.Lock()
 		_, live := r.tasks[k]
 		r.mu.Unlock()
-		if info, err := os.Stat(filepath.Join(root, d.Name(), execFile)); ok && !live && err == nil {
+		if info, err := os.Stat(filepath.Join(root, d.Name(), execFile)); ok && !live && err == nil && (r.holds == nil || !r.holds(k)) {
 			over = append(over, old{d.Name(), info.ModTime()})
 		}
 	}
--- a/internal/archive/history/history.go
+++ b/internal/archive/history/history.go
@@ -317,11 +317,11 @@
 
 // Drawn is what a drawn history did.
 type Drawn struct {
-	Attempts, Bytes, Files        int
-	NodeStops, DisksLost          int
-	AgentStops, MachinesLost      int
-	Reads, Denied                 int
-	Mended, Pulled, Gaps, Retried int64
+	Attempts, Bytes, Files   int
+	NodeStops, DisksLost     int
+	AgentStops, MachinesLost int
+	Reads, Denied            int
+	Mended, Pulled           int64
 }
 
 // Draw plays a history of some rounds and judges it: machines run attempts that
@@ -630,3 +630,12 @@
 	}
 	return fmt.Errorf("the nodes do not come level: %w", last)
 }
+
+// Add adds another history's figures.
+func (d *Drawn) Add(o Drawn) {
+	d.Attempts, d.Bytes, d.Files = d.Attempts+o.Attempts, d.Bytes+o.Bytes, d.Files+o.Files
+	d.NodeStops, d.DisksLost = d.NodeStops+o.NodeStops, d.DisksLost+o.DisksLost
+	d.AgentStops, d.MachinesLost = d.AgentStops+o.AgentStops, d.MachinesLost+o.MachinesLost
+	d.Reads, d.Denied = d.Reads+o.Reads, d.Denied+o.Denied
+	d.Mended, d.Pulled = d.Mended+o.Mended, d.Pulled+o.Pulled
+}
--- a/internal/archive/node/read.go
+++ b/internal/archive/node/read.go
@@ -298,7 +298,7 @@
 	if what == "" {
 		what = strings.ReplaceAll(label, "\x00", "/")
 	}
-	n.audit(who, archive.Read, what, len(out.Attempts) > 0)
+	n.log.Info("access", "who", who.String(), "verb", string(archive.Read), "what", what, "found", len(out.Attempts))
 	answer(w, out)
 }
 
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -231,6 +231,7 @@
 		f.urgent = urgentName(f.acc.Grant.Urgency)
 	}
 	f.dirty = true
+	s.save(f)
 	s.all[a] = f
 	s.wake()
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"go.yaml.in/yaml/v3"
+
+	"silvergate/internal/archive"
 )
 
 // OperatorFile is the name of the operators' file, looked for in the folder
@@ -124,6 +126,16 @@
 	Metrics bool `yaml:"metrics,omitempty"`
 	// Staging switches data sets on; nil: off.
 	Staging *Staging `yaml:"staging,omitempty"`
+	// Archive has this controller vouch for attempts; nil: off.
+	Archive *Archive `yaml:"archive,omitempty"`
+}
+
+// Archive is what a controller is told of the archive.
+type Archive struct {
+	// GrantKey is the file with the key that it shares with the archive's nodes.
+	GrantKey string `yaml:"grant_key"`
+	// Key is what is in it; Load reads it.
+	Key []byte `yaml:"-"`
 }
 
 // Staging holds the budgets for moving data sets.
@@ -182,6 +194,11 @@
 		if s.Operator, err = ParseOperator(raw); err != nil {
 			return nil, fmt.Errorf("%s: %w", p, err)
 		}
+		if a := s.Operator.Archive; a != nil {
+			if a.Key, err = archive.LoadGrantKey(a.GrantKey); err != nil {
+				return nil, fmt.Errorf("%s: archive.%w", p, err)
+			}
+		}
 		break
 	}
 	return s, nil
@@ -226,6 +243,8 @@
 		return o, errors.New("entry_age_reports: must be at least 1")
 	case o.LogLevel != "error" && o.LogLevel != "info" && o.LogLevel != "debug":
 		return o, errors.New("log_level: must be error, info or debug")
+	case o.Archive != nil && o.Archive.GrantKey == "":
+		return o, errors.New("archive.grant_key: missing")
 	case o.Staging != nil:
 		return o, o.Staging.check()
 	}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"silvergate/internal/archive"
 	"silvergate/internal/budget"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
@@ -18,12 +19,19 @@
 // changes none; it owns a small cache of descriptions, which never change.
 type view struct {
 	c     *Core
+	seal  archive.GrantKey           // nil: no archive
 	known map[string]json.RawMessage // descriptions' extras
 	order []string                   // of known, the oldest first
 	bytes int
 }
 
-func newView(c *Core) *view { return &view{c: c, known: map[string]json.RawMessage{}} }
+func newView(c *Core) *view {
+	v := &view{c: c, known: map[string]json.RawMessage{}}
+	if a := c.cfg.Operator.Archive; a != nil {
+		v.seal = a.Key
+	}
+	return v
+}
 
 // cacheBytes is what descriptions may take: a hundredth of the process's
 // memory.
@@ -65,7 +73,8 @@
 // job answers questions about one job; false if verb is none of them.
 func (v *view) job(id uint64, ref, verb string) bool {
 	try, isGang := strings.CutPrefix(verb, protocol.PathGang+"/")
-	if verb != protocol.PathDescription && !isGang || !protocol.ValidRef(ref) {
+	attempt, isGrant := strings.CutPrefix(verb, protocol.PathGrant+"/")
+	if verb != protocol.PathDescription && !isGang && (!isGrant || v.seal == nil) || !protocol.ValidRef(ref) {
 		return false
 	}
 	c := v.c
@@ -76,6 +85,8 @@
 	answer := func(r *record) {
 		if n, err := strconv.Atoi(try); isGang && err == nil {
 			c.answer(id, 200, v.gang(r, n), 0)
+		} else if isGrant {
+			v.grant(id, r, attempt)
 		} else {
 			v.describe(id, r)
 		}
@@ -103,11 +114,9 @@
 	d := protocol.Description{Ref: s.ID, JobClass: s.Class, Crew: s.Team, Shape: s.Shape, Urgency: protocol.UrgencyName(s.Priority),
 		Loads: s.Tasks, CPUs: s.CPUs, GPUs: s.GPUs, RAM: s.MemoryGB, Kit: s.Image, Size: s.ImageGB, Waypoint: s.Checkpoint, Stow: s.Save,
 		Complete: s.Shape == job.Gang && (r.finished > 0 || r.status == job.Done)}
-	give := func(data json.RawMessage) {
-		d.Extra = &job.Extra{}
-		if protocol.Decode(data, d.Extra) != nil {
-			c.log.Error("unreadable record", "key", keyExtra+s.ID)
-			c.refuse(id, 503, "the job's description is unreadable")
+	v.withExtra(id, r, func(x *job.Extra) {
+		if d.Extra = x; x == nil {
+			c.answer(id, 200, d, 0)
 			return
 		}
 		for _, in := range d.Extra.Inputs {
@@ -122,11 +131,26 @@
 			d.Inputs = append(d.Inputs, protocol.InputCopy{DataSet: *s, Place: in.Place})
 		}
 		c.answer(id, 200, d, 0)
-	}
+	})
+}
+
+// withExtra has a job's extension fields, nil if it has none; request id is refused
+// when they can't be had.
+func (v *view) withExtra(id uint64, r *record, do func(*job.Extra)) {
+	c, s := v.c, r.spec
 	if !s.Extended {
-		c.answer(id, 200, d, 0)
+		do(nil)
 		return
 	}
+	give := func(data json.RawMessage) {
+		x := &job.Extra{}
+		if protocol.Decode(data, x) != nil {
+			c.log.Error("unreadable record", "key", keyExtra+s.ID)
+			c.refuse(id, 503, "the job's description is unreadable")
+			return
+		}
+		do(x)
+	}
 	if data, ok := v.known[s.ID]; ok {
 		give(data)
 		return
@@ -141,6 +165,43 @@
 	})
 }
 
+// grant gives the word under which a machine may have an attempt's output kept: that
+// the records show the attempt bound to it, and whose it is. attempt is the task's
+// index, the attempt's number and the machine's name.
+func (v *view) grant(id uint64, r *record, attempt string) {
+	c, s := v.c, r.spec
+	f := strings.Split(attempt, "/")
+	if len(f) != 3 {
+		c.refuse(id, 400, "the path must name a task, an attempt and a machine")
+		return
+	}
+	index, err1 := strconv.Atoi(f[0])
+	try, err2 := strconv.Atoi(f[1])
+	a := archive.Attempt{Job: s.ID, Task: index, Try: try, Machine: f[2]}
+	if err1 != nil || err2 != nil || a.Check() != nil {
+		c.refuse(id, 400, "the path must name a task, an attempt and a machine")
+		return
+	}
+	t := r.task(c, index)
+	switch {
+	case t != nil && t.Try < try:
+		c.refuse(id, 503, "the attempt's record is not known here yet")
+		return
+	case t == nil || t.Phase != job.Bound || t.Try != try || t.Machine != f[2]:
+		c.refuse(id, 404, "no such attempt on that machine")
+		return
+	}
+	token := c.machine(t.Machine).stamp
+	v.withExtra(id, r, func(x *job.Extra) {
+		g := archive.Grant{Attempt: a, Owner: archive.Owner{Team: s.Team}, Class: s.Class, Urgency: protocol.UrgencyName(s.Priority),
+			Shape: protocol.ShapeName(s.Shape), Session: token, At: c.wall.UnixMilli()}
+		if x != nil {
+			g.Customer, g.Keep = x.Customer, x.Keep
+		}
+		c.answer(id, 200, v.seal.Sign(g), 0)
+	})
+}
+
 // gang tells where the tasks of an attempt are, as far as the mirror shows.
 func (v *view) gang(r *record, try int) protocol.GangPlaces {
 	out := protocol.GangPlaces{Loads: []protocol.GangPlace{}}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -292,6 +292,13 @@
 	}
 }
 
+// Urgent tells whether a copy that is urgent is being fetched.
+func (s *Store) Urgent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.urgent > 0
+}
+
 // find tells where a chunk lies, and in which copy; nil if it is not here. The
 // lock is held.
 func (s *Store) find(c dataset.Hash) (place, *held) {
--- a/internal/identity/authority.go
+++ b/internal/identity/authority.go
@@ -29,10 +29,14 @@
 	authorityFile = "authority.crt"
 	issuedFile    = "issued.jsonl"
 	lockFile      = "lock"
-	revokedFile   = "revoked.crl"
+	revokedFile   = RevokedFile
 	certFile      = "cert.pem"
 )
 
+// RevokedFile is the list of revocations in an authority's folder, and in a
+// party's.
+const RevokedFile = "revoked.crl"
+
 // Lives of what is issued.
 const (
 	authorityLife = 10 * 365 * 24 * time.Hour
@@ -202,6 +206,20 @@
 	return rec, nil
 }
 
+// Ensure issues a certificate into a folder unless one is there that has more than
+// a third of its life left.
+func (a *Authority) Ensure(who Identity, to string) error {
+	who.Site = a.Site()
+	if c, err := readCert(filepath.Join(to, certFile)); err == nil {
+		i, err := identityOf(c)
+		if err == nil && i == who && c.CheckSignatureFrom(a.cert) == nil && c.NotAfter.Sub(a.Now())*3 > c.NotAfter.Sub(c.NotBefore) {
+			return nil
+		}
+	}
+	_, err := a.Issue(who, to, 0)
+	return err
+}
+
 // note appends a line to the list of what was issued, and syncs it.
 func (a *Authority) note(rec Issued) error {
 	raw, err := json.Marshal(rec)
--- a/internal/identity/keeper.go
+++ b/internal/identity/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/pem"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -305,17 +304,21 @@
 
 // ReadIdentity reads who the certificate in a folder was issued to.
 func ReadIdentity(dir string) (Identity, error) {
-	raw, err := os.ReadFile(filepath.Join(dir, certFile))
+	c, err := readCert(filepath.Join(dir, certFile))
 	if err != nil {
 		return Identity{}, err
 	}
-	b, _ := pem.Decode(raw)
-	if b == nil {
-		return Identity{}, fmt.Errorf("%s: no certificate in it", filepath.Join(dir, certFile))
+	return identityOf(c)
+}
+
+func readCert(path string) (*x509.Certificate, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
 	}
-	c, err := x509.ParseCertificate(b.Bytes)
+	c, err := parseCert(raw)
 	if err != nil {
-		return Identity{}, err
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return identityOf(c)
+	return c, nil
 }
--- a/internal/job/extra.go
+++ b/internal/job/extra.go
@@ -8,6 +8,12 @@
 	Command []string `json:"command,omitempty"`
 	// Env holds variables of the program's environment.
 	Env map[string]string `json:"env,omitempty"`
+	// Customer is whose of the team's customers' the job is, for whoever may read
+	// what it wrote; "": the team's own.
+	Customer string `json:"customer,omitempty"`
+	// Keep are patterns of files to keep when a task ends, relative to its working
+	// directory.
+	Keep []string `json:"keep,omitempty"`
 	// Inputs are the data sets that must be there before the program starts.
 	Inputs []Input `json:"inputs,omitempty"`
 }
@@ -25,5 +31,5 @@
 
 // Empty tells whether there is nothing in it.
 func (x *Extra) Empty() bool {
-	return x == nil || len(x.Command) == 0 && len(x.Env) == 0 && len(x.Inputs) == 0
+	return x == nil || len(x.Command) == 0 && len(x.Env) == 0 && len(x.Inputs) == 0 && x.Customer == "" && len(x.Keep) == 0
 }
--- a/internal/protocol/extra.go
+++ b/internal/protocol/extra.go
@@ -14,6 +14,7 @@
 // Paths that are extensions of the protocols, for workers and operators.
 const (
 	PathDescription = "description" // after a job's path: all that a worker needs
+	PathGrant       = "grant"       // after a job's path, with task, attempt and machine: whose its output is
 	PathGang        = "gang"        // after a job's path, with an attempt: where its tasks are
 	PathJobs        = "/v2/list/jobs"
 	PathNodes       = "/v2/list/nodes"
@@ -24,6 +25,7 @@
 	maxArguments = 256
 	maxVariables = 256
 	maxInputs    = 32
+	maxKeep      = 32
 	maxText      = 16 << 10
 )
 
@@ -31,12 +33,14 @@
 const ReservedEnv = "SILVERGATE_"
 
 // ParseExtra reads and checks the extension fields of a submission: command,
-// env and inputs. It returns nil when there are none.
+// env, customer, keep and inputs. It returns nil when there are none.
 func ParseExtra(body []byte) (*job.Extra, error) {
 	var x struct {
-		Command []string          `json:"command"`
-		Env     map[string]string `json:"env"`
-		Inputs  []struct {
+		Command  []string          `json:"command"`
+		Env      map[string]string `json:"env"`
+		Customer *string           `json:"customer"`
+		Keep     []string          `json:"keep"`
+		Inputs   []struct {
 			Set     *string `json:"set"`
 			Version *string `json:"version"`
 			Place   *string `json:"place"`
@@ -65,6 +69,21 @@
 			return nil, fmt.Errorf("env.%s: %w", k, err)
 		}
 	}
+	if x.Customer != nil && *x.Customer != "" {
+		if !ValidName(*x.Customer) || len(*x.Customer) > 100 {
+			return nil, errors.New("customer: not a name of letters, digits, '-', '_' and '.'")
+		}
+		e.Customer = *x.Customer
+	}
+	if len(x.Keep) > maxKeep {
+		return nil, fmt.Errorf("keep: more than %d patterns", maxKeep)
+	}
+	for i, p := range x.Keep {
+		if _, err := path.Match(p, "x"); err != nil || !ValidPlace(p) {
+			return nil, fmt.Errorf("keep[%d]: not a pattern of files inside the working directory", i)
+		}
+	}
+	e.Keep = x.Keep
 	if len(x.Inputs) > maxInputs {
 		return nil, fmt.Errorf("inputs: more than %d", maxInputs)
 	}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -34,6 +34,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"silvergate/internal/agent"
+	"silvergate/internal/identity"
 	"silvergate/internal/proc"
 	"silvergate/internal/protocol"
 	"silvergate/internal/sealed"
@@ -53,6 +54,9 @@
 	// SwitchOff has the machines switched off when the provider is told to
 	// end. They are rented still, and come up again with it.
 	SwitchOff bool `yaml:"switch_off"`
+	// Authority is the folder of the site's authority, which issues each machine's
+	// certificate; "": machines have none.
+	Authority string `yaml:"authority,omitempty"`
 }
 
 // DefaultConfig returns what holds for fields that a file does not name.
@@ -90,6 +94,7 @@
 	agentFile   = "agent.json"
 	configFile  = "agent.yaml"
 	logFile     = "agent.log"
+	certsDir    = "certs"
 	keptEnded   = 50 // folders of machines that are gone
 )
 
@@ -117,6 +122,8 @@
 	closed  bool
 	failed  error
 	stats   Stats
+	// certified is when the machines' certificates were last looked at.
+	certified time.Time
 }
 
 // Stats counts what a provider did.
@@ -413,6 +420,10 @@
 		}
 	}
 	p.do(p.m.Tick(now))
+	if now.Sub(p.certified) > time.Hour {
+		p.certified = now
+		go p.recertify()
+	}
 	p.timer.Reset(lookPeriod)
 }
 
@@ -423,9 +434,43 @@
 	a.Dir = filepath.Join(c.Dir, machinesDir, x.Name)
 	a.Room = agent.Room{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAM}
 	a.LocalGB = t.LocalGB
+	if a.Archive != nil {
+		own := *a.Archive
+		own.Certs = filepath.Join(a.Dir, certsDir)
+		a.Archive = &own
+	}
 	return a
 }
 
+// certify gives a machine a certificate of its own, or a new one in good time.
+func (p *Provider) certify(name, dir string) error {
+	if p.cfg.Authority == "" {
+		return nil
+	}
+	a, err := identity.Open(p.cfg.Authority)
+	if err != nil {
+		return err
+	}
+	return a.Ensure(identity.Identity{Kind: identity.Agent, Name: name}, filepath.Join(dir, certsDir))
+}
+
+// recertify renews the certificates of all machines that are there.
+func (p *Provider) recertify() {
+	p.mu.Lock()
+	var names []string
+	for n := range p.agents {
+		names = append(names, n)
+	}
+	p.mu.Unlock()
+	for _, n := range names {
+		if dir := p.dir(n); exists(dir) {
+			if err := p.certify(n, dir); err != nil {
+				p.log.Error("a machine's certificate can't be renewed", "stoker", n, "err", err)
+			}
+		}
+	}
+}
+
 // start starts a machine's agent. Before it runs, who it is is on disk.
 func (p *Provider) start(name string) {
 	p.mu.Lock()
@@ -461,6 +506,9 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return proc.ID{}, err
 	}
+	if err := p.certify(x.Name, dir); err != nil {
+		return proc.ID{}, err
+	}
 	raw, err := yaml.Marshal(p.cfg.agent(x, t))
 	if err != nil {
 		return proc.ID{}, err
--- /dev/null
+++ b/internal/site/certs.go
@@ -0,0 +1,69 @@
+package site
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"silvergate/internal/archive"
+	"silvergate/internal/identity"
+)
+
+// siteName is the name of a site on one machine in its certificates.
+const siteName = "site"
+
+// certify has the site's authority, the key of grants and the parts' certificates
+// there, each made once and renewed in good time.
+func (s *Site) certify() error {
+	if s.cfg.Archive == nil {
+		return nil
+	}
+	dir := filepath.Join(s.Dir, AuthorityDir)
+	a, err := identity.Open(dir)
+	if errors.Is(err, os.ErrNotExist) {
+		a, err = identity.Init(dir, siteName, time.Now())
+	}
+	if err != nil {
+		return err
+	}
+	key := filepath.Join(s.Dir, grantKeyFile)
+	if _, err := os.Stat(key); errors.Is(err, os.ErrNotExist) {
+		raw := make([]byte, archive.KeySize)
+		_, _ = rand.Read(raw)
+		if err := renameio.WriteFile(key, []byte(hex.EncodeToString(raw)+"\n"), 0o600); err != nil {
+			return err
+		}
+	} else if err != nil {
+		return err
+	}
+	parties := []identity.Identity{{Kind: identity.Operator, Name: operatorName}}
+	for i := range s.cfg.Archive.Nodes {
+		parties = append(parties, identity.Identity{Kind: identity.Node, Name: archiveName(i)})
+	}
+	for _, who := range parties {
+		if err := a.Ensure(who, filepath.Join(s.Dir, CertsDir, who.Name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// keepCerts renews what is issued to the site's own parts while it runs.
+func (s *Site) keepCerts(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Hour):
+		}
+		if err := s.certify(); err != nil {
+			s.log.Error("certificates can't be renewed", "err", err)
+		}
+	}
+}
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -17,7 +17,11 @@
 	"go.yaml.in/yaml/v3"
 
 	"silvergate/internal/agent"
+	"silvergate/internal/archive"
+	"silvergate/internal/archive/node"
+	"silvergate/internal/archive/ship"
 	"silvergate/internal/config"
+	"silvergate/internal/identity"
 	"silvergate/internal/provider"
 	"silvergate/internal/statestore"
 )
@@ -41,6 +45,8 @@
 	GiveUpS     float64            `yaml:"give_up_s"`
 	Environment []string           `yaml:"environment"`
 	Staging     *Staging           `yaml:"staging"`
+	// Archive has what tasks write kept; nil: off.
+	Archive *Archive `yaml:"archive"`
 	// OutsideKeepS is how long results and checkpoints of jobs that are over are
 	// kept, in seconds; 0: for ever.
 	OutsideKeepS float64 `yaml:"outside_keep_s"`
@@ -53,6 +59,25 @@
 	Store   agent.Staging  `yaml:"store"`
 }
 
+// Archive switches the archive on: nodes, and what machines ship to them.
+type Archive struct {
+	Nodes     int               `yaml:"nodes"`
+	Replicas  int               `yaml:"replicas"`
+	Retention archive.Retention `yaml:"retention"`
+	// The rest is each machine's: see ship.Config.
+	BoundS       float64 `yaml:"bound_s"`
+	RateMBPerS   float64 `yaml:"rate_mb_per_s"`
+	UrgentMBPerS float64 `yaml:"urgent_mb_per_s"`
+	SpoolMB      float64 `yaml:"spool_mb"`
+	FileMB       float64 `yaml:"file_mb"`
+	FilesMax     int     `yaml:"files_max"`
+	// The rest is each node's: see node.Config.
+	SyncS       float64 `yaml:"sync_s"`
+	SyncMBPerS  float64 `yaml:"sync_mb_per_s"`
+	ScrubMBPerS float64 `yaml:"scrub_mb_per_s"`
+	TombstoneS  float64 `yaml:"tombstone_s"`
+}
+
 // Controller bounds each controller's process.
 type Controller struct {
 	CPU        float64 `yaml:"cpu"`
@@ -76,6 +101,9 @@
 	if len(c.Zones) == 0 {
 		return nil, errors.New("zones: missing")
 	}
+	if c.Archive != nil && (c.Archive.Nodes < 1 || c.Archive.Nodes > 9) {
+		return nil, errors.New("archive.nodes: must be from 1 to 9")
+	}
 	for i, t := range c.Types {
 		for z := range t.Depots {
 			if !slices.Contains(c.Zones, z) {
@@ -85,6 +113,15 @@
 	}
 	// Each part's own check names what is wrong with its share.
 	l := layout{dir: "/", ports: &Ports{State: 1, Provider: 1, Controllers: make([]int, c.Controllers), Back: make([]int, c.Controllers)}}
+	if c.Archive != nil {
+		for i := range c.Archive.Nodes {
+			l.ports.Archive = append(l.ports.Archive, 1+i)
+		}
+		n := l.archiveNode(c, 0)
+		if err := n.Check(); err != nil {
+			return nil, fmt.Errorf("archive: %w", err)
+		}
+	}
 	st := l.state(c)
 	if err := st.Check(); err != nil {
 		return nil, fmt.Errorf("state: %w", err)
@@ -119,6 +156,7 @@
 	Files       int   `json:"files"`
 	Controllers []int `json:"controllers"`
 	Back        []int `json:"back"`
+	Archive     []int `json:"archive,omitempty"`
 }
 
 // Files in a site's folder.
@@ -128,6 +166,10 @@
 	lockFile  = "lock"
 	logsDir   = "logs"
 	runDir    = "run"
+	// AuthorityDir is the site's authority, CertsDir the parts' certificates.
+	AuthorityDir = "authority"
+	CertsDir     = "certs"
+	grantKeyFile = "grant.key"
 )
 
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
@@ -161,7 +203,7 @@
 
 // choosePorts has the system choose the ports that are missing, all at once so
 // that they differ, and keeps them.
-func choosePorts(dir string, controllers int) (*Ports, error) {
+func choosePorts(dir string, controllers, nodes int) (*Ports, error) {
 	p, err := ReadPorts(dir)
 	if err != nil {
 		if !errors.Is(err, os.ErrNotExist) {
@@ -192,10 +234,16 @@
 	for len(p.Controllers) < controllers {
 		p.Controllers, p.Back = append(p.Controllers, 0), append(p.Back, 0)
 	}
+	for len(p.Archive) < nodes {
+		p.Archive = append(p.Archive, 0)
+	}
 	errs := []error{choose(&p.State), choose(&p.Provider), choose(&p.Files)}
 	for i := range p.Controllers {
 		errs = append(errs, choose(&p.Controllers[i]), choose(&p.Back[i]))
 	}
+	for i := range p.Archive {
+		errs = append(errs, choose(&p.Archive[i]))
+	}
 	if err := errors.Join(errs...); err != nil {
 		return nil, err
 	}
@@ -234,6 +282,11 @@
 	if c.Staging != nil {
 		a.Staging = &c.Staging.Store
 	}
+	if x := c.Archive; x != nil {
+		p.Authority = filepath.Join(l.dir, AuthorityDir)
+		a.Archive = &ship.Config{Members: l.ports.ArchiveNodes(x.Nodes), Replicas: x.Replicas, Certs: "/", BoundS: x.BoundS, RateMBPerS: x.RateMBPerS,
+			UrgentMBPerS: x.UrgentMBPerS, SpoolMB: x.SpoolMB, FileMB: x.FileMB, FilesMax: x.FilesMax}
+	}
 	a.Outside = filepath.Join(l.dir, outsideDir)
 	a.Controllers = nil
 	for i := range l.ports.Controllers[:c.Controllers] {
@@ -242,6 +295,51 @@
 	return p
 }
 
+// ArchiveNodes lists a site's archive nodes.
+func (p *Ports) ArchiveNodes(n int) (out []node.Member) {
+	for i, port := range p.Archive[:min(n, len(p.Archive))] {
+		out = append(out, node.Member{Name: archiveName(i), Address: address(port)})
+	}
+	return out
+}
+
+func archiveName(i int) string { return fmt.Sprintf("archive-%d", i) }
+
+// archiveNode is what an archive node is told.
+func (l layout) archiveNode(c *Config, i int) node.Config {
+	x, n := c.Archive, node.DefaultConfig()
+	n.Name, n.Listen, n.Members, n.Replicas = archiveName(i), address(l.ports.Archive[i]), l.ports.ArchiveNodes(x.Nodes), x.Replicas
+	n.Dir, n.Certs = filepath.Join(l.dir, "archive", n.Name), filepath.Join(l.dir, CertsDir, n.Name)
+	n.GrantKey, n.Retention = filepath.Join(l.dir, grantKeyFile), x.Retention
+	n.Revocations = filepath.Join(l.dir, AuthorityDir, identity.RevokedFile)
+	n.SyncS, n.SyncMBPerS, n.ScrubMBPerS, n.TombstoneS = x.SyncS, x.SyncMBPerS, x.ScrubMBPerS, x.TombstoneS
+	return n
+}
+
+// ReadArchive tells who keeps what the tasks of the site in a folder write, and
+// where its operator's certificate is.
+func ReadArchive(dir string) (members []node.Member, certs string, err error) {
+	p, err := ReadPorts(dir)
+	if err != nil {
+		return nil, "", err
+	}
+	raw, err := os.ReadFile(filepath.Join(dir, siteFile))
+	if err != nil {
+		return nil, "", err
+	}
+	c, err := Parse(raw)
+	if err != nil {
+		return nil, "", err
+	}
+	if c.Archive == nil {
+		return nil, "", errors.New("this site keeps no output of tasks: it has no archive in site.yaml")
+	}
+	return p.ArchiveNodes(c.Archive.Nodes), filepath.Join(dir, CertsDir, operatorName), nil
+}
+
+// operatorName is the identity that silvergate up makes for whoever runs it.
+const operatorName = "operator"
+
 func nodeName(i int) string { return fmt.Sprintf("stoker-%d", i) }
 
 func (l layout) controller(c *Config, i int) *config.Settings {
@@ -264,6 +362,9 @@
 	if c.Staging != nil {
 		o.Staging = &c.Staging.Budgets
 	}
+	if c.Archive != nil {
+		o.Archive = &config.Archive{GrantKey: filepath.Join(l.dir, grantKeyFile)}
+	}
 	if c.Controller.LogLevel != "" {
 		o.LogLevel = c.Controller.LogLevel
 	}
--- a/internal/site/up.go
+++ b/internal/site/up.go
@@ -90,7 +90,14 @@
 	if err := renameio.WriteFile(path, raw, 0o600); err != nil {
 		return nil, err
 	}
-	if s.Ports, err = choosePorts(dir, s.cfg.Controllers); err != nil {
+	nodes := 0
+	if s.cfg.Archive != nil {
+		nodes = s.cfg.Archive.Nodes
+	}
+	if s.Ports, err = choosePorts(dir, s.cfg.Controllers, nodes); err != nil {
+		return nil, err
+	}
+	if err := s.certify(); err != nil {
 		return nil, err
 	}
 	if err := s.endLeftovers(); err != nil {
@@ -152,6 +159,15 @@
 	if s.cfg.Staging != nil {
 		add("files", "data", "serve", "--root", DataRoot(s.Dir), "--listen", s.Ports.FileServer())
 	}
+	if x := s.cfg.Archive; x != nil {
+		for i := range x.Nodes {
+			path, err := yamlFile(archiveName(i)+".yaml", l.archiveNode(s.cfg, i))
+			if err != nil {
+				return err
+			}
+			add(archiveName(i), "archive", "serve", "--settings", path)
+		}
+	}
 	operator, err := yamlFile("operator.yaml", l.operator(s.cfg))
 	if err != nil {
 		return err
@@ -182,11 +198,15 @@
 			do()
 		}
 	}()
-	s.wait.Add(1)
+	s.wait.Add(2)
 	go func() {
 		defer s.wait.Done()
 		s.keepOutside(ctx)
 	}()
+	go func() {
+		defer s.wait.Done()
+		s.keepCerts(ctx)
+	}()
 	for _, p := range s.parts {
 		s.wait.Add(1)
 		go func() {
