Archive: a machine without work is kept for output that is not shipped yet

Change: a machine tells in its reports how many attempts that are over have output the archive has not acknowledged (an extension field, absent without an archive); its controller tells the leader with its beats; the leader does not return it for want of work before archive.hold_s has passed. Nothing else waits: room is free when the records say so. A type of its own owns it.

--- a/cmd/silvergate/archive.go
+++ b/cmd/silvergate/archive.go
@@ -597,8 +597,8 @@
 				return err
 			}
 			type line struct {
-				Name  string      `json:"name"`
-				Error string      `json:"error,omitempty"`
+				Name  string       `json:"name"`
+				Error string       `json:"error,omitempty"`
 				Stats *anode.Stats `json:"stats,omitempty"`
 			}
 			var all []line
--- a/internal/agent/archive.go
+++ b/internal/agent/archive.go
@@ -76,6 +76,14 @@
 	}
 }
 
+// left is how many attempts that are over have something to ship.
+func (k *keeper) left() int {
+	if k == nil {
+		return 0
+	}
+	return k.ship.Left()
+}
+
 // holds tells whether an attempt's folder is still needed.
 func (k *keeper) holds(key Key) bool { return k != nil && k.ship.Holds(k.attempt(key)) }
 
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -163,7 +163,8 @@
 	changed   bool
 	tokenTold time.Duration // when a higher token last counted as a change
 
-	store *protocol.StoreReport
+	store  *protocol.StoreReport
+	unkept int
 
 	loads map[Key]*load
 	specs map[string]*protocol.Description
@@ -408,7 +409,7 @@
 func (w *Worker) current() protocol.Report {
 	w.tally++
 	r := w.me
-	r.Store = w.store
+	r.Store, r.Unkept = w.store, w.unkept
 	r.Shift, r.Tally, r.Baton = w.shift, w.tally, w.baton
 	if w.recalled {
 		left := max(0, (w.recall - w.now).Seconds())
@@ -643,6 +644,9 @@
 	w.changed = w.changed || told
 }
 
+// Unkept takes how many attempts that are over have output which is not shipped.
+func (w *Worker) Unkept(n int) { w.unkept = n }
+
 // Live tells whether an attempt is here and not over.
 func (w *Worker) Live(k Key) bool {
 	l := w.loads[k]
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -134,6 +134,9 @@
 type Archive struct {
 	// GrantKey is the file with the key that it shares with the archive's nodes.
 	GrantKey string `yaml:"grant_key"`
+	// HoldS is how long a machine without work is kept for output that the archive
+	// has not acknowledged, in seconds.
+	HoldS float64 `yaml:"hold_s"`
 	// Key is what is in it; Load reads it.
 	Key []byte `yaml:"-"`
 }
@@ -243,6 +246,8 @@
 		return o, errors.New("entry_age_reports: must be at least 1")
 	case o.LogLevel != "error" && o.LogLevel != "info" && o.LogLevel != "debug":
 		return o, errors.New("log_level: must be error, info or debug")
+	case o.Archive != nil && !(o.Archive.HoldS >= 0):
+		return o, errors.New("archive.hold_s: must not be negative")
 	case o.Archive != nil && o.Archive.GrantKey == "":
 		return o, errors.New("archive.grant_key: missing")
 	case o.Staging != nil:
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -173,6 +173,7 @@
 	c.verbose = log.Enabled(context.Background(), slog.LevelDebug)
 	c.ttl = seconds(cfg.Facts.Workers.Lease / 3)
 	c.fleet.init()
+	c.fleet.unkept = newUnkept(c)
 	c.view = newView(c)
 	c.data = newData(c)
 	c.store = bookkeeping.NewStore(&cfg.Facts, 1+len(cfg.Peers))
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -44,6 +44,7 @@
 	lost     map[string]time.Duration // claimed by the dead, since when
 	planAt   time.Duration
 	seen     map[string]sight // by controller
+	unkept   *unkept
 }
 
 // sight is in which zones a controller hears machines of its own, and in which
@@ -680,7 +681,7 @@
 			m.idleAt = c.now
 			continue
 		}
-		if c.now-m.idleAt > seconds(idleShare*c.kind(m).StartupS) {
+		if c.now-m.idleAt > seconds(idleShare*c.kind(m).StartupS) && !c.fleet.unkept.holds(m.id) {
 			c.drain(m, drainIdle)
 		}
 	}
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -35,6 +35,8 @@
 	for _, m := range c.ours {
 		if m.emptying {
 			switch {
+			case len(m.bound) == 0 && c.fleet.unkept.holds(m.id):
+				emptying++
 			case len(m.bound) == 0:
 				// Guards against a machine that is out of use here while the
 				// plan counts on it for a waiting gang: it goes back at once.
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -38,6 +38,7 @@
 	FreshMS   int64
 	Hungry    bool
 	Lit, Dark []string
+	Unkept    []string // machines with output that the archive does not have yet
 }
 
 // Ask asks a peer which cancellations it knows of that the asker's mirror,
@@ -103,7 +104,7 @@
 	if c.now >= c.beatAt {
 		c.beatAt = c.now + seconds(c.cfg.Facts.Workers.Report/3)
 		c.shareOut()
-		own := c.fleet.seen[c.cfg.Node]
+		own, told := c.fleet.seen[c.cfg.Node], c.fleet.unkept.told()
 		age := c.now - c.store.Fresh()
 		if !c.store.Ready() {
 			age = starting
@@ -113,7 +114,7 @@
 			if blind {
 				c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Ask: &Ask{c.now, c.store.Ledger()}}})
 			}
-			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds(), c.store.Hungry(), own.lit, own.dark}}})
+			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds(), c.store.Hungry(), own.lit, own.dark, told}}})
 		}
 	}
 	if !c.store.Ready() || c.granting {
@@ -166,6 +167,7 @@
 	case m.Beat != nil:
 		c.beats[from] = beat{c.now, time.Duration(m.Beat.FreshMS) * time.Millisecond, m.Beat.Hungry}
 		c.fleet.seen[from] = sight{c.now, m.Beat.Lit, m.Beat.Dark}
+		c.fleet.unkept.beat(m.Beat.Unkept)
 		c.shareOut()
 	case m.Ask != nil && c.store.Ready():
 		// Not before the records are read: an earlier life of ours may have
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -107,6 +107,7 @@
 	reqs    map[uint64]func(status int, body []byte)
 	askers  map[uint64]string // workers whose reports are being answered
 	waits   map[waitIn]time.Duration
+	archive *config.Archive // nil: off
 	nextReq uint64
 }
 
@@ -116,6 +117,7 @@
 	n.started = s.now
 	n.reqs, n.askers, n.waits = map[uint64]func(int, []byte){}, map[uint64]string{}, map[waitIn]time.Duration{}
 	cfg := &config.Settings{Node: n.name, Zone: n.zone, Facts: s.told, Operator: config.DefaultOperator()}
+	cfg.Operator.Archive = n.archive
 	if s.sets != nil {
 		cfg.Operator.Staging = &config.Staging{ServerStreams: 6, PeerStreams: 2, MachineStreams: 1, RateMBPerS: 100}
 	}
@@ -664,6 +666,7 @@
 	loads    map[string]*simLoad
 	faulty   bool
 	copies   map[string]bool // whole, or (false) being fetched
+	unkept   time.Duration   // until then output waits to be shipped
 }
 
 func (w *simWorker) die() {
@@ -705,6 +708,9 @@
 func (w *simWorker) state() protocol.Report {
 	w.tally++
 	r := protocol.Report{Stoker: w.name, Address: w.addr, Rig: w.rig, Depot: w.zone, Casual: w.spot, Shift: w.shift, Tally: w.tally, Baton: w.baton, Loads: []protocol.Load{}}
+	if w.unkept > w.s.now {
+		r.Unkept = 1
+	}
 	var names []string
 	for n := range w.loads {
 		names = append(names, n)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -490,6 +490,7 @@
 		}
 		c.join(m)
 	}
+	c.fleet.unkept.report(m, r)
 	ans.Store = c.data.report(m, r.Store)
 	m.answered = c.now
 	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: 200, Body: encode(ans), Urgent: m.urgent()})
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -71,6 +71,8 @@
 	SpoolMB      float64 `yaml:"spool_mb"`
 	FileMB       float64 `yaml:"file_mb"`
 	FilesMax     int     `yaml:"files_max"`
+	// HoldS is the controllers': see config.Archive.
+	HoldS float64 `yaml:"hold_s"`
 	// The rest is each node's: see node.Config.
 	SyncS       float64 `yaml:"sync_s"`
 	SyncMBPerS  float64 `yaml:"sync_mb_per_s"`
@@ -363,7 +365,7 @@
 		o.Staging = &c.Staging.Budgets
 	}
 	if c.Archive != nil {
-		o.Archive = &config.Archive{GrantKey: filepath.Join(l.dir, grantKeyFile)}
+		o.Archive = &config.Archive{GrantKey: filepath.Join(l.dir, grantKeyFile), HoldS: c.Archive.HoldS}
 	}
 	if c.Controller.LogLevel != "" {
 		o.LogLevel = c.Controller.LogLevel
