Archive: seals with launches, soak judges output, a bench; a record of nothing

Need: an attempt whose site was killed before a controller vouched for it was never shipped; a quarter of the requests an agent made were for that. Change: a launch carries a seal of the attempt, a description one of the job's terms; the separate request is gone, and the grant is on disk before the program starts. silvergate soak has every attempt's lines and files read back by its customer and tried by another. silvergate archive bench measures three nodes and an agent's part.

--- a/cmd/silvergate/archive.go
+++ b/cmd/silvergate/archive.go
@@ -20,8 +20,10 @@
 
 	"silvergate/internal/archive"
 	"silvergate/internal/archive/history"
+	"silvergate/internal/archive/load"
 	anode "silvergate/internal/archive/node"
 	"silvergate/internal/archive/reader"
+	"silvergate/internal/archive/ship"
 	"silvergate/internal/identity"
 	"silvergate/internal/proc"
 	"silvergate/internal/protocol"
@@ -718,6 +720,48 @@
 	soak.Flags().IntVar(&histories, "histories", 10, "how many")
 	soak.Flags().IntVar(&rounds, "rounds", 40, "of each")
 	k.output(soak)
-	cmd.AddCommand(serve, status, find, revocations, soak)
+	o := load.Options{}
+	bench := &cobra.Command{
+		Use: "bench --dir DIR", Short: "Measure an archive of three nodes on this machine", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var err error
+			if o.Self, err = os.Executable(); err != nil {
+				return err
+			}
+			if o.Dir, err = filepath.Abs(o.Dir); err != nil {
+				return err
+			}
+			o.Out = c.ErrOrStderr()
+			r, err := load.Run(o)
+			if err != nil {
+				return err
+			}
+			return k.show(c, r, fmt.Sprintf("%+v", r))
+		},
+	}
+	bench.Flags().StringVar(&o.Dir, "dir", "", "an empty folder on the disk that is measured")
+	bench.Flags().IntVar(&o.Tasks, "tasks", 2000, "how many tasks write")
+	bench.Flags().IntVar(&o.Lines, "lines", 100, "lines a second of each")
+	bench.Flags().DurationVar(&o.For, "for", 20*time.Second, "how long they write")
+	_ = bench.MarkFlagRequired("dir")
+	k.output(bench)
+	var shipping string
+	benchShip := &cobra.Command{
+		Use: "bench-ship --settings FILE", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if err := proc.Hold(); err != nil {
+				return err
+			}
+			s := load.Settings{Ship: ship.DefaultConfig()}
+			if err := readSettings(shipping, &s); err != nil {
+				return err
+			}
+			done := make(chan struct{})
+			untilTold(func() { close(done) })
+			return load.Ship(s, partLogger("ship"), done)
+		},
+	}
+	settingsFlag(benchShip, &shipping)
+	cmd.AddCommand(serve, status, find, revocations, soak, bench, benchShip)
 	return cmd
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -560,7 +560,7 @@
 	}
 	p, err := a.program(k, d)
 	if err == nil {
-		a.keeper.begin(k, d.Urgency)
+		a.keeper.begin(k, d)
 		err = a.run.start(session, k, p, d.RAM)
 	}
 	if errors.Is(err, errSession) {
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -68,6 +68,7 @@
 	ask   time.Duration // gang: when the others are asked next
 	next  time.Duration // when it is to save by itself
 	needs bool          // inputs that are not here yet
+	seal  string        // that came with the launch; for the archive
 	peers map[int]string
 }
 
@@ -530,7 +531,7 @@
 		l := w.loads[k]
 		switch {
 		case o.Verb == protocol.VerbLaunch && l == nil:
-			w.launch(k)
+			w.launch(k, o.Seal)
 		case o.Verb == protocol.VerbKill && l != nil:
 			grace := 0.0
 			if o.WindDownS != nil {
@@ -556,14 +557,14 @@
 	delete(w.specs, id)
 }
 
-func (w *Worker) launch(k Key) {
+func (w *Worker) launch(k Key, seal string) {
 	if (len(w.loads)+1)*lineBytes > maxReport {
 		// Guards against a report that no request could carry: refusals are
 		// listed too. What is not listed is launched again with a later
 		// answer, when others were forgotten.
 		return
 	}
-	l := &load{key: k, since: w.now}
+	l := &load{key: k, since: w.now, seal: seal}
 	refuse := ""
 	for _, o := range w.loads {
 		if o.key.Job == k.Job && o.key.Index == k.Index && o.phase != ended {
@@ -644,6 +645,14 @@
 	w.changed = w.changed || told
 }
 
+// Seal is what came with an attempt's launch for the archive.
+func (w *Worker) Seal(k Key) string {
+	if l := w.loads[k]; l != nil {
+		return l.seal
+	}
+	return ""
+}
+
 // Unkept takes how many attempts that are over have output which is not shipped.
 func (w *Worker) Unkept(n int) { w.unkept = n }
 
--- a/internal/archive/grant.go
+++ b/internal/archive/grant.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"silvergate/internal/identity"
+	"silvergate/internal/protocol"
 )
 
 // Owner is whose a job is: fixed when it is accepted.
@@ -20,24 +21,41 @@
 }
 
 // Grant is a controller's word that an attempt was bound to a machine, and whose
-// it is. An agent can't make one: it is sealed with a key that controllers and
-// archive nodes share. It holds for as long as the attempt's output is worth
-// shipping, also for sessions that are over.
+// its job is. An agent can't make one: both halves are sealed with a key that
+// controllers and archive nodes share. The one half comes with the launch, which
+// only the claim's holder sends and only after the commit; the other with the job's
+// description. A grant holds for as long as the attempt's output is worth shipping,
+// also for sessions that are over.
 type Grant struct {
 	Attempt
+	Terms
+	At int64 `json:"atMs"` // when the machine began with it, by its own clock: not sealed
+	// LaunchSeal is over the attempt, TermsSeal over the job and the terms.
+	LaunchSeal string `json:"launchSeal"`
+	TermsSeal  string `json:"termsSeal"`
+}
+
+// Terms are a job's, for all of its attempts.
+type Terms struct {
 	Owner
 	Class   string `json:"class"`
 	Urgency string `json:"urgency"`
 	Shape   string `json:"shape"`
-	Session uint64 `json:"session,omitempty"` // token of the claim under which it was given
-	At      int64  `json:"atMs"`
 	Keep    []Keep `json:"keep,omitempty"` // files that the job wants kept
-	Seal    string `json:"seal"`
 }
 
 // Keep is a pattern of files to keep, relative to a task's working directory.
 type Keep = string
 
+// TermsOf are the terms of the job that a description describes.
+func TermsOf(d *protocol.Description) Terms {
+	t := Terms{Owner: Owner{Team: d.Crew}, Class: d.JobClass, Urgency: d.Urgency, Shape: protocol.ShapeName(d.Shape)}
+	if x := d.Extra; x != nil {
+		t.Customer, t.Keep = x.Customer, x.Keep
+	}
+	return t
+}
+
 // GrantKey seals grants.
 type GrantKey []byte
 
@@ -65,16 +83,29 @@
 	return key, nil
 }
 
-func (k GrantKey) sum(g Grant) string {
-	g.Seal = ""
+// seal is the keyed sum over what is sealed; what says which half it is.
+func (k GrantKey) seal(what string, v ...any) string {
 	m := hmac.New(sha256.New, k)
-	m.Write(Encode(g))
-	return hex.EncodeToString(m.Sum(nil))
+	m.Write([]byte(what))
+	for _, x := range v {
+		m.Write([]byte{0})
+		m.Write(Encode(x))
+	}
+	return hex.EncodeToString(m.Sum(nil)[:sealSize])
 }
 
-// Sign seals a grant.
+// sealSize is how much of a sum a seal is, in bytes: it travels with each launch.
+const sealSize = 16
+
+// SealLaunch seals that an attempt is launched.
+func (k GrantKey) SealLaunch(a Attempt) string { return k.seal("launch", a) }
+
+// SealTerms seals a job's terms.
+func (k GrantKey) SealTerms(job string, t Terms) string { return k.seal("terms", job, t) }
+
+// Sign makes a whole grant.
 func (k GrantKey) Sign(g Grant) Grant {
-	g.Seal = k.sum(g)
+	g.LaunchSeal, g.TermsSeal = k.SealLaunch(g.Attempt), k.SealTerms(g.Job, g.Terms)
 	return g
 }
 
@@ -86,7 +117,7 @@
 	if err := decode(raw, &g); err != nil {
 		return g, errGrant
 	}
-	if !hmac.Equal([]byte(g.Seal), []byte(k.sum(g))) {
+	if !hmac.Equal([]byte(g.LaunchSeal), []byte(k.SealLaunch(g.Attempt))) || !hmac.Equal([]byte(g.TermsSeal), []byte(k.SealTerms(g.Job, g.Terms))) {
 		return g, errGrant
 	}
 	if err := g.Attempt.Check(); err != nil {
--- /dev/null
+++ b/internal/archive/node/node_test.go
@@ -0,0 +1,427 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/json"
+	"encoding/pem"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"silvergate/internal/archive"
+	"silvergate/internal/identity"
+)
+
+// Generated inputs come from a fixed seed, so that a verdict repeats.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261201")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var (
+	quiet   = slog.New(slog.NewTextHandler(io.Discard, nil))
+	testKey = archive.GrantKey(bytes.Repeat([]byte{3}, archive.KeySize))
+)
+
+// site makes certificates and nodes that are called directly, without a network.
+type testSite struct {
+	t     *testing.T
+	dir   string
+	auth  *identity.Authority
+	certs map[string]*x509.Certificate
+}
+
+func newSite(t *testing.T) *testSite {
+	dir := t.TempDir()
+	a, err := identity.Init(filepath.Join(dir, "authority"), "valley", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "key"), []byte(hex.EncodeToString(testKey)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return &testSite{t, dir, a, map[string]*x509.Certificate{}}
+}
+
+func (s *testSite) folder(who string) string {
+	dir := filepath.Join(s.dir, "certs", strings.ReplaceAll(who, "/", "."))
+	if _, err := os.Stat(dir); err == nil {
+		return dir
+	}
+	i, err := identity.Parse("valley", who)
+	if err == nil {
+		_, err = s.auth.Issue(i, dir, 0)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return dir
+}
+
+func (s *testSite) cert(who string) *x509.Certificate {
+	if c := s.certs[who]; c != nil {
+		return c
+	}
+	raw, err := os.ReadFile(filepath.Join(s.folder(who), "cert.pem"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	b, _ := pem.Decode(raw)
+	c, err := x509.ParseCertificate(b.Bytes)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.certs[who] = c
+	return c
+}
+
+func (s *testSite) node(name string, members []Member, config func(*Config)) *Node {
+	c := DefaultConfig()
+	c.Name, c.Dir, c.Certs, c.GrantKey, c.Members = name, filepath.Join(s.dir, name), s.folder("node/"+name), filepath.Join(s.dir, "key"), members
+	if config != nil {
+		config(&c)
+	}
+	n, err := Open(c, quiet)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(n.Stop)
+	return n
+}
+
+// call sends a request as somebody.
+func (s *testSite) call(h http.Handler, who, method, target string, body []byte) (int, string) {
+	r := httptest.NewRequest(method, target, bytes.NewReader(body))
+	r.TLS = &tls.ConnectionState{PeerCertificates: []*x509.Certificate{s.cert(who)}}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Code, w.Body.String()
+}
+
+func grantOf(a archive.Attempt, team, customer string, at int64) archive.Grant {
+	return testKey.Sign(archive.Grant{Attempt: a, Terms: archive.Terms{Owner: archive.Owner{Team: team, Customer: customer}, Class: "forecast", Urgency: "prod"}, At: at})
+}
+
+// output is an attempt's records: its grant, some output, a file and its end.
+func output(a archive.Attempt, g archive.Grant, text string) []archive.Record {
+	seg := archive.Segment{Marks: []archive.Mark{{To: len(text), At: 1000}}, Data: []byte(text)}
+	chunk := archive.NewRecord(archive.Files(a.Job), archive.KindChunk, "", []byte("file of "+text))
+	f := archive.File{Path: "out/result", Size: int64(len("file of " + text)), Digest: chunk.Key.Digest, Chunks: []string{chunk.Key.Digest}}
+	return []archive.Record{archive.NewRecord(a, archive.KindGrant, "", archive.Encode(g)), archive.NewRecord(archive.Files(a.Job), archive.KindGrant, "", archive.Encode(g)),
+		archive.NewRecord(a, archive.KindSegment, archive.At(archive.Stdout, 0, len(text)), seg.Encode()), chunk,
+		archive.NewRecord(a, archive.KindFile, "", archive.Encode(f)),
+		archive.NewRecord(a, archive.KindEnd, "", archive.Encode(archive.End{Cause: "done", Sizes: map[string]int64{archive.Stdout: int64(len(text))}, Files: 1}))}
+}
+
+func frames(recs []archive.Record) (b []byte) {
+	for i := range recs {
+		b = archive.AppendFrame(b, &recs[i])
+	}
+	return b
+}
+
+// TestNobodyReadsOthers draws identities, requests and moments: jobs come, move,
+// end and expire while all kinds of readers ask for them, by name, by guess, by
+// prefix, by label and by a page's token. Nobody may be told of what is not theirs,
+// and what is denied must be answered, byte for byte, as what is not there. ACCESS
+// sets how many requests are drawn; some thousand without it.
+func TestNobodyReadsOthers(t *testing.T) {
+	s := newSite(t)
+	n := s.node("one", []Member{{"one", "127.0.0.1:1"}}, nil)
+	h := n.handler()
+	teams, customers := []string{"office", "guests"}, []string{"baker", "miller", ""}
+	var who []string
+	for _, team := range teams {
+		who = append(who, "team/"+team)
+		for _, c := range customers {
+			if c != "" {
+				who = append(who, "customer/"+team+"/"+c)
+			}
+		}
+	}
+	who = append(who, "operator/ann", "node/one", "agent/m-0", "agent/m-1", "agent/office")
+	type thing struct {
+		a     archive.Attempt
+		owner archive.Owner
+		gone  bool
+	}
+	var all []thing
+	asked, told, denied := 0, 0, 0
+	limit := 3000
+	if v, err := strconv.Atoi(os.Getenv("ACCESS")); err == nil {
+		limit = v
+	}
+	text := func(a archive.Attempt, o archive.Owner) string {
+		return fmt.Sprintf("secret of %s/%s in %s", o.Team, o.Customer, a)
+	}
+	for round := 0; asked < limit; round++ {
+		_ = flag.Set("rapid.seed", strconv.Itoa(20261201+round))
+		rapid.Check(t, func(t *rapid.T) {
+			pick := func(list []string, label string) string { return rapid.SampledFrom(list).Draw(t, label) }
+			for range 30 {
+				switch k := rapid.IntRange(0, 19).Draw(t, "step"); {
+				case len(all) == 0 || k == 0 && len(all) < 300: // a job begins, or moves
+					a := archive.Attempt{Job: fmt.Sprintf("wk-%06d", len(all)), Task: rapid.IntRange(0, 2).Draw(t, "task"), Try: 1, Machine: pick([]string{"m-0", "m-1"}, "machine")}
+					o := archive.Owner{Team: pick(teams, "team"), Customer: pick(customers, "customer")}
+					if len(all) > 0 && rapid.Bool().Draw(t, "moves") {
+						last := all[len(all)-1]
+						a, o = last.a, last.owner
+						a.Try++
+						a.Machine = pick([]string{"m-0", "m-1"}, "machine")
+					}
+					g := grantOf(a, o.Team, o.Customer, 1_700_000_000_000)
+					body := frames(output(a, g, text(a, o)))
+					if st, why := s.call(h, "agent/"+a.Machine, "POST", PathRecords, body); st != 200 {
+						t.Fatalf("its own machine may not write %s: %d %s", a, st, why)
+					}
+					all = append(all, thing{a, o, false})
+				case k == 1 && rapid.IntRange(0, 3).Draw(t, "expire") == 0:
+					x := &all[rapid.IntRange(0, len(all)-1).Draw(t, "which")]
+					rec := archive.NewRecord(x.a, archive.KindExpired, "", archive.Encode(archive.Expired{All: true, At: 5, Reason: archive.ExpiredAge}))
+					if err := n.store(context.Background(), []archive.Record{rec}); err != nil {
+						t.Fatal(err)
+					}
+					x.gone = true
+				default:
+					asked++
+					x := all[rapid.IntRange(0, len(all)-1).Draw(t, "of")]
+					me := pick(who, "who")
+					id, _ := identity.Parse("valley", me)
+					may := archive.Access(id, archive.Read, x.owner, "")
+					absent := x.a
+					absent.Job = "wk-99999999"
+					var target, nothing string
+					switch rapid.IntRange(0, 6).Draw(t, "request") {
+					case 0:
+						target, nothing = PathAttempts+"?files=true&job="+x.a.Job, PathAttempts+"?files=true&job="+absent.Job
+					case 1:
+						q := url.Values{"job": {x.a.Job}, "from": {x.a.Job + "/00000000/00000000/a"}}
+						target = PathAttempts + "?" + q.Encode()
+						q.Set("job", absent.Job)
+						nothing = PathAttempts + "?" + q.Encode()
+					case 2:
+						target, nothing = PathStream+"?stream=stdout&attempt="+url.QueryEscape(x.a.String()), PathStream+"?stream=stdout&attempt="+url.QueryEscape(absent.String())
+					case 3:
+						target, nothing = PathFile+"?path=out/result&chunk=0&attempt="+url.QueryEscape(x.a.String()), PathFile+"?path=out/result&chunk=0&attempt="+url.QueryEscape(absent.String())
+					case 4: // lists by label, its own and others'
+						target = PathAttempts + "?" + url.Values{pick([]string{"team", "customer", "class", "machine", "day"}, "by"): {pick([]string{x.owner.Team, x.owner.Customer, "forecast", "m-0", "2023-11-14", "all"}, "value")}}.Encode()
+					case 5: // a prefix
+						target = PathAttempts + "?job=" + x.a.Job[:rapid.IntRange(0, len(x.a.Job)).Draw(t, "prefix")]
+					case 6: // what only nodes may ask
+						q := url.Values{"job": {x.a.Job}, "label": {"all"}, "attempt": {x.a.String()}, "stream": {"stdout"}, "leaf": {"1"}}
+						target = pick([]string{PathRows, PathCuts, PathTree, PathLeaf}, "inner") + "?" + q.Encode()
+						if id.Kind != identity.Node {
+							nothing = "/nowhere"
+							may = false
+						}
+					}
+					st, got := s.call(h, me, "GET", target, nil)
+					for _, y := range all {
+						if !archive.Access(id, archive.Read, y.owner, "") && (strings.Contains(got, text(y.a, y.owner)) || strings.Contains(got, y.a.Job+"/") || strings.Contains(got, `"`+y.a.Job+`"`)) {
+							t.Fatalf("%s asks %s and is told of %s of %v: %.300s", me, target, y.a, y.owner, got)
+						}
+					}
+					switch {
+					case nothing != "" && !may:
+						denied++
+						if st2, got2 := s.call(h, me, "GET", nothing, nil); st2 != st || got2 != got {
+							t.Fatalf("%s asks %s: %d %.200s; for what is not there: %d %.200s", me, target, st, got, st2, got2)
+						}
+					case nothing != "" && may && !x.gone:
+						told++
+						if st != 200 || strings.Contains(target, PathFile) && got != "file of "+text(x.a, x.owner) {
+							t.Fatalf("%s may read %s, and %s is answered %d %.200s", me, x.a, target, st, got)
+						}
+					}
+				}
+			}
+		})
+	}
+	t.Logf("%d requests of %d attempts: %d told, %d denied", asked, len(all), told, denied)
+	if told == 0 || denied == 0 {
+		t.Error("nothing was told, or nothing denied")
+	}
+}
+
+// TestWhoMayWrite guards against records of attempts that are not bound to the
+// machine that brings them, by its grant.
+func TestWhoMayWrite(t *testing.T) {
+	s := newSite(t)
+	n := s.node("one", []Member{{"one", "127.0.0.1:1"}}, nil)
+	h := n.handler()
+	a := archive.Attempt{Job: "wk-000001", Task: 0, Try: 2, Machine: "m-0"}
+	g := grantOf(a, "office", "baker", 1)
+	good := output(a, g, "hello")
+	other := a
+	other.Try = 1
+	foreign := archive.Attempt{Job: "wk-000002", Task: 0, Try: 1, Machine: "m-0"}
+	forged := g
+	forged.Customer = "miller"
+	mark := archive.NewRecord(a, archive.KindExpired, "", archive.Encode(archive.Expired{All: true, Reason: "x"}))
+	big := make([]byte, MaxPut+1)
+	cut := frames(good)
+	for _, c := range []struct {
+		name, who string
+		body      []byte
+		want      int
+	}{
+		{"its own", "agent/m-0", frames(good), 200},
+		{"again", "agent/m-0", frames(good), 200},
+		{"another machine", "agent/m-1", frames(good), 403},
+		{"an operator", "operator/ann", frames(good), 403},
+		{"the customer", "customer/office/baker", frames(good), 403},
+		{"another node", "node/two", frames(good), 200},
+		{"without a grant", "agent/m-0", frames(good[2:3]), 403},
+		{"another attempt under its grant", "agent/m-0", frames(append(output(other, g, "x")[2:3], good[0])), 403},
+		{"another job's files", "agent/m-0", frames(append(output(foreign, g, "x")[3:4], good[0])), 403},
+		{"a forged grant", "agent/m-0", frames([]archive.Record{archive.NewRecord(a, archive.KindGrant, "", archive.Encode(forged))}), 403},
+		{"a mark of expiry", "agent/m-0", frames([]archive.Record{good[0], mark}), 403},
+		{"nothing", "agent/m-0", nil, 400},
+		{"cut off", "agent/m-0", cut[:len(cut)-3], 400},
+		{"garbage", "agent/m-0", []byte("hello"), 400},
+		{"too large", "agent/m-0", big, 413},
+	} {
+		if st, body := s.call(h, c.who, "POST", PathRecords, c.body); st != c.want || st == 403 && !strings.Contains(body, `"refused"`) {
+			t.Errorf("%s: %d %s", c.name, st, body)
+		}
+	}
+	n.pending = int64(n.cfg.PendingMB * (1 << 20))
+	if st, _ := s.call(h, "agent/m-0", "POST", PathRecords, frames(good)); st != 503 {
+		t.Errorf("beyond what may be written at a time: %d", st)
+	}
+}
+
+// TestWhatExpiredStaysAway guards against records that come back from another node,
+// or from an agent that ships again, after they expired; and against an expiry that
+// nobody is told of.
+func TestWhatExpiredStaysAway(t *testing.T) {
+	s := newSite(t)
+	n := s.node("one", []Member{{"one", "127.0.0.1:1"}}, func(c *Config) {
+		c.Retention = archive.Retention{Rules: []archive.Rule{{Class: "forecast", KeepS: 60}}}
+		c.TombstoneS = 3600
+	})
+	h := n.handler()
+	a := archive.Attempt{Job: "wk-000001", Task: 0, Try: 1, Machine: "m-0"}
+	recs := output(a, grantOf(a, "office", "baker", 1), "hello")
+	if st, body := s.call(h, "agent/m-0", "POST", PathRecords, frames(recs)); st != 200 {
+		t.Fatal(st, body)
+	}
+	read := func() Attempts {
+		_, body := s.call(h, "customer/office/baker", "GET", PathAttempts+"?files=true&job="+a.Job, nil)
+		var p Attempts
+		if err := json.Unmarshal([]byte(body), &p); err != nil {
+			t.Fatal(body, err)
+		}
+		return p
+	}
+	ctx := context.Background()
+	if err := n.Expire(ctx); err != nil || len(read().Attempts) != 1 || read().Attempts[0].Expired != nil {
+		t.Fatalf("%v: %+v", err, read())
+	}
+	later := time.Now().Add(2 * time.Minute)
+	n.Now = func() time.Time { return later }
+	for range 2 {
+		if err := n.Expire(ctx); err != nil {
+			t.Fatal(err)
+		}
+		p := read()
+		if len(p.Attempts) != 1 || p.Attempts[0].Expired == nil || p.Attempts[0].Expired.Reason != archive.ExpiredAge || len(p.Attempts[0].Cover) > 0 || len(p.Attempts[0].Files) > 0 {
+			t.Fatalf("%+v", p)
+		}
+		if n.vault.Has(recs[2].Key) || n.vault.Has(recs[3].Key) {
+			t.Fatal("output or a chunk is still here")
+		}
+		if st, body := s.call(h, "agent/m-0", "POST", PathRecords, frames(recs)); st != 200 {
+			t.Fatal(st, body)
+		}
+	}
+	_, body := s.call(h, "customer/office/baker", "GET", PathStream+"?stream=stdout&attempt="+url.QueryEscape(a.String()), nil)
+	if !strings.Contains(body, archive.ExpiredAge) {
+		t.Errorf("a reader of the stream is told %s", body)
+	}
+	// And with another life of the node.
+	n.Stop()
+	n = s.node("one", n.cfg.Members, func(c *Config) { c.Retention, c.TombstoneS = n.cfg.Retention, 3600 })
+	h = n.handler()
+	if st, _ := s.call(h, "agent/m-0", "POST", PathRecords, frames(recs)); st != 200 || n.vault.Has(recs[2].Key) {
+		t.Error("it came back with another life of the node")
+	}
+	n.Now = func() time.Time { return later.Add(2 * time.Hour) }
+	if err := n.Expire(ctx); err != nil || len(read().Attempts) != 0 {
+		t.Errorf("%v: long after, it is still remembered: %+v", err, read())
+	}
+}
+
+// TestMendingWhatIsGone guards against mending a record that a node had when it was
+// asked for its list, and has no more: what came was once kept as a record of nothing,
+// and the node's index was damaged by it.
+func TestMendingWhatIsGone(t *testing.T) {
+	s := newSite(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	members := []Member{{"one", "127.0.0.1:1"}, {"two", l.Addr().String()}}
+	one, two := s.node("one", members, nil), s.node("two", members, nil)
+	go func() { _ = two.Serve(l) }()
+	a := archive.Attempt{Job: "wk-000001", Task: 0, Try: 1, Machine: "m-0"}
+	recs := output(a, grantOf(a, "office", "baker", 1), "hello")
+	ctx := context.Background()
+	if err := two.store(ctx, recs); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := one.record(ctx, recs[2].Key, []string{"two"}); err != nil || r.Check() != nil {
+		t.Fatalf("%v %v", r.Key, err)
+	}
+	if err := two.vault.Drop(ctx, []string{recs[2].Key.String()}); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := one.record(ctx, recs[2].Key, []string{"two"}); err == nil {
+		t.Fatalf("a record that nobody has: %v", r)
+	}
+	one.mendLater(a, map[string][]string{recs[2].Key.String(): {"one"}})
+	go one.mendAll()
+	if err := one.Level(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := one.Stats().Records; got != int64(len(recs)-1) {
+		t.Errorf("%d records of %d", got, len(recs)-1)
+	}
+}
+
+// FuzzRequests has readers ask anything.
+func FuzzRequests(f *testing.F) {
+	f.Add(PathAttempts, "job=wk-000001&from=x")
+	f.Add(PathStream, "attempt=wk-000001%2F00000000%2F00000001%2Fm&stream=stdout&from=9223372036854775807")
+	f.Add(PathFile, "attempt=wk-000001%2F00000000%2F00000001%2Fm&path=..&chunk=-1")
+	f.Fuzz(func(t *testing.T, _, query string) {
+		q, err := url.ParseQuery(query)
+		if err != nil {
+			return
+		}
+		if a, stream, from, ok := place(q); ok && (a.Check() != nil || stream == "" || from < 0) {
+			t.Errorf("%q names a place that can't be", query)
+		}
+		if label, ok := narrow(identity.Identity{Kind: identity.Customer, Name: "office", Customer: "baker"}, q); ok && label != labelCustomer("office", "baker") {
+			t.Errorf("%q has a customer look under %q", query, label)
+		}
+	})
+}
--- a/internal/archive/node/read.go
+++ b/internal/archive/node/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
 	"slices"
@@ -12,6 +13,7 @@
 	"time"
 
 	"silvergate/internal/archive"
+	"silvergate/internal/archive/vault"
 	"silvergate/internal/identity"
 )
 
@@ -572,6 +574,11 @@
 		if recs, err = p.fetch(ctx, []string{k.String()}); err == nil && len(recs) == 1 && recs[0].Key == k {
 			return recs[0], nil
 		}
+		if err == nil {
+			// Guards against a record made of nothing: a node that has lost it since
+			// it was asked answers with none, and that was once kept as a record.
+			err = fmt.Errorf("%s: %w", name, vault.ErrNotHere)
+		}
 	}
 	return r, err
 }
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/renameio/v2"
 	"github.com/zeebo/blake3"
 	"golang.org/x/time/rate"
 
@@ -78,7 +79,9 @@
 
 // Names in an attempt's folder.
 const (
-	accountFile = "archive.json"
+	// AccountFile is how far an attempt was shipped, grantFile its grant.
+	AccountFile = "archive.json"
+	grantFile   = "grant.json"
 	// WorkDir is the working directory of the attempt's program.
 	WorkDir = "work"
 )
@@ -86,7 +89,6 @@
 // account is what is kept of an attempt on disk. Old or lost, it costs shipping
 // some of it again.
 type account struct {
-	Grant   *archive.Grant     `json:"grant,omitempty"`
 	Began   int64              `json:"beganMs"`
 	Streams map[string]*Cursor `json:"streams"`
 	End     *archive.End       `json:"end,omitempty"`
@@ -99,10 +101,10 @@
 type follow struct {
 	a       archive.Attempt
 	dir     string
+	grant   archive.Grant
 	acc     account
 	urgent  bool
 	streams map[string]*follower
-	asked   time.Time // for its grant
 	dirty   bool
 	final   bool // its files were looked at after its end
 	busy    bool // its files are being shipped
@@ -111,15 +113,14 @@
 
 // Stats counts what was shipped.
 type Stats struct {
-	Attempts     int
-	Left         int64 // bytes that wait
-	Shipped      int64 // bytes of output that a quorum has
-	Packed       int64 // bytes that went out for them, to each node
-	Files        int64
-	GivenUp      int64 // bytes
-	Refused      int64 // records
-	OldestMS     int64 // age of the oldest output that waits
-	WithoutGrant int
+	Attempts int
+	Left     int64 // bytes that wait
+	Shipped  int64 // bytes of output that a quorum has
+	Packed   int64 // bytes that went out for them, to each node
+	Files    int64
+	GivenUp  int64 // bytes
+	Refused  int64 // records
+	OldestMS int64 // age of the oldest output that waits
 }
 
 // Shipper follows the attempts of a machine.
@@ -133,9 +134,6 @@
 	stop   context.CancelFunc
 	wait   sync.WaitGroup
 	wakeup chan struct{}
-	// Ask fetches an attempt's grant from a controller. ErrNoGrant says that there
-	// will be none.
-	Ask func(ctx context.Context, a archive.Attempt) (*archive.Grant, error)
 	// Urgent tells whether inputs of an urgent task are being fetched.
 	Urgent func() bool
 
@@ -144,9 +142,6 @@
 	stats Stats
 }
 
-// ErrNoGrant is an attempt that controllers do not know as this machine's.
-var ErrNoGrant = errors.New("no controller knows the attempt as this machine's")
-
 // New makes a shipper; Start starts it.
 func New(cfg Config, log *slog.Logger) (*Shipper, error) {
 	if err := cfg.Check(); err != nil {
@@ -191,20 +186,46 @@
 
 func nowMS() int64 { return time.Now().UnixMilli() }
 
-// Begin follows an attempt whose folder is there. It is called before the program
-// starts, and again for what an earlier agent left.
-func (s *Shipper) Begin(a archive.Attempt, dir string, urgent bool) {
-	if s == nil || a.Check() != nil {
-		return
+// Begin follows an attempt whose folder is there. The grant is on disk when it
+// returns: it is called before the program starts, so that whatever that writes can
+// be shipped, also when everything is killed at once.
+func (s *Shipper) Begin(g archive.Grant, dir string) error {
+	if s == nil {
+		return nil
+	}
+	if err := g.Attempt.Check(); err != nil {
+		return err
+	}
+	if err := renameio.WriteFile(filepath.Join(dir, grantFile), archive.Encode(g), 0o600); err != nil {
+		return err
+	}
+	return s.Resume(g.Attempt, dir)
+}
+
+// Resume follows an attempt that an earlier life of the agent began with; without a
+// grant in its folder there is nothing to follow.
+func (s *Shipper) Resume(a archive.Attempt, dir string) error {
+	raw, err := os.ReadFile(filepath.Join(dir, grantFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	f := &follow{a: a, dir: dir, streams: map[string]*follower{}}
+	if err == nil {
+		err = json.Unmarshal(raw, &f.grant)
 	}
+	if err == nil && f.grant.Attempt != a {
+		err = errors.New("it is for another attempt")
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", filepath.Join(dir, grantFile), err)
+	}
+	f.urgent = urgentName(f.grant.Urgency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.all[a] != nil {
-		return
+		return nil
 	}
-	f := &follow{a: a, dir: dir, urgent: urgent, streams: map[string]*follower{}}
-	raw, err := os.ReadFile(filepath.Join(dir, accountFile))
-	if err == nil {
+	if raw, err = os.ReadFile(filepath.Join(dir, AccountFile)); err == nil {
 		if err := json.Unmarshal(raw, &f.acc); err != nil {
 			// Damaged: everything is shipped again, and put together by readers.
 			s.log.Error("an account is damaged; the attempt is shipped anew", "attempt", a.String(), "err", err)
@@ -212,7 +233,7 @@
 		}
 	}
 	if f.acc.Whole || f.acc.Gone != "" {
-		return
+		return nil
 	}
 	if f.acc.Began == 0 {
 		f.acc.Began = nowMS()
@@ -227,13 +248,11 @@
 		}
 		f.streams[name] = fl
 	}
-	if f.acc.Grant != nil {
-		f.urgent = urgentName(f.acc.Grant.Urgency)
-	}
 	f.dirty = true
 	s.save(f)
 	s.all[a] = f
 	s.wake()
+	return nil
 }
 
 func urgentName(u string) bool { return u == "prod" || u == "urgent" }
@@ -289,9 +308,6 @@
 	t.Attempts = len(s.all)
 	now := nowMS()
 	for _, f := range s.all {
-		if f.acc.Grant == nil {
-			t.WithoutGrant++
-		}
 		for _, fl := range f.streams {
 			t.Left += fl.left()
 			if at := fl.since(); at > 0 {
@@ -322,9 +338,9 @@
 	}
 	raw, err := json.Marshal(f.acc)
 	if err == nil {
-		tmp := filepath.Join(f.dir, "."+accountFile)
+		tmp := filepath.Join(f.dir, "."+AccountFile)
 		if err = os.WriteFile(tmp, raw, 0o600); err == nil {
-			err = os.Rename(tmp, filepath.Join(f.dir, accountFile))
+			err = os.Rename(tmp, filepath.Join(f.dir, AccountFile))
 		}
 	}
 	if err != nil {
@@ -365,7 +381,6 @@
 	now := nowMS()
 	var wants []want
 	for _, f := range all {
-		s.grant(f)
 		s.mu.Lock()
 		over := f.acc.End != nil
 		s.mu.Unlock()
@@ -421,37 +436,8 @@
 	return w
 }
 
-// grantEvery is how long after a controller had no answer it is asked again.
-const grantEvery = time.Second
-
-// grant asks for an attempt's grant, once a second at the most.
-func (s *Shipper) grant(f *follow) {
-	s.mu.Lock()
-	ask := f.acc.Grant == nil && time.Since(f.asked) > grantEvery && s.Ask != nil
-	if ask {
-		f.asked = time.Now()
-	}
-	s.mu.Unlock()
-	if !ask {
-		return
-	}
-	go func() {
-		g, err := s.Ask(s.ctx, f.a)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		switch {
-		case err == nil && g.Attempt == f.a:
-			f.acc.Grant, f.urgent, f.dirty = g, urgentName(g.Urgency), true
-			s.save(f)
-			s.wake()
-		case errors.Is(err, ErrNoGrant) && f.acc.End != nil:
-			s.log.Error("an attempt's output can't be kept", "attempt", f.a.String(), "err", err)
-			f.acc.Gone, f.dirty = err.Error(), true
-			s.save(f)
-			delete(s.all, f.a)
-		}
-	}()
-}
+// endEvery is how long after an attempt's end could not be kept it is tried again.
+const endEvery = time.Second
 
 // sent is a record on its way, and what follows when it is kept.
 type sent struct {
@@ -466,9 +452,7 @@
 	s.mu.Lock()
 	var wants []want
 	for _, f := range s.all {
-		if f.acc.Grant != nil {
-			wants = append(wants, f.want())
-		}
+		wants = append(wants, f.want())
 	}
 	type cut struct {
 		f      *follow
@@ -494,7 +478,7 @@
 			}
 			open = open || fl.left() > 0 || len(fl.Gaps) > 0
 		}
-		if f.final && !open && !f.busy && time.Since(f.tried) > grantEvery {
+		if f.final && !open && !f.busy && time.Since(f.tried) > endEvery {
 			f.busy, f.tried = true, time.Now()
 			ends = append(ends, f)
 		}
@@ -513,7 +497,7 @@
 	for _, c := range cuts {
 		if !granted[c.f] {
 			granted[c.f] = true
-			recs, what = append(recs, archive.NewRecord(c.f.a, archive.KindGrant, "", archive.Encode(c.f.acc.Grant))), append(what, sent{})
+			recs, what = append(recs, archive.NewRecord(c.f.a, archive.KindGrant, "", archive.Encode(c.f.grant))), append(what, sent{})
 		}
 		for _, g := range c.gaps {
 			recs = append(recs, archive.NewRecord(c.f.a, archive.KindGap, archive.At(c.stream, g.From, 0), archive.Encode(g)))
@@ -641,7 +625,7 @@
 // all before it is kept.
 func (s *Shipper) finish(f *follow) {
 	s.mu.Lock()
-	grant, done := f.acc.Grant, slices.Clone(f.acc.Files)
+	grant, done := &f.grant, slices.Clone(f.acc.Files)
 	s.mu.Unlock()
 	files, err := s.keepFiles(f, grant, done)
 	if err == nil {
--- a/internal/archive/vault/vault.go
+++ b/internal/archive/vault/vault.go
@@ -479,6 +479,13 @@
 // Put keeps records: when it returns nil, all are on disk, whatever is killed. Ones
 // that are here already are kept once. The caller has checked them.
 func (v *Vault) Put(ctx context.Context, recs []archive.Record) error {
+	for i := range recs {
+		// Guards against an index that can't be read again: each entry must be one
+		// that the next start takes for whole.
+		if _, err := archive.ParseKey(recs[i].Key.String()); err != nil {
+			return err
+		}
+	}
 	return v.submit(ctx, &put{recs: recs, done: make(chan error, 1)})
 }
 
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -41,26 +41,27 @@
 func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
 
 type sim struct {
-	rnd    *rand.Rand
-	now    time.Duration
-	seq    int
-	q      events
-	facts  config.Facts // what is true
-	told   config.Facts // what the controllers are told
-	nodes  []*simNode
-	kv     *simState
-	cloud  *simCloud
-	work   map[string]*simWorker
-	users  map[string]*simUser
-	broken []string
-	starts int
-	trace  io.Writer          // of the controllers' logs, if wanted
-	noise  float64            // probability that a message is lost, late or loses its answer
-	sets   []protocol.DataSet // data sets that jobs read; nil: staging is off
-	misled bool               // broken on purpose: production jobs are submitted as idle ones
-	judged int                // launches of lesser work while production work waited
-	warm   int                // starts on machines that held the inputs when the launch came
-	cold   int
+	launched func(*simWorker, protocol.Order) // sees launches; may be nil
+	rnd      *rand.Rand
+	now      time.Duration
+	seq      int
+	q        events
+	facts    config.Facts // what is true
+	told     config.Facts // what the controllers are told
+	nodes    []*simNode
+	kv       *simState
+	cloud    *simCloud
+	work     map[string]*simWorker
+	users    map[string]*simUser
+	broken   []string
+	starts   int
+	trace    io.Writer          // of the controllers' logs, if wanted
+	noise    float64            // probability that a message is lost, late or loses its answer
+	sets     []protocol.DataSet // data sets that jobs read; nil: staging is off
+	misled   bool               // broken on purpose: production jobs are submitted as idle ones
+	judged   int                // launches of lesser work while production work waited
+	warm     int                // starts on machines that held the inputs when the launch came
+	cold     int
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -821,6 +822,9 @@
 		}
 		switch o.Verb {
 		case protocol.VerbLaunch:
+			if s.launched != nil {
+				s.launched(w, o)
+			}
 			if w.loads[key] != nil {
 				continue
 			}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -73,8 +73,7 @@
 // job answers questions about one job; false if verb is none of them.
 func (v *view) job(id uint64, ref, verb string) bool {
 	try, isGang := strings.CutPrefix(verb, protocol.PathGang+"/")
-	attempt, isGrant := strings.CutPrefix(verb, protocol.PathGrant+"/")
-	if verb != protocol.PathDescription && !isGang && (!isGrant || v.seal == nil) || !protocol.ValidRef(ref) {
+	if verb != protocol.PathDescription && !isGang || !protocol.ValidRef(ref) {
 		return false
 	}
 	c := v.c
@@ -85,8 +84,6 @@
 	answer := func(r *record) {
 		if n, err := strconv.Atoi(try); isGang && err == nil {
 			c.answer(id, 200, v.gang(r, n), 0)
-		} else if isGrant {
-			v.grant(id, r, attempt)
 		} else {
 			v.describe(id, r)
 		}
@@ -116,6 +113,7 @@
 		Complete: s.Shape == job.Gang && (r.finished > 0 || r.status == job.Done)}
 	v.withExtra(id, r, func(x *job.Extra) {
 		if d.Extra = x; x == nil {
+			v.sealTerms(&d)
 			c.answer(id, 200, d, 0)
 			return
 		}
@@ -130,6 +128,7 @@
 			}
 			d.Inputs = append(d.Inputs, protocol.InputCopy{DataSet: *s, Place: in.Place})
 		}
+		v.sealTerms(&d)
 		c.answer(id, 200, d, 0)
 	})
 }
@@ -165,41 +164,20 @@
 	})
 }
 
-// grant gives the word under which a machine may have an attempt's output kept: that
-// the records show the attempt bound to it, and whose it is. attempt is the task's
-// index, the attempt's number and the machine's name.
-func (v *view) grant(id uint64, r *record, attempt string) {
-	c, s := v.c, r.spec
-	f := strings.Split(attempt, "/")
-	if len(f) != 3 {
-		c.refuse(id, 400, "the path must name a task, an attempt and a machine")
-		return
-	}
-	index, err1 := strconv.Atoi(f[0])
-	try, err2 := strconv.Atoi(f[1])
-	a := archive.Attempt{Job: s.ID, Task: index, Try: try, Machine: f[2]}
-	if err1 != nil || err2 != nil || a.Check() != nil {
-		c.refuse(id, 400, "the path must name a task, an attempt and a machine")
-		return
+// sealTerms adds to a description the half of the grant that is the job's.
+func (v *view) sealTerms(d *protocol.Description) {
+	if v.seal != nil {
+		d.Seal = v.seal.SealTerms(d.Ref, archive.TermsOf(d))
 	}
-	t := r.task(c, index)
-	switch {
-	case t != nil && t.Try < try:
-		c.refuse(id, 503, "the attempt's record is not known here yet")
-		return
-	case t == nil || t.Phase != job.Bound || t.Try != try || t.Machine != f[2]:
-		c.refuse(id, 404, "no such attempt on that machine")
-		return
+}
+
+// sealLaunch adds to a launch the half that is the attempt's. It is called where
+// launches are made: by the claim's holder, of what the records show bound.
+func (v *view) sealLaunch(m *machine, k taskKey, try int) string {
+	if v.seal == nil {
+		return ""
 	}
-	token := c.machine(t.Machine).stamp
-	v.withExtra(id, r, func(x *job.Extra) {
-		g := archive.Grant{Attempt: a, Owner: archive.Owner{Team: s.Team}, Class: s.Class, Urgency: protocol.UrgencyName(s.Priority),
-			Shape: protocol.ShapeName(s.Shape), Session: token, At: c.wall.UnixMilli()}
-		if x != nil {
-			g.Customer, g.Keep = x.Customer, x.Keep
-		}
-		c.answer(id, 200, v.seal.Sign(g), 0)
-	})
+	return v.seal.SealLaunch(archive.Attempt{Job: k.id, Task: k.index, Try: try, Machine: m.id})
 }
 
 // gang tells where the tasks of an attempt are, as far as the mirror shows.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -594,7 +594,7 @@
 		}
 		m.sent[k] = r.Tally
 		c.traceStart(losses.Launch, k.id, k.index, t.Try, m.id)
-		orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: t.Try})
+		orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: t.Try, Seal: c.view.sealLaunch(m, k, t.Try)})
 	}
 	for k := range m.stops {
 		if m.bound[k] == nil {
@@ -855,7 +855,7 @@
 		c.launching = append(c.launching, m)
 	}
 	c.traceStart(losses.Launch, k.id, k.index, try, id)
-	m.soon = append(m.soon, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: try})
+	m.soon = append(m.soon, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: try, Seal: c.view.sealLaunch(m, k, try)})
 	m.direct[k] = try
 }
 
--- a/internal/protocol/extra.go
+++ b/internal/protocol/extra.go
@@ -14,7 +14,6 @@
 // Paths that are extensions of the protocols, for workers and operators.
 const (
 	PathDescription = "description" // after a job's path: all that a worker needs
-	PathGrant       = "grant"       // after a job's path, with task, attempt and machine: whose its output is
 	PathGang        = "gang"        // after a job's path, with an attempt: where its tasks are
 	PathJobs        = "/v2/list/jobs"
 	PathNodes       = "/v2/list/nodes"
@@ -159,6 +158,7 @@
 	Complete bool        `json:"complete,omitempty"` // a gang of which a task is done: all are
 	Extra    *job.Extra  `json:"extra,omitempty"`
 	Inputs   []InputCopy `json:"inputs,omitempty"` // with the versions resolved
+	Seal     string      `json:"seal,omitempty"`   // of the terms of archive.Grant
 }
 
 // UrgencyName is the wire name of a priority.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -296,6 +296,8 @@
 	Load      string   `json:"load"`
 	Try       int      `json:"try"`
 	WindDownS *float64 `json:"windDownS,omitempty"`
+	// Seal is an extension of launches: see archive.Grant.
+	Seal string `json:"seal,omitempty"`
 }
 
 // CheckinAnswer is the answer to a report.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,10 +5,12 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net/url"
 	"os"
@@ -19,7 +21,10 @@
 	"time"
 
 	"silvergate/internal/agent"
+	"silvergate/internal/archive"
+	"silvergate/internal/archive/reader"
 	"silvergate/internal/bookkeeping"
+	"silvergate/internal/identity"
 	"silvergate/internal/proc"
 	"silvergate/internal/protocol"
 	"silvergate/internal/site"
@@ -44,10 +49,12 @@
 // Result is what happened. Broken is empty if all is well.
 type Result struct {
 	Accepted, Tasks, Effects, Repeated, Kills int
-	Refused                                   int // submissions tried again
-	Ledger                                    uint64
-	Took                                      time.Duration
-	Broken                                    []string
+	// Kept is how many attempts' output was read back and compared.
+	Kept, Lines int
+	Refused     int // submissions tried again
+	Ledger      uint64
+	Took        time.Duration
+	Broken      []string
 }
 
 type soak struct {
@@ -215,8 +222,12 @@
 		"ref": ref(n), "jobclass": "soak", "crew": "office", "shape": "batch", "urgency": []string{"urgent", "standard", "idle"}[n%3],
 		"loads": loads, "cpus": 1, "accelerators": 0, "ramGb": 0.1, "kit": "base", "sizeGb": 0,
 		"oneZone": false, "apart": false, "casual": n%2 == 0, "etaS": 1, "waypointS": 0, "stowS": 0,
-		"command": []string{"/bin/sh", "-c", fmt.Sprintf(`sleep 0.%d; echo "$SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY" >> "$TRACE"`, n%7)},
-		"env":     map[string]string{"TRACE": s.trace},
+		"command": []string{"/bin/sh", "-c", fmt.Sprintf(`mkdir -p out; for i in 1 2 3 4 5; do echo "line $i of $SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY"; sleep 0.0%d; done
+echo "result of $SILVERGATE_TASK" > out/result
+echo "$SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY $SILVERGATE_MACHINE" >> "$TRACE"`, n%7)},
+		"env":      map[string]string{"TRACE": s.trace},
+		"customer": customer(n),
+		"keep":     []string{"out"},
 	})
 	if err != nil {
 		panic(err) // only our own types are written
@@ -291,11 +302,16 @@
 	}
 	defer f.Close()
 	ran := map[string]int{}
+	var wrote []string
 	for sc := bufio.NewScanner(f); sc.Scan(); {
 		task, _, _ := strings.Cut(sc.Text(), " ")
 		ran[task]++
+		wrote = append(wrote, sc.Text())
 		s.r.Effects++
 	}
+	if err := s.judgeOutput(wrote); err != nil {
+		s.broke("the archive can't be read: %v", err)
+	}
 	finished := s.finished()
 	for id, loads := range s.loads {
 		s.r.Tasks += loads
@@ -313,6 +329,106 @@
 	}
 }
 
+func customer(n int) string { return fmt.Sprint("customer-", n%3) }
+
+// judgeOutput compares what each attempt that came to its end wrote with what its
+// customer reads, and has another customer try. An attempt that was killed half-way
+// must have the beginning of its lines, or nothing.
+func (s *soak) judgeOutput(ran []string) error {
+	members, _, err := site.ReadArchive(s.o.Dir)
+	if err != nil {
+		return err
+	}
+	auth, err := identity.Open(filepath.Join(s.o.Dir, site.AuthorityDir))
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	readers := map[string]*reader.Client{}
+	for n := range 3 {
+		dir := filepath.Join(s.o.Dir, "readers", customer(n))
+		if err := auth.Ensure(identity.Identity{Kind: identity.Customer, Name: "office", Customer: customer(n)}, dir); err != nil {
+			return err
+		}
+		k, err := identity.NewKeeper(dir, log)
+		if err != nil {
+			return err
+		}
+		readers[customer(n)] = reader.New(k, members, 5*time.Second)
+	}
+	whole := map[string]bool{} // attempts that wrote all their lines
+	for _, line := range ran {
+		whole[line] = true
+	}
+	ctx := context.Background()
+	// What ended last is shipped within the bound, and a file after that.
+	until := time.Now().Add(30 * time.Second)
+	for n := range s.o.Jobs {
+		id := ref(n)
+		if s.loads[id] == 0 {
+			continue
+		}
+		for {
+			bad := s.judgeJob(ctx, readers[customer(n)], id, whole)
+			if bad == "" {
+				break
+			}
+			if time.Now().After(until) {
+				s.broke("%s: %s", id, bad)
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got, _, err := readers[customer(n+1)].Attempts(ctx, reader.Query{Job: id}); err != nil || len(got) > 0 {
+			s.broke("%s: another customer is told of %d attempts: %v", id, len(got), err)
+		}
+	}
+	return nil
+}
+
+// judgeJob reads a job's output; it returns what is wrong, "" if nothing is.
+func (s *soak) judgeJob(ctx context.Context, r *reader.Client, id string, whole map[string]bool) string {
+	attempts, answered, err := r.Attempts(ctx, reader.Query{Job: id, Files: true})
+	if err != nil || !answered.Whole {
+		return fmt.Sprintf("%v silent: %v", answered.Silent, err)
+	}
+	met, lines := map[string]bool{}, 0
+	for i := range attempts {
+		a := &attempts[i]
+		name := fmt.Sprintf("%s/%d %d %s", a.Job, a.Task, a.Try, a.Machine)
+		met[name] = true
+		n := 0
+		for u := r.Open(a.Attempt, archive.Stdout); ; u.Next() {
+			l, err := u.Peek(ctx)
+			if err != nil {
+				return err.Error()
+			}
+			if l == nil {
+				break
+			}
+			n++
+			want := fmt.Sprintf("line %d of %s/%d %d", n, a.Job, a.Task, a.Try)
+			if l.Note != "" || l.Text != want && !(l.Cut && strings.HasPrefix(want, l.Text)) {
+				return fmt.Sprintf("%s: %q %q in the place of %q", name, l.Text, l.Note, want)
+			}
+		}
+		lines += n
+		switch {
+		case whole[name] && n != 5:
+			return fmt.Sprintf("%s wrote 5 lines, and %d are kept", name, n)
+		case whole[name] && (a.End == nil || len(a.Files) != 1 || a.Files[0].Path != "out/result"):
+			return fmt.Sprintf("%s came to its end, and that or its file is not kept: %+v, %+v", name, a.End, a.Files)
+		}
+	}
+	for name := range whole {
+		if strings.HasPrefix(name, id+"/") && !met[name] {
+			return name + " came to its end, and nothing of it is kept"
+		}
+	}
+	s.r.Kept, s.r.Lines = s.r.Kept+len(attempts), s.r.Lines+lines
+	return ""
+}
+
 // finished counts the finished tasks of each job in the records, as the state
 // service has them.
 func (s *soak) finished() map[string]int {
