--- a/internal/archive/node/sync.go
+++ b/internal/archive/node/sync.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"silvergate/internal/archive"
@@ -38,15 +39,23 @@
 // leafPage bounds a page of keys.
 const leafPage = 10_000
 
-// leaf lists the keys of a leaf that both keep, a page after a key.
+// leaf lists the keys of some leaves that both keep, a page after a key.
 func (n *Node) leaf(w http.ResponseWriter, r *http.Request, who string) {
 	q := r.URL.Query()
-	i, err := strconv.Atoi(q.Get("leaf"))
-	if err != nil || n.trees[who] == nil {
+	leaves := map[int]bool{}
+	for _, s := range strings.Split(q.Get("leaf"), ",") {
+		i, err := strconv.Atoi(s)
+		if err != nil {
+			leaves = nil
+			break
+		}
+		leaves[i] = true
+	}
+	if len(leaves) == 0 || n.trees[who] == nil {
 		notFound(w)
 		return
 	}
-	keys, err := n.leafKeys(who, map[int]bool{i: true})
+	keys, err := n.leafKeys(who, leaves)
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "the index can't be read now")
 		return
@@ -135,19 +144,25 @@
 		n.mu.Lock()
 		differ := archive.Differ(n.trees[p.name].Branch(b), leaves)
 		n.mu.Unlock()
+		var names []string
 		for _, l := range differ {
-			if err := n.levelLeaf(ctx, p, b*archive.Fan+l); err != nil {
-				return err
-			}
+			names = append(names, strconv.Itoa(b*archive.Fan+l))
+		}
+		if len(names) == 0 {
+			continue
+		}
+		if err := n.levelLeaves(ctx, p, strings.Join(names, ",")); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func (n *Node) levelLeaf(ctx context.Context, p *peer, leaf int) error {
+// levelLeaves brings here what another node has in some leaves of a branch.
+func (n *Node) levelLeaves(ctx context.Context, p *peer, leaves string) error {
 	for from := ""; ; {
 		var keys []string
-		q := url.Values{"leaf": {strconv.Itoa(leaf)}, "from": {from}}
+		q := url.Values{"leaf": {leaves}, "from": {from}}
 		if err := p.ask(ctx, PathLeaf+"?"+q.Encode(), &keys); err != nil {
 			return err
 		}
