--- a/cmd/silvergate/parts.go
+++ b/cmd/silvergate/parts.go
@@ -257,6 +257,15 @@
 		{Name: "agent_resident_bytes", Help: "Resident memory of all tasks.", Value: float64(s.Usage.RSS)},
 		{Name: "agent_processes", Help: "Processes of all tasks.", Value: float64(s.Usage.Members)},
 	}
+	if a := s.Archive; a != nil {
+		out = append(out, metrics.Figure{Name: "agent_archive_attempts", Help: "Attempts whose output is followed.", Value: float64(a.Attempts)},
+			metrics.Figure{Name: "agent_archive_waiting_bytes", Help: "Output that is not acknowledged yet.", Value: float64(a.Left)},
+			metrics.Figure{Name: "agent_archive_oldest_seconds", Help: "Age of the oldest of it.", Value: float64(a.OldestMS) / 1000},
+			metrics.Figure{Name: "agent_archive_shipped_bytes", Help: "Output that is acknowledged.", Value: float64(a.Shipped), Count: true},
+			metrics.Figure{Name: "agent_archive_given_up_bytes", Help: "Output given up as the spool was full.", Value: float64(a.GivenUp), Count: true},
+			metrics.Figure{Name: "agent_archive_files", Help: "Files kept.", Value: float64(a.Files), Count: true},
+			metrics.Figure{Name: "agent_archive_refused", Help: "Records that nodes refused.", Value: float64(a.Refused), Count: true})
+	}
 	for cause, n := range s.Endings {
 		out = append(out, metrics.Figure{Name: "agent_endings", Help: "Attempts that are over, by cause.", Value: float64(n), Count: true, Labels: map[string]string{"cause": cause}})
 	}
--- a/cmd/silvergate/root_test.go
+++ b/cmd/silvergate/root_test.go
@@ -9,6 +9,11 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"silvergate/deploy"
+	anode "silvergate/internal/archive/node"
+	"silvergate/internal/config"
+	"silvergate/internal/site"
 )
 
 func runCommand(args ...string) (string, error) {
@@ -70,3 +75,28 @@
 		t.Errorf("submit: %v", err)
 	}
 }
+
+// TestDeployedSettings guards against files under deploy/ that the program refuses.
+func TestDeployedSettings(t *testing.T) {
+	c := anode.DefaultConfig()
+	if err := config.DecodeYAML(deploy.Archive, &c); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Check(); err != nil {
+		t.Error(err)
+	}
+	if _, err := site.Parse(deploy.Up); err != nil {
+		t.Error(err)
+	}
+	for _, bad := range []struct{ from, to, want string }{{"replicas: 3", "replicas: 0", "replicas"}, {"name: archive-0\n", "name: x\n", "name"}, {"keep_s: 86400", "keep_s: 86400, max_mb: 3", "retention.rules"},
+		{"sync_s: 10", "sync_ss: 10", "sync_ss"}, {"10.0.0.2:8470", "10.0.0.2", "members[1].address"}} {
+		c := anode.DefaultConfig()
+		err := config.DecodeYAML([]byte(strings.Replace(string(deploy.Archive), bad.from, bad.to, 1)), &c)
+		if err == nil {
+			err = c.Check()
+		}
+		if err == nil || !strings.Contains(err.Error(), bad.want) {
+			t.Errorf("%s: %v", bad.to, err)
+		}
+	}
+}
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -7,3 +7,8 @@
 //
 //go:embed up.yaml
 var Up []byte
+
+// Archive is an example of an archive node's settings.
+//
+//go:embed archive.yaml
+var Archive []byte
