Archive: accounts every 5 s, machines lost in the soak, a full spool; ports below the ephemeral ones

Cause: an agent wrote 2,000 accounts four times a second; a stopped node's port was taken by an outgoing connection before it started again. Change: accounts of attempts that write on are kept every 5 s (an older one costs shipping some again); tests choose ports below the ephemeral ones, on an address of their own. silvergate soak has machines taken away without notice. A test has two of three nodes away until the spool is full.

--- a/cmd/silvergate/site_test.go
+++ b/cmd/silvergate/site_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	t.Logf("%+v", r)
-	if len(r.Broken) > 0 || r.Accepted != 8 || r.Effects < r.Tasks || r.Tasks != 20 || r.Kills != 2 {
+	if len(r.Broken) > 0 || r.Accepted != 8 || r.Effects < r.Tasks || r.Tasks != 20 || r.Kills != 2 || r.Kept == 0 {
 		t.Errorf("%+v", r)
 	}
 }
--- a/internal/archive/history/history.go
+++ b/internal/archive/history/history.go
@@ -50,12 +50,15 @@
 	if err := os.WriteFile(filepath.Join(dir, "grant.key"), []byte(hex.EncodeToString(s.Key)), 0o600); err != nil {
 		return nil, err
 	}
-	for i := range nodes {
-		l, err := net.Listen("tcp4", loopback()+":0")
+	for port := firstPort; len(s.Members) < nodes; port++ {
+		if port == firstPort+1000 {
+			return nil, errors.New("no free ports on " + loopback())
+		}
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", loopback(), port))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		s.Members = append(s.Members, node.Member{Name: fmt.Sprintf("archive-%d", i), Address: l.Addr().String()})
+		s.Members = append(s.Members, node.Member{Name: fmt.Sprintf("archive-%d", len(s.Members)), Address: l.Addr().String()})
 		l.Close()
 	}
 	for _, m := range s.Members {
@@ -66,8 +69,13 @@
 	return s, nil
 }
 
-// loopback is an address of this process's own: a port that a stopped node gave back
-// must not go to another history's.
+// firstPort is below those that systems give to outgoing connections.
+//
+// Guards against a stopped node whose port is taken before it starts again: by
+// another history, hence an address for each process, or by an outgoing connection.
+const firstPort = 20_000
+
+// loopback is this process's own address.
 func loopback() string {
 	p := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.1", 1+p>>8&0x7f, p&0xff)
--- a/internal/archive/history/history_test.go
+++ b/internal/archive/history/history_test.go
@@ -1,10 +1,17 @@
 package history
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
 	"testing"
+	"time"
 
 	"silvergate/internal/archive"
 	"silvergate/internal/archive/node"
+	"silvergate/internal/archive/ship"
 )
 
 // TestHistories plays a few drawn histories; silvergate archive soak plays more.
@@ -58,3 +65,76 @@
 		}
 	}
 }
+
+// TestArchiveAway guards against output that is lost without a word when nodes are
+// away for longer than a machine's spool lasts, and against a full spool that takes
+// more than it must.
+func TestArchiveAway(t *testing.T) {
+	s, err := New(t.TempDir(), 3, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	m, err := s.Machine("m-1", func(string) archive.Owner { return archive.Owner{Team: "office", Customer: "baker"} }, func(c *ship.Config) { c.SpoolMB = 0.1 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Stop()
+	w := &Written{Attempt: archive.Attempt{Job: "wk-000001", Task: 0, Try: 1, Machine: "m-1"}, Ended: true, Files: map[string]string{}}
+	write := func(n int) {
+		t.Helper()
+		text := strings.Repeat(fmt.Sprintf("%09d\n", len(w.Out)), n/10)
+		if err := m.Write(w.Attempt, archive.Stdout, text); err != nil {
+			t.Fatal(err)
+		}
+		w.Out += text
+	}
+	if err := m.Run(w.Attempt); err != nil {
+		t.Fatal(err)
+	}
+	write(20_000)
+	if err := settle(m, false); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range s.Members[:2] { // one of three is no quorum
+		s.Stop(n.Name)
+	}
+	write(50_000)
+	write(250_000)
+	for until := time.Now().Add(settleFor); m.Stats().GivenUp == 0 && time.Now().Before(until); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if st := m.Stats(); st.GivenUp != 200_000 || st.Left != 100_000 {
+		t.Errorf("%+v", st)
+	}
+	for _, n := range s.Members[:2] {
+		if err := s.Start(n.Name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.Ended(w.Attempt, "done", 0)
+	if err := settle(m, true); err != nil {
+		t.Fatal(err)
+	}
+	w.Promised = len(w.Out)
+	r, err := s.Reader("customer/office/baker")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Collect(context.Background(), r, w.Attempt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Judge(w, got); err != nil {
+		t.Error(err)
+	}
+	lost := int64(0)
+	for _, p := range got.Out {
+		if p.What == archive.PieceGap && p.Reason == archive.GapQuota {
+			lost += p.To - p.From
+		}
+	}
+	if lost != 200_000 {
+		t.Errorf("%d bytes are told as given up", lost)
+	}
+}
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -109,6 +109,7 @@
 	final   bool // its files were looked at after its end
 	busy    bool // its files are being shipped
 	tried   time.Time
+	saved   time.Time
 }
 
 // Stats counts what was shipped.
@@ -347,7 +348,7 @@
 		s.log.Error("an attempt's account can't be kept", "attempt", f.a.String(), "err", err)
 		return
 	}
-	f.dirty = false
+	f.dirty, f.saved = false, time.Now()
 }
 
 // batchBytes bounds what goes out at a time.
@@ -420,10 +421,16 @@
 		}
 	}
 	for _, f := range all {
-		s.save(f)
+		if time.Since(f.saved) > saveEvery {
+			s.save(f)
+		}
 	}
 }
 
+// saveEvery is how often the account of an attempt that writes on is kept: after a
+// kill what was shipped since goes out again.
+const saveEvery = 5 * time.Second
+
 // want is the attempt's need; the lock is held.
 func (f *follow) want() want {
 	w := want{attempt: f.a, urgent: f.urgent, over: f.acc.End != nil}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,6 +27,7 @@
 	"silvergate/internal/identity"
 	"silvergate/internal/proc"
 	"silvergate/internal/protocol"
+	"silvergate/internal/provider"
 	"silvergate/internal/site"
 	"silvergate/internal/transport"
 )
@@ -49,12 +50,13 @@
 // Result is what happened. Broken is empty if all is well.
 type Result struct {
 	Accepted, Tasks, Effects, Repeated, Kills int
-	// Kept is how many attempts' output was read back and compared.
-	Kept, Lines int
-	Refused     int // submissions tried again
-	Ledger      uint64
-	Took        time.Duration
-	Broken      []string
+	// Kept is how many attempts' output was read back and compared, Lost how many
+	// machines were taken away without notice, with their disks.
+	Kept, Lines, Lost int
+	Refused           int // submissions tried again
+	Ledger            uint64
+	Took              time.Duration
+	Broken            []string
 }
 
 type soak struct {
@@ -67,6 +69,7 @@
 	loads  map[string]int    // of accepted jobs
 	state  map[string]string // as last told
 	ledger uint64
+	lost   map[string]bool // machines
 	r      Result
 }
 
@@ -85,7 +88,7 @@
 // Run runs it. The error is of the machinery; what the site did wrong is in the
 // result.
 func Run(o Options) (Result, error) {
-	s := &soak{o: o, rnd: rand.New(rand.NewPCG(o.Seed, 1)), pool: transport.NewPool(8), loads: map[string]int{}, state: map[string]string{}}
+	s := &soak{o: o, rnd: rand.New(rand.NewPCG(o.Seed, 1)), pool: transport.NewPool(8), loads: map[string]int{}, state: map[string]string{}, lost: map[string]bool{}}
 	begun := time.Now()
 	dir, err := filepath.Abs(o.Dir)
 	if err != nil {
@@ -114,6 +117,9 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		s.readLedger()
+		if s.rnd.IntN(2) == 0 {
+			s.loseMachine()
+		}
 		s.kill()
 		s.r.Kills++
 		s.say("kill %d of %d: %d jobs accepted, revision %d", kill+1, o.Kills, len(s.loads), s.ledger)
@@ -329,6 +335,22 @@
 	}
 }
 
+// loseMachine has the cloud take a drawn machine back, without notice.
+func (s *soak) loseMachine() {
+	there, _ := filepath.Glob(filepath.Join(s.o.Dir, "cloud/machines/*"))
+	if len(there) == 0 {
+		return
+	}
+	name := filepath.Base(there[s.rnd.IntN(len(there))])
+	body, _ := json.Marshal(map[string]any{"stokers": []string{name}, "noticeS": 0})
+	// It counts as lost whether or not the answer came.
+	s.lost[name] = true
+	if st, _ := s.ask(fmt.Sprintf("127.0.0.1:%d", s.ports.Provider), "POST", provider.PathRecalls, body); st == 200 {
+		s.r.Lost++
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 func customer(n int) string { return fmt.Sprint("customer-", n%3) }
 
 // judgeOutput compares what each attempt that came to its end wrote with what its
@@ -414,6 +436,7 @@
 		}
 		lines += n
 		switch {
+		case s.lost[a.Machine]: // what its disk had
 		case whole[name] && n != 5:
 			return fmt.Sprintf("%s wrote 5 lines, and %d are kept", name, n)
 		case whole[name] && (a.End == nil || len(a.Files) != 1 || a.Files[0].Path != "out/result"):
@@ -421,7 +444,7 @@
 		}
 	}
 	for name := range whole {
-		if strings.HasPrefix(name, id+"/") && !met[name] {
+		if machine := name[strings.LastIndex(name, " ")+1:]; strings.HasPrefix(name, id+"/") && !met[name] && !s.lost[machine] {
 			return name + " came to its end, and nothing of it is kept"
 		}
 	}
