--- a/internal/archive/node/node.go
+++ b/internal/archive/node/node.go
@@ -288,29 +288,45 @@
 
 // Serve takes requests at a listener until Stop.
 func (n *Node) Serve(l net.Listener) error {
-	n.server = &http.Server{Handler: n.handler(), TLSConfig: n.keep.Serve(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 60 * time.Second,
+	server := &http.Server{Handler: n.handler(), TLSConfig: n.keep.Serve(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 60 * time.Second,
 		WriteTimeout: 120 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
-	n.server.TLSConfig.NextProtos = []string{"http/1.1"}
-	for _, run := range []func(){n.syncAll, n.mendAll, n.scrub, n.expireAll, n.revocations} {
-		n.wait.Add(1)
+	server.TLSConfig.NextProtos = []string{"http/1.1"}
+	n.mu.Lock()
+	if n.ctx.Err() != nil {
+		// Guards against a listener that stays when the node was stopped just before.
+		n.mu.Unlock()
+		return l.Close()
+	}
+	n.server = server
+	n.wait.Add(len(n.tasks()))
+	n.mu.Unlock()
+	for _, run := range n.tasks() {
 		go func() {
 			defer n.wait.Done()
 			run()
 		}()
 	}
 	n.log.Info("serving", "listen", l.Addr().String(), "members", len(n.members.Names), "replicas", n.cfg.Replicas)
-	if err := n.server.ServeTLS(l, "", ""); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.ServeTLS(l, "", ""); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
+// tasks are what a node does by itself while it serves.
+func (n *Node) tasks() []func() {
+	return []func(){n.syncAll, n.mendAll, n.scrub, n.expireAll, n.revocations}
+}
+
 // Stop ends the node.
 func (n *Node) Stop() {
+	n.mu.Lock()
 	n.stop()
-	if n.server != nil {
-		n.server.Close()
+	server := n.server
+	n.mu.Unlock()
+	if server != nil {
+		server.Close()
 	}
 	n.wait.Wait()
 	for _, p := range n.peers {
--- a/internal/archive/node/node_test.go
+++ b/internal/archive/node/node_test.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"encoding/pem"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -370,6 +371,24 @@
 	}
 }
 
+// TestStoppedBeforeItServes guards against a node that keeps its listener, and its
+// port with it, when it is stopped between its opening and its serving.
+func TestStoppedBeforeItServes(t *testing.T) {
+	s := newSite(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := s.node("one", []Member{{"one", l.Addr().String()}}, nil)
+	n.Stop()
+	if err := n.Serve(l); err != nil {
+		t.Error(err)
+	}
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("its listener is open: %v", err)
+	}
+}
+
 // TestMendingWhatIsGone guards against mending a record that a node had when it was
 // asked for its list, and has no more: what came was once kept as a record of nothing,
 // and the node's index was damaged by it.
