--- a/internal/archive/node/node_test.go
+++ b/internal/archive/node/node_test.go
@@ -410,14 +410,24 @@
 	if r, err := one.record(ctx, recs[2].Key, []string{"two"}); err != nil || r.Check() != nil {
 		t.Fatalf("%v %v", r.Key, err)
 	}
-	if err := two.vault.Drop(ctx, []string{recs[2].Key.String()}); err != nil {
-		t.Fatal(err)
+	// What a reader finds missing at a node that should have it is brought there.
+	go one.mendAll()
+	one.mendLater(a, map[string][]string{recs[2].Key.String(): {"one"}})
+	for until := time.Now().Add(30 * time.Second); one.Stats().Mended == 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	if !one.vault.Has(recs[2].Key) {
+		t.Error("not mended")
+	}
+	for _, n := range []*Node{one, two} {
+		if err := n.vault.Drop(ctx, []string{recs[2].Key.String()}); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if r, err := one.record(ctx, recs[2].Key, []string{"two"}); err == nil {
 		t.Fatalf("a record that nobody has: %v", r)
 	}
 	one.mendLater(a, map[string][]string{recs[2].Key.String(): {"one"}})
-	go one.mendAll()
 	if err := one.Level(ctx); err != nil {
 		t.Fatal(err)
 	}
