Review of the archive: one reader of private files, of names, of lists; dead code out

Read once more as a whole. An attempt's grant was encoded and hashed for every batch; it is once now.

--- a/cmd/silvergate/archive.go
+++ b/cmd/silvergate/archive.go
@@ -274,14 +274,18 @@
 		Final bool `json:"final"`
 	}
 	// files lists attempts with files; of each task the last that was done is final.
-	files := func(c *cobra.Command, r *reader.Client, arg string) ([]entry, error) {
+	files := func(c *cobra.Command, arg string) (*reader.Client, []entry, error) {
+		r, _, err := k.open()
+		if err != nil {
+			return nil, nil, err
+		}
 		job, task, err := jobTask(arg)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		attempts, answered, err := r.Attempts(c.Context(), reader.Query{Job: job, Files: true})
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		warn(c, answered)
 		last := map[int]int{}
@@ -299,18 +303,14 @@
 			}
 		}
 		if len(attempts) == 0 {
-			return nil, fmt.Errorf("%s: %w", job, reader.ErrNotFound)
+			return nil, nil, fmt.Errorf("%s: %w", job, reader.ErrNotFound)
 		}
-		return out, nil
+		return r, out, nil
 	}
 	list := &cobra.Command{
 		Use: "list JOB[/TASK]", Short: "List the files of a job's completed attempts", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			r, _, err := k.open()
-			if err != nil {
-				return err
-			}
-			found, err := files(c, r, args[0])
+			_, found, err := files(c, args[0])
 			if err != nil {
 				return err
 			}
@@ -327,11 +327,7 @@
 	get := &cobra.Command{
 		Use: "get JOB[/TASK] --to DIR", Short: "Write the files of a job's completed attempts into a folder, one folder for each task", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			r, _, err := k.open()
-			if err != nil {
-				return err
-			}
-			found, err := files(c, r, args[0])
+			r, found, err := files(c, args[0])
 			if err != nil {
 				return err
 			}
--- a/cmd/silvergate/certs.go
+++ b/cmd/silvergate/certs.go
@@ -25,7 +25,20 @@
 		c.Flags().DurationVar(life, "life", identity.DefaultLife, "how long the certificate holds")
 		k.output(c)
 	}
-	told := func(c *cobra.Command, i identity.Issued, to string) error {
+	// into issues a certificate into a folder and tells of it.
+	into := func(c *cobra.Command, to string, life time.Duration, whose func(*identity.Authority) (identity.Identity, error)) error {
+		a, err := identity.Open(dir)
+		if err != nil {
+			return err
+		}
+		who, err := whose(a)
+		if err != nil {
+			return err
+		}
+		i, err := a.Issue(who, to, life)
+		if err != nil {
+			return err
+		}
 		return k.show(c, i, fmt.Sprintf("%s: serial %s, until %s, in %s", i.Identity, i.Serial, i.NotAfter.Format(time.RFC3339), to))
 	}
 
@@ -47,19 +60,7 @@
 	issue := &cobra.Command{
 		Use: "issue IDENTITY --authority DIR --to DIR", Short: "Issue a certificate into a folder", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			a, err := identity.Open(dir)
-			if err != nil {
-				return err
-			}
-			who, err := identity.Parse(a.Site(), args[0])
-			if err != nil {
-				return err
-			}
-			i, err := a.Issue(who, to, life)
-			if err != nil {
-				return err
-			}
-			return told(c, i, to)
+			return into(c, to, life, func(a *identity.Authority) (identity.Identity, error) { return identity.Parse(a.Site(), args[0]) })
 		},
 	}
 	issue.Flags().StringVar(&to, "to", "", "the party's folder")
@@ -69,19 +70,7 @@
 	renew := &cobra.Command{
 		Use: "renew DIR --authority DIR", Short: "Replace the certificate in a party's folder; the party goes on without a restart", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			a, err := identity.Open(dir)
-			if err != nil {
-				return err
-			}
-			who, err := identity.ReadIdentity(args[0])
-			if err != nil {
-				return err
-			}
-			i, err := a.Issue(who, args[0], life)
-			if err != nil {
-				return err
-			}
-			return told(c, i, filepath.Clean(args[0]))
+			return into(c, filepath.Clean(args[0]), life, func(*identity.Authority) (identity.Identity, error) { return identity.ReadIdentity(args[0]) })
 		},
 	}
 	issuing(renew, &life)
--- a/cmd/silvergate/client.go
+++ b/cmd/silvergate/client.go
@@ -382,14 +382,11 @@
 			}); err != nil {
 				return err
 			}
-			if k.format == "json" {
-				return json.NewEncoder(c.OutOrStdout()).Encode(jobs)
-			}
 			var rows [][]string
 			for _, j := range jobs {
 				rows = append(rows, []string{j.Ref, j.Status, j.Urgency, j.JobClass, j.Crew, j.Shape, fmt.Sprintf("%d/%d", j.Done, j.Loads), fmt.Sprint(j.Running), age(j.AgeS), j.Waits})
 			}
-			return table(c.OutOrStdout(), "JOB STATUS URGENCY CLASS TEAM SHAPE DONE RUNNING AGE WAITS-FOR", rows)
+			return k.list(c, jobs, "JOB STATUS URGENCY CLASS TEAM SHAPE DONE RUNNING AGE WAITS-FOR", rows)
 		},
 	}
 	k.users(c)
@@ -423,9 +420,6 @@
 			}); err != nil {
 				return err
 			}
-			if k.format == "json" {
-				return json.NewEncoder(c.OutOrStdout()).Encode(nodes)
-			}
 			var rows [][]string
 			for _, n := range nodes {
 				kind := "ordinary"
@@ -435,7 +429,7 @@
 				rows = append(rows, []string{n.Stoker, n.Rig, n.Depot, kind, n.Status, fmt.Sprint(n.Loads), fmt.Sprintf("%g/%g", n.CPUs, n.CPUsAll),
 					fmt.Sprintf("%g/%g", n.GPUs, n.GPUsAll), fmt.Sprintf("%.3g/%g", n.RAM, n.RAMAll), n.Owner, n.Address})
 			}
-			return table(c.OutOrStdout(), "MACHINE TYPE ZONE KIND STATUS TASKS CPUS ACCELERATORS RAM-GB CONTROLLER ADDRESS", rows)
+			return k.list(c, nodes, "MACHINE TYPE ZONE KIND STATUS TASKS CPUS ACCELERATORS RAM-GB CONTROLLER ADDRESS", rows)
 		},
 	}
 	k.users(c)
--- a/cmd/silvergate/data.go
+++ b/cmd/silvergate/data.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -100,14 +99,11 @@
 			if err != nil {
 				return err
 			}
-			if k.format == "json" {
-				return json.NewEncoder(c.OutOrStdout()).Encode(all)
-			}
 			var rows [][]string
 			for _, v := range all {
 				rows = append(rows, []string{v.Set, v.Version, fmt.Sprint(v.Bytes), time.UnixMilli(v.AtMS).UTC().Format(time.RFC3339), v.Digest[:16], strings.Join(v.Sources, ",")})
 			}
-			return table(c.OutOrStdout(), "SET VERSION BYTES REGISTERED DIGEST SOURCES", rows)
+			return k.list(c, all, "SET VERSION BYTES REGISTERED DIGEST SOURCES", rows)
 		},
 	}
 	k.users(c)
@@ -160,14 +156,11 @@
 			if err != nil {
 				return err
 			}
-			if k.format == "json" {
-				return json.NewEncoder(c.OutOrStdout()).Encode(m)
-			}
 			var rows [][]string
 			for _, f := range m.Files {
 				rows = append(rows, []string{f.Path, fmt.Sprint(f.Size), fmt.Sprint(len(f.Chunks))})
 			}
-			return table(c.OutOrStdout(), "FILE BYTES CHUNKS", rows)
+			return k.list(c, m, "FILE BYTES CHUNKS", rows)
 		},
 	}
 	k.users(c)
--- a/internal/agent/inputs.go
+++ b/internal/agent/inputs.go
@@ -132,7 +132,7 @@
 	if desc == nil {
 		return
 	}
-	urgent := desc.Urgency == "prod" || desc.Urgency == "urgent"
+	urgent := protocol.Pressing(desc.Urgency)
 	var wants []datastore.Want
 	var broken error
 	for i := range desc.Inputs {
--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -176,8 +176,8 @@
 // TestGapsOfUnknownLength guards against a loss that nobody could measure and that
 // is not told.
 func TestGapsOfUnknownLength(t *testing.T) {
-	got := Assemble([]Part{{0, 5, 0}, {5, 9, 1}}, []Gap{{From: 5, To: 5, Reason: GapCut}, {From: 9, To: -1, Reason: GapDeadline}}, 0, "", -1)
-	want := []Piece{{From: 0, To: 5}, {From: 5, To: 5, What: PieceGap, Reason: GapCut}, {From: 5, To: 9, Ref: 1}, {From: 9, To: -1, What: PieceGap, Reason: GapDeadline}}
+	got := Assemble([]Part{{0, 5, 0}, {5, 9, 1}}, []Gap{{From: 5, To: 5, Reason: GapCut}, {From: 9, To: -1, Reason: GapUnread}}, 0, "", -1)
+	want := []Piece{{From: 0, To: 5}, {From: 5, To: 5, What: PieceGap, Reason: GapCut}, {From: 5, To: 9, Ref: 1}, {From: 9, To: -1, What: PieceGap, Reason: GapUnread}}
 	if !slices.Equal(got, want) {
 		t.Errorf("%+v", got)
 	}
--- a/internal/archive/grant.go
+++ b/internal/archive/grant.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"os"
 	"strings"
 
 	"silvergate/internal/identity"
@@ -41,12 +40,10 @@
 	Class   string `json:"class"`
 	Urgency string `json:"urgency"`
 	Shape   string `json:"shape"`
-	Keep    []Keep `json:"keep,omitempty"` // files that the job wants kept
+	// Keep are patterns of files to keep, relative to a task's working directory.
+	Keep []string `json:"keep,omitempty"`
 }
 
-// Keep is a pattern of files to keep, relative to a task's working directory.
-type Keep = string
-
 // TermsOf are the terms of the job that a description describes.
 func TermsOf(d *protocol.Description) Terms {
 	t := Terms{Owner: Owner{Team: d.Crew}, Class: d.JobClass, Urgency: d.Urgency, Shape: protocol.ShapeName(d.Shape)}
@@ -65,14 +62,7 @@
 // LoadGrantKey reads a key: 64 or more hexadecimal digits in a file that is its
 // owner's alone.
 func LoadGrantKey(path string) (GrantKey, error) {
-	info, err := os.Stat(path)
-	if err != nil {
-		return nil, fmt.Errorf("grant_key: %w", err)
-	}
-	if info.Mode().Perm()&0o077 != 0 {
-		return nil, fmt.Errorf("grant_key: %s: others can read it (mode %o); make it 0600", path, info.Mode().Perm())
-	}
-	raw, err := os.ReadFile(path)
+	raw, err := identity.ReadPrivate(path)
 	if err != nil {
 		return nil, fmt.Errorf("grant_key: %w", err)
 	}
--- a/internal/archive/node/expire.go
+++ b/internal/archive/node/expire.go
@@ -9,8 +9,6 @@
 	"silvergate/internal/archive"
 )
 
-func covered(e archive.Expired, k archive.Key) bool { return e.Covers(k) }
-
 // learnExpiry takes a mark of expiry in and drops what it covers.
 func (n *Node) learnExpiry(k archive.Key) {
 	r, err := n.vault.Get(k)
--- a/internal/archive/node/node_test.go
+++ b/internal/archive/node/node_test.go
@@ -28,14 +28,10 @@
 
 	"silvergate/internal/archive"
 	"silvergate/internal/identity"
+	"silvergate/internal/seeded"
 )
 
-// Generated inputs come from a fixed seed, so that a verdict repeats.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261201")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 var (
 	quiet   = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -412,7 +408,7 @@
 	}
 	// What a reader finds missing at a node that should have it is brought there.
 	go one.mendAll()
-	one.mendLater(a, map[string][]string{recs[2].Key.String(): {"one"}})
+	one.mendLater(map[string][]string{recs[2].Key.String(): {"one"}})
 	for until := time.Now().Add(30 * time.Second); one.Stats().Mended == 0 && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
 	}
@@ -427,7 +423,7 @@
 	if r, err := one.record(ctx, recs[2].Key, []string{"two"}); err == nil {
 		t.Fatalf("a record that nobody has: %v", r)
 	}
-	one.mendLater(a, map[string][]string{recs[2].Key.String(): {"one"}})
+	one.mendLater(map[string][]string{recs[2].Key.String(): {"one"}})
 	if err := one.Level(ctx); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/archive/node/put.go
+++ b/internal/archive/node/put.go
@@ -146,7 +146,7 @@
 	n.mu.Lock()
 	fresh := make([]archive.Record, 0, len(recs))
 	for _, r := range recs {
-		if !covered(n.expired[r.Key.Attempt.String()], r.Key) {
+		if !n.expired[r.Key.Attempt.String()].Covers(r.Key) {
 			fresh = append(fresh, r)
 		}
 	}
--- a/internal/archive/node/read.go
+++ b/internal/archive/node/read.go
@@ -464,7 +464,7 @@
 	}
 	n.audit(who, archive.Read, a.String(), true)
 	n.count(func(s *Stats) { s.Reads++ })
-	n.mendLater(a, missing)
+	n.mendLater(missing)
 	out := Stream{Answered: got, Pieces: []Piece{}, Next: from}
 	var parts []archive.Part
 	var keys []archive.Key
--- a/internal/archive/node/sync.go
+++ b/internal/archive/node/sync.go
@@ -193,7 +193,7 @@
 func (n *Node) gone(k archive.Key) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return covered(n.expired[k.Attempt.String()], k)
+	return n.expired[k.Attempt.String()].Covers(k)
 }
 
 // bring fetches records from another node, at the budgeted rate. Marks of expiry
@@ -343,7 +343,7 @@
 
 // mendLater has what a reader found missing brought there; beyond what can wait it
 // is left to the comparisons.
-func (n *Node) mendLater(_ archive.Attempt, missing map[string][]string) {
+func (n *Node) mendLater(missing map[string][]string) {
 	for key, nodes := range missing {
 		for _, at := range nodes {
 			select {
--- a/internal/archive/record.go
+++ b/internal/archive/record.go
@@ -413,10 +413,9 @@
 
 // Reasons for gaps.
 const (
-	GapQuota    = "the machine's spool was full"
-	GapCut      = "the program shortened its own output"
-	GapUnread   = "the file can't be read"
-	GapDeadline = "the machine was given back before all was shipped"
+	GapQuota  = "the machine's spool was full"
+	GapCut    = "the program shortened its own output"
+	GapUnread = "the file can't be read"
 )
 
 func (g *Gap) check(k Key) error {
--- a/internal/archive/ship/plan_test.go
+++ b/internal/archive/ship/plan_test.go
@@ -1,23 +1,17 @@
 package ship
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"silvergate/internal/archive"
+	"silvergate/internal/seeded"
 )
 
-// Generated inputs come from a fixed seed, so that a verdict repeats.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261201")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // TestStreamsAreCutOnce draws a program that writes and shortens its file, looks at
 // it, cuts, acknowledgements, a full spool and an agent that starts again with its
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -24,6 +24,7 @@
 	"silvergate/internal/archive"
 	"silvergate/internal/archive/node"
 	"silvergate/internal/identity"
+	"silvergate/internal/protocol"
 )
 
 // Config is what a machine is told of the archive, in YAML.
@@ -102,6 +103,7 @@
 	a       archive.Attempt
 	dir     string
 	grant   archive.Grant
+	proof   archive.Record // the grant, as nodes keep it: it goes with every batch
 	acc     account
 	urgent  bool
 	streams map[string]*follower
@@ -220,7 +222,8 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", filepath.Join(dir, grantFile), err)
 	}
-	f.urgent = urgentName(f.grant.Urgency)
+	f.proof = archive.NewRecord(a, archive.KindGrant, "", archive.Encode(f.grant))
+	f.urgent = protocol.Pressing(f.grant.Urgency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.all[a] != nil {
@@ -256,8 +259,6 @@
 	return nil
 }
 
-func urgentName(u string) bool { return u == "prod" || u == "urgent" }
-
 // Ended says that an attempt's processes are gone and what became of it; nothing
 // is written any more. The attempt is followed until all is kept.
 func (s *Shipper) Ended(a archive.Attempt, cause string, code int) {
@@ -504,7 +505,7 @@
 	for _, c := range cuts {
 		if !granted[c.f] {
 			granted[c.f] = true
-			recs, what = append(recs, archive.NewRecord(c.f.a, archive.KindGrant, "", archive.Encode(c.f.grant))), append(what, sent{})
+			recs, what = append(recs, c.f.proof), append(what, sent{})
 		}
 		for _, g := range c.gaps {
 			recs = append(recs, archive.NewRecord(c.f.a, archive.KindGap, archive.At(c.stream, g.From, 0), archive.Encode(g)))
@@ -632,9 +633,9 @@
 // all before it is kept.
 func (s *Shipper) finish(f *follow) {
 	s.mu.Lock()
-	grant, done := &f.grant, slices.Clone(f.acc.Files)
+	done := slices.Clone(f.acc.Files)
 	s.mu.Unlock()
-	files, err := s.keepFiles(f, grant, done)
+	files, err := s.keepFiles(f, done)
 	if err == nil {
 		s.mu.Lock()
 		end := *f.acc.End
@@ -644,7 +645,7 @@
 		}
 		end.Files = len(files)
 		s.mu.Unlock()
-		err = s.keepAll([]archive.Record{archive.NewRecord(f.a, archive.KindGrant, "", archive.Encode(grant)), archive.NewRecord(f.a, archive.KindEnd, "", archive.Encode(end))})
+		err = s.keepAll([]archive.Record{f.proof, archive.NewRecord(f.a, archive.KindEnd, "", archive.Encode(end))})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -665,8 +666,8 @@
 
 // keepFiles ships the files that match the job's patterns. What the program left
 // is data: links are not followed, and only regular files are read.
-func (s *Shipper) keepFiles(f *follow, g *archive.Grant, done []archive.File) ([]archive.File, error) {
-	if len(g.Keep) == 0 {
+func (s *Shipper) keepFiles(f *follow, done []archive.File) ([]archive.File, error) {
+	if len(f.grant.Keep) == 0 {
 		return nil, nil
 	}
 	root, err := os.OpenRoot(filepath.Join(f.dir, WorkDir))
@@ -682,7 +683,7 @@
 		if err != nil || !d.Type().IsRegular() || !archive.SafePath(p) {
 			return nil // what can't be read or named is not kept
 		}
-		if matches(g.Keep, p) {
+		if matches(f.grant.Keep, p) {
 			names = append(names, p)
 		}
 		return nil
@@ -699,7 +700,7 @@
 		if slices.ContainsFunc(done, func(x archive.File) bool { return x.Path == name }) {
 			continue
 		}
-		file, err := s.keepFile(f, g, root, name)
+		file, err := s.keepFile(f, root, name)
 		if err != nil {
 			return done, err
 		}
@@ -735,7 +736,7 @@
 
 // keepFile ships a file's chunks and then its record; nil is a file that is not
 // kept.
-func (s *Shipper) keepFile(f *follow, g *archive.Grant, root *os.Root, name string) (*archive.File, error) {
+func (s *Shipper) keepFile(f *follow, root *os.Root, name string) (*archive.File, error) {
 	in, err := root.Open(name)
 	if err != nil {
 		return nil, nil
@@ -751,8 +752,7 @@
 	}
 	out := &archive.File{Path: name, Size: info.Size(), Mode: uint32(info.Mode().Perm()), At: info.ModTime().UnixMilli()}
 	sum := blake3.New()
-	grant := archive.NewRecord(f.a, archive.KindGrant, "", archive.Encode(g))
-	shared := archive.NewRecord(archive.Files(f.a.Job), archive.KindGrant, "", archive.Encode(g))
+	shared := archive.NewRecord(archive.Files(f.a.Job), archive.KindGrant, "", f.proof.Payload)
 	buf := make([]byte, archive.ChunkSize)
 	for left := out.Size; left > 0; {
 		n := min(left, archive.ChunkSize)
@@ -761,17 +761,14 @@
 		}
 		_, _ = sum.Write(buf[:n])
 		chunk := archive.NewRecord(archive.Files(f.a.Job), archive.KindChunk, "", buf[:n])
-		if err := s.keepAll([]archive.Record{grant, shared, chunk}); err != nil {
+		if err := s.keepAll([]archive.Record{f.proof, shared, chunk}); err != nil {
 			return nil, err
 		}
 		out.Chunks = append(out.Chunks, chunk.Key.Digest)
 		left -= n
 	}
 	out.Digest = hex.EncodeToString(sum.Sum(nil))
-	if out.Size == 0 {
-		out.Digest = hex.EncodeToString(blake3.New().Sum(nil))
-	}
-	return out, s.keepAll([]archive.Record{grant, archive.NewRecord(f.a, archive.KindFile, "", archive.Encode(out))})
+	return out, s.keepAll([]archive.Record{f.proof, archive.NewRecord(f.a, archive.KindFile, "", archive.Encode(out))})
 }
 
 // revocations asks the nodes for the newest list.
--- a/internal/archive/stream.go
+++ b/internal/archive/stream.go
@@ -1,12 +1,13 @@
 package archive
 
 import (
-	"path"
+	"cmp"
+	"errors"
 	"slices"
 	"strings"
 	"unicode/utf8"
 
-	"errors"
+	"silvergate/internal/protocol"
 )
 
 // Part is a segment as its key tells it, with its length.
@@ -43,14 +44,14 @@
 	slices.SortFunc(parts, func(a, b Part) int {
 		switch {
 		case a.From != b.From:
-			return compare(a.From, b.From)
+			return cmp.Compare(a.From, b.From)
 		case a.To != b.To:
-			return compare(b.To, a.To)
+			return cmp.Compare(b.To, a.To)
 		}
 		return a.Ref - b.Ref
 	})
 	gaps = slices.Clone(gaps)
-	slices.SortFunc(gaps, func(a, b Gap) int { return compare(a.From, b.From) })
+	slices.SortFunc(gaps, func(a, b Gap) int { return cmp.Compare(a.From, b.From) })
 	pos := int64(0)
 	if expired != "" && upto > 0 {
 		out, pos = append(out, Piece{From: 0, To: upto, What: PieceExpired, Reason: expired}), upto
@@ -106,16 +107,6 @@
 	return out
 }
 
-func compare(a, b int64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // File is a file that an attempt left behind. It is there whole or not at all: its
 // record comes after all its chunks are kept.
 type File struct {
@@ -149,31 +140,10 @@
 	return nil
 }
 
-// maxPath bounds names of files, in bytes.
-const maxPath = 1000
-
 // SafePath tells whether a file's name leads nowhere but below the folder that it
 // is relative to, on any machine that it may be written to later.
 func SafePath(p string) bool {
-	if p == "" || len(p) > maxPath || !utf8.ValidString(p) || path.Clean(p) != p || strings.ContainsAny(p, "\x00\\") || strings.HasPrefix(p, "/") {
-		return false
-	}
-	for _, e := range strings.Split(p, "/") {
-		if e == ".." || e == "." || len(e) > 255 {
-			return false
-		}
-	}
-	return true
-}
-
-// ValidKeep tells whether s is a pattern of files to keep: a path as SafePath has
-// it, with *, ? and [] within its parts.
-func ValidKeep(s string) bool {
-	if !SafePath(s) {
-		return false
-	}
-	_, err := path.Match(s, "x")
-	return err == nil
+	return protocol.ValidPlace(p) && !slices.ContainsFunc(strings.Split(p, "/"), func(e string) bool { return len(e) > 255 })
 }
 
 // Visible makes output safe to print on a terminal: control characters but the
@@ -225,7 +195,7 @@
 
 // Join adds a range to ranges that are in order and apart, and keeps them so.
 func Join(all []Range, r Range) []Range {
-	i, _ := slices.BinarySearchFunc(all, r.From, func(x Range, from int64) int { return compare(x.To, from) })
+	i, _ := slices.BinarySearchFunc(all, r.From, func(x Range, from int64) int { return cmp.Compare(x.To, from) })
 	k := i
 	for k < len(all) && all[k].From <= r.To {
 		r.From, r.To = min(r.From, all[k].From), max(r.To, all[k].To)
--- a/internal/archive/vault/vault_test.go
+++ b/internal/archive/vault/vault_test.go
@@ -19,14 +19,12 @@
 
 	"silvergate/internal/archive"
 	"silvergate/internal/sealed"
+	"silvergate/internal/seeded"
 )
 
-// Generated inputs come from a fixed seed, so that a verdict repeats.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261201")
 	_ = flag.Set("rapid.checks", "20") // each syncs some hundred times; more by hand: -rapid.checks
-	flag.Parse()
-	os.Exit(m.Run())
+	seeded.Main(m)
 }
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
--- a/internal/identity/authority.go
+++ b/internal/identity/authority.go
@@ -382,7 +382,7 @@
 
 // readKey reads a key and refuses one that others can read.
 func readKey(path string) (crypto.Signer, error) {
-	raw, err := readPrivate(path)
+	raw, err := ReadPrivate(path)
 	if err != nil {
 		return nil, err
 	}
@@ -401,8 +401,8 @@
 	return s, nil
 }
 
-// readPrivate reads a file that must be its owner's alone.
-func readPrivate(path string) ([]byte, error) {
+// ReadPrivate reads a file, up to a megabyte, that must be its owner's alone.
+func ReadPrivate(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, err
--- a/internal/identity/keeper.go
+++ b/internal/identity/keeper.go
@@ -83,12 +83,9 @@
 // Me is whose certificate it is.
 func (k *Keeper) Me() Identity { return k.me }
 
-// Expires is when the certificate does.
-func (k *Keeper) Expires() time.Time { return k.own.Load().Leaf.NotAfter }
-
 func (k *Keeper) readOwn() error {
 	path := filepath.Join(k.dir, certFile)
-	raw, err := readPrivate(path)
+	raw, err := ReadPrivate(path)
 	if err != nil {
 		return fmt.Errorf("certificates: %w", err)
 	}
--- a/internal/protocol/extra.go
+++ b/internal/protocol/extra.go
@@ -171,6 +171,9 @@
 	return ""
 }
 
+// Pressing tells whether the wire name of a priority is one that others wait for.
+func Pressing(urgency string) bool { return urgency == "prod" || urgency == "urgent" }
+
 // ShapeName is the wire name of a shape.
 func ShapeName(s job.Shape) string {
 	for n, v := range shapes {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -2,21 +2,17 @@
 
 import (
 	"encoding/json"
-	"flag"
-	"os"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"silvergate/internal/job"
+	"silvergate/internal/seeded"
 )
 
 // Generated inputs come from a fixed seed, so that a verdict repeats.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261201")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 func validRun() map[string]any {
 	return map[string]any{"ref": "wk-000412", "jobclass": "train", "crew": "vision", "shape": "ensemble", "urgency": "urgent", "loads": 16,
--- a/tools/regress/main_test.go
+++ b/tools/regress/main_test.go
@@ -1,13 +1,9 @@
 package main
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"silvergate/internal/seeded"
 )
 
-// Generated inputs come from a fixed seed, so that a verdict repeats.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261201")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
