--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -93,6 +93,10 @@
 // Ready tells whether the records have been read.
 func (s *Store) Ready() bool { return s.loaded }
 
+// Reading tells whether the records are being read anew: what comes may then skip
+// changes, as a key is seen as it is and not as it became so.
+func (s *Store) Reading() bool { return s.seen != nil }
+
 // Ledger is the revision up to which the mirror is complete.
 func (s *Store) Ledger() uint64 { return s.ledger }
 
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -8,6 +8,7 @@
 
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/budget"
+	"silvergate/internal/evidence"
 	"silvergate/internal/job"
 	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
@@ -18,16 +19,16 @@
 // time; so pages of one team and class go together, and a mass failure costs the
 // state service about one change for each page in place of two.
 type batch struct {
-	team     *team
-	charge   bool // the team's record is changed too
-	use      usage
-	machines map[string]bool // in conds already
-	conds    []protocol.Cond
-	ops      []protocol.Op
-	size     int // of the transaction at the most, in bytes
-	parts    []part
-	yielded  []string // machines whose room urgent work is to have
-	class    budget.Class
+	team    *team
+	charge  bool // the team's record is changed too
+	use     usage
+	named   map[string]bool // keys that conds names already
+	conds   []protocol.Cond
+	ops     []protocol.Op
+	size    int // of the transaction at the most, in bytes
+	parts   []part
+	yielded []string // machines whose room urgent work is to have
+	class   budget.Class
 }
 
 // part is what a batch takes of a page's queue.
@@ -118,7 +119,7 @@
 // further pages of the same team and class.
 func (c *Core) flushPages(first *page, more []*page) {
 	tm := c.teams[first.rec.spec.Team]
-	b := &batch{team: tm, charge: tm != nil && limited(tm), machines: map[string]bool{}, class: first.class()}
+	b := &batch{team: tm, charge: tm != nil && limited(tm), named: map[string]bool{}, class: first.class()}
 	if first.tasks != nil && b.charge && tm.busy {
 		return
 	}
@@ -195,17 +196,19 @@
 	conds := []protocol.Cond{{Key: keyJob + p.id, Stamp: r.stamp}, {Key: pageKey(p.id, p.num), Stamp: p.stamp}}
 	room := 4*c.cfg.Facts.State.TxnOps - 4 - len(b.conds)
 	use := b.use
-	var fresh []string // machines that the batch did not name before
-	under := func(m *machine, conditions ...protocol.Cond) bool {
-		if b.machines[m.id] {
-			return true
-		}
+	var fresh []string // keys that the batch did not name before
+	// Guards against a placement that was not conditional on the absence of a
+	// drain, since an ending on the same machine had named its claim before.
+	under := func(conditions ...protocol.Cond) bool {
+		conditions = slices.DeleteFunc(conditions, func(k protocol.Cond) bool { return b.named[k.Key] })
 		if len(conds)+len(conditions) > room {
 			return false
 		}
-		b.machines[m.id] = true
-		fresh = append(fresh, m.id)
-		conds = append(conds, conditions...)
+		for _, k := range conditions {
+			b.named[k.Key] = true
+			fresh = append(fresh, k.Key)
+			conds = append(conds, k)
+		}
 		return true
 	}
 	var taken, rest []change
@@ -230,7 +233,7 @@
 				spoilt = multi(r)
 				continue
 			}
-			if !under(m, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}, protocol.Cond{Key: keyDrain + m.id}) {
+			if !under(protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}, protocol.Cond{Key: keyDrain + m.id}) {
 				rest = append(rest, ch)
 				continue
 			}
@@ -245,20 +248,21 @@
 		if t.Phase != job.Bound || t.Machine != ch.machine || t.Session != ch.session || t.Try != ch.try {
 			continue // overtaken
 		}
-		if ch.guard {
-			m := c.machines[ch.machine]
-			// Guards against evidence that outlives its claim: a controller
-			// cut off from the state service held the end of a lease to be
-			// over, while a peer answered the worker. When the worker came
-			// back, the release was committed under the new claim, and the
-			// task ran twice.
-			if m == nil || !c.mine(m) || m.stamp != ch.token {
-				continue
-			}
-			if !under(m, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}) {
-				rest = append(rest, ch)
-				continue
-			}
+		m := c.machine(ch.machine)
+		// Guards against evidence that outlives its claim: a controller
+		// cut off from the state service held the end of a lease to be
+		// over, while a peer answered the worker. When the worker came
+		// back, the release was committed under the new claim, and the
+		// task ran twice.
+		ok, onClaim := c.standing(m).Commit(evidence.Found{Kind: ch.kind, Token: ch.token})
+		if !ok {
+			c.log.Debug("release refused: the evidence is void", "load", job.TaskName(k.id, k.index), "try", ch.try, "stoker", m.id, "kind", ch.kind.String(),
+				"found", ch.token, "token", m.stamp)
+			continue
+		}
+		if onClaim && !under(protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}) {
+			rest = append(rest, ch)
+			continue
 		}
 		use = use.plus(r.spec, -1)
 		nt := job.Task{Try: t.Try, Fails: t.Fails}
@@ -271,8 +275,8 @@
 		taken = append(taken, ch)
 	}
 	drop := func() {
-		for _, id := range fresh {
-			delete(b.machines, id)
+		for _, key := range fresh {
+			delete(b.named, key)
 		}
 	}
 	if spoilt {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -121,7 +121,7 @@
 	publishAt time.Duration
 	ttl       time.Duration
 	beats     map[string]beat
-	vouches   map[string]time.Duration // see proof
+	vouches   vouches // see proof
 	beatAt    time.Duration
 	sweepAt   time.Duration
 	readyAt   time.Duration // when the records had been read
@@ -164,7 +164,7 @@
 		cfg: cfg, log: log, rnd: rnd, life: life,
 		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
 		teams: map[string]*team{}, members: map[string]*member{}, formats: map[string]int{}, listed: map[taskKey]bool{}, drains: map[string]drain{}, dirty: map[*page]bool{},
-		orphans: map[string]orphan{}, early: map[string][]early{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, held: map[string]int{}, beats: map[string]beat{}, vouches: map[string]time.Duration{}, latency: map[string]*hdrhistogram.Histogram{},
+		orphans: map[string]orphan{}, early: map[string][]early{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, held: map[string]int{}, beats: map[string]beat{}, vouches: vouches{at: map[string]time.Duration{}, cancelled: map[string]bool{}}, latency: map[string]*hdrhistogram.Histogram{},
 	}
 	for i := range cfg.Facts.Teams {
 		t := &cfg.Facts.Teams[i]
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -208,7 +208,7 @@
 		for k, v := range m.bound {
 			if v.spec.Priority < r.spec.Priority && !multi(v) && m.gone[k] == nil {
 				left.cpus, left.gpus, left.ram = left.cpus+v.spec.CPUs, left.gpus+v.spec.GPUs, left.ram+v.spec.MemoryGB
-				cost += (c.now - m.boundAt[k]).Seconds()
+				cost += (c.now - m.boundAt[k].at).Seconds()
 			}
 		}
 		n := 0
--- a/internal/coordination/gather.go
+++ b/internal/coordination/gather.go
@@ -148,7 +148,7 @@
 			if !m.pulling[k] || r.spec.Shape != job.Service || r.final() {
 				continue
 			}
-			left := max(c.fetchTime(r.spec, m), r.spec.ImageGB/c.kind(m).PullRate-(c.now-m.boundAt[k]).Seconds())
+			left := max(c.fetchTime(r.spec, m), r.spec.ImageGB/c.kind(m).PullRate-(c.now-m.boundAt[k].at).Seconds())
 			t := c.pop(r)
 			if t == nil || t == m || c.fetchTime(r.spec, t)+c.cfg.Facts.Workers.Report/2 > left/2 {
 				continue
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -213,16 +213,25 @@
 	return names[0]
 }
 
+// vouches is what peers have said about cancellations.
+type vouches struct {
+	at        map[string]time.Duration // by peer: as of when
+	cancelled map[string]bool          // jobs that we have no record of yet
+}
+
 // vouched takes a peer's word on cancellations: as of the question, it has
 // told users of none beside those that we have seen and those it names.
 func (c *Core) vouched(from string, v *Vouch) {
 	for _, id := range v.Cancelled {
-		if r := c.jobs[id]; r != nil && !r.final() {
+		switch r := c.jobs[id]; {
+		case r == nil:
+			c.vouches.cancelled[id] = true
+		case !r.final():
 			r.status = job.Cancelled // committed, as the peer knows of it
 		}
 	}
-	if v.At <= c.now && v.At > c.vouches[from] {
-		c.vouches[from] = v.At
+	if v.At <= c.now && v.At > c.vouches.at[from] {
+		c.vouches.at[from] = v.At
 	}
 }
 
@@ -232,7 +241,7 @@
 func (c *Core) proof() time.Duration {
 	oldest := c.now
 	for _, p := range c.cfg.Peers {
-		oldest = min(oldest, c.vouches[p.Node])
+		oldest = min(oldest, c.vouches.at[p.Node])
 	}
 	return max(c.store.Fresh(), oldest)
 }
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"silvergate/internal/config"
+	"silvergate/internal/evidence"
 	"silvergate/internal/job"
 	"silvergate/internal/losses"
 )
@@ -105,6 +106,7 @@
 			r.pages = append(r.pages, &page{rec: r, id: id, num: k, tasks: tasks, pending: len(tasks)})
 		}
 		c.jobs[id] = r
+		delete(c.vouches.cancelled, id)
 	}
 	r.status, r.at, r.home, r.stamp = s.Status, s.At, s.Home, stamp
 	switch _, was := c.open[id]; {
@@ -211,6 +213,10 @@
 	c.changes = changes
 	p.stamp = stamp
 	base := k * c.pageTasks()
+	since := stamp // each change of a page comes, but while the records are read anew
+	if c.store.Reading() {
+		since = 0
+	}
 	for i := range changes {
 		at, t := changes[i].index, &changes[i].task
 		if t.Phase == job.Bound {
@@ -219,7 +225,7 @@
 		old := p.tasks[at]
 		c.unindex(r, taskKey{id, base + at}, &old)
 		p.tasks[at] = *t
-		c.index(r, taskKey{id, base + at}, t)
+		c.index(r, taskKey{id, base + at}, t, since)
 		if old.Phase == job.Pending {
 			p.pending--
 		}
@@ -229,7 +235,7 @@
 	}
 }
 
-func (c *Core) index(r *record, k taskKey, t *job.Task) {
+func (c *Core) index(r *record, k taskKey, t *job.Task, since uint64) {
 	r.last = max(r.last, t.Try)
 	switch t.Phase {
 	case job.Bound:
@@ -241,7 +247,7 @@
 		m.bound[k] = r
 		m.use(r.spec, 1)
 		r.zones[m.claim.Zone]++
-		m.boundAt[k] = c.now
+		m.boundAt[k] = binding{c.now, since}
 		c.fetching(m, r.spec)
 		c.data.bound(m, r.spec)
 		if !multi(r) {
@@ -348,9 +354,9 @@
 	try     int
 	done    bool
 	failed  bool
-	guard   bool   // the evidence holds only under our claim
-	token   uint64 // of the claim under which it was found
-	why     string // what kind of evidence, for the log
+	kind    evidence.Kind // what proves that it has left, and of which claim
+	token   uint64        // under which that was found
+	why     string        // what kind of evidence, for the log
 	at      time.Duration
 }
 
@@ -359,7 +365,7 @@
 	n := c.pageTasks()
 	p := r.pages[index/n]
 	ch.index = index % n
-	if m := c.machines[ch.machine]; m != nil && ch.guard {
+	if m := c.machines[ch.machine]; m != nil && !ch.place {
 		ch.token = m.stamp
 	}
 	for i := range p.queue {
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -41,27 +41,28 @@
 func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
 
 type sim struct {
-	launched func(*simWorker, protocol.Order) // sees launches; may be nil
-	rnd      *rand.Rand
-	now      time.Duration
-	seq      int
-	q        events
-	facts    config.Facts // what is true
-	told     config.Facts // what the controllers are told
-	nodes    []*simNode
-	kv       *simState
-	cloud    *simCloud
-	work     map[string]*simWorker
-	users    map[string]*simUser
-	broken   []string
-	starts   int
-	trace    io.Writer          // of the controllers' logs, if wanted
-	noise    float64            // probability that a message is lost, late or loses its answer
-	sets     []protocol.DataSet // data sets that jobs read; nil: staging is off
-	misled   bool               // broken on purpose: production jobs are submitted as idle ones
-	judged   int                // launches of lesser work while production work waited
-	warm     int                // starts on machines that held the inputs when the launch came
-	cold     int
+	launched  func(*simWorker, protocol.Order) // sees launches; may be nil
+	rnd       *rand.Rand
+	now       time.Duration
+	seq       int
+	q         events
+	facts     config.Facts // what is true
+	told      config.Facts // what the controllers are told
+	nodes     []*simNode
+	kv        *simState
+	cloud     *simCloud
+	work      map[string]*simWorker
+	users     map[string]*simUser
+	broken    []string
+	starts    int
+	trace     io.Writer          // of the controllers' logs, if wanted
+	noise     float64            // probability that a message is lost, late or loses its answer
+	sets      []protocol.DataSet // data sets that jobs read; nil: staging is off
+	unordered bool               // the order of launches is not judged: controllers learn late when what they launch was committed
+	misled    bool               // broken on purpose: production jobs are submitted as idle ones
+	judged    int                // launches of lesser work while production work waited
+	warm      int                // starts on machines that held the inputs when the launch came
+	cold      int
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -105,6 +106,7 @@
 	ticks   int                      // in all its lives
 	cut     map[string]time.Duration // "state", "workers", "peers", "users": cut off until
 	refused time.Duration            // by the state service alone
+	lag     time.Duration            // until then watches are answered late, transactions are not
 	reqs    map[uint64]func(status int, body []byte)
 	askers  map[uint64]string // workers whose reports are being answered
 	waits   map[waitIn]time.Duration
@@ -272,6 +274,9 @@
 			case 2:
 				s.after(s.ms(1, 20), func() { serve(func(int, []byte) {}) })
 			}
+		case watch && n.lag > s.now:
+			late := s.ms(200, 3900)
+			s.after(s.ms(1, 5), func() { serve(func(st int, b []byte) { s.after(late, func() { reply(st, b) }) }) })
 		case watch:
 			s.after(s.ms(1, 5), func() { serve(reply) })
 		default:
@@ -750,6 +755,9 @@
 	shift, sent := w.shift, s.now
 	n := s.nodes[w.node]
 	n.request("workers", "POST", protocol.PathCheckin, encode(rep), func(st int, body []byte) {
+		if s.trace != nil {
+			fmt.Fprintf(s.trace, "%8.3f CHECKIN stoker=%s node=%s shift=%d tally=%d baton=%d sent=%.3f status=%d %s\n", s.now.Seconds(), w.name, n.name, shift, rep.Tally, rep.Baton, sent.Seconds(), st, body)
+		}
 		if w.dead {
 			return
 		}
--- /dev/null
+++ b/internal/coordination/welcome_test.go
@@ -0,0 +1,47 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// TestEveryAnswerStopsWhatIsCancelled guards against cancelled tasks that lived on
+// (found on a drawn day, 5515 of TestRulesHoldWhenAZoneIsCutOff): a report that is not
+// believed, as the mirror has not reached the claim, was answered without orders, its
+// lease renewed, for as long as the watch was late.
+func TestEveryAnswerStopsWhatIsCancelled(t *testing.T) {
+	load := protocol.Load{Load: "wk-700000/0", Try: 1, Status: protocol.LoadRunning}
+	for _, v := range []struct {
+		name   string
+		status job.Status
+		vouch  *Vouch
+		kills  int
+	}{
+		{"cancelled by the records", job.Cancelled, nil, 1},
+		{"done by the records", job.Done, nil, 1},
+		{"open", job.Open, nil, 0},
+		{"cancelled by a peer's word", job.Open, &Vouch{Cancelled: []string{"wk-700000"}}, 1},
+		{"not on record, cancelled by a peer's word", "", &Vouch{Cancelled: []string{"wk-700000"}}, 1},
+	} {
+		s := newScript(t)
+		s.pass(100 * time.Millisecond)
+		p := protocol.EntryPage{Ledger: 100}
+		if v.status != "" {
+			p.Entries = []protocol.Entry{{Key: keyJob + "wk-700000", Data: encode(storedJob{lateSpec(), v.status, 1, "n0"}), Stamp: 90}}
+		}
+		s.reply(protocol.PathKeys+"?", "", 200, p)
+		if v.vouch != nil {
+			s.take(s.c.Peer(s.clock(), "n0", Message{Vouch: v.vouch}))
+		}
+		s.report(0, 1, load)
+		s.reply(protocol.PathTxn, keyClaim, 200, protocol.TxnResult{Ledger: 120}) // which the watch does not reach
+		s.at += 500 * time.Millisecond
+		a := s.report(120, 2, load)
+		if a.Baton != 120 || len(a.Orders) != v.kills || v.kills > 0 && a.Orders[0].Verb != protocol.VerbKill {
+			t.Errorf("%s: answered with %+v, want %d kills", v.name, a, v.kills)
+		}
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"slices"
 	"sort"
 	"time"
 
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/budget"
+	"silvergate/internal/evidence"
 	"silvergate/internal/job"
 	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
@@ -59,7 +61,8 @@
 	// What the holder knows.
 	session    uint64
 	tally      uint64
-	shown      bool // a report carried our token
+	launchedAt evidence.Mark // of the newest answer to a direct launch
+	shown      bool          // a report carried our token
 	heard      time.Duration
 	answered   time.Duration // arrival of the last report answered with 200
 	asking     bool          // asked for its status
@@ -72,11 +75,14 @@
 	homeAt     time.Duration             // when it first came here while its own controller was down
 	sentAway   time.Duration             // to another controller, when it reported last
 	sent       map[taskKey]uint64        // tally of the report whose answer launched
-	direct     map[taskKey]int           // launches sent to /orders and not answered yet, with their attempt
+	direct     map[attempt]bool          // launches sent to /orders and not answered yet
 	tainted    bool                      // such a launch got no answer: it may be executed until a new token is seen
-	soon       []protocol.Order          // launches for the next direct call
+	shownAt    time.Duration             // when a report first carried our token
+	proved     bool                      // the mirror was complete after that
+	owed       []attempt                 // launches that wait for that
+	soon       []attempt                 // launches for the next direct call
 	begun      map[taskKey]time.Duration // first seen running
-	boundAt    map[taskKey]time.Duration // first seen bound
+	boundAt    map[taskKey]binding       // when it was bound
 	pulling    map[taskKey]bool          // last reported as waiting for the image
 	stops      map[taskKey]stop
 	reserved   int                 // tasks for which room is reserved
@@ -94,6 +100,19 @@
 	sparseAt   time.Duration // since when it holds few services and nothing else; 0: not
 }
 
+// attempt is one attempt of a task.
+type attempt struct {
+	taskKey
+	try int
+}
+
+// binding is when a task was bound: by our clock, and the revision, 0 if that is not
+// known.
+type binding struct {
+	at    time.Duration
+	since uint64
+}
+
 type stop struct {
 	grace float64
 	why   string
@@ -104,7 +123,7 @@
 	m := c.machines[id]
 	if m == nil {
 		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]time.Duration{}, sent: map[taskKey]uint64{},
-			stops: map[taskKey]stop{}, gone: map[taskKey]*record{}, direct: map[taskKey]int{}, begun: map[taskKey]time.Duration{}, pulling: map[taskKey]bool{}, boundAt: map[taskKey]time.Duration{}, errors: map[string]bool{}, idleAt: c.now}
+			stops: map[taskKey]stop{}, gone: map[taskKey]*record{}, direct: map[attempt]bool{}, begun: map[taskKey]time.Duration{}, pulling: map[taskKey]bool{}, boundAt: map[taskKey]binding{}, errors: map[string]bool{}, idleAt: c.now}
 		c.machines[id] = m
 	}
 	return m
@@ -167,9 +186,9 @@
 		return
 	}
 	m.claim, m.stamp = k, stamp
-	m.shown, m.released, m.adopted, m.homeAt = false, false, false, 0
+	m.shown, m.proved, m.released, m.adopted, m.homeAt = false, false, false, false, 0
 	clear(m.sent)
-	m.soon = nil
+	m.soon, m.owed = nil, nil
 	m.reoccupy()
 	if !c.mine(m) {
 		c.unlist(m)
@@ -249,7 +268,7 @@
 		return
 	}
 	c.adopt(m, r)
-	if c.mine(m) && r.Baton <= m.stamp && !(m.tainted && r.Baton == m.stamp) {
+	if c.standing(m).Hear(head(r)) != evidence.Claim {
 		c.accept(id, m, r)
 		return
 	}
@@ -356,25 +375,21 @@
 	if c.mine(m) || m.claiming || m.stamp == 0 || m.claim.Owner != c.cfg.Node || m.claim.Life == c.life || r.Baton != m.stamp {
 		return
 	}
-	listed := map[taskKey]int{}
+	listed := map[attempt]bool{}
 	for _, l := range r.Loads {
 		if id, i, err := job.SplitTaskName(l.Load); err == nil {
-			listed[taskKey{id, i}] = max(listed[taskKey{id, i}], l.Try)
+			listed[attempt{taskKey{id, i}, l.Try}] = true
 		}
 	}
-	for k, rec := range m.bound {
-		// In a later session nothing of the earlier ones is there or can come:
-		// the worker has forgotten it, and refuses what names another session.
-		if t := rec.task(c, k.index); t.Session > r.Shift || t.Session == r.Shift && listed[k] != t.Try {
+	for k := range m.bound {
+		if a, ok := c.boundHere(m, k); ok && !evidence.Adoptable(head(r), a, listed[attempt{k, a.Try}]) {
 			return
 		}
 	}
-	m.adopted, m.tainted = true, false
+	// Our records were read after that life had ended, with all that it did.
+	m.adopted, m.tainted, m.proved = true, false, true
 	m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
-	clear(m.direct)
-	for k, try := range listed {
-		m.direct[k] = try // also what has ended: it may not be forgotten yet
-	}
+	m.direct = listed // also what has ended: it may not be forgotten yet
 	c.own(m)
 	c.Stats.Adopted++
 }
@@ -427,6 +442,7 @@
 func (c *Core) take(m *machine, r *protocol.Report, tries int, done func(*machine, bool)) {
 	m.claiming = true
 	c.claims++
+	again := c.mine(m) && c.proved(m) // nobody else can have held it since
 	k := claim{c.cfg.Node, c.life, r.Address, r.Rig, r.Depot, r.Casual}
 	class := m.class()
 	c.store.Txn(class, []protocol.Cond{{Key: keyClaim + m.id, Stamp: m.stamp}},
@@ -441,6 +457,7 @@
 				// one is seen, and nothing is believed before that.
 				m.tainted = false
 				clear(m.direct)
+				m.proved = again && tries == 0
 				c.Stats.Claims++
 				m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
 				done(m, true)
@@ -467,22 +484,21 @@
 		c.refuse(id, 503, "the claim was lost")
 		return
 	}
-	if r.Shift < m.session || (r.Shift == m.session && r.Tally <= m.tally) {
-		// A report that was held back: its list is old and its sender has
-		// given up on it.
+	hearing := c.standing(m).Hear(head(r))
+	if hearing == evidence.Stale {
+		// Its list is old and its sender has given up on it.
 		c.refuse(id, 503, "an older report")
 		return
 	}
 	m.session, m.tally, m.heard, m.mute = r.Shift, r.Tally, c.now, 0
 	m.recalled = r.RecallS != nil
-	if r.Baton == m.stamp {
-		m.shown = true
+	if r.Baton == m.stamp && !m.shown {
+		m.shown, m.shownAt = true, c.now
 	}
 	ans := protocol.CheckinAnswer{Baton: m.stamp, Orders: []protocol.Order{}}
-	// Our token in the report shows that no earlier holder's answer counts
-	// any more; the mirror must also contain all that they committed, which
-	// was conditioned on their claim and so came before ours.
-	if m.shown && r.Baton == m.stamp && c.store.Ledger() >= m.stamp {
+	if hearing != evidence.Believe {
+		ans.Orders = c.killFinal(r)
+	} else {
 		ans.Orders = c.orders(m, r)
 		m.released = false
 		if m.recalled {
@@ -496,11 +512,32 @@
 	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: 200, Body: encode(ans), Urgent: m.urgent()})
 }
 
+// killFinal stops what belongs to jobs that are over. It is safe whatever the records
+// lack, as final states never change.
+//
+// Guards against cancelled tasks that lived on: the answer to a report that is not
+// believed renews the lease, and the horizon stands on every cancellation that we know
+// of being told with the answer. A controller whose watch was late answered so for
+// twenty seconds, and the next one after it.
+func (c *Core) killFinal(r *protocol.Report) []protocol.Order {
+	orders := []protocol.Order{}
+	zero := 0.0
+	for i := range r.Loads {
+		l := &r.Loads[i]
+		id, _, err := job.SplitTaskName(l.Load)
+		if rec := c.jobs[id]; err == nil && l.Status != protocol.LoadEnded && (rec != nil && rec.final() || c.vouches.cancelled[id]) {
+			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
+		}
+	}
+	return orders
+}
+
 // orders compares a report with the records: what should be on the machine is
 // launched, what should not be is stopped, and endings are proposed for commit
 // and forgotten once committed.
 func (c *Core) orders(m *machine, r *protocol.Report) []protocol.Order {
 	orders := []protocol.Order{}
+	st := c.standing(m)
 	listed := c.listed
 	clear(listed)
 	zero := 0.0
@@ -511,32 +548,29 @@
 			continue
 		}
 		k := taskKey{id, index}
-		rec := c.jobs[id]
-		var t *job.Task
-		if rec != nil {
-			t = rec.task(c, index)
-		}
-		if t == nil || t.Phase != job.Bound || t.Machine != m.id || t.Session != r.Shift || t.Try != l.Try {
-			// Not an attempt of ours, or one whose ending is committed.
-			if l.Status == protocol.LoadEnded {
-				// A launch still on its way would start a forgotten attempt
-				// again, so it is forgotten after the answer to that.
-				if try, under := m.direct[k]; under && try == l.Try {
-					m.tainted = m.tainted || m.adopted // a new token settles it
-					continue
-				}
-				orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Load: l.Load, Try: l.Try})
-			} else {
-				orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
-			}
+		a, bound := c.boundHere(m, k)
+		act, _ := st.Listed(head(r), evidence.Load{Try: l.Try, Ended: l.Status == protocol.LoadEnded}, a, bound, m.direct[attempt{k, l.Try}])
+		switch act {
+		case evidence.Renew:
+			m.tainted = true
+			continue
+		case evidence.Forget:
+			orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Load: l.Load, Try: l.Try})
+			continue
+		case evidence.Kill:
+			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
 			continue
 		}
+		if !bound || a.Session != r.Shift || a.Try != l.Try {
+			continue // to be forgotten later
+		}
+		rec := c.jobs[id]
 		listed[k] = true
 		if c.verbose {
 			c.log.Debug("reported", "load", l.Load, "try", l.Try, "status", l.Status, "cause", l.Cause, "stoker", m.id)
 		}
-		if l.Status == protocol.LoadEnded {
-			c.ended(m, rec, k, t, l)
+		if act == evidence.Release {
+			c.ended(m, rec, k, rec.task(c, index), l)
 			continue
 		}
 		switch l.Status {
@@ -562,39 +596,30 @@
 	for _, k := range m.unlisted(listed) {
 		rec := m.bound[k]
 		t := rec.task(c, k.index)
-		gone := change{machine: m.id, session: t.Session, try: t.Try}
-		if t.Session < r.Shift {
-			gone.why = losses.Session
-			m.vacate(k, rec)
-			c.propose(rec, k.index, gone) // its session is over
-			continue
-		}
-		if t.Session > r.Shift {
-			continue
-		}
 		_, stopping := m.stops[k]
-		if rec.final() || stopping || m.recalled {
-			// An answer to an earlier report has been executed or dropped by
-			// now, and no direct launch is under way, so what this newer
-			// report lacks is not there and nothing can bring it.
-			if _, under := m.direct[k]; under {
-				m.tainted = m.tainted || m.adopted
-				continue
-			}
-			if at, ok := m.sent[k]; !ok || at < r.Tally {
-				gone.guard, gone.why = true, losses.Absent
-				m.vacate(k, rec)
-				c.propose(rec, k.index, gone)
+		wanted := !rec.final() && !stopping && !m.recalled
+		at, told := m.sent[k]
+		a := attempt{k, t.Try}
+		b, _ := c.boundHere(m, k)
+		act, kind := st.Lacking(head(r), b, evidence.Launches{Direct: m.direct[a], Told: told, At: at}, wanted, c.ending(rec, k.index))
+		switch act {
+		case evidence.Renew:
+			m.tainted = true
+		case evidence.Release:
+			m.vacate(k, rec)
+			c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: kind, why: why[kind]})
+			if kind == evidence.Absent {
 				delete(m.stops, k)
 			}
-			continue
-		}
-		if c.ending(rec, k.index) {
-			continue // never launch what is about to be committed as ended
+		case evidence.Launch:
+			m.sent[k] = r.Tally
+			c.traceStart(losses.Launch, k.id, k.index, t.Try, m.id)
+			orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: t.Try, Seal: c.view.sealLaunch(m, k, t.Try)})
+		case evidence.Keep:
+			if wanted && t.Session == r.Shift {
+				m.owe(a)
+			}
 		}
-		m.sent[k] = r.Tally
-		c.traceStart(losses.Launch, k.id, k.index, t.Try, m.id)
-		orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: t.Try, Seal: c.view.sealLaunch(m, k, t.Try)})
 	}
 	for k := range m.stops {
 		if m.bound[k] == nil {
@@ -632,7 +657,7 @@
 }
 
 func (c *Core) ended(m *machine, rec *record, k taskKey, t *job.Task, l *protocol.Load) {
-	ch := change{machine: m.id, session: t.Session, try: t.Try, done: l.Cause == protocol.CauseDone, failed: l.Cause == protocol.CauseError, why: l.Cause}
+	ch := change{machine: m.id, session: t.Session, try: t.Try, kind: evidence.Ended, done: l.Cause == protocol.CauseDone, failed: l.Cause == protocol.CauseError, why: l.Cause}
 	if ch.failed {
 		m.errors[k.id] = true
 		if rec.failedOn == nil {
@@ -725,14 +750,14 @@
 		if c.now-m.heard > entryAge {
 			c.unlist(m)
 		}
-		if m.shown && m.answered > 0 && c.now-m.answered > c.leaseOver() {
-			// The worker has killed everything: its lease is over.
+		c.launchOwed(m)
+		if c.standing(m).LeaseOver(c.now, m.answered, c.leaseOver()) {
 			m.released = true
 			for _, k := range m.tasks() {
 				rec := m.bound[k]
 				t := rec.task(c, k.index)
 				if t.Session <= m.session && !c.ending(rec, k.index) {
-					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, guard: true, why: losses.Lease})
+					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: evidence.Lease, why: losses.Lease})
 				}
 			}
 		}
@@ -854,22 +879,44 @@
 	if len(m.soon) == 0 {
 		c.launching = append(c.launching, m)
 	}
-	c.traceStart(losses.Launch, k.id, k.index, try, id)
-	m.soon = append(m.soon, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: try, Seal: c.view.sealLaunch(m, k, try)})
-	m.direct[k] = try
+	m.soon = append(m.soon, attempt{k, try})
 }
 
 // sendLaunches makes one direct call for every machine with launches.
 //
+// A launch is judged here, at the end of the step, and not when the record that
+// binds it comes: the same answer of the watch may bring that it has ended since.
+//
 // Guards against late execution: a direct command may be carried out minutes
 // after we gave up on it, as long as token and session match. Until its answer
 // the attempt is neither forgotten nor released for being absent; without an
 // answer the machine is tainted, and its next report gets a new token.
 func (c *Core) sendLaunches() {
 	for _, m := range c.launching {
-		orders := m.soon
+		soon := m.soon
 		m.soon = nil
-		if len(orders) == 0 || !c.mine(m) {
+		var orders []protocol.Order
+		var sent []attempt
+		for _, a := range soon {
+			b, ok := c.boundHere(m, a.taskKey)
+			if !ok || b.Try != a.try || m.bound[a.taskKey].final() {
+				c.log.Debug("launch withheld: the attempt is over", "load", job.TaskName(a.id, a.index), "try", a.try, "stoker", m.id)
+				continue
+			}
+			if !c.standing(m).Direct(b) {
+				if b.Session == m.session {
+					c.log.Debug("launch withheld: the records are behind", "load", job.TaskName(a.id, a.index), "try", a.try, "stoker", m.id,
+						"ledger", c.store.Ledger(), "token", m.stamp, "since", b.Since)
+					m.owe(a)
+				}
+				continue
+			}
+			c.traceStart(losses.Launch, a.id, a.index, a.try, m.id)
+			m.direct[a] = true
+			sent = append(sent, a)
+			orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(a.id, a.index), Try: a.try, Seal: c.view.sealLaunch(m, a.taskKey, a.try)})
+		}
+		if len(orders) == 0 {
 			continue
 		}
 		token := m.stamp
@@ -879,17 +926,82 @@
 			if m.stamp != token {
 				return // a newer token was taken meanwhile
 			}
-			if r.Status == 0 && r.Sent {
-				m.tainted = true
+			var rep protocol.Report
+			carried := r.Status == http.StatusOK && protocol.Decode(r.Body, &rep) == nil
+			if !carried && (r.Status == 0 && r.Sent || r.Status == http.StatusOK || r.Status >= 500) {
+				m.tainted = true // it may have been carried out, or may yet be
 				return
 			}
+			if at := (evidence.Mark{Shift: rep.Shift, Tally: rep.Tally}); carried && m.launchedAt.Before(at) {
+				m.launchedAt = at
+			}
 			c.observe(m, token, r)
-			for _, o := range orders {
-				if id, i, err := job.SplitTaskName(o.Load); err == nil {
-					delete(m.direct, taskKey{id, i})
-				}
+			for _, a := range sent {
+				delete(m.direct, a)
 			}
 		})
 	}
 	c.launching = c.launching[:0]
 }
+
+// owe notes a launch that has to wait until the records are known to be complete.
+func (m *machine) owe(a attempt) {
+	if !slices.Contains(m.owed, a) {
+		m.owed = append(m.owed, a)
+	}
+}
+
+// launchOwed sends launches that had to wait, once they need not any more. Without
+// it they would wait for the worker's next report.
+func (c *Core) launchOwed(m *machine) {
+	if len(m.owed) == 0 || !c.proved(m) {
+		return
+	}
+	owed := m.owed
+	m.owed = nil
+	for _, a := range owed {
+		_, stopping := m.stops[a.taskKey]
+		_, told := m.sent[a.taskKey]
+		b, ok := c.boundHere(m, a.taskKey)
+		if !ok || b.Try != a.try || told || stopping || m.recalled || m.direct[a] || c.ending(m.bound[a.taskKey], a.index) {
+			continue
+		}
+		c.launchSoon(m.id, a.taskKey, a.try)
+	}
+}
+
+// standing is what this controller knows of a machine, for a decision.
+func (c *Core) standing(m *machine) evidence.Standing {
+	return evidence.Standing{Ours: c.mine(m), Adopted: m.adopted, Token: m.stamp, Ledger: c.store.Ledger(), Shown: m.shown, Proved: c.proved(m),
+		Tainted: m.tainted, Session: m.session, Tally: m.tally, Newest: m.launchedAt}
+}
+
+// proved tells whether the mirror was complete at a moment when the worker had
+// shown our token.
+func (c *Core) proved(m *machine) bool {
+	if !m.proved && m.shown && c.store.Fresh() >= m.shownAt {
+		m.proved = true
+	}
+	return m.proved
+}
+
+// boundHere is what the records bind to a machine of a task, if anything.
+func (c *Core) boundHere(m *machine, k taskKey) (evidence.Attempt, bool) {
+	rec := m.bound[k]
+	if rec == nil {
+		return evidence.Attempt{}, false
+	}
+	t := rec.task(c, k.index)
+	if t == nil || t.Phase != job.Bound || t.Machine != m.id {
+		return evidence.Attempt{}, false
+	}
+	return evidence.Attempt{Try: t.Try, Session: t.Session, Since: m.boundAt[k].since}, true
+}
+
+// head is a report without its list.
+func head(r *protocol.Report) evidence.Report {
+	return evidence.Report{Baton: r.Baton, Shift: r.Shift, Tally: r.Tally}
+}
+
+// why names kinds of evidence in the debug log, as internal/losses reads them.
+var why = map[evidence.Kind]string{evidence.Session: losses.Session, evidence.Absent: losses.Absent, evidence.Lease: losses.Lease, evidence.Cloud: losses.Cloud}
--- /dev/null
+++ b/internal/evidence/model_test.go
@@ -0,0 +1,736 @@
+package evidence
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"silvergate/internal/explore"
+)
+
+// The model: two controllers, two machines and one task, a state service that keeps
+// its history, and what the world may do. Watches bring any prefix of what happened
+// since, at any time; transactions are applied late, without an answer or not at all;
+// reports are held back; answers are dropped; direct orders are carried out late;
+// workers' leases end; controllers freeze (nothing of theirs need happen), are cut off
+// and crash; machines are deleted. Time is not counted: a lease may end at any
+// moment, and the holder may know it as soon as it must have.
+//
+// The promise is stronger than the rule that a task must not run twice: whatever runs
+// is what the records bind there, in that session.
+
+const (
+	controllers = 2
+	machines    = 2
+	revisions   = 12
+	attempts    = 3
+	taskKey     = machines // keys: the machines' claims, then the task
+	keys        = machines + 1
+)
+
+// change is one revision: a claim (owner, life) or the task (bound, try, machine,
+// session).
+type change struct{ key, a, b, c, d uint8 }
+
+// Kinds of transactions.
+const (
+	claiming = iota + 1
+	releasing
+	placing
+)
+
+type txn struct {
+	kind, m, try, session, ifTask, ifClaim uint8
+	again                                  bool // the claim renews one of ours
+	done                                   uint8
+}
+
+const unconditional = 255
+
+// launch is a direct order under way; late: its sender has given up on it.
+type launch struct {
+	on, late               bool
+	m, token, session, try uint8
+}
+
+// view is what a controller knows of a machine.
+type view struct {
+	shown, proved, tainted, adopted      bool
+	before                               bool // shown before the open watch was opened
+	session, tally, answered, answeredIn uint8
+	told, toldAt, direct                 uint8
+	directIn, directAt                   uint8 // of the newest answer to a direct launch
+}
+
+type proposal struct{ kind, m, session, try, token uint8 }
+
+type controller struct {
+	life, ledger, opened uint8
+	known                [keys]uint8
+	since                uint8
+	v                    [machines]view
+	p                    proposal
+	claim, page, late    txn
+	direct               launch
+	unwanted             bool
+}
+
+type report struct {
+	on                     bool
+	c, shift, tally, baton uint8
+	loads                  [attempts + 1]uint8
+}
+
+// States of a load.
+const (
+	nothing = iota
+	running
+	ended
+)
+
+type exchange struct {
+	r                           report
+	answered                    bool
+	token, launch, forget, kill uint8
+}
+
+type worker struct {
+	gone                           bool
+	session, baton, tally, renewed uint8
+	loads                          [attempts + 1]uint8
+	x                              exchange
+	held                           report
+}
+
+type world struct {
+	rev                       uint8
+	hist                      [revisions + 1]change
+	c                         [controllers]controller
+	w                         [machines]worker
+	crashes, deletions, holds uint8
+}
+
+// bounds keep a walk finite.
+type bounds struct {
+	machines, revs, tries, sessions, tallies, crashes, deletions, holds uint8
+}
+
+// defect is what is broken on purpose; the zero value is the code as it is.
+type defect struct {
+	name                                                                         string
+	noClaim, noToken, noLedger, unproved, noDirect, noTold, oneSlot              bool
+	adoptAll, adoptForgets, noTaint, noStamp, leaseUnshown, anyDirect, overtaken bool
+}
+
+// truth is a key's present value and stamp.
+func (s *world) truth(key uint8) (change, uint8) { return s.at(key, s.rev) }
+
+func (s *world) at(key, rev uint8) (change, uint8) {
+	for i := rev; i > 0; i-- {
+		if s.hist[i].key == key+1 {
+			return s.hist[i], i
+		}
+	}
+	return change{}, 0
+}
+
+// of is a key's value as a controller knows it.
+func (s *world) of(c, key uint8) change {
+	if stamp := s.c[c].known[key]; stamp > 0 {
+		return s.hist[stamp]
+	}
+	return change{}
+}
+
+func (s *world) write(ch change) uint8 {
+	s.rev++
+	s.hist[s.rev] = ch
+	return s.rev
+}
+
+type model struct {
+	b bounds
+	d defect
+}
+
+func (md *model) standing(s *world, c, m uint8) Standing {
+	n, v := &s.c[c], &s.c[c].v[m]
+	k := s.of(c, m)
+	st := Standing{Ours: k.a == c+1 && (k.b == n.life || v.adopted), Adopted: v.adopted, Token: uint64(n.known[m]), Ledger: uint64(n.ledger),
+		Shown: v.shown, Proved: v.proved, Tainted: v.tainted, Session: uint64(v.session), Tally: uint64(v.tally),
+		Newest: Mark{uint64(v.directIn), uint64(v.directAt)}}
+	if md.d.overtaken {
+		st.Newest = Mark{}
+	}
+	if md.d.noLedger {
+		st.Ledger = 1 << 20
+	}
+	if md.d.unproved {
+		st.Proved = true
+	}
+	if md.d.noTaint {
+		st.Tainted = false
+	}
+	if md.d.leaseUnshown {
+		st.Shown = true
+	}
+	if md.d.adoptForgets {
+		st.Adopted = false
+	}
+	return st
+}
+
+// bound is what a controller's records bind to a machine.
+func (md *model) bound(s *world, c, m uint8) (Attempt, bool) {
+	t := s.of(c, taskKey)
+	return Attempt{Try: int(t.b), Session: uint64(t.d), Since: uint64(s.c[c].since)}, t.a == 1 && t.c == m
+}
+
+// learn brings a key's revision into a controller's mirror.
+func (md *model) learn(s *world, c, key, stamp uint8) {
+	n := &s.c[c]
+	if stamp <= n.known[key] {
+		return
+	}
+	n.known[key] = stamp
+	if key < machines {
+		v := &n.v[key]
+		v.shown, v.proved, v.adopted, v.before, v.told, v.toldAt = false, false, false, false, 0, 0
+		return
+	}
+	n.since, n.unwanted = stamp, false
+	for m := range n.v {
+		n.v[m].told, n.v[m].toldAt = 0, 0
+	}
+	md.launchSoon(s, c)
+}
+
+// launchSoon sends a direct launch of what is newly bound to a machine of ours.
+func (md *model) launchSoon(s *world, c uint8) {
+	n := &s.c[c]
+	for m := uint8(0); m < md.b.machines; m++ {
+		a, ok := md.bound(s, c, m)
+		if !ok || n.direct.on {
+			continue
+		}
+		st := md.standing(s, c, m)
+		if md.d.anyDirect && st.Ours && st.Shown && !st.Tainted && a.Session == st.Session || st.Direct(a) {
+			n.direct = launch{on: true, m: m, token: n.known[m], session: n.v[m].session, try: uint8(a.Try)}
+			if md.d.oneSlot {
+				n.v[m].direct = 0
+			}
+			n.v[m].direct |= 1 << a.Try
+		}
+	}
+}
+
+// receive has a controller take a report; it tells what the answer carries.
+func (md *model) receive(s *world, c, m uint8, r report) (x exchange) {
+	n, v := &s.c[c], &s.c[c].v[m]
+	head := Report{Baton: uint64(r.baton), Shift: uint64(r.shift), Tally: uint64(r.tally)}
+	a, isBound := md.bound(s, c, m)
+	if k := s.of(c, m); k.a == c+1 && k.b < n.life && !v.adopted && r.baton == n.known[m] && n.claim.kind == 0 &&
+		(!isBound || md.d.adoptAll || Adoptable(head, a, r.loads[a.Try] != nothing)) {
+		*v = view{adopted: true, proved: true}
+		for t, l := range r.loads {
+			if l != nothing {
+				v.direct |= 1 << t
+			}
+		}
+	}
+	st := md.standing(s, c, m)
+	hearing := st.Hear(head)
+	switch hearing {
+	case Claim:
+		if n.claim.kind == 0 {
+			n.claim = txn{kind: claiming, m: m, ifClaim: n.known[m], again: st.Ours && v.proved}
+		}
+		return x
+	case Stale:
+		return x
+	}
+	v.session, v.tally = r.shift, r.tally
+	if r.baton == n.known[m] && !v.shown {
+		v.shown = true
+	}
+	x = exchange{r: r, answered: true, token: n.known[m]}
+	// Our clock starts with the report's arrival: what the worker has sent and begun by
+	// now is covered by it, however old this report is.
+	v.answered, v.answeredIn = s.w[m].tally, s.w[m].session
+	if hearing != Believe {
+		return x
+	}
+	st = md.standing(s, c, m)
+	listed := false
+	for t := 1; t <= attempts; t++ {
+		if r.loads[t] == nothing {
+			continue
+		}
+		listed = listed || isBound && a.Session == uint64(r.shift) && a.Try == t
+		act, kind := st.Listed(head, Load{Try: t, Ended: r.loads[t] == ended}, a, isBound, v.direct>>t&1 == 1 && !md.d.noDirect)
+		switch act {
+		case Kill:
+			x.kill |= 1 << t
+		case Forget:
+			x.forget |= 1 << t
+		case Renew:
+			v.tainted = true
+		case Release:
+			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), n.known[m]}
+		case Keep:
+			if n.unwanted && isBound && a.Try == t {
+				x.kill |= 1 << t
+			}
+		}
+	}
+	if isBound && !listed {
+		l := Launches{Direct: v.direct>>a.Try&1 == 1 && !md.d.noDirect, Told: v.told == uint8(a.Try) && !md.d.noTold, At: uint64(v.toldAt)}
+		switch act, kind := st.Lacking(head, a, l, !n.unwanted, n.p.kind != 0 || n.page.kind != 0); act {
+		case Release:
+			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), n.known[m]}
+		case Renew:
+			v.tainted = true
+		case Launch:
+			v.told, v.toldAt = uint8(a.Try), r.tally
+			x.launch = uint8(a.Try)
+		}
+	}
+	return x
+}
+
+// start has a worker carry out a launch.
+func (w *worker) start(try uint8) {
+	if w.loads[try] != nothing {
+		return
+	}
+	w.loads[try] = running
+	for t, l := range w.loads {
+		if uint8(t) != try && l == running {
+			w.loads[try] = ended // refused: busy
+		}
+	}
+}
+
+// execute has a state service carry out a transaction.
+func (md *model) execute(s *world, c uint8, t *txn) (done uint8) {
+	_, task := s.truth(taskKey)
+	_, claim := s.truth(t.m)
+	if t.kind != claiming && task != t.ifTask && !md.d.noStamp || t.ifClaim != unconditional && claim != t.ifClaim {
+		return 2
+	}
+	switch t.kind {
+	case claiming:
+		s.write(change{t.m + 1, c + 1, s.c[c].life, 0, 0})
+	case releasing:
+		s.write(change{taskKey + 1, 0, t.try, 0, 0})
+	case placing:
+		s.write(change{taskKey + 1, 1, t.try, t.m, t.session})
+	}
+	return 1
+}
+
+func (md *model) next(s *world, emit func(world)) {
+	var t world
+	try := func(do func()) {
+		t = *s
+		do()
+		emit(t)
+	}
+	for c := uint8(0); c < controllers; c++ {
+		md.nextController(s, &t, c, try)
+	}
+	for m := uint8(0); m < md.b.machines; m++ {
+		if !s.w[m].gone {
+			md.nextWorker(s, &t, m, try)
+		}
+	}
+}
+
+func (md *model) nextController(s, t *world, c uint8, try func(func())) {
+	n := &s.c[c]
+	// The watch is answered, with any prefix that holds what there was when it was opened.
+	for l := max(n.ledger, n.opened); l <= s.rev; l++ {
+		if l == n.ledger && (n.v[0].proved || !n.v[0].before) && (n.v[1].proved || !n.v[1].before) && n.v[0].before == n.v[0].shown && n.v[1].before == n.v[1].shown {
+			continue // nothing would change
+		}
+		try(func() {
+			n := &t.c[c]
+			for rev := n.ledger + 1; rev <= l; rev++ {
+				n.ledger = rev
+				md.learn(t, c, t.hist[rev].key-1, rev)
+			}
+			for m := range n.v {
+				n.v[m].proved = n.v[m].proved || n.v[m].before && n.v[m].shown
+				n.v[m].before = n.v[m].shown
+			}
+			n.opened = t.rev
+		})
+	}
+	md.nextTxn(s, t, c, try, func(n *controller) *txn { return &n.claim })
+	md.nextTxn(s, t, c, try, func(n *controller) *txn { return &n.page })
+	if n.late.kind != 0 && s.rev < md.b.revs {
+		try(func() {
+			md.execute(t, c, &t.c[c].late)
+			t.c[c].late = txn{}
+		})
+	}
+	if n.page.kind == 0 && n.p.kind != 0 { // a proposal goes into a transaction
+		try(func() {
+			n, p := &t.c[c], t.c[c].p
+			a, ok := md.bound(t, c, p.m)
+			found := Found{Kind(p.kind), uint64(p.token)}
+			if md.d.noToken {
+				found.Token = uint64(n.known[p.m])
+			}
+			may, onClaim := md.standing(t, c, p.m).Commit(found)
+			if !ok || a.Session != uint64(p.session) || a.Try != int(p.try) || !may {
+				n.p = proposal{}
+				return
+			}
+			n.page = txn{kind: releasing, m: p.m, try: p.try, ifTask: n.known[taskKey], ifClaim: unconditional}
+			if onClaim && !md.d.noClaim {
+				n.page.ifClaim = n.known[p.m]
+			}
+		})
+	}
+	task := s.of(c, taskKey)
+	for m := uint8(0); m < md.b.machines; m++ {
+		st, v := md.standing(s, c, m), &n.v[m]
+		_, bound := md.bound(s, c, m)
+		if task.a == 0 && task.b < md.b.tries && n.page.kind == 0 && st.Ours && v.shown && (n.claim.kind == 0 || n.claim.m != m) {
+			try(func() {
+				t.c[c].page = txn{kind: placing, m: m, try: task.b + 1, session: v.session, ifTask: n.known[taskKey], ifClaim: n.known[m]}
+			})
+		}
+		if bound && st.Ours && !n.unwanted {
+			try(func() { t.c[c].unwanted = true })
+		}
+		// The lease has ended if the worker is in a later session, or somebody else has
+		// renewed it: then our clock may say so all the same.
+		w := &s.w[m]
+		if bound && task.d <= v.session && n.p.kind == 0 && n.page.kind == 0 && (w.gone || w.session > v.answeredIn || w.renewed > v.answered) &&
+			st.LeaseOver(time.Hour, time.Duration(v.answered), time.Minute) {
+			try(func() { t.c[c].p = proposal{uint8(Lease), m, task.d, task.b, n.known[m]} })
+		}
+		if bound && w.gone && n.p.kind == 0 && n.page.kind == 0 {
+			try(func() { t.c[c].p = proposal{uint8(Cloud), m, task.d, task.b, n.known[m]} })
+		}
+	}
+	if d := n.direct; d.on {
+		deliver := func(t *world) {
+			if w := &t.w[d.m]; !w.gone && d.token >= w.baton && d.session == w.session {
+				w.baton = d.token
+				w.start(d.try)
+			}
+		}
+		try(func() { // carried out, answered or not
+			deliver(t)
+			n, w := &t.c[c], &t.w[d.m]
+			w.tally++
+			if v := &n.v[d.m]; !d.late && n.known[d.m] == d.token {
+				v.direct &^= 1 << d.try
+				v.directIn, v.directAt = w.session, w.tally
+			}
+			n.direct = launch{}
+		})
+		if !d.late {
+			try(func() {
+				deliver(t)
+				t.w[d.m].tally++
+				t.c[c].taint(d)
+				t.c[c].direct = launch{}
+			})
+			try(func() {
+				t.c[c].taint(d)
+				t.c[c].direct.late = true
+			})
+		}
+	}
+	if s.crashes < md.b.crashes {
+		for _, late := range []txn{n.late, n.page, n.claim} {
+			if late.done != 0 {
+				late = txn{}
+			}
+			try(func() {
+				d := t.c[c].direct
+				d.late = d.on
+				t.c[c] = controller{life: n.life + 1, ledger: t.rev, opened: t.rev, late: late, direct: d}
+				for k := range uint8(keys) {
+					_, t.c[c].known[k] = t.truth(k)
+				}
+				t.crashes++
+			})
+		}
+	}
+}
+
+// taint notes that a direct launch was not answered.
+func (n *controller) taint(d launch) {
+	if n.known[d.m] == d.token {
+		n.v[d.m].tainted = true
+	}
+}
+
+// nextTxn is what may become of a transaction under way.
+func (md *model) nextTxn(s, t *world, c uint8, try func(func()), which func(*controller) *txn) {
+	x := *which(&s.c[c])
+	switch {
+	case x.kind == 0:
+	case x.done == 0:
+		if s.rev < md.b.revs {
+			try(func() { which(&t.c[c]).done = md.execute(t, c, &x) })
+		}
+		try(func() { // given up; it may be applied late
+			if t.c[c].late.kind == 0 {
+				t.c[c].late = x
+			}
+			*which(&t.c[c]) = txn{}
+		})
+	default:
+		try(func() { *which(&t.c[c]) = txn{} }) // its answer is lost
+		try(func() {
+			n := &t.c[c]
+			*which(n) = txn{}
+			key := uint8(taskKey)
+			if x.kind == claiming {
+				key = x.m
+			}
+			_, stamp := t.truth(key)
+			if x.done == 2 {
+				if x.kind == claiming {
+					md.learn(t, c, key, stamp) // it is read
+				}
+				return
+			}
+			// The answer tells the revision that it made; what came later is not known.
+			for stamp = t.rev; stamp > 0; stamp-- {
+				if h := t.hist[stamp]; h.key == key+1 && md.made(h, c, n, x) {
+					break
+				}
+			}
+			if x.kind == releasing {
+				n.p = proposal{}
+			}
+			md.learn(t, c, key, stamp)
+			if x.kind == claiming && n.known[key] == stamp {
+				n.v[x.m] = view{proved: x.again}
+			}
+		})
+	}
+}
+
+// made tells whether a revision is what a transaction wrote.
+func (md *model) made(h change, c uint8, n *controller, x txn) bool {
+	switch x.kind {
+	case claiming:
+		return h.a == c+1 && h.b == n.life
+	case releasing:
+		return h.a == 0 && h.b == x.try
+	}
+	return h.a == 1 && h.b == x.try && h.c == x.m
+}
+
+func (md *model) nextWorker(s, t *world, m uint8, try func(func())) {
+	w := &s.w[m]
+	switch x := w.x; {
+	case !x.r.on && w.tally < md.b.tallies:
+		for c := uint8(0); c < controllers; c++ {
+			try(func() {
+				w := &t.w[m]
+				w.tally++
+				w.x = exchange{r: report{true, c, w.session, w.tally, w.baton, w.loads}}
+			})
+		}
+	case x.r.on && !x.answered:
+		try(func() { t.w[m].x = md.receive(t, x.r.c, m, x.r) })
+		try(func() { t.w[m].x = exchange{} })
+		if !w.held.on && s.holds < md.b.holds {
+			try(func() { t.w[m].x, t.w[m].held = exchange{}, x.r; t.holds++ })
+		}
+	case x.answered:
+		try(func() { t.w[m].x = exchange{} }) // late: dropped
+		try(func() {
+			w := &t.w[m]
+			w.x = exchange{}
+			if x.token < w.baton || x.r.shift != w.session {
+				return
+			}
+			w.baton, w.renewed = x.token, x.r.tally
+			for i := 1; i <= attempts; i++ {
+				if x.forget>>i&1 == 1 && w.loads[i] == ended {
+					w.loads[i] = nothing
+				}
+				if x.kill>>i&1 == 1 && w.loads[i] == running {
+					w.loads[i] = ended
+				}
+			}
+			if x.launch > 0 {
+				w.start(x.launch)
+			}
+		})
+	}
+	if w.held.on {
+		try(func() {
+			md.receive(t, w.held.c, m, w.held)
+			t.w[m].held = report{}
+		})
+	}
+	if w.session < md.b.sessions {
+		try(func() {
+			t.w[m].session++
+			t.w[m].loads = [attempts + 1]uint8{}
+		})
+	}
+	for i := 1; i <= attempts; i++ {
+		if w.loads[i] == running {
+			try(func() { t.w[m].loads[i] = ended })
+		}
+	}
+	if s.deletions < md.b.deletions {
+		try(func() { t.w[m] = worker{gone: true}; t.deletions++ })
+	}
+}
+
+func (md *model) broken(s *world) string {
+	task, _ := s.truth(taskKey)
+	for m := range s.w {
+		for i, l := range s.w[m].loads {
+			if l == running && (task.a != 1 || task.c != uint8(m) || task.b != uint8(i) || task.d != s.w[m].session) {
+				return fmt.Sprintf("attempt %d runs on machine %d in session %d, the record says %s", i, m, s.w[m].session, task.task())
+			}
+		}
+	}
+	return ""
+}
+
+func (h change) task() string {
+	if h.a == 0 {
+		return fmt.Sprintf("pending after attempt %d", h.b)
+	}
+	return fmt.Sprintf("attempt %d on machine %d in session %d", h.b, h.c, h.d)
+}
+
+// label says what a step did, from what differs.
+func label(a, b *world) string {
+	out := ""
+	for rev := a.rev + 1; rev <= b.rev; rev++ {
+		if h := b.hist[rev]; h.key == taskKey+1 {
+			out += fmt.Sprintf("revision %d: the task is %s; ", rev, h.task())
+		} else {
+			out += fmt.Sprintf("revision %d: machine %d is claimed by controller %d, life %d; ", rev, h.key-1, h.a-1, h.b)
+		}
+	}
+	for c := range b.c {
+		x, y := &a.c[c], &b.c[c]
+		switch {
+		case x.life != y.life:
+			out += fmt.Sprintf("controller %d crashes; ", c)
+			continue
+		case x.ledger != y.ledger:
+			out += fmt.Sprintf("controller %d's watch reaches %d of %d; ", c, y.ledger, b.rev)
+		case x.opened != y.opened:
+			out += fmt.Sprintf("controller %d's watch brings nothing; ", c)
+		}
+		if y.p.kind != 0 && x.p != y.p {
+			out += fmt.Sprintf("controller %d finds %v of attempt %d on machine %d under token %d; ", c, Kind(y.p.kind), y.p.try, y.p.m, y.p.token)
+		}
+		for i, kind := range [][2]txn{{x.claim, y.claim}, {x.page, y.page}, {x.late, y.late}} {
+			what := [...]string{"", "a claim", "a release", "a placement"}
+			switch u, v := kind[0], kind[1]; {
+			case u.kind == 0 && v.kind != 0 && i < 2:
+				out += fmt.Sprintf("controller %d sends %s of machine %d; ", c, what[v.kind], v.m)
+			case u.kind == 0 && v.kind != 0:
+				out += fmt.Sprintf("controller %d gives up on %s, which may come late; ", c, what[v.kind])
+			case u.done == 0 && v.done == 2:
+				out += fmt.Sprintf("controller %d's %s is refused; ", c, what[u.kind][2:])
+			case u.kind != 0 && v.kind == 0 && u.done == 1 && i < 2:
+				out += fmt.Sprintf("controller %d is done with %s; ", c, what[u.kind])
+			}
+		}
+		if y.direct.on && !x.direct.on {
+			out += fmt.Sprintf("controller %d launches attempt %d on machine %d directly, token %d; ", c, y.direct.try, y.direct.m, y.direct.token)
+		} else if x.direct.on && !y.direct.on {
+			out += fmt.Sprintf("controller %d's direct launch of attempt %d arrives; ", c, x.direct.try)
+		} else if y.direct.late && !x.direct.late {
+			out += fmt.Sprintf("controller %d gives up on its direct launch; ", c)
+		}
+		if y.unwanted && !x.unwanted {
+			out += fmt.Sprintf("controller %d wants the task stopped; ", c)
+		}
+	}
+	for m := range b.w {
+		x, y := &a.w[m], &b.w[m]
+		switch {
+		case y.gone != x.gone:
+			out += fmt.Sprintf("machine %d is deleted; ", m)
+			continue
+		case y.session != x.session:
+			out += fmt.Sprintf("machine %d's lease ends; ", m)
+		case y.held.on && !x.held.on:
+			out += fmt.Sprintf("machine %d's report is held back; ", m)
+		case x.held.on && !y.held.on:
+			out += fmt.Sprintf("controller %d receives machine %d's old report; ", x.held.c, m)
+		case y.x.answered:
+			if !x.x.answered {
+				out += fmt.Sprintf("controller %d answers machine %d with token %d, launch %d, forget %b, kill %b; ", y.x.r.c, m, y.x.token, y.x.launch, y.x.forget, y.x.kill)
+			}
+		case y.x.r.on && !x.x.r.on:
+			out += fmt.Sprintf("machine %d reports %v to controller %d, token %d; ", m, y.x.r.loads[1:], y.x.r.c, y.baton)
+		case x.x.r.on && !y.x.r.on:
+			out += fmt.Sprintf("machine %d is done with its report; ", m)
+		}
+		for i := range y.loads {
+			if x.loads[i] != y.loads[i] {
+				out += fmt.Sprintf("attempt %d on machine %d: %s; ", i, m, [...]string{"gone", "runs", "ended"}[y.loads[i]])
+			}
+		}
+	}
+	return out
+}
+
+// begun is a world in which controller 0 holds machine 0 and the task runs there.
+func begun() world {
+	var s world
+	s.write(change{1, 1, 1, 0, 0})
+	s.write(change{taskKey + 1, 1, 1, 0, 1})
+	for c := range s.c {
+		s.c[c].life, s.c[c].ledger, s.c[c].opened, s.c[c].since = 1, 2, 2, 2
+		s.c[c].known = [keys]uint8{1, 0, 2}
+	}
+	s.c[0].v[0] = view{shown: true, proved: true, before: true, session: 1, tally: 1, answered: 1, answeredIn: 1}
+	for m := range s.w {
+		s.w[m].session = 1
+	}
+	s.w[0].baton, s.w[0].tally, s.w[0].renewed = 1, 1, 1
+	s.w[0].loads[1] = running
+	return s
+}
+
+func (md *model) walk(limit int) explore.Result {
+	return explore.Run(explore.Model[world]{Start: begun(), Next: md.next, Broken: md.broken, Label: label}, limit)
+}
+
+// limitOf is how many states a walk may see: SIM_STATES, for walks outside CI.
+func limitOf(n int) int {
+	if v, err := strconv.Atoi(os.Getenv("SIM_STATES")); err == nil {
+		return v
+	}
+	return n
+}
+
+// TestNothingRunsThatIsNotBound walks the model with the code as it is.
+func TestNothingRunsThatIsNotBound(t *testing.T) {
+	for _, b := range []bounds{
+		{machines: 1, revs: 6, tries: 2, sessions: 2, tallies: 4, crashes: 1, holds: 1},
+		{machines: 1, revs: 7, tries: 2, sessions: 1, tallies: 6},
+		{machines: 2, revs: 6, tries: 2, sessions: 2, tallies: 3, crashes: 1, deletions: 1, holds: 1},
+	} {
+		r := (&model{b: b}).walk(limitOf(300_000))
+		t.Logf("%+v: %v", b, r)
+		if r.Broken != "" {
+			t.Error("the promise is broken")
+		}
+	}
+}
