--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -598,10 +598,9 @@
 		t := rec.task(c, k.index)
 		_, stopping := m.stops[k]
 		wanted := !rec.final() && !stopping && !m.recalled
-		at, told := m.sent[k]
 		a := attempt{k, t.Try}
 		b, _ := c.boundHere(m, k)
-		act, kind := st.Lacking(head(r), b, evidence.Launches{Direct: m.direct[a], Told: told, At: at}, wanted, c.ending(rec, k.index))
+		act, kind := st.Lacking(head(r), b, m.direct[a], wanted, c.ending(rec, k.index))
 		switch act {
 		case evidence.Renew:
 			m.tainted = true
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -162,22 +162,15 @@
 	return Keep, 0
 }
 
-// Launches is what may still bring an attempt to its machine.
-type Launches struct {
-	Direct bool   // a direct launch of it is unanswered
-	Told   bool   // the answer to a report carried a launch of it
-	At     uint64 // that report's tally, the newest such
-}
-
 // Lacking judges an attempt that is bound to the machine and that a believed report
 // does not list. wanted is whether it should run here; ending whether its release
 // is proposed or under way already.
 //
 // A worker has one report in flight, so the answer to an earlier report has been
-// carried out or dropped when this one was sent. With no direct launch unanswered,
-// nothing can bring an attempt that it lacks; it is released if it is not wanted.
+// carried out or dropped when this one was sent. With no direct launch of the attempt
+// unanswered (direct), nothing can bring what it lacks; it is released if not wanted.
 // One that is wanted is launched, if it may be (see launchable).
-func (s Standing) Lacking(r Report, a Attempt, l Launches, wanted, ending bool) (Act, Kind) {
+func (s Standing) Lacking(r Report, a Attempt, direct, wanted, ending bool) (Act, Kind) {
 	switch {
 	case a.Session < r.Shift:
 		return Release, Session
@@ -187,9 +180,9 @@
 		return Launch, 0
 	case wanted:
 		return Keep, 0
-	case l.Direct && s.Adopted:
+	case direct && s.Adopted:
 		return Renew, 0
-	case l.Direct || l.Told && l.At >= r.Tally:
+	case direct:
 		return Keep, 0
 	}
 	return Release, Absent
