Recorder and replay: what went into a core, put through it again

Change: internal/recorder writes every input with its time and a digest of its effects: CBOR in zstd frames with checksums, segments that rotate within a bound, readable up to the last whole frame; a goroutine of its own writes, so that a slow disk ends the recording and not the service. Off by default; on by recorder: in the operators' settings, in silvergate up by record_mb.

--- a/cmd/silvergate/parts.go
+++ b/cmd/silvergate/parts.go
@@ -287,6 +287,7 @@
 	exitDamaged   = 3
 	exitCancelled = 4
 	exitLate      = 5
+	exitDiffers   = 6
 )
 
 // statusOf is the exit status for an error.
--- /dev/null
+++ b/cmd/silvergate/replay.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/spf13/cobra"
+
+	"silvergate/internal/replay"
+)
+
+// replayCommand puts recordings through cores again.
+func replayCommand() *cobra.Command {
+	var at, until, output string
+	var names []string
+	var logs bool
+	cmd := &cobra.Command{
+		Use:   "replay FILE|DIR...",
+		Short: "Put recorded controllers through the program again, and tell why they did what they did",
+		Long: `replay reads recordings that controllers made (recorder: in the operators'
+settings), puts every input through this program's core again and compares all that it
+does with what was done. A life of a controller is replayed from its beginning.
+
+With --explain it tells the story of a task (wk-000412/3), a job or a machine: what each
+controller heard, knew and sent, with the revision its records were at. Recordings of
+several controllers make one story. With --at it says what each knew at that time.
+
+Exit status: 0 nothing differs, 1 the recordings can't be read, 6 something was done
+otherwise than recorded: another build, or a fault of the program.`,
+		Example: `  silvergate replay ./site/recordings --explain wk-000412/3 --explain i-000231
+  silvergate replay north-*.rec --at 90.5s --explain i-000231`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, paths []string) error {
+			if output != "text" && output != "json" {
+				return fmt.Errorf("--output: %q is neither text nor json", output)
+			}
+			lives, err := replay.Open(paths)
+			if err != nil {
+				return err
+			}
+			o := replay.Options{Names: names}
+			if logs {
+				o.Log = slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: slog.LevelDebug}))
+			}
+			first := lives[0].Begin
+			for _, l := range lives {
+				if l.Begin.Before(first) {
+					first = l.Begin
+				}
+			}
+			if o.At, err = replay.ParseTime(at, first); err != nil {
+				return fmt.Errorf("--at: %w", err)
+			}
+			if o.Until, err = replay.ParseTime(until, first); err != nil {
+				return fmt.Errorf("--until: %w", err)
+			}
+			if !o.At.IsZero() && len(names) == 0 {
+				return errors.New("--at: says what is known of something; name it with --explain")
+			}
+			results, stories := []replay.Result{}, [][]replay.Line{}
+			for i := range lives {
+				r, err := lives[i].Play(o)
+				if err != nil {
+					return err
+				}
+				results, stories = append(results, r), append(stories, r.Story)
+			}
+			return tellReplay(c.OutOrStdout(), output, results, replay.Merge(stories...))
+		},
+	}
+	cmd.Flags().StringVar(&at, "at", "", "say what was known then: a time, or how long after the first input (90.5s)")
+	cmd.Flags().StringVar(&until, "until", "", "stop there")
+	cmd.Flags().StringArrayVar(&names, "explain", nil, "tell the story of a task, a job or a machine; may be repeated")
+	cmd.Flags().BoolVar(&logs, "log", false, "write the cores' debug logs to standard error")
+	cmd.Flags().StringVar(&output, "output", "text", "text or json")
+	return cmd
+}
+
+func tellReplay(out io.Writer, output string, results []replay.Result, story []replay.Line) error {
+	different := 0
+	for _, r := range results {
+		different += r.Different
+	}
+	if output == "json" {
+		if story == nil {
+			story = []replay.Line{}
+		}
+		err := json.NewEncoder(out).Encode(struct {
+			Lives []replay.Result `json:"lives"`
+			Story []replay.Line   `json:"story"`
+		}{results, story})
+		if err != nil {
+			return err
+		}
+	} else {
+		for _, l := range story {
+			fmt.Fprintln(out, l)
+		}
+		for _, r := range results {
+			for _, k := range r.Known {
+				fmt.Fprintln(out, k)
+			}
+			fmt.Fprintf(out, "%s, life %d, build %q: %d inputs, %d with other effects", r.Node, r.Life, r.Build, r.Inputs, r.Different)
+			if r.First != "" {
+				fmt.Fprintf(out, ", first %s", r.First)
+			}
+			if r.Torn {
+				fmt.Fprint(out, "; it ends in the middle of a frame, as a kill leaves it")
+			}
+			fmt.Fprintln(out)
+		}
+	}
+	if different > 0 {
+		return exitCode{exitDiffers, fmt.Errorf("%d inputs had other effects than recorded", different)}
+	}
+	return nil
+}
--- a/cmd/silvergate/serve.go
+++ b/cmd/silvergate/serve.go
@@ -16,6 +16,7 @@
 	"silvergate/internal/doors"
 	"silvergate/internal/metrics"
 	"silvergate/internal/protocol"
+	"silvergate/internal/recorder"
 	"silvergate/internal/transport"
 )
 
@@ -26,6 +27,8 @@
 	cfg    *config.Settings
 	log    *slog.Logger
 	core   *coordination.Core
+	in     inputs           // the core, or a recorder in front of it
+	tape   *recorder.Writer // nil: off
 	start  time.Time
 	server *transport.Server
 	page   *metrics.Page // nil: off
@@ -44,6 +47,47 @@
 	warnedAt time.Duration
 }
 
+// inputs is what a core takes.
+type inputs interface {
+	Request(coordination.Clock, uint64, string, string, []byte) coordination.Effects
+	Reply(coordination.Clock, protocol.Reply) coordination.Effects
+	Peer(coordination.Clock, string, coordination.Message) coordination.Effects
+	Tick(coordination.Clock) coordination.Effects
+}
+
+// record puts a recorder in front of the core, if the operators want one.
+func (n *node) record(seed [2]uint64) error {
+	r := n.cfg.Operator.Recorder
+	if r == nil {
+		return nil
+	}
+	h, err := coordination.RecordingHeader(n.cfg, build(), n.start.UnixNano(), seed)
+	if err != nil {
+		return fmt.Errorf("recorder: %w", err)
+	}
+	const mb = 1 << 20
+	n.tape, err = recorder.NewWriter(recorder.Options{Dir: r.Dir, Max: int64(r.MaxMB * mb), Segment: int64(r.SegmentMB * mb), Flush: r.Flush}, h)
+	if err != nil {
+		return err
+	}
+	n.in = coordination.NewTape(n.core, n.tape)
+	n.log.Info("recording", "dir", r.Dir, "max_mb", r.MaxMB)
+	return nil
+}
+
+// build names this build, for recordings.
+func build() string {
+	out := version
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" || s.Key == "vcs.modified" && s.Value == "true" {
+				out += " " + s.Key[len("vcs."):] + " " + s.Value
+			}
+		}
+	}
+	return out
+}
+
 func newLogger(level string) *slog.Logger {
 	l := slog.LevelInfo
 	switch level {
@@ -71,8 +115,12 @@
 	for _, p := range cfg.Peers {
 		n.peers[p.Node] = transport.NewOutLink(cfg.Node, p.Addr)
 	}
-	rnd := rand.New(rand.NewPCG(rand.Uint64(), uint64(n.start.UnixNano())))
-	n.core = coordination.New(cfg, n.log, rnd, n.start.UnixNano())
+	seed := [2]uint64{rand.Uint64(), uint64(n.start.UnixNano())}
+	n.core = coordination.New(cfg, n.log, rand.New(rand.NewPCG(seed[0], seed[1])), n.start.UnixNano())
+	n.in = n.core
+	if err := n.record(seed); err != nil {
+		return err
+	}
 	if cfg.Operator.Metrics {
 		n.page = metrics.New(cfg.Node, n.figures)
 	}
@@ -110,7 +158,7 @@
 	case r.Query != "" && (path == protocol.PathJobs || path == protocol.PathNodes || path == protocol.PathDataSets):
 		path += "?" + r.Query
 	}
-	n.do(n.core.Request(n.clock(), id, r.Method, path, r.Body))
+	n.do(n.in.Request(n.clock(), id, r.Method, path, r.Body))
 }
 
 // class tells what a request's connection is used for.
@@ -136,6 +184,17 @@
 	n.refused, n.warnedAt = s.Refused, now
 }
 
+// watchTape tells operators once that their recording has ended.
+func (n *node) watchTape() {
+	if n.tape == nil || n.in == inputs(n.core) {
+		return
+	}
+	if err := n.tape.Err(); err != nil {
+		n.in = n.core
+		n.log.Error("the recording has ended; it can be replayed up to here", "err", err)
+	}
+}
+
 // figures are the core's counters for GET /metrics.
 func (n *node) figures() []metrics.Figure {
 	s := &n.core.Stats
@@ -173,7 +232,7 @@
 
 // Message takes a peer's message; the server holds the lock.
 func (n *node) Message(from string, m any) {
-	n.do(n.core.Peer(n.clock(), from, m.(coordination.Message)))
+	n.do(n.in.Peer(n.clock(), from, m.(coordination.Message)))
 }
 
 // onTick lets time pass. The timer is the node's own: evio's would wake two
@@ -187,6 +246,7 @@
 		n.sweptAt = t.Steady
 		n.server.Sweep(t.Wall)
 		n.watchDoors(t.Steady)
+		n.watchTape()
 	}
 	var late time.Time
 	for _, p := range []*transport.Pool{n.state, n.cloud, n.work} {
@@ -194,7 +254,7 @@
 			late = at
 		}
 	}
-	n.do(n.core.Tick(t))
+	n.do(n.in.Tick(t))
 	if !late.IsZero() {
 		n.tickWithin(late.Sub(t.Wall))
 	}
@@ -245,6 +305,6 @@
 			}
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.do(n.core.Reply(n.clock(), rep))
+			n.do(n.in.Reply(n.clock(), rep))
 		}})
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -128,6 +128,54 @@
 	Staging *Staging `yaml:"staging,omitempty"`
 	// Archive has this controller vouch for attempts; nil: off.
 	Archive *Archive `yaml:"archive,omitempty"`
+	// Recorder keeps what goes into the core; nil: off.
+	Recorder *Recorder `yaml:"recorder,omitempty"`
+}
+
+// Recorder says where recordings go and what they may take.
+type Recorder struct {
+	// Dir is the folder of this controller's recordings.
+	Dir string `yaml:"dir"`
+	// MaxMB is what they may take together, in MB; the oldest segments go first.
+	MaxMB float64 `yaml:"max_mb"`
+	// SegmentMB is after how many MB a new segment is begun.
+	SegmentMB float64 `yaml:"segment_mb"`
+	// Flush is how long an input may wait to be written: what a kill may lose.
+	Flush time.Duration `yaml:"flush"`
+}
+
+// UnmarshalYAML fills in what is left out.
+func (r *Recorder) UnmarshalYAML(n *yaml.Node) error {
+	type plain Recorder
+	p := plain{MaxMB: 512, SegmentMB: 16, Flush: time.Second}
+	for i := 0; i+1 < len(n.Content); i += 2 { // a node's Decode does not refuse unknown keys
+		switch k := n.Content[i].Value; k {
+		case "dir", "max_mb", "segment_mb", "flush":
+		default:
+			return fmt.Errorf("line %d: field %s not found in recorder", n.Content[i].Line, k)
+		}
+	}
+	if err := n.Decode(&p); err != nil {
+		return err
+	}
+	*r = Recorder(p)
+	return nil
+}
+
+func (r *Recorder) check() error {
+	switch {
+	case r == nil:
+		return nil
+	case r.Dir == "":
+		return errors.New("recorder.dir: missing")
+	case !(r.SegmentMB > 0):
+		return errors.New("recorder.segment_mb: must be above 0")
+	case !(r.MaxMB >= r.SegmentMB):
+		return errors.New("recorder.max_mb: must be at least segment_mb")
+	case r.Flush < 10*time.Millisecond:
+		return errors.New("recorder.flush: must be at least 10ms")
+	}
+	return nil
 }
 
 // Archive is what a controller is told of the archive.
@@ -197,16 +245,24 @@
 		if s.Operator, err = ParseOperator(raw); err != nil {
 			return nil, fmt.Errorf("%s: %w", p, err)
 		}
-		if a := s.Operator.Archive; a != nil {
-			if a.Key, err = archive.LoadGrantKey(a.GrantKey); err != nil {
-				return nil, fmt.Errorf("%s: archive.%w", p, err)
-			}
+		if err := s.LoadKeys(); err != nil {
+			return nil, fmt.Errorf("%s: %w", p, err)
 		}
 		break
 	}
 	return s, nil
 }
 
+// LoadKeys reads the files with keys that the operators' settings name.
+func (s *Settings) LoadKeys() (err error) {
+	if a := s.Operator.Archive; a != nil && a.Key == nil {
+		if a.Key, err = archive.LoadGrantKey(a.GrantKey); err != nil {
+			return fmt.Errorf("archive.%w", err)
+		}
+	}
+	return nil
+}
+
 // Parse reads the platform's settings and checks them.
 func Parse(raw []byte) (*Settings, error) {
 	s := &Settings{Operator: DefaultOperator()}
@@ -251,9 +307,11 @@
 	case o.Archive != nil && o.Archive.GrantKey == "":
 		return o, errors.New("archive.grant_key: missing")
 	case o.Staging != nil:
-		return o, o.Staging.check()
+		if err := o.Staging.check(); err != nil {
+			return o, err
+		}
 	}
-	return o, nil
+	return o, o.Recorder.check()
 }
 
 func (s *Settings) check() error {
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -217,6 +217,7 @@
 	for _, b := range s.broken {
 		t.Error(b)
 	}
+	s.saveTapes(t)
 	// Guards against judgements that take turns on a machine: inc-41e3 spent
 	// the state service's whole rate on them.
 	for _, key := range sortedKeys(s.kv.drains) {
--- /dev/null
+++ b/internal/coordination/explain.go
@@ -0,0 +1,96 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"silvergate/internal/job"
+)
+
+// Ledger is the revision up to which the core's records are complete.
+func (c *Core) Ledger() uint64 { return c.store.Ledger() }
+
+// Known says in a line what this controller knows of a task ("wk-000412/3"), a job or a
+// machine, "" if nothing. It is for the stories that replays tell.
+func (c *Core) Known(name string) string {
+	if id, index, err := job.SplitTaskName(name); err == nil {
+		return c.knownTask(id, index)
+	}
+	if r := c.jobs[name]; r != nil {
+		return fmt.Sprintf("job %s at revision %d, of %s, %d of %d bound, %d finished", r.status, r.stamp, r.home, r.bound, r.spec.Tasks, r.finished)
+	}
+	if m := c.machines[name]; m != nil {
+		return c.knownMachine(m)
+	}
+	return ""
+}
+
+func (c *Core) knownTask(id string, index int) string {
+	r := c.jobs[id]
+	if r == nil {
+		return ""
+	}
+	out := fmt.Sprintf("job %s at %d", r.status, r.stamp)
+	t := r.task(c, index)
+	if t == nil {
+		return out
+	}
+	p := r.pages[index/c.pageTasks()]
+	switch t.Phase {
+	case job.Pending:
+		out += fmt.Sprintf("; pending after %d attempts, %d failed", t.Try, t.Fails)
+	case job.Finished:
+		out += fmt.Sprintf("; finished by attempt %d", t.Try)
+	case job.Bound:
+		out += fmt.Sprintf("; attempt %d bound to %s in session %d", t.Try, t.Machine, t.Session)
+		if m := c.machines[t.Machine]; m != nil {
+			a := attempt{taskKey{id, index}, t.Try}
+			out += fmt.Sprintf(" since %d", m.boundAt[a.taskKey].since)
+			if m.direct[a] {
+				out += ", a direct launch unanswered"
+			}
+			if s, ok := m.stops[a.taskKey]; ok {
+				out += ", to be stopped: " + s.why
+			}
+			out += "; " + c.knownMachine(m)
+		}
+	}
+	for i := range p.queue {
+		if ch := &p.queue[i]; ch.index == index%c.pageTasks() && ch.place {
+			out += "; proposed: a place on " + ch.machine
+		} else if ch.index == index%c.pageTasks() {
+			out += fmt.Sprintf("; proposed: release of attempt %d on %s, %v under token %d", ch.try, ch.machine, ch.kind, ch.token)
+		}
+	}
+	if p.busy {
+		out += "; its page is being written"
+	}
+	if r.waiting[index] != nil {
+		out += "; in a line here"
+	}
+	return out
+}
+
+func (c *Core) knownMachine(m *machine) string {
+	if m.stamp == 0 {
+		return m.id + " is claimed by nobody"
+	}
+	if !c.mine(m) {
+		return fmt.Sprintf("%s is claimed by %s, token %d", m.id, m.claim.Owner, m.stamp)
+	}
+	out := []string{fmt.Sprintf("%s is ours, token %d, session %d", m.id, m.stamp, m.session)}
+	for _, f := range []struct {
+		on   bool
+		text string
+	}{{m.adopted, "adopted"}, {!m.shown, "token not shown"}, {m.shown && !c.proved(m), "records not proved since it was shown"}, {m.tainted, "tainted"},
+		{m.released, "lease over"}, {m.recalled, "recalled"}, {c.now-m.heard > 2*time.Duration(c.cfg.Facts.Workers.Report*float64(time.Second)), "not heard"}} {
+		if f.on {
+			out = append(out, f.text)
+		}
+	}
+	if d, ok := c.drains[m.id]; ok {
+		out = append(out, "drained: "+d.Why)
+	}
+	return strings.Join(out, ", ")
+}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -63,6 +63,7 @@
 	judged    int                // launches of lesser work while production work waited
 	warm      int                // starts on machines that held the inputs when the launch came
 	cold      int
+	tapes     []*simTape
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -100,6 +101,7 @@
 	name    string
 	zone    string
 	core    *Core
+	tape    *Tape // what the world goes through
 	started time.Duration
 	life    int64
 	tickAt  time.Duration
@@ -133,7 +135,9 @@
 	if s.trace != nil {
 		log = slog.New(slog.NewTextHandler(simClock{s}, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", n.name)
 	}
-	n.core = New(cfg, log, rand.New(rand.NewPCG(s.rnd.Uint64(), 1)), n.life*1000+s.now.Milliseconds()+1)
+	seed, life := s.rnd.Uint64(), n.life*1000+s.now.Milliseconds()+1
+	n.core = New(cfg, log, rand.New(rand.NewPCG(seed, 1)), life)
+	n.tape = NewTape(n.core, s.record(cfg, life, seed))
 	n.tick(n.life)
 }
 
@@ -143,7 +147,7 @@
 	}
 	n.tickAt = 0
 	n.ticks++
-	n.effects(n.core.Tick(n.clock()))
+	n.effects(n.tape.Tick(n.clock()))
 	n.plan()
 }
 
@@ -213,7 +217,7 @@
 			n.askers[id] = r.Stoker
 		}
 	}
-	n.effects(n.core.Request(n.clock(), id, method, path, body))
+	n.effects(n.tape.Request(n.clock(), id, method, path, body))
 }
 
 func (n *simNode) effects(e Effects) {
@@ -236,7 +240,7 @@
 			msg := m.Message
 			s.after(s.ms(0.2, 5), func() {
 				if o.core != nil {
-					o.effects(o.core.Peer(o.clock(), n.name, msg))
+					o.effects(o.tape.Peer(o.clock(), n.name, msg))
 				}
 			})
 		}
@@ -248,7 +252,7 @@
 				return
 			}
 			answered = true
-			n.effects(n.core.Reply(n.clock(), protocol.Reply{ID: k.ID, Status: st, Sent: true, Body: body}))
+			n.effects(n.tape.Reply(n.clock(), protocol.Reply{ID: k.ID, Status: st, Sent: true, Body: body}))
 		}
 		s.after(k.Timeout, func() { reply(0, nil) })
 		who := [...]string{"state", "cloud", "workers"}[k.Target]
--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,178 @@
+package recorder
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawn(t *rapid.T) Input {
+	return Input{Kind: Kind(rapid.IntRange(1, 4).Draw(t, "kind")), Steady: time.Duration(rapid.Int64Range(0, 1<<50).Draw(t, "steady")),
+		Wall: rapid.Int64().Draw(t, "wall"), ID: rapid.Uint64().Draw(t, "id"), Method: rapid.SampledFrom([]string{"", "GET", "POST"}).Draw(t, "method"),
+		Path: rapid.String().Draw(t, "path"), Status: rapid.IntRange(0, 599).Draw(t, "status"), Sent: rapid.Bool().Draw(t, "sent"),
+		From: rapid.StringN(0, 8, 16).Draw(t, "from"), Body: rapid.SliceOf(rapid.Byte()).Draw(t, "body"), Effects: rapid.Uint64().Draw(t, "effects")}
+}
+
+func same(a, b Input) bool {
+	x, y := a, b
+	x.Body, y.Body = nil, nil
+	return bytes.Equal(a.Body, b.Body) && x.Kind == y.Kind && x.Steady == y.Steady && x.Wall == y.Wall && x.ID == y.ID && x.Method == y.Method &&
+		x.Path == y.Path && x.Status == y.Status && x.Sent == y.Sent && x.From == y.From && x.Effects == y.Effects
+}
+
+// read reads what a recording holds, until its end or a fault.
+func read(raw []byte) (out []Input, err error) {
+	r, err := NewReader(bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	for {
+		var in Input
+		if err := r.Next(&in); err != nil {
+			return out, err
+		}
+		out = append(out, in)
+	}
+}
+
+// TestARecordingIsReadUpToItsLastWholeFrame cuts a recording at every byte, as a kill
+// may, and damages each: what is read is a beginning of what was recorded, and nothing
+// that was not.
+func TestARecordingIsReadUpToItsLastWholeFrame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		inputs := rapid.SliceOfN(rapid.Custom(drawn), 1, 12).Draw(t, "inputs")
+		var out bytes.Buffer
+		w := NewMemory(&out, Header{Node: "n0", Life: 7})
+		for i := range inputs {
+			w.Put(&inputs[i])
+			if rapid.Bool().Draw(t, "cut") {
+				w.cut()
+			}
+		}
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		raw := out.Bytes()
+		beginning := func(got []Input, what string, n int) {
+			for i := range got {
+				if i >= len(inputs) || !same(got[i], inputs[i]) {
+					t.Fatalf("%s at byte %d: input %d was not recorded", what, n, i)
+				}
+			}
+		}
+		got, err := read(raw)
+		if beginning(got, "whole", 0); !errors.Is(err, io.EOF) || len(got) != len(inputs) {
+			t.Fatalf("%d of %d inputs are read: %v", len(got), len(inputs), err)
+		}
+		for n := range raw {
+			got, err := read(raw[:n])
+			if beginning(got, "cut", n); err == nil {
+				t.Fatalf("cut at byte %d: no end", n)
+			}
+			if n%7 == 0 {
+				damaged := bytes.Clone(raw)
+				damaged[n] ^= 0x20
+				got, err = read(damaged)
+				if beginning(got, "damaged", n); errors.Is(err, io.EOF) {
+					t.Fatalf("damaged at byte %d: not noticed", n)
+				}
+			}
+		}
+	})
+}
+
+// TestRecordingsKeepToTheirBound guards against a disk that fills up.
+func TestRecordingsKeepToTheirBound(t *testing.T) {
+	dir := t.TempDir()
+	o := Options{Dir: dir, Max: 40 << 10, Segment: 8 << 10, Flush: time.Nanosecond}
+	for life := int64(1); life <= 2; life++ {
+		w, err := NewWriter(o, Header{Node: "north-0", Life: life})
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := uint64(life)
+		for i := range 3000 {
+			body := make([]byte, 64)
+			for j := range body { // what can't be compressed
+				x = x*6364136223846793005 + 1442695040888963407
+				body[j] = byte(x >> 56)
+			}
+			w.Put(&Input{Kind: Tick, Steady: time.Duration(i), Body: body})
+			for len(w.frames) > waiting/2 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	files, err := Segments(dir, "north-0")
+	if err != nil || len(files) < 3 {
+		t.Fatalf("%d segments: %v", len(files), err)
+	}
+	total := int64(0)
+	for _, f := range files {
+		st, err := os.Stat(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		total += st.Size()
+	}
+	if total > o.Max+2*o.Segment {
+		t.Errorf("the segments take %d bytes, with a bound of %d", total, o.Max)
+	}
+	if !strings.Contains(filepath.Base(files[0]), "-00000000000000000002-") {
+		t.Errorf("the oldest that is kept is %s, of the earlier life", files[0])
+	}
+}
+
+// TestASlowDiskEndsTheRecording guards against a core that waits for its recorder, and
+// against a recording with a hole in it.
+func TestASlowDiskEndsTheRecording(t *testing.T) {
+	in, out := io.Pipe()
+	w := NewMemory(out, Header{Node: "n0"})
+	for i := range waiting + 4 {
+		w.Put(&Input{Kind: Tick, Steady: time.Duration(i), ID: uint64(i)})
+		w.cut()
+	}
+	if err := w.Err(); err == nil || !strings.Contains(err.Error(), "too slow") {
+		t.Errorf("the recording goes on: %v", err)
+	}
+	var raw bytes.Buffer
+	copied := make(chan struct{})
+	go func() { _, _ = io.Copy(&raw, in); close(copied) }()
+	if w.Close() == nil {
+		t.Error("its end does not tell why")
+	}
+	out.Close()
+	<-copied
+	got, _ := read(raw.Bytes())
+	for i := range got {
+		if got[i].ID != uint64(i) {
+			t.Fatalf("input %d is followed by %d", i-1, got[i].ID)
+		}
+	}
+}
+
+// FuzzReader reads what anybody may have put into the folder.
+func FuzzReader(f *testing.F) {
+	var out bytes.Buffer
+	w := NewMemory(&out, Header{Node: "n0", Life: 7})
+	w.Put(&Input{Kind: Request, Method: "GET", Path: "/up"})
+	_ = w.Close()
+	f.Add(out.Bytes())
+	f.Add([]byte(Magic))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		got, err := read(raw)
+		if err == nil || len(got) > 1<<20 {
+			t.Errorf("%d inputs without an end", len(got))
+		}
+	})
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,208 @@
+package replay
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"silvergate/internal/config"
+	"silvergate/internal/coordination"
+	"silvergate/internal/protocol"
+	"silvergate/internal/recorder"
+)
+
+// TestMergedStoriesGoByRevisions draws what happened at several nodes with clocks that
+// are apart: the merged story keeps each node's order, and none knows of a revision
+// before it is made.
+func TestMergedStoriesGoByRevisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(2, 4).Draw(t, "nodes")
+		stories := make([][]Line, nodes)
+		ledger, off := make([]uint64, nodes), make([]time.Duration, nodes)
+		for i := range off {
+			off[i] = time.Duration(rapid.IntRange(-20, 20).Draw(t, "off")) * time.Millisecond
+		}
+		rev := uint64(0)
+		for i := range rapid.IntRange(1, 60).Draw(t, "lines") {
+			n := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			l := Line{Wall: time.Unix(0, 0).Add(time.Duration(i)*time.Millisecond + off[n]), Node: fmt.Sprint(n), Text: fmt.Sprint(i)}
+			if rapid.Bool().Draw(t, "commits") {
+				rev++
+				l.Commits = rev
+			}
+			ledger[n] = max(ledger[n], uint64(rapid.IntRange(0, int(rev)).Draw(t, "ledger")))
+			if l.Ledger = ledger[n]; l.Commits > 0 && l.Ledger >= l.Commits {
+				l.Ledger, ledger[n] = l.Commits-1, l.Commits-1
+			}
+			stories[n] = append(stories[n], l)
+		}
+		out := Merge(stories...)
+		at := make([]int, nodes)
+		made := uint64(0)
+		for _, l := range out {
+			n := int(l.Node[0] - '0')
+			if stories[n][at[n]] != l {
+				t.Fatalf("node %d's line %d is %v", n, at[n], l)
+			}
+			at[n]++
+			if l.Ledger > made {
+				t.Fatalf("%v comes before revision %d is made", l, made+1)
+			}
+			made = max(made, l.Commits)
+		}
+		for n := range stories {
+			if at[n] != len(stories[n]) {
+				t.Fatalf("%d of node %d's %d lines are told", at[n], n, len(stories[n]))
+			}
+		}
+	})
+}
+
+// recorded makes a recording of a controller that claims a machine and commits an
+// ending there, against answers written here.
+func recorded(t *testing.T, o recorder.Options) {
+	t.Helper()
+	cfg := &config.Settings{Node: "n0", Zone: "a", Operator: config.DefaultOperator()}
+	cfg.Facts = config.Facts{Count: 1, Zones: []string{"a"}, Teams: []config.Team{{Name: "blue"}},
+		Workers: config.Workers{Report: 3, Lease: 18, GangWait: 30, GangPeer: 4, Cancel: 48},
+		State:   config.State{RPS: 300, WriteRPS: 120, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 10, ListLag: 4}, Limits: config.Limits{CPU: 1, RAMMB: 100, MaxSockets: 100}}
+	seed := [2]uint64{1, 2}
+	h, err := coordination.RecordingHeader(cfg, "test", 7, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := recorder.NewWriter(o, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, err := coordination.FromHeader(&h, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tape := coordination.NewTape(core, w)
+	rnd := rand.New(rand.NewPCG(3, 4))
+	at, rev := time.Duration(0), uint64(100)
+	clock := func() coordination.Clock { return coordination.Clock{Steady: at, Wall: time.Unix(1000, 0).Add(at)} }
+	var todo []protocol.Call
+	var tally, baton uint64
+	for i := range 600 {
+		at += 50 * time.Millisecond
+		todo = append(todo, tape.Tick(clock()).Calls...)
+		if i%20 == 10 {
+			tally++
+			r := protocol.Report{Stoker: "i-000001", Address: "10.1.0.1:9000", Rig: "small", Depot: "a", Shift: 1, Tally: tally, Baton: baton,
+				Loads: []protocol.Load{{Load: "wk-700000/0", Try: 1, Status: protocol.LoadRunning}}}
+			todo = append(todo, tape.Request(clock(), tally, "POST", protocol.PathCheckin, protocol.Encode(r)).Calls...)
+		}
+		for len(todo) > 0 && rnd.IntN(3) > 0 {
+			k := todo[0]
+			todo = todo[1:]
+			reply := protocol.Reply{ID: k.ID, Status: 200, Sent: true, Body: []byte(`{}`)}
+			switch {
+			case strings.HasPrefix(k.Path, protocol.PathKeys+"?"):
+				reply.Body = protocol.Encode(protocol.EntryPage{Ledger: rev})
+			case strings.HasPrefix(k.Path, protocol.PathWatch):
+				reply.Body = protocol.Encode(protocol.WatchResult{Ledger: rev})
+			case k.Path == protocol.PathTxn:
+				rev++
+				reply.Body = protocol.Encode(protocol.TxnResult{Ledger: rev})
+				if strings.Contains(string(k.Body), "i-000001") {
+					baton = rev
+				}
+			case k.Path == protocol.PathGrants:
+				reply.Body = protocol.Encode(protocol.Granted{Permit: 1})
+			default:
+				reply.Status = 503
+			}
+			todo = append(todo, tape.Reply(clock(), reply).Calls...)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAStoryIsTold replays a recording of several segments and looks for what must be
+// told of a machine and of a task that no record knows.
+func TestAStoryIsTold(t *testing.T) {
+	dir := t.TempDir()
+	recorded(t, recorder.Options{Dir: dir, Max: 1 << 20, Segment: 2 << 10, Flush: 2 * time.Second})
+	lives, err := Open([]string{dir})
+	if err != nil || len(lives) != 1 || len(lives[0].Files) < 2 {
+		t.Fatalf("%v: %v", lives, err)
+	}
+	at, err := ParseTime("1s", lives[0].Begin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := lives[0].Play(Options{Names: []string{"i-000001", "wk-700000/0"}, At: at})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Inputs < 600 || r.Different > 0 || r.Torn {
+		t.Errorf("%+v", r)
+	}
+	var text string
+	for _, l := range r.Story {
+		text += l.String() + "\n"
+	}
+	for _, want := range []string{"hears i-000001, session 1, tally 1, token 0: attempt 1 running", "sends a transaction on it", "i-000001 is ours, token",
+		"its transaction made revision", "kill attempt 1"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("the story lacks %q:\n%s", want, text)
+		}
+	}
+	if len(r.Known) != 2 || !strings.Contains(r.Known[1], "nothing is known") {
+		t.Errorf("known then: %q", r.Known)
+	}
+
+	// The process was killed while it wrote the last frame; then the beginning is lost.
+	last := lives[0].Files[len(lives[0].Files)-1]
+	raw, err := os.ReadFile(last)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(last, raw[:len(raw)-3], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	torn, err := lives[0].Play(Options{})
+	if err != nil || !torn.Torn || torn.Inputs >= r.Inputs || torn.Different > 0 {
+		t.Errorf("after a kill: %+v, %v", torn, err)
+	}
+	if err := os.Remove(lives[0].Files[0]); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open([]string{dir}); err == nil || !strings.Contains(err.Error(), "from its beginning") {
+		t.Errorf("without a beginning: %v", err)
+	}
+}
+
+// TestTimes reads what operators may write.
+func TestTimes(t *testing.T) {
+	first := time.Unix(1000, 0)
+	for in, want := range map[string]time.Time{"": {}, "90.5s": first.Add(90500 * time.Millisecond), "2026-12-01T06:00:00Z": time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)} {
+		if got, err := ParseTime(in, first); err != nil || !got.Equal(want) {
+			t.Errorf("%q is %v, %v", in, got, err)
+		}
+	}
+	if _, err := ParseTime("yesterday", first); err == nil {
+		t.Error("yesterday is a time")
+	}
+}
+
+func TestOtherFilesAreNamed(t *testing.T) {
+	f := filepath.Join(t.TempDir(), "x.rec")
+	if err := os.WriteFile(f, []byte("something else, and long enough for a header"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open([]string{f}); err == nil || !strings.Contains(err.Error(), f) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"time"
 
 	"github.com/google/renameio/v2"
 	"go.yaml.in/yaml/v3"
@@ -86,6 +87,8 @@
 	RAMMB      float64 `yaml:"ram_mb"`
 	MaxSockets int     `yaml:"max_sockets"`
 	LogLevel   string  `yaml:"log_level"`
+	// RecordMB is what each controller's recordings may take; 0: off.
+	RecordMB float64 `yaml:"record_mb"`
 }
 
 // Parse reads a site and names the first field that can't be.
@@ -370,5 +373,8 @@
 	if c.Controller.LogLevel != "" {
 		o.LogLevel = c.Controller.LogLevel
 	}
+	if mb := c.Controller.RecordMB; mb > 0 {
+		o.Recorder = &config.Recorder{Dir: filepath.Join(l.dir, "recordings"), MaxMB: mb, SegmentMB: mb / 8, Flush: time.Second}
+	}
 	return o
 }
