--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -245,9 +245,7 @@
 		if s := heard(in, n); s != "" {
 			parts = append(parts, s)
 		}
-		for _, s := range sent(e, n) {
-			parts = append(parts, s)
-		}
+		parts = append(parts, sent(e, n)...)
 		if k := t.core.Known(n); k != t.known[i] {
 			t.known[i] = k
 			parts = append(parts, "now knows of "+n+": "+k)
