--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -216,7 +216,7 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(frameBytes))
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(frameBytes), zstd.WithLowerEncoderMem(true), zstd.WithNoEntropyCompression(true))
 	if err != nil {
 		w.fail(err)
 	}
