Records: a job is called done when its last pages end at once

The transaction with the last ending says that the job is done; when the last endings of two pages are committed at once, each is without the other's, and nothing came after them. Change: a job's keeper calls it done when the records show all its tasks finished.

--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -605,7 +605,10 @@
 	}
 	c.markGang(c.turns)
 	for _, r := range c.turns {
-		if r.bound+r.finished+len(r.held) < r.spec.Tasks && c.successor(r.home) == c.cfg.Node {
+		switch {
+		case r.finished == r.spec.Tasks:
+			c.conclude(r)
+		case r.bound+r.finished+len(r.held) < r.spec.Tasks && c.successor(r.home) == c.cfg.Node:
 			c.dispatchJob(r)
 		}
 	}
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -11,40 +11,44 @@
 	"time"
 
 	"silvergate/internal/blame"
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
 	"silvergate/internal/config"
 	"silvergate/internal/evidence"
 	"silvergate/internal/job"
 	"silvergate/internal/losses"
+	"silvergate/internal/protocol"
 )
 
 // record is a mirrored job.
 type record struct {
-	spec     *job.Spec
-	status   job.Status
-	at       int64 // submission, milliseconds of the day's clock
-	home     string
-	stamp    uint64
-	pages    []*page
-	bound    int
-	finished int
-	last     int // the highest attempt
-	backoff  time.Duration
-	turn     float64               // see updateTurns
-	due      float64               // see Core.within
-	entitled bool                  // fits into its team's guarantee with the team's earlier jobs
-	tired    int                   // how often it was marked in vain, as a gang
-	unmarked time.Duration         // and is not to be marked before
-	failedOn map[string]bool       // machines on which a task of it failed, as the records came to show
-	rounds   int                   // the most failures of one of its tasks
-	failed   time.Duration         // when the first was seen
-	zones    map[string]int        // bound and reserved tasks by zone
-	held     map[int]*reservation  // tasks being placed by this controller
-	line     []*waiter             // tasks in our machines' lines, by number
-	waiting  map[int]*waiter       // the same
-	placed   map[int]time.Duration // dispatched elsewhere, not before
-	block    []string              // machines chosen for this gang
-	blockAt  time.Duration
-	offers   map[string]offer // machines that peers hold back for this gang
+	spec       *job.Spec
+	status     job.Status
+	at         int64 // submission, milliseconds of the day's clock
+	home       string
+	stamp      uint64
+	pages      []*page
+	bound      int
+	finished   int
+	last       int // the highest attempt
+	backoff    time.Duration
+	turn       float64               // see updateTurns
+	due        float64               // see Core.within
+	entitled   bool                  // fits into its team's guarantee with the team's earlier jobs
+	tired      int                   // how often it was marked in vain, as a gang
+	unmarked   time.Duration         // and is not to be marked before
+	failedOn   map[string]bool       // machines on which a task of it failed, as the records came to show
+	concluding bool                  // being called done
+	rounds     int                   // the most failures of one of its tasks
+	failed     time.Duration         // when the first was seen
+	zones      map[string]int        // bound and reserved tasks by zone
+	held       map[int]*reservation  // tasks being placed by this controller
+	line       []*waiter             // tasks in our machines' lines, by number
+	waiting    map[int]*waiter       // the same
+	placed     map[int]time.Duration // dispatched elsewhere, not before
+	block      []string              // machines chosen for this gang
+	blockAt    time.Duration
+	offers     map[string]offer // machines that peers hold back for this gang
 }
 
 type reservation struct{ machine string }
@@ -135,6 +139,22 @@
 	}
 }
 
+// conclude calls a job done whose tasks have all finished, by the records.
+//
+// Guards against a job that is never called done: usually the transaction with its last
+// ending says so, but when the last endings of two of its pages are committed at once,
+// by two controllers or in two transactions, each is without the other's.
+func (c *Core) conclude(r *record) {
+	if r.final() || r.concluding || c.successor(r.home) != c.cfg.Node {
+		return
+	}
+	r.concluding = true
+	// Finished tasks stay finished, so the pages need no condition.
+	c.store.Txn(budget.Users, []protocol.Cond{{Key: keyJob + r.spec.ID, Stamp: r.stamp}},
+		[]protocol.Op{{Write: keyJob + r.spec.ID, Data: encode(storedJob{r.spec, job.Done, r.at, r.home})}},
+		func(bookkeeping.Outcome, []string, uint64) { r.concluding = false })
+}
+
 // shed forgets the tasks of a page of a job that is over, unless one is bound:
 // memory must not grow with all the tasks there ever were. What users are told
 // needs the counts alone.
