--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -312,11 +312,11 @@
 	switch {
 	case finished == r.spec.Tasks && r.status == job.Open:
 		// Finished tasks stay finished, so the other pages need no condition.
-		b.ops = append(b.ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, job.Done, r.at, r.home})})
+		b.ops = append(b.ops, protocol.Op{Write: keyJob + p.id, Data: encode(r.stored(job.Done))})
 	case spansPages:
 		// Zones are judged over all pages; rewriting the job record makes
 		// placements of different pages exclude one another.
-		b.ops = append(b.ops, protocol.Op{Write: keyJob + p.id, Data: encode(storedJob{r.spec, r.status, r.at, r.home})})
+		b.ops = append(b.ops, protocol.Op{Write: keyJob + p.id, Data: encode(r.stored(r.status))})
 	}
 	b.conds = append(b.conds, conds...)
 	b.size += len(tasks)*taskBytes + jobBytes + len(conds)*condBytes
--- a/internal/coordination/explain.go
+++ b/internal/coordination/explain.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 
 	"silvergate/internal/job"
 )
@@ -84,7 +83,7 @@
 		on   bool
 		text string
 	}{{m.adopted, "adopted"}, {!m.shown, "token not shown"}, {m.shown && !c.proved(m), "records not proved since it was shown"}, {m.tainted, "tainted"},
-		{m.released, "lease over"}, {m.recalled, "recalled"}, {c.now-m.heard > 2*time.Duration(c.cfg.Facts.Workers.Report*float64(time.Second)), "not heard"}} {
+		{m.released, "lease over"}, {m.recalled, "recalled"}, {c.now-m.heard > seconds(2*c.cfg.Facts.Workers.Report), "not heard"}} {
 		if f.on {
 			out = append(out, f.text)
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -14,7 +14,6 @@
 	"silvergate/internal/budget"
 	"silvergate/internal/evidence"
 	"silvergate/internal/job"
-	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
 )
 
@@ -292,7 +291,7 @@
 		rec := m.bound[k]
 		t := rec.task(c, k.index)
 		if !c.ending(rec, k.index) {
-			c.propose(rec, k.index, change{machine: id, session: t.Session, try: t.Try, kind: evidence.Cloud, why: losses.Cloud})
+			c.propose(rec, k.index, change{machine: id, session: t.Session, try: t.Try, kind: evidence.Cloud})
 		}
 	}
 }
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -60,6 +60,9 @@
 	Home   string     `json:"home"`
 }
 
+// stored is the job's record, with a status.
+func (r *record) stored(s job.Status) storedJob { return storedJob{r.spec, s, r.at, r.home} }
+
 // page is a run of a job's tasks, kept under one key. A page that does not
 // exist holds pending tasks only.
 type page struct {
@@ -151,7 +154,7 @@
 	r.concluding = true
 	// Finished tasks stay finished, so the pages need no condition.
 	c.store.Txn(budget.Users, []protocol.Cond{{Key: keyJob + r.spec.ID, Stamp: r.stamp}},
-		[]protocol.Op{{Write: keyJob + r.spec.ID, Data: encode(storedJob{r.spec, job.Done, r.at, r.home})}},
+		[]protocol.Op{{Write: keyJob + r.spec.ID, Data: encode(r.stored(job.Done))}},
 		func(bookkeeping.Outcome, []string, uint64) { r.concluding = false })
 }
 
@@ -353,7 +356,6 @@
 			m.services--
 		}
 		delete(m.bound, k)
-		delete(m.sent, k)
 		delete(m.begun, k)
 		delete(m.pulling, k)
 		delete(m.boundAt, k)
@@ -425,7 +427,7 @@
 	failed  bool
 	kind    evidence.Kind // what proves that it has left, and of which claim
 	token   uint64        // under which that was found
-	why     string        // what kind of evidence, for the log
+	cause   string        // of an attempt that ended, as its worker tells
 	at      time.Duration
 }
 
@@ -458,15 +460,19 @@
 // traceEnding and traceStart write the steps of an attempt to the debug log, as
 // internal/losses reads them.
 func (c *Core) traceEnding(step string, r *record, index int, ch change) {
+	why := ch.kind.String() // as internal/losses names them
+	if ch.kind == evidence.Ended {
+		why = ch.cause
+	}
 	var silent time.Duration
 	if m := c.machines[ch.machine]; m != nil && m.heard > 0 {
 		silent = c.now - m.heard
 	}
-	if ch.why == losses.Lease { // as far as anybody can know, it ran on until then
+	if ch.kind == evidence.Lease { // as far as anybody can know, it ran on until then
 		silent = max(0, silent-seconds(c.cfg.Facts.Workers.Lease))
 	}
 	c.log.Debug(step, "load", job.TaskName(r.spec.ID, index), "try", ch.try, "stoker", ch.machine, "class", r.spec.Class,
-		"urgency", int(r.spec.Priority), "why", ch.why, "done", ch.done, "silentMs", silent.Milliseconds())
+		"urgency", int(r.spec.Priority), "why", why, "done", ch.done, "silentMs", silent.Milliseconds())
 }
 
 func (c *Core) traceStart(step string, id string, index, try int, stoker string) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -299,7 +299,7 @@
 		reread()
 		return
 	}
-	rec := storedJob{r.spec, job.Cancelled, r.at, r.home}
+	rec := r.stored(job.Cancelled)
 	c.store.Txn(budget.Rules, []protocol.Cond{{Key: key, Stamp: r.stamp}}, []protocol.Op{{Write: key, Data: encode(rec)}},
 		func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			switch o {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -74,7 +74,6 @@
 	adopted    bool                      // claimed by an earlier life of ours, whose token we go on with
 	homeAt     time.Duration             // when it first came here while its own controller was down
 	sentAway   time.Duration             // to another controller, when it reported last
-	sent       map[taskKey]uint64        // tally of the report whose answer launched
 	direct     map[attempt]bool          // launches sent to /orders and not answered yet
 	tainted    bool                      // such a launch got no answer: it may be executed until a new token is seen
 	shownAt    time.Duration             // when a report first carried our token
@@ -122,7 +121,7 @@
 func (c *Core) machine(id string) *machine {
 	m := c.machines[id]
 	if m == nil {
-		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]time.Duration{}, sent: map[taskKey]uint64{},
+		m = &machine{id: id, bound: map[taskKey]*record{}, images: map[string]time.Duration{},
 			stops: map[taskKey]stop{}, gone: map[taskKey]*record{}, direct: map[attempt]bool{}, begun: map[taskKey]time.Duration{}, pulling: map[taskKey]bool{}, boundAt: map[taskKey]binding{}, errors: map[string]bool{}, idleAt: c.now}
 		c.machines[id] = m
 	}
@@ -187,7 +186,6 @@
 	}
 	m.claim, m.stamp = k, stamp
 	m.shown, m.proved, m.released, m.adopted, m.homeAt = false, false, false, false, 0
-	clear(m.sent)
 	m.soon, m.owed = nil, nil
 	m.reoccupy()
 	if !c.mine(m) {
@@ -521,26 +519,36 @@
 // twenty seconds, and the next one after it.
 func (c *Core) killFinal(r *protocol.Report) []protocol.Order {
 	orders := []protocol.Order{}
-	zero := 0.0
 	for i := range r.Loads {
 		l := &r.Loads[i]
 		id, _, err := job.SplitTaskName(l.Load)
 		if rec := c.jobs[id]; err == nil && l.Status != protocol.LoadEnded && (rec != nil && rec.final() || c.vouches.cancelled[id]) {
-			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
+			orders = append(orders, kill(l, 0))
 		}
 	}
 	return orders
 }
 
+// kill stops what a worker lists, within a time in seconds.
+func kill(l *protocol.Load, grace float64) protocol.Order {
+	return protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &grace}
+}
+
+// launch starts an attempt that evidence has let pass.
+func (c *Core) launch(m *machine, a attempt) protocol.Order {
+	c.traceStart(losses.Launch, a.id, a.index, a.try, m.id)
+	return protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(a.id, a.index), Try: a.try, Seal: c.view.sealLaunch(m, a.taskKey, a.try)}
+}
+
 // orders compares a report with the records: what should be on the machine is
 // launched, what should not be is stopped, and endings are proposed for commit
 // and forgotten once committed.
 func (c *Core) orders(m *machine, r *protocol.Report) []protocol.Order {
 	orders := []protocol.Order{}
 	st := c.standing(m)
+	m.owed = nil // what it lacks is judged again
 	listed := c.listed
 	clear(listed)
-	zero := 0.0
 	for i := range r.Loads {
 		l := &r.Loads[i]
 		id, index, err := job.SplitTaskName(l.Load)
@@ -558,10 +566,9 @@
 			orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Load: l.Load, Try: l.Try})
 			continue
 		case evidence.Kill:
-			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
+			orders = append(orders, kill(l, 0))
 			continue
-		}
-		if !bound || a.Session != r.Shift || a.Try != l.Try {
+		case evidence.Hold:
 			continue // to be forgotten later
 		}
 		rec := c.jobs[id]
@@ -587,10 +594,9 @@
 			}
 		}
 		if rec.final() {
-			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &zero})
+			orders = append(orders, kill(l, 0))
 		} else if s, ok := m.stops[k]; ok && l.Status != protocol.LoadSaving {
-			grace := s.grace
-			orders = append(orders, protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &grace})
+			orders = append(orders, kill(l, s.grace))
 		}
 	}
 	for _, k := range m.unlisted(listed) {
@@ -606,14 +612,12 @@
 			m.tainted = true
 		case evidence.Release:
 			m.vacate(k, rec)
-			c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: kind, why: why[kind]})
+			c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: kind})
 			if kind == evidence.Absent {
 				delete(m.stops, k)
 			}
 		case evidence.Launch:
-			m.sent[k] = r.Tally
-			c.traceStart(losses.Launch, k.id, k.index, t.Try, m.id)
-			orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(k.id, k.index), Try: t.Try, Seal: c.view.sealLaunch(m, k, t.Try)})
+			orders = append(orders, c.launch(m, a))
 		case evidence.Keep:
 			if wanted && t.Session == r.Shift {
 				m.owe(a)
@@ -656,7 +660,7 @@
 }
 
 func (c *Core) ended(m *machine, rec *record, k taskKey, t *job.Task, l *protocol.Load) {
-	ch := change{machine: m.id, session: t.Session, try: t.Try, kind: evidence.Ended, done: l.Cause == protocol.CauseDone, failed: l.Cause == protocol.CauseError, why: l.Cause}
+	ch := change{machine: m.id, session: t.Session, try: t.Try, kind: evidence.Ended, done: l.Cause == protocol.CauseDone, failed: l.Cause == protocol.CauseError, cause: l.Cause}
 	if ch.failed {
 		c.log.Info("task failed", "load", l.Load, "stoker", m.id, "fails", t.Fails+1)
 	}
@@ -742,7 +746,7 @@
 				rec := m.bound[k]
 				t := rec.task(c, k.index)
 				if t.Session <= m.session && !c.ending(rec, k.index) {
-					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: evidence.Lease, why: losses.Lease})
+					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: evidence.Lease})
 				}
 			}
 		}
@@ -878,7 +882,7 @@
 // answer the machine is tainted, and its next report gets a new token.
 func (c *Core) sendLaunches() {
 	for _, m := range c.launching {
-		soon := m.soon
+		soon, st := m.soon, c.standing(m)
 		m.soon = nil
 		var orders []protocol.Order
 		var sent []attempt
@@ -888,7 +892,7 @@
 				c.log.Debug("launch withheld: the attempt is over", "load", job.TaskName(a.id, a.index), "try", a.try, "stoker", m.id)
 				continue
 			}
-			if !c.standing(m).Direct(b) {
+			if !st.Direct(b) {
 				if b.Session == m.session {
 					c.log.Debug("launch withheld: the records are behind", "load", job.TaskName(a.id, a.index), "try", a.try, "stoker", m.id,
 						"ledger", c.store.Ledger(), "token", m.stamp, "since", b.Since)
@@ -896,10 +900,9 @@
 				}
 				continue
 			}
-			c.traceStart(losses.Launch, a.id, a.index, a.try, m.id)
 			m.direct[a] = true
 			sent = append(sent, a)
-			orders = append(orders, protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(a.id, a.index), Try: a.try, Seal: c.view.sealLaunch(m, a.taskKey, a.try)})
+			orders = append(orders, c.launch(m, a))
 		}
 		if len(orders) == 0 {
 			continue
@@ -946,9 +949,8 @@
 	m.owed = nil
 	for _, a := range owed {
 		_, stopping := m.stops[a.taskKey]
-		_, told := m.sent[a.taskKey]
 		b, ok := c.boundHere(m, a.taskKey)
-		if !ok || b.Try != a.try || told || stopping || m.recalled || m.direct[a] || c.ending(m.bound[a.taskKey], a.index) {
+		if !ok || b.Try != a.try || stopping || m.recalled || m.direct[a] || c.ending(m.bound[a.taskKey], a.index) {
 			continue
 		}
 		c.launchSoon(m.id, a.taskKey, a.try)
@@ -987,6 +989,3 @@
 func head(r *protocol.Report) evidence.Report {
 	return evidence.Report{Baton: r.Baton, Shift: r.Shift, Tally: r.Tally}
 }
-
-// why names kinds of evidence in the debug log, as internal/losses reads them.
-var why = map[evidence.Kind]string{evidence.Session: losses.Session, evidence.Absent: losses.Absent, evidence.Lease: losses.Lease, evidence.Cloud: losses.Cloud}
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -57,7 +57,7 @@
 	Tainted bool   // a direct launch of ours may be carried out until a new token is seen
 	Session uint64 // of the newest report taken
 	Tally   uint64 // the same
-	Newest  Mark   // place of the newest answer to a direct launch under this token
+	Newest  Mark   // the newest answer to a direct launch
 }
 
 // Mark is a place in the order of what a worker says: reports and answers.
@@ -102,7 +102,7 @@
 	switch {
 	case !s.Ours || r.Baton > s.Token || s.Tainted && r.Baton == s.Token:
 		return Claim
-	case r.Shift < s.Session || r.Shift == s.Session && r.Tally <= s.Tally:
+	case !Mark{s.Session, s.Tally}.Before(r.mark()):
 		return Stale
 	case r.Baton == s.Token && s.Ledger >= s.Token && !r.mark().Before(s.Newest):
 		return Believe
@@ -129,6 +129,7 @@
 // Acts.
 const (
 	Keep    Act = iota // it is as it should be, or it is to be waited for
+	Hold               // nothing can be said to the worker yet: a launch of it may still come
 	Launch             // tell the worker to start it
 	Kill               // tell the worker to stop it at once
 	Forget             // tell the worker that its ending is known
@@ -152,7 +153,7 @@
 		case direct && s.Adopted:
 			return Renew, 0
 		case direct:
-			return Keep, 0
+			return Hold, 0
 		}
 		return Forget, 0
 	}
@@ -183,7 +184,7 @@
 	case direct && s.Adopted:
 		return Renew, 0
 	case direct:
-		return Keep, 0
+		return Hold, 0
 	}
 	return Release, Absent
 }
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -231,23 +231,11 @@
 			if out != nil {
 				_ = out.Close()
 			}
-			if out, err = w.open(segment); err == nil {
-				h := w.header
-				h.Segment = segment
-				segment++
-				var head []byte
-				if head, err = cbor.Marshal(h); err == nil {
-					frame = appendFrame(enc, append(frame[:0], Magic...), head)
-					written = int64(len(frame))
-					if _, err = out.Write(frame); err == nil {
-						err = w.tidy()
-					}
-				}
-			}
-			if err != nil {
+			if out, written, err = w.begin(enc, segment); err != nil {
 				w.fail(fmt.Errorf("recorder.dir: %w", err))
 				continue
 			}
+			segment++
 		}
 		frame = appendFrame(enc, frame[:0], raw)
 		if _, err := out.Write(frame); err != nil {
@@ -267,3 +255,22 @@
 		_ = out.Close()
 	}
 }
+
+// begin makes a segment with its header, and tells how large that is.
+func (w *Writer) begin(enc *zstd.Encoder, segment int) (io.WriteCloser, int64, error) {
+	h := w.header
+	h.Segment = segment
+	head, err := cbor.Marshal(h)
+	if err != nil {
+		return nil, 0, err
+	}
+	out, err := w.open(segment)
+	if err != nil {
+		return nil, 0, err
+	}
+	n, err := out.Write(appendFrame(enc, []byte(Magic), head))
+	if err == nil {
+		err = w.tidy()
+	}
+	return out, int64(n), err
+}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -131,7 +131,7 @@
 	h := &l.Header
 	res := Result{Node: h.Node, Life: h.Life, Build: h.Build}
 	if o.Log == nil {
-		o.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+		o.Log = slog.New(slog.DiscardHandler)
 	}
 	core, err := coordination.FromHeader(h, o.Log)
 	if err != nil {
