Store: a fetch that is given up says so

A fetch that nobody wants any more ended without an event, so the checker of urgent fetches took one whose task was stopped for one that runs for ever, and every later chunk on that machine for a broken promise.

Change: the store tells "quit"; the checker ends the fetch there.

--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -127,7 +127,10 @@
 		s.setUrgent(-1)
 	}
 	waiters := f.waiters
-	if err != nil && !errors.Is(err, ErrDropped) {
+	switch {
+	case errors.Is(err, ErrDropped):
+		s.tell(Event{Kind: "quit", ID: f.want.ID})
+	case err != nil:
 		s.log.Error("a copy can't be fetched", "copy", f.want.ID, "set", f.want.Set, "version", f.want.Version, "err", err)
 		s.tell(Event{Kind: "fail", ID: f.want.ID})
 	}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -65,7 +65,7 @@
 // Event tells of something that happened, for whoever checks it.
 type Event struct {
 	At     time.Time
-	Kind   string // begin, chunk, visible, pause, resume, aside, evict, drop, fail
+	Kind   string // begin, chunk, visible, pause, resume, aside, evict, drop, quit (a fetch that nobody wants any more), fail
 	ID     dataset.ID
 	Source string
 	Urgent bool
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -265,6 +265,31 @@
 	}
 }
 
+// TestGivenUpFetchIsTold guards against an urgent fetch that ends without a word:
+// whoever reads the events took it for one that still has all others stand still.
+func TestGivenUpFetchIsTold(t *testing.T) {
+	root := t.TempDir()
+	srv := server(t, root, standin.Faults{BytesPerS: 1e6})
+	_, w := publish(t, root, "back", "1", map[string][]byte{"a": random(1, 8<<20)})
+	s := open(t, filepath.Join(t.TempDir(), "s"), 1<<30)
+	told := make(chan Event, 100)
+	s.Observe = func(e Event) { told <- e }
+	w.Urgent = true
+	ended := make(chan error, 1)
+	s.Fetch(from(w, Source{srv.Address(), false}), func(err error) { ended <- err })
+	s.Cancel(w.ID)
+	if err := <-ended; !errors.Is(err, ErrDropped) {
+		t.Fatal(err)
+	}
+	var kinds []string
+	for len(told) > 0 {
+		kinds = append(kinds, (<-told).Kind)
+	}
+	if len(kinds) < 2 || kinds[0] != "begin" || kinds[len(kinds)-1] != "quit" {
+		t.Errorf("told %v", kinds)
+	}
+}
+
 // TestRoomPinsAndSharing fills a small store.
 func TestRoomPinsAndSharing(t *testing.T) {
 	root := t.TempDir()
--- a/internal/stagecheck/stagecheck.go
+++ b/internal/stagecheck/stagecheck.go
@@ -79,7 +79,7 @@
 			if !e.Urgent && running[e.Machine] > 0 {
 				wrong = append(wrong, fmt.Sprintf("on %s a chunk of %s was taken while an urgent fetch ran", e.Machine, e.Copy))
 			}
-		case "visible", "fail":
+		case "visible", "fail", "quit":
 			if urgent[p] {
 				delete(urgent, p)
 				running[e.Machine]--
