Reach: who reaches what, and state calls by way of a peer

Need: links fail one by one. Controllers that together reach everything lost what they ran: workers were sent to a controller with the state service and without workers, and one without the state service could neither claim nor place.

Change: internal/reach, apart from I/O. Beats carry rows (state service, records, workers, zones, peers heard), each holds a matrix with ages. A controller whose own link to the state service is down has a peer make its calls, as they are; hysteresis and probes for the return; deafness; 421 to controllers that can serve, urgent workers first when nobody carries; vouches by way of a third; shares of peers that can't use them. Core: beats, vouches, beatAt and shedAt go, reach comes.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -21,6 +21,7 @@
 	"silvergate/internal/config"
 	"silvergate/internal/doors"
 	"silvergate/internal/protocol"
+	"silvergate/internal/reach"
 )
 
 // Answer is the response to a request from outside.
@@ -105,10 +106,9 @@
 	freeAt     time.Duration // when the last mark was given back
 	drawAt     time.Duration
 	restarting time.Duration
-	claims     int           // being written
-	asks       int           // for a status, under way
-	shedAt     time.Duration // no worker of ours is sent elsewhere before
-	moves      float64       // services that may be moved now, see gather
+	claims     int     // being written
+	asks       int     // for a status, under way
+	moves      float64 // services that may be moved now, see gather
 	movedAt    time.Duration
 	launching  []*machine
 	latency    map[string]*hdrhistogram.Histogram
@@ -120,9 +120,7 @@
 	published string
 	publishAt time.Duration
 	ttl       time.Duration
-	beats     map[string]beat
-	vouches   vouches // see proof
-	beatAt    time.Duration
+	reach     *reach.Reach // who reaches what; see reach.go
 	sweepAt   time.Duration
 	readyAt   time.Duration // when the records had been read
 
@@ -164,7 +162,7 @@
 		cfg: cfg, log: log, rnd: rnd, life: life,
 		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
 		teams: map[string]*team{}, members: map[string]*member{}, formats: map[string]int{}, listed: map[taskKey]bool{}, drains: map[string]drain{}, dirty: map[*page]bool{},
-		orphans: map[string]orphan{}, early: map[string][]early{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, held: map[string]int{}, beats: map[string]beat{}, vouches: vouches{at: map[string]time.Duration{}, cancelled: map[string]bool{}}, latency: map[string]*hdrhistogram.Histogram{},
+		orphans: map[string]orphan{}, early: map[string][]early{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, held: map[string]int{}, latency: map[string]*hdrhistogram.Histogram{},
 	}
 	for i := range cfg.Facts.Teams {
 		t := &cfg.Facts.Teams[i]
@@ -177,7 +175,8 @@
 	c.view = newView(c)
 	c.data = newData(c)
 	c.store = bookkeeping.NewStore(&cfg.Facts, 1+len(cfg.Peers))
-	c.store.Send = c.call
+	c.store.Send = c.toState
+	c.reach = newReach(cfg, life, c.store.Late())
 	c.store.Apply = c.apply
 	return c
 }
@@ -202,6 +201,7 @@
 func (c *Core) begin(t Clock) {
 	c.now, c.wall = t.Steady, t.Wall
 	c.store.Advance(c.now)
+	c.reach.Advance(c.now)
 }
 
 func (c *Core) end() Effects {
@@ -259,6 +259,7 @@
 // Tick lets time pass.
 func (c *Core) Tick(t Clock) Effects {
 	c.begin(t)
+	c.links()
 	c.membership()
 	c.catalogueTick()
 	if c.store.Ready() && c.now >= c.sweepAt {
@@ -381,7 +382,8 @@
 		StateQueue int                `json:"stateQueue"`
 		Counters   Stats              `json:"counters"`
 		Latency    map[string]latency `json:"latency"`
-	}{c.cfg.Node, c.now.Seconds(), (c.now - c.store.Fresh()).Seconds(), c.leads(), len(c.ours), len(c.idle), c.lined, len(c.open), c.store.Backlog(), c.Stats, lat}
+		Reach      reachStats         `json:"reach"`
+	}{c.cfg.Node, c.now.Seconds(), (c.now - c.store.Fresh()).Seconds(), c.leads(), len(c.ours), len(c.idle), c.lined, len(c.open), c.store.Backlog(), c.Stats, lat, c.reachStats()}
 }
 
 // measure records how long a call took, in a histogram that covers a minute
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -9,6 +9,7 @@
 	"silvergate/internal/budget"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
+	"silvergate/internal/reach"
 )
 
 // member is a controller's published state: its life and the length of its
@@ -29,6 +30,9 @@
 	Return  *Forward // tasks handed over that the receiver has no machine for
 	Draw    *Draw
 	Offer   *Offer
+	Carry   *reach.Carry   // a call of the state service for the sender
+	Carried *reach.Carried // what came of it
+	Pass    *Pass          // a question or word that goes by way of a third
 }
 
 // Beat tells peers how old the sender's last proof of a fresh mirror is, whether
@@ -38,21 +42,26 @@
 	FreshMS   int64
 	Hungry    bool
 	Lit, Dark []string
-	Unkept    []string // machines with output that the archive does not have yet
+	Unkept    []string    // machines with output that the archive does not have yet
+	Rows      []reach.Row // who reaches what: the sender first; none from versions without internal/reach
 }
 
 // Ask asks a peer which cancellations it knows of that the asker's mirror,
 // complete up to Ledger, does not hold. At is the asker's steady clock and comes
 // back with the answer, so that a message that was held back proves nothing new.
+//
+// Life tells the asker's life from an earlier one, whose clock was another.
 type Ask struct {
 	At     time.Duration
 	Ledger uint64
+	Life   int64
 }
 
-// Vouch answers with all of them.
+// Vouch answers with all of them. Life is the asker's, 0 from versions that don't know it.
 type Vouch struct {
 	At        time.Duration
 	Cancelled []string
+	Life      int64
 }
 
 // Forward hands tasks of a job to a peer, which places them or keeps them in
@@ -65,25 +74,6 @@
 // starting is the age that a controller gives before it has read the records.
 const starting = time.Hour
 
-type beat struct {
-	at     time.Duration
-	fresh  time.Duration
-	hungry bool
-}
-
-// shareOut tells the budget how many peers want more than their share. One that
-// has not been heard may want it too, or be gone: its record tells.
-func (c *Core) shareOut() {
-	n := 0
-	for _, p := range c.cfg.Peers {
-		b := c.beats[p.Node]
-		if heard := b.at > 0 && c.now-b.at < seconds(c.cfg.Facts.Workers.Report); heard && b.hungry || !heard && c.members[p.Node] != nil {
-			n++
-		}
-	}
-	c.store.Peers(n)
-}
-
 func (c *Core) applyMember(name string, data json.RawMessage) {
 	if data == nil {
 		delete(c.members, name)
@@ -101,20 +91,20 @@
 
 // membership keeps our lease, publishes our list length and tells the peers.
 func (c *Core) membership() {
-	if c.now >= c.beatAt {
-		c.beatAt = c.now + seconds(c.cfg.Facts.Workers.Report/3)
+	if c.reach.BeatDue() {
 		c.shareOut()
 		own, told := c.fleet.seen[c.cfg.Node], c.fleet.unkept.told()
 		age := c.now - c.store.Fresh()
 		if !c.store.Ready() {
 			age = starting
 		}
+		rows := c.reach.Rows(age, c.store.Hungry(), own.dark)
 		blind := c.store.Ready() && c.now-c.store.Fresh() > seconds(c.cfg.Facts.Workers.Report)
 		for _, p := range c.cfg.Peers {
 			if blind {
-				c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Ask: &Ask{c.now, c.store.Ledger()}}})
+				c.askPeer(p.Node)
 			}
-			c.out.Sends = append(c.out.Sends, Send{p.Node, Message{Beat: &Beat{age.Milliseconds(), c.store.Hungry(), own.lit, own.dark, told}}})
+			c.send(p.Node, Message{Beat: &Beat{age.Milliseconds(), c.store.Hungry(), own.lit, own.dark, told, rows}})
 		}
 	}
 	if !c.store.Ready() || c.granting {
@@ -165,20 +155,20 @@
 func (c *Core) peerMessage(from string, m Message) {
 	switch {
 	case m.Beat != nil:
-		c.beats[from] = beat{c.now, time.Duration(m.Beat.FreshMS) * time.Millisecond, m.Beat.Hungry}
+		c.reach.Beat(from, time.Duration(m.Beat.FreshMS)*time.Millisecond, m.Beat.Hungry, m.Beat.Rows)
 		c.fleet.seen[from] = sight{c.now, m.Beat.Lit, m.Beat.Dark}
 		c.fleet.unkept.beat(m.Beat.Unkept)
 		c.shareOut()
-	case m.Ask != nil && c.store.Ready():
-		// Not before the records are read: an earlier life of ours may have
-		// told users what this one does not know yet.
-		v := &Vouch{At: m.Ask.At}
-		for _, id := range sortedKeys(c.jobs) {
-			if r := c.jobs[id]; r.status == job.Cancelled && r.stamp > m.Ask.Ledger {
-				v.Cancelled = append(v.Cancelled, id)
-			}
+	case m.Carry != nil:
+		c.carry(from, m.Carry)
+	case m.Carried != nil:
+		if done := c.reach.Answer(from, m.Carried); done != nil {
+			done()
 		}
-		c.out.Sends = append(c.out.Sends, Send{from, Message{Vouch: v}})
+	case m.Pass != nil:
+		c.pass(from, m.Pass)
+	case m.Ask != nil && c.store.Ready():
+		c.send(from, Message{Vouch: c.vouch(m.Ask)})
 	case m.Vouch != nil:
 		c.vouched(from, m.Vouch)
 	case m.Forward != nil && c.store.Ready():
@@ -213,10 +203,16 @@
 	return names[0]
 }
 
-// vouches is what peers have said about cancellations.
-type vouches struct {
-	at        map[string]time.Duration // by peer: as of when
-	cancelled map[string]bool          // jobs that we have no record of yet
+// vouch names the cancellations that an asker's records lack. Not before our own are
+// read: an earlier life of ours may have told users what this one does not know yet.
+func (c *Core) vouch(a *Ask) *Vouch {
+	v := &Vouch{At: a.At, Life: a.Life}
+	for _, id := range sortedKeys(c.jobs) {
+		if r := c.jobs[id]; r.status == job.Cancelled && r.stamp > a.Ledger {
+			v.Cancelled = append(v.Cancelled, id)
+		}
+	}
+	return v
 }
 
 // vouched takes a peer's word on cancellations: as of the question, it has
@@ -225,23 +221,16 @@
 	for _, id := range v.Cancelled {
 		switch r := c.jobs[id]; {
 		case r == nil:
-			c.vouches.cancelled[id] = true
+			c.reach.Name(id)
 		case !r.final():
 			r.status = job.Cancelled // committed, as the peer knows of it
 		}
 	}
-	if v.At <= c.now && v.At > c.vouches.at[from] {
-		c.vouches.at[from] = v.At
+	if v.Life == 0 || v.Life == c.life {
+		c.reach.Vouched(from, v.At)
 	}
 }
 
 // proof is the time of the last proof that no cancellation was acknowledged
-// which we don't know of: our own complete mirror, or the word of every peer.
-// Nobody else tells users anything.
-func (c *Core) proof() time.Duration {
-	oldest := c.now
-	for _, p := range c.cfg.Peers {
-		oldest = min(oldest, c.vouches.at[p.Node])
-	}
-	return max(c.store.Fresh(), oldest)
-}
+// which we don't know of.
+func (c *Core) proof() time.Duration { return c.reach.Proof(c.store.Fresh()) }
--- /dev/null
+++ b/internal/coordination/reach.go
@@ -0,0 +1,182 @@
+package coordination
+
+import (
+	"time"
+
+	"silvergate/internal/config"
+	"silvergate/internal/protocol"
+	"silvergate/internal/reach"
+)
+
+// This file is the seam to internal/reach: it brings observations in and carries
+// out what is decided there.
+
+func newReach(cfg *config.Settings, life int64, late time.Duration) *reach.Reach {
+	r := reach.Config{Self: cfg.Node, Zone: cfg.Zone, Life: life, Report: seconds(cfg.Facts.Workers.Report), Late: late}
+	for _, p := range cfg.Peers {
+		r.Peers = append(r.Peers, reach.Name{Node: p.Node, Zone: p.Zone})
+	}
+	return reach.New(r)
+}
+
+func (c *Core) send(to string, m Message) { c.out.Sends = append(c.out.Sends, Send{to, m}) }
+
+// toState makes a call of the state service: on our own link, or through a peer while
+// that is down.
+func (c *Core) toState(k protocol.Call, done func(protocol.Reply)) {
+	if via := c.reach.Route(); via != "" {
+		c.send(via, Message{Carry: c.reach.Ask(via, k, done)})
+		return
+	}
+	c.call(k, func(r protocol.Reply) {
+		c.reach.StateAnswered(r.Status)
+		done(r)
+	})
+}
+
+// links gives up on carried calls that are late, and tries our own link while a peer
+// carries for us.
+func (c *Core) links() {
+	for _, done := range c.reach.Expire() {
+		done()
+	}
+	if c.reach.Probe() {
+		c.call(protocol.Call{Target: protocol.ToState, Method: "GET", Path: protocol.PathKeys + "/" + keyFleet, Timeout: time.Second},
+			func(r protocol.Reply) { c.reach.Probed(r.Status) })
+	}
+	if c.reach.Deaf() && len(c.ours) == 0 {
+		c.listen()
+	}
+}
+
+// listen asks a worker for its status, a different one each time, when all that we
+// held are with others: no report would ever show that we hear again.
+func (c *Core) listen() {
+	var first *machine
+	for _, m := range c.machines {
+		if m.claim.Address == "" || m.asking || c.now < m.askAt {
+			continue
+		}
+		if first == nil || m.askAt < first.askAt || m.askAt == first.askAt && m.id < first.id {
+			first = m
+		}
+	}
+	if first != nil && c.asks == 0 {
+		c.askStatus(first)
+	}
+}
+
+// carry makes a call of the state service for a peer.
+func (c *Core) carry(from string, k *reach.Carry) {
+	call, refused := c.reach.Take(from, k)
+	if refused != nil {
+		c.send(from, Message{Carried: refused})
+		return
+	}
+	c.call(call, func(r protocol.Reply) {
+		c.reach.StateAnswered(r.Status)
+		c.send(from, Message{Carried: c.reach.Done(from, k, r)})
+	})
+}
+
+// Pass is a question about cancellations, or its answer, that goes by way of a third
+// controller as the two can't reach one another.
+type Pass struct {
+	From, To string
+	Ask      *Ask
+	Vouch    *Vouch
+}
+
+// askPeer asks a peer for its word on cancellations, by way of a third where it must be.
+func (c *Core) askPeer(name string) {
+	a := &Ask{c.now, c.store.Ledger(), c.life}
+	now := c.reach.Picture()
+	if by := reach.Third(&now, name); by != "" {
+		c.send(by, Message{Pass: &Pass{From: c.cfg.Node, To: name, Ask: a}})
+	}
+	c.send(name, Message{Ask: a})
+}
+
+// pass hands on what goes by way of us, one step and no further, or takes what is for us.
+func (c *Core) pass(from string, p *Pass) {
+	switch {
+	case p.To != c.cfg.Node && p.From == from:
+		c.reach.Stats.Sideways++
+		c.send(p.To, Message{Pass: p})
+	case p.To != c.cfg.Node:
+	case p.Ask != nil && c.store.Ready():
+		c.send(from, Message{Pass: &Pass{From: c.cfg.Node, To: p.From, Vouch: c.vouch(p.Ask)}})
+	case p.Vouch != nil && p.Vouch.Life == c.life:
+		c.vouched(p.From, p.Vouch)
+	}
+}
+
+// shareOut tells the budget how many peers want more than their share.
+func (c *Core) shareOut() {
+	now := c.reach.Picture()
+	c.store.Peers(reach.Claimants(&now, c.alive))
+}
+
+// betterPlaced names a peer that a worker is sent to while we can't reach the state
+// service by any way: one that can serve it, by a word that is new. If there is no new
+// word, and nobody carries for us, one that could when it was last heard, and in an order
+// that has urgent work claimed there before our own time to answer is over.
+func (c *Core) betterPlaced(r *protocol.Report) string {
+	limit := seconds(c.cfg.Facts.Workers.Report)
+	alone := c.now - c.store.Fresh() - limit
+	if alone < 0 || !c.store.Ready() {
+		return ""
+	}
+	now := c.reach.Picture()
+	if to := reach.Receiver(&now, r.Depot, r.Stoker, limit); to != "" {
+		c.reach.Stats.HandedOn++
+		return to
+	}
+	m := c.machine(r.Stoker)
+	left := c.horizon() - (c.now - c.proof())
+	// Guards against a controller that takes an outage for a cut of its own and sends
+	// its workers round: one that comes back stays while it can be answered.
+	if left > 0 && m.sentAway > 0 && c.now-m.sentAway < 2*c.leaseOver() {
+		return ""
+	}
+	level := reach.Empty
+	switch {
+	case m.urgent():
+		level = reach.Urgent
+	case len(m.bound) > 0:
+		level = reach.Busy
+	}
+	if left > 0 && !reach.HandOver(level, alone, left) {
+		return ""
+	}
+	to := reach.Receiver(&now, r.Depot, r.Stoker, c.leaseOver())
+	if to != "" {
+		m.sentAway = c.now
+		c.reach.Stats.HandedOn++
+	}
+	return to
+}
+
+// reachStats is what operators see of the links.
+type reachStats struct {
+	reach.Stats
+	State string      `json:"state"` // direct, relayed or lost
+	Via   string      `json:"via,omitempty"`
+	Deaf  bool        `json:"deaf"`
+	Rows  []reach.Row `json:"rows"`
+}
+
+func (c *Core) reachStats() reachStats {
+	age := c.now - c.store.Fresh()
+	if !c.store.Ready() {
+		age = starting
+	}
+	s := reachStats{Stats: c.reach.Stats, State: "direct", Via: c.reach.Via(), Deaf: c.reach.Deaf(), Rows: c.reach.Rows(age, c.store.Hungry(), c.fleet.seen[c.cfg.Node].dark)}
+	if c.reach.Lost() {
+		s.State = "lost"
+		if s.Via != "" {
+			s.State = "relayed"
+		}
+	}
+	return s
+}
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -116,7 +116,7 @@
 			r.pages = append(r.pages, &page{rec: r, id: id, num: k, tasks: tasks, pending: len(tasks)})
 		}
 		c.jobs[id] = r
-		delete(c.vouches.cancelled, id)
+		c.reach.Known(id)
 	}
 	r.status, r.at, r.home, r.stamp = s.Status, s.At, s.Home, stamp
 	switch _, was := c.open[id]; {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -40,10 +40,8 @@
 	if c.now-c.store.Fresh() < limit {
 		return false
 	}
-	for _, b := range c.beats {
-		if c.now-b.at < seconds(c.cfg.Facts.Workers.Report) && b.fresh < limit {
-			return true
-		}
+	if c.reach.OthersServe(limit) {
+		return true
 	}
 	return c.now-c.proof() > c.horizon()
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -13,6 +13,7 @@
 	"silvergate/internal/job"
 	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
+	"silvergate/internal/reach"
 )
 
 // claim is the record that makes a worker ours; its stamp is the worker's
@@ -251,7 +252,8 @@
 		c.refuse(id, 503, "starting")
 		return
 	}
-	if peer := c.betterPlaced(); peer != "" {
+	c.reach.WorkerHeard()
+	if peer := c.betterPlaced(r); peer != "" {
 		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
 		return
 	}
@@ -300,21 +302,22 @@
 	if m.sentAway > 0 && c.now-m.sentAway < 2*c.leaseOver() {
 		return ""
 	}
-	limit := seconds(c.cfg.Facts.Workers.Report)
 	in := c.cfg.Zone == zone
 	var near, all []string
 	nearHeld, allHeld := 0, len(c.ours)+c.claims
 	if in {
 		nearHeld = allHeld
 	}
-	for _, p := range c.cfg.Peers {
-		b := c.beats[p.Node]
-		if c.members[p.Node] == nil || b.at == 0 || c.now-b.at > limit || b.fresh > limit/2 {
+	now := c.reach.Picture()
+	for i := range now.Peers {
+		p := &now.Peers[i]
+		name := p.Name.Node
+		if c.members[name] == nil || p.Word > now.Report || !reach.Serves(&now, p, zone, now.Report) {
 			continue
 		}
-		all, allHeld = append(all, p.Node), allHeld+c.held[p.Node]
+		all, allHeld = append(all, name), allHeld+c.held[name]
 		if p.Zone == zone {
-			near, nearHeld = append(near, p.Node), nearHeld+c.held[p.Node]
+			near, nearHeld = append(near, name), nearHeld+c.held[name]
 		}
 	}
 	group, held, size := near, nearHeld, len(near)
@@ -342,11 +345,10 @@
 		}
 	}
 	if c.mine(m) {
-		if c.now < c.shedAt || len(m.direct) > 0 || len(m.stops) > 0 {
+		// A tenth of the share of changes goes into evening out.
+		if len(m.direct) > 0 || len(m.stops) > 0 || !c.reach.Shed(seconds(10*float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.WriteRPS)) {
 			return ""
 		}
-		// A tenth of the share of changes goes into evening out.
-		c.shedAt = c.now + seconds(10*float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.WriteRPS)
 	}
 	to, least := "", 0
 	for _, i := range c.rnd.Perm(len(group)) {
@@ -400,18 +402,19 @@
 	if m.stamp == 0 || r.Baton != m.stamp {
 		return false
 	}
-	for _, p := range c.cfg.Peers {
-		b := c.beats[p.Node]
-		if p.Node != m.claim.Owner || p.Zone != r.Depot {
+	now := c.reach.Picture()
+	for i := range now.Peers {
+		p := &now.Peers[i]
+		if p.Name.Node != m.claim.Owner || p.Zone != r.Depot {
 			continue
 		}
-		if c.now-b.at < seconds(c.cfg.Facts.Workers.Report) && b.fresh < starting {
+		if p.Word < now.Report && p.FreshMS < starting.Milliseconds() {
 			return false // it is there, and has sent the worker on
 		}
 		// Guards against workers of a controller that is cut off: they come
 		// after a report period and a wait for its answer, with little left of
 		// their lease. One that was restarted is back before that.
-		if c.now-b.at > seconds(c.cfg.Facts.Workers.Lease/3) {
+		if !reach.Homeward(&now, m.claim.Owner, seconds(c.cfg.Facts.Workers.Lease/3)) {
 			return false
 		}
 		if m.homeAt == 0 {
@@ -522,7 +525,7 @@
 	for i := range r.Loads {
 		l := &r.Loads[i]
 		id, _, err := job.SplitTaskName(l.Load)
-		if rec := c.jobs[id]; err == nil && l.Status != protocol.LoadEnded && (rec != nil && rec.final() || c.vouches.cancelled[id]) {
+		if rec := c.jobs[id]; err == nil && l.Status != protocol.LoadEnded && (rec != nil && rec.final() || c.reach.Named(id)) {
 			orders = append(orders, kill(l, 0))
 		}
 	}
@@ -735,6 +738,7 @@
 		z.newest = max(z.newest, m.heard)
 	}
 	c.fleet.see(c.cfg.Node, c.now, zones, seconds(1.25*w.Report))
+	c.reach.Workers(mine)
 	for _, m := range c.ours {
 		if c.now-m.heard > entryAge {
 			c.unlist(m)
@@ -836,28 +840,15 @@
 		Timeout: seconds(c.cfg.Facts.Workers.Report / 4)}, func(r protocol.Reply) {
 		m.asking = false
 		c.asks--
+		if r.Status != 0 {
+			c.reach.WorkerHeard()
+		}
 		if m.mute++; r.Status != 0 || m.heard != at {
 			m.mute = 0
 		}
 	})
 }
 
-// betterPlaced names a peer that can serve workers while we can't reach the
-// state service.
-func (c *Core) betterPlaced() string {
-	limit := seconds(c.cfg.Facts.Workers.Report)
-	if c.now-c.store.Fresh() < limit {
-		return ""
-	}
-	best := ""
-	for name, b := range c.beats {
-		if c.now-b.at < limit && b.fresh < limit/2 && (best == "" || name < best) {
-			best = name
-		}
-	}
-	return best
-}
-
 // launchSoon sends a committed launch straight to its worker with the step's
 // other launches, which saves the wait for the next report.
 func (c *Core) launchSoon(id string, k taskKey, try int) {
--- /dev/null
+++ b/internal/reach/decide.go
@@ -0,0 +1,182 @@
+package reach
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// Peer is what is known of one controller.
+type Peer struct {
+	Name
+	Row
+	Word    time.Duration // since its own beat came here
+	Age     time.Duration // of the row, by whichever way it came
+	Carries bool          // it knows how to carry calls
+	Cooling bool          // carrying failed there a moment ago
+}
+
+const never = 365 * 24 * time.Hour
+
+// Picture is who reaches what, as known to one controller at one moment.
+type Picture struct {
+	Self, Zone   string
+	Report, Late time.Duration
+	Peers        []Peer
+}
+
+// Near tells whether messages pass both ways between us and a peer: its beats come,
+// and say that ours do.
+func (p *Picture) Near(q *Peer) bool {
+	return q.Word < p.Report && slices.Contains(q.Hears, p.Self)
+}
+
+// Carrier names the peer through which the state service is asked while our own link
+// to it is down, "" if there is none: one that messages reach both ways and that
+// the service answers itself. One that hears no workers has the time for it and goes first,
+// then whoever follows us by name, so that not all choose the same. A carrier that
+// works is kept.
+//
+// The rule that this must not break: none. A call that a peer carries is a call on a longer
+// way; what may happen to it there (lost, late, its answer lost) may happen without it.
+func Carrier(p *Picture, kept string) string {
+	best, rank := "", 0
+	for i := range p.Peers {
+		q := &p.Peers[i]
+		if !q.Carries || q.Cooling || !p.Near(q) || ms(q.StateMS) > p.Late {
+			continue
+		}
+		n := 0
+		if q.Name.Node == kept {
+			n += 4
+		}
+		if q.Deaf {
+			n += 2
+		}
+		if q.Name.Node > p.Self {
+			n++
+		}
+		if best == "" || n > rank {
+			best, rank = q.Name.Node, n
+		}
+	}
+	return best
+}
+
+// Serves tells whether a peer can answer a zone's workers, by a word that is no older
+// than within: its records are fresh, and it hears the zone's workers as far as is known.
+//
+// The rule that this must not break: none. 421 is advice: who is sent to the wrong place
+// is refused there and tries the next, and only a claim lets a controller answer.
+func Serves(p *Picture, q *Peer, zone string, within time.Duration) bool {
+	return q.Age < within && ms(q.FreshMS) <= p.Report/2 && !q.Deaf && !slices.Contains(q.Dark, zone)
+}
+
+// Receiver names the peer that a worker is best sent to by a controller that can't
+// answer it for long: one of its zone first, and by the worker's name among those that are
+// equal, so that none is drowned. "" if none is known.
+func Receiver(p *Picture, zone, worker string, within time.Duration) string {
+	var near, all []string
+	for i := range p.Peers {
+		if q := &p.Peers[i]; Serves(p, q, zone, within) {
+			all = append(all, q.Name.Node)
+			if q.Name.Zone == zone {
+				near = append(near, q.Name.Node)
+			}
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	if len(all) == 0 {
+		return ""
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(worker))
+	return all[int(h.Sum32()%uint32(len(all)))]
+}
+
+// OthersServe tells whether another controller can do what needs fresh records, by a word of
+// its own: then a balancer that leaves us out loses nothing.
+func (r *Reach) OthersServe(limit time.Duration) bool {
+	p := r.Picture()
+	return slices.ContainsFunc(p.Peers, func(q Peer) bool { return q.Word < p.Report && ms(q.FreshMS) < limit })
+}
+
+// Level is what a worker runs, most urgent first.
+type Level int
+
+// Levels.
+const (
+	Urgent Level = iota
+	Busy
+	Empty
+)
+
+// HandOver tells whether a controller without the state service and without anybody who
+// carries for it sends a worker on now: urgent ones at once, others from a third of
+// the time left on, empty ones from two thirds, so that claims are written where they
+// arrive in the order of what they save. alone is how long it has been so, left how long
+// workers may still be answered here.
+//
+// The rule that this must not break: the cancel horizon, which is not its to decide:
+// who stays is answered within it alone.
+func HandOver(l Level, alone, left time.Duration) bool {
+	return 3*alone >= time.Duration(l)*(alone+left)
+}
+
+// Homeward tells whether a worker's own controller may be back soon and go on without a
+// new claim. Not one that is silent after it said that it reaches the state service
+// through others alone, or hears no workers: what it lacked it still lacks.
+func Homeward(p *Picture, owner string, within time.Duration) bool {
+	for i := range p.Peers {
+		if q := &p.Peers[i]; q.Name.Node == owner {
+			return q.Word <= within && !q.Deaf && ms(q.StateMS) <= p.Late
+		}
+	}
+	return false
+}
+
+// Third names a peer by way of which another can be asked that we can't ask ourselves:
+// both hear one another. "" if there is none, or if none is needed.
+//
+// The rule that this must not break: the cancel horizon. A question names its asker's
+// clock and life, so an answer that is late, or meant for an earlier life, proves
+// nothing new; who passes it on adds nothing to it.
+func Third(p *Picture, to string) string {
+	var target *Peer
+	for i := range p.Peers {
+		if p.Peers[i].Name.Node == to {
+			target = &p.Peers[i]
+		}
+	}
+	if target == nil || p.Near(target) {
+		return ""
+	}
+	for i := range p.Peers {
+		t := &p.Peers[i]
+		if t.Name.Node != to && t.Carries && p.Near(t) && slices.Contains(t.Hears, to) {
+			return t.Name.Node
+		}
+	}
+	return ""
+}
+
+// Claimants counts the peers that may want more than their share of the state service's
+// rates: those that say so, and those that are not heard and may use it. One that reached the
+// service through others alone when it was last heard can't. alive tells who holds a member record.
+func Claimants(p *Picture, alive func(string) bool) int {
+	n := 0
+	for i := range p.Peers {
+		q := &p.Peers[i]
+		heard := q.Word < p.Report
+		if heard && q.Hungry || !heard && alive(q.Name.Node) && ms(q.StateMS) <= p.Late {
+			n++
+		}
+	}
+	return n
+}
+
+func ms(n int64) time.Duration {
+	return time.Duration(min(max(n, 0), never.Milliseconds())) * time.Millisecond
+}
--- /dev/null
+++ b/internal/reach/reach.go
@@ -0,0 +1,366 @@
+// Package reach keeps which controller reaches what, and decides on it: through
+// whom the state service is asked when our own link to it is down, where workers
+// are best sent, whose word on cancellations is asked by way of a third.
+//
+// What it knows comes from calls that are made anyway and from rows that
+// controllers add to their beats. It is advice: a row that is late, lost or untrue
+// costs time and breaks no rule, since every way ends at a condition that the
+// state service checks, at a worker's token, or at the cancel horizon.
+//
+// There is no I/O or clock in it. A Reach has one owner, the core; what it decides
+// are functions of a Picture, in decide.go.
+package reach
+
+import (
+	"slices"
+	"time"
+)
+
+// Config is what a Reach is made for.
+type Config struct {
+	Self   string
+	Zone   string
+	Life   int64 // tells this life of the process from others
+	Peers  []Name
+	Report time.Duration // between two reports of a worker; beats come three times as often
+	Late   time.Duration // the age from which a mirror that is watched has missed an answer
+}
+
+// Name is a controller and its zone.
+type Name struct{ Node, Zone string }
+
+// Row is what a controller says of its own links. Ages are in milliseconds, as of
+// the telling.
+type Row struct {
+	Node    string
+	AgeMS   int64    // since its own telling, where another passes it on
+	StateMS int64    // since the state service last answered it without anybody's help
+	FreshMS int64    // since its records were last proved complete, by whatever way
+	Deaf    bool     // it should hear workers, and hears none
+	Dark    []string // zones of whose workers it hears none, and should
+	Hungry  bool     // its work waits for the state service's rates
+	Hears   []string // controllers whose own beats reach it
+}
+
+// heard is a row and when it was true, by our clock.
+type heard struct {
+	row  Row
+	at   time.Duration
+	came time.Duration // when the controller's own beat came last; 0: never
+	rows bool          // its beats carry rows, so that it carries calls, too
+}
+
+// Reach is one controller's view of all links.
+type Reach struct {
+	cfg     Config
+	now     time.Duration
+	woke    time.Duration // when we last went on after standing still
+	beatAt  time.Duration
+	shedAt  time.Duration
+	state   stateLink
+	ears    ears
+	heard   map[string]*heard
+	cooling map[string]time.Duration // carriers that failed: not before
+	vouched map[string]time.Duration // as of when a peer has named all cancellations
+	named   map[string]bool          // cancelled jobs that peers named and no record shows yet
+	desk    desk
+	Stats   Stats
+}
+
+// Stats counts what an operator wants to know.
+type Stats struct {
+	Carried    uint64 `json:"carried"`    // calls of peers that were carried out here
+	Declined   uint64 `json:"declined"`   // those that were not
+	Relayed    uint64 `json:"relayed"`    // own calls that went through a peer
+	Lost       uint64 `json:"lost"`       // those without an answer
+	Downs      uint64 `json:"downs"`      // how often the state service was taken for out of reach
+	HandedOn   uint64 `json:"handedOn"`   // workers sent to a controller that can serve them
+	Sideways   uint64 `json:"sideways"`   // questions and words passed on for others
+	StoodStill uint64 `json:"stoodStill"` // how often this process stood still
+}
+
+// New makes a Reach that knows nothing yet.
+func New(cfg Config) *Reach {
+	return &Reach{cfg: cfg, heard: map[string]*heard{}, cooling: map[string]time.Duration{}, vouched: map[string]time.Duration{},
+		named: map[string]bool{}, desk: desk{asked: map[uint64]*asked{}}}
+}
+
+// still is the least gap between two steps that counts as having stood still: a
+// tick comes at least every report_s/12.
+func (r *Reach) still() time.Duration { return max(time.Second, r.cfg.Report/4) }
+
+// Advance lets time pass. It comes with every step. A gap shows that it was us who
+// stood still, so that nobody's silence counts from before it.
+func (r *Reach) Advance(now time.Duration) {
+	if now-r.now > r.still() && r.now > 0 {
+		r.woke = now
+		r.Stats.StoodStill++
+	}
+	r.now = now
+}
+
+// silence is how long nothing was heard since a moment, times in which we stood
+// still and did not listen left out.
+func (r *Reach) silence(since time.Duration) time.Duration { return r.now - max(since, r.woke) }
+
+// stateLink is our own link to the state service.
+type stateLink struct {
+	answered time.Duration // the last real answer
+	down     bool
+	upAt     time.Duration // when it came back last
+	good     time.Duration // since when every probe was answered; 0: not
+	need     time.Duration // for how long they must be, before it counts as back
+	probeAt  time.Duration
+	probing  bool
+}
+
+const (
+	// A link that fails again soon after it came back has to hold longer each time.
+	firstTrust = time.Second
+	mostTrust  = 16 * time.Second
+	flapping   = 30 * time.Second
+	probePause = time.Second
+)
+
+// StateAnswered takes what came of a call that we made ourselves. 503 is what a
+// controller gets that is refused, and in an outage.
+func (r *Reach) StateAnswered(status int) {
+	if status == 0 || status == 503 {
+		return
+	}
+	s := &r.state
+	s.answered = r.now
+	if s.down && r.desk.via == "" {
+		r.up() // nobody carries for us: there is nothing better to keep to
+	}
+}
+
+func (r *Reach) up() {
+	r.state.down, r.state.good, r.state.upAt = false, 0, r.now
+	r.desk.via = ""
+}
+
+// Lost tells whether the state service is out of reach for us: it has not answered for
+// longer than a watch and a slow answer take. Hysteresis: it is back when probes were
+// answered for a second, and for twice as long each time when it fails again
+// within half a minute.
+func (r *Reach) Lost() bool {
+	s := &r.state
+	if !s.down && r.silence(s.answered) > r.cfg.Late {
+		s.down, s.good = true, 0
+		r.Stats.Downs++
+		if s.need = min(2*s.need, mostTrust); s.need < firstTrust || r.now-s.upAt > flapping {
+			s.need = firstTrust
+		}
+	}
+	return s.down
+}
+
+// Probe tells whether our own link to the state service is to be tried: while a peer
+// carries our calls nothing else shows that it is back.
+func (r *Reach) Probe() bool {
+	s := &r.state
+	if !s.down || r.desk.via == "" || s.probing || r.now < s.probeAt {
+		return false
+	}
+	s.probing, s.probeAt = true, r.now+probePause
+	return true
+}
+
+// Probed takes what came of it.
+func (r *Reach) Probed(status int) {
+	s := &r.state
+	s.probing = false
+	if status == 0 || status == 503 {
+		s.good = 0
+		return
+	}
+	s.answered = r.now
+	if s.good == 0 {
+		s.good = r.now
+	}
+	if s.down && r.now-s.good >= s.need {
+		r.up()
+	}
+}
+
+// ears is whether workers are heard.
+type ears struct {
+	at    time.Duration // the last report or answer of any worker
+	since time.Duration // since when as many as now are to be heard
+	held  int
+	deaf  bool
+}
+
+// Workers takes how many workers report to us, by the records.
+func (r *Reach) Workers(held int) {
+	e := &r.ears
+	if e.held == 0 && held > 0 {
+		e.since = r.now
+	}
+	e.held = held
+	quiet := r.silence(max(e.at, e.since))
+	if held > 0 && quiet > r.cfg.Report/4 && quiet*time.Duration(held) > 8*r.cfg.Report {
+		e.deaf = true
+	}
+}
+
+// WorkerHeard takes that a worker was heard. One is enough: deafness is of all.
+func (r *Reach) WorkerHeard() { r.ears.at, r.ears.deaf = r.now, false }
+
+// Deaf tells whether we hear no worker and should: eight reports at least are missing. A
+// controller that has lost all its workers to others stays deaf until it hears one.
+func (r *Reach) Deaf() bool { return r.ears.deaf }
+
+// BeatDue tells whether peers are to be told, a third of a report period after the
+// last time.
+func (r *Reach) BeatDue() bool {
+	if r.now < r.beatAt {
+		return false
+	}
+	r.beatAt = r.now + r.cfg.Report/3
+	return true
+}
+
+// Shed tells whether a worker of ours may be sent elsewhere to even out, and if so
+// when the next may.
+func (r *Reach) Shed(pause time.Duration) bool {
+	if r.now < r.shedAt {
+		return false
+	}
+	r.shedAt = r.now + pause
+	return true
+}
+
+// Rows is what a beat carries: our own row, then the others' as we have them.
+func (r *Reach) Rows(fresh time.Duration, hungry bool, dark []string) []Row {
+	own := Row{Node: r.cfg.Self, StateMS: r.silence(r.state.answered).Milliseconds(), FreshMS: fresh.Milliseconds(), Deaf: r.ears.deaf, Dark: dark, Hungry: hungry}
+	if r.Lost() {
+		own.StateMS = max(own.StateMS, r.cfg.Late.Milliseconds()+1)
+	}
+	out := []Row{own}
+	for _, p := range r.cfg.Peers {
+		h := r.heard[p.Node]
+		if h == nil {
+			continue
+		}
+		if h.came > 0 && r.silence(h.came) < r.cfg.Report {
+			out[0].Hears = append(out[0].Hears, p.Node)
+		}
+		if age := r.now - h.at; h.rows && age < maxAge {
+			row := h.row
+			row.AgeMS = age.Milliseconds()
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+// maxAge is how old a row may be to be passed on, and maxRows and maxNames how many of
+// what a message carries are read, whatever it says.
+const (
+	maxAge   = time.Minute
+	maxRows  = 64
+	maxNames = 64
+)
+
+// Beat takes a peer's beat. rows is empty from a version that knows of none; fresh
+// and hungry are what such a version says.
+func (r *Reach) Beat(from string, fresh time.Duration, hungry bool, rows []Row) {
+	h := r.at(from)
+	if h == nil {
+		return
+	}
+	h.came = r.now
+	if len(rows) == 0 {
+		*h = heard{row: Row{Node: from, StateMS: fresh.Milliseconds(), FreshMS: fresh.Milliseconds(), Hungry: hungry}, at: r.now, came: r.now}
+		return
+	}
+	for i := range rows[:min(len(rows), maxRows)] {
+		row := &rows[i]
+		if i == 0 {
+			row.Node, row.AgeMS = from, 0
+		}
+		r.learn(row, i == 0)
+	}
+}
+
+// at is what is known of a peer, nil for a name that is none.
+func (r *Reach) at(name string) *heard {
+	h := r.heard[name]
+	if h == nil && slices.ContainsFunc(r.cfg.Peers, func(p Name) bool { return p.Node == name }) {
+		h = &heard{}
+		r.heard[name] = h
+	}
+	return h
+}
+
+func (r *Reach) learn(row *Row, own bool) {
+	h := r.at(row.Node)
+	age := time.Duration(row.AgeMS) * time.Millisecond
+	if h == nil || row.AgeMS < 0 || age > maxAge || row.StateMS < 0 || row.FreshMS < 0 {
+		return
+	}
+	if at := r.now - age; own || at > h.at {
+		h.row, h.at, h.rows = *row, at, true
+		h.row.Dark, h.row.Hears = clip(row.Dark), clip(row.Hears)
+	}
+}
+
+func clip(names []string) []string { return slices.Clone(names[:min(len(names), maxNames)]) }
+
+// Heard is when a peer's own beat came last, 0 for never.
+func (r *Reach) Heard(peer string) time.Duration {
+	if h := r.heard[peer]; h != nil {
+		return h.came
+	}
+	return 0
+}
+
+// Picture is what is known now, for decisions.
+func (r *Reach) Picture() Picture {
+	p := Picture{Self: r.cfg.Self, Zone: r.cfg.Zone, Report: r.cfg.Report, Late: r.cfg.Late, Peers: make([]Peer, 0, len(r.cfg.Peers))}
+	for _, n := range r.cfg.Peers {
+		q := Peer{Name: n, Word: never, Age: never}
+		if h := r.heard[n.Node]; h != nil {
+			q.Row, q.Carries, q.Age = h.row, h.rows, r.now-h.at
+			if h.came > 0 {
+				q.Word = r.now - h.came
+			}
+		}
+		q.Cooling = r.now < r.cooling[n.Node]
+		p.Peers = append(p.Peers, q)
+	}
+	return p
+}
+
+// Vouched takes a peer's word, as of a question of ours, that it has told users of no
+// cancellation but those that the core was given with it.
+func (r *Reach) Vouched(from string, at time.Duration) {
+	if at <= r.now && at > r.vouched[from] {
+		r.vouched[from] = at
+	}
+}
+
+// VouchedBy is as of when a peer has vouched last.
+func (r *Reach) VouchedBy(peer string) time.Duration { return r.vouched[peer] }
+
+// Name notes a cancelled job that no record shows yet, Known that one does, and
+// Named tells.
+func (r *Reach) Name(job string) { r.named[job] = true }
+
+// Known undoes Name.
+func (r *Reach) Known(job string) { delete(r.named, job) }
+
+// Named tells whether a peer has named the job as cancelled.
+func (r *Reach) Named(job string) bool { return r.named[job] }
+
+// Proof is as of when no cancellation was told to users that we don't know of: our
+// own complete records show it, or the word of every peer. Nobody else tells users anything.
+func (r *Reach) Proof(fresh time.Duration) time.Duration {
+	oldest := r.now
+	for _, p := range r.cfg.Peers {
+		oldest = min(oldest, r.vouched[p.Node])
+	}
+	return max(fresh, oldest)
+}
