Budget: who hears no workers, or can't reach the service, leaves almost its whole share

Need: with two of three controllers without their workers the third has to claim a thousand within a lease, and got 44 of 70 changes a second.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -238,7 +238,7 @@
 func (s *Store) Hungry() bool { return s.budget.Hungry() }
 
 // Peers is the other direction of Hungry.
-func (s *Store) Peers(hungry int) { s.budget.Peers(hungry) }
+func (s *Store) Peers(hungry, idle int) { s.budget.Peers(hungry, idle) }
 
 // CanSend tells whether a transaction of this class with so many changes would
 // be sent at once. Whoever asks first builds it from the latest mirror, and
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -58,9 +58,11 @@
 	borrowPerS = 0.1
 	borrowRest = 5 * time.Second
 	// hungry is how long a wait counts, and calmUse the part of its equal share
-	// that a controller is taken to use when nothing waits there.
+	// that a controller is taken to use when nothing waits there, idleUse when there is
+	// nothing that it could do.
 	hungry  = 2 * time.Second
 	calmUse = 0.5
+	idleUse = 0.1
 	// margin keeps clear of the service's own count.
 	margin = 0.95
 )
@@ -126,12 +128,12 @@
 func (b *Budget) Hungry() bool { return b.now-b.hungryAt < hungry }
 
 // Peers takes how many of the others are hungry, those that have not been heard
-// included. The hungry ones share what the others hardly use, at once: a controller
+// included, and how many are idle: they hear no workers, or can't reach the service. The hungry ones share what the others hardly use, at once: a controller
 // that alone has a mass failure to work off would else take half a minute to borrow
 // it. Nothing depends on the word being true, as the service refuses what is over.
-func (b *Budget) Peers(others int) {
-	calm := b.most - 1 - float64(others)
-	b.offered = max(1, (b.most-calm*calmUse)/(1+float64(others)))
+func (b *Budget) Peers(others, idle int) {
+	calm := b.most - 1 - float64(others) - float64(idle)
+	b.offered = max(1, (b.most-calm*calmUse-float64(idle)*idleUse)/(1+float64(others)))
 	if others > 0 {
 		b.share = min(b.share, b.offered)
 	}
--- a/internal/reach/decide.go
+++ b/internal/reach/decide.go
@@ -163,18 +163,25 @@
 }
 
 // Claimants counts the peers that may want more than their share of the state service's
-// rates: those that say so, and those that are not heard and may use it. One that reached the
-// service through others alone when it was last heard can't. alive tells who holds a member record.
-func Claimants(p *Picture, alive func(string) bool) int {
-	n := 0
+// rates: those that say so, and those that are not heard and may use it; and those that have
+// nothing to use theirs for: who hears no workers, and who reached the service through
+// others alone when it was last heard. alive tells who holds a member record.
+//
+// The rule that this must not break: none. The service refuses what is over its rates.
+func Claimants(p *Picture, alive func(string) bool) (hungry, idle int) {
 	for i := range p.Peers {
 		q := &p.Peers[i]
 		heard := q.Word < p.Report
-		if heard && q.Hungry || !heard && alive(q.Name.Node) && ms(q.StateMS) <= p.Late {
-			n++
+		switch {
+		case heard && q.Hungry:
+			hungry++
+		case heard && q.Deaf, !heard && (!alive(q.Name.Node) || ms(q.StateMS) > p.Late):
+			idle++
+		case !heard:
+			hungry++
 		}
 	}
-	return n
+	return hungry, idle
 }
 
 func ms(n int64) time.Duration {
