Reach: workers go only where their zone is known to be heard; every cut in the simulated clusters

Need: every pair of cuts on three controllers, and drawn ones on five, with a checker that says of every task killed by its lease whether a way to the state service was up. It found workers sent back to the controller that they had come from, to one that no one had shown to hear the zone, to one whose link flapped.

Change: rows tell each zone's workers and when any was heard; a zone that is lost is so until it is heard for two report periods, and longer when it flaps; a worker that its controller did not answer, or with urgent work, goes only to a controller that proves to hear its zone; a controller that has lost all workers of a zone asks one now and then.

Rows that lie, versions mixed, messages fuzzed.

--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -98,7 +98,7 @@
 		if !c.store.Ready() {
 			age = starting
 		}
-		rows := c.reach.Rows(age, c.store.Hungry(), own.dark)
+		rows := c.reach.Rows(age, c.store.Hungry())
 		blind := c.store.Ready() && c.now-c.store.Fresh() > seconds(c.cfg.Facts.Workers.Report)
 		for _, p := range c.cfg.Peers {
 			if blind {
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -44,24 +44,24 @@
 		c.call(protocol.Call{Target: protocol.ToState, Method: "GET", Path: protocol.PathKeys + "/" + keyFleet, Timeout: time.Second},
 			func(r protocol.Reply) { c.reach.Probed(r.Status) })
 	}
-	if c.reach.Deaf() && len(c.ours) == 0 {
-		c.listen()
+	for _, zone := range c.reach.Silent() {
+		c.listen(zone)
 	}
 }
 
-// listen asks a worker for its status, a different one each time, when all that we
-// held are with others: no report would ever show that we hear again.
-func (c *Core) listen() {
+// listen asks a worker of a zone for its status, a different one each time, when all that
+// we held there are with others: no report would ever show that we hear again.
+func (c *Core) listen(zone string) {
 	var first *machine
 	for _, m := range c.machines {
-		if m.claim.Address == "" || m.asking || c.now < m.askAt {
+		if m.claim.Address == "" || m.claim.Zone != zone || m.stamp == 0 || m.asking || c.now < m.askAt {
 			continue
 		}
 		if first == nil || m.askAt < first.askAt || m.askAt == first.askAt && m.id < first.id {
 			first = m
 		}
 	}
-	if first != nil && c.asks == 0 {
+	if first != nil && c.asks < 2 {
 		c.askStatus(first)
 	}
 }
@@ -127,12 +127,14 @@
 	if alone < 0 || !c.store.Ready() {
 		return ""
 	}
-	now := c.reach.Picture()
-	if to := reach.Receiver(&now, r.Depot, r.Stoker, limit); to != "" {
+	now, m, from := c.reach.Picture(), c.machine(r.Stoker), ""
+	if m.stamp != 0 && !c.mine(m) {
+		from = m.claim.Owner
+	}
+	if to := reach.Receiver(&now, r.Depot, r.Stoker, from, limit); to != "" {
 		c.reach.Stats.HandedOn++
 		return to
 	}
-	m := c.machine(r.Stoker)
 	left := c.horizon() - (c.now - c.proof())
 	// Guards against a controller that takes an outage for a cut of its own and sends
 	// its workers round: one that comes back stays while it can be answered.
@@ -146,10 +148,10 @@
 	case len(m.bound) > 0:
 		level = reach.Busy
 	}
-	if left > 0 && !reach.HandOver(level, alone, left) {
+	if left > 0 && c.mine(m) && !reach.HandOver(level, alone, left) {
 		return ""
 	}
-	to := reach.Receiver(&now, r.Depot, r.Stoker, c.leaseOver())
+	to := reach.Receiver(&now, r.Depot, r.Stoker, from, c.leaseOver())
 	if to != "" {
 		m.sentAway = c.now
 		c.reach.Stats.HandedOn++
@@ -171,7 +173,7 @@
 	if !c.store.Ready() {
 		age = starting
 	}
-	s := reachStats{Stats: c.reach.Stats, State: "direct", Via: c.reach.Via(), Deaf: c.reach.Deaf(), Rows: c.reach.Rows(age, c.store.Hungry(), c.fleet.seen[c.cfg.Node].dark)}
+	s := reachStats{Stats: c.reach.Stats, State: "direct", Via: c.reach.Via(), Deaf: c.reach.Deaf(), Rows: c.reach.Rows(age, c.store.Hungry())}
 	if c.reach.Lost() {
 		s.State = "lost"
 		if s.Via != "" {
--- /dev/null
+++ b/internal/coordination/reach_test.go
@@ -0,0 +1,422 @@
+package coordination
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/reach"
+)
+
+// tells tells whether messages from n reach o.
+func (n *simNode) tells(o *simNode) bool {
+	now := n.s.now
+	return n.cut["peers"] <= now && o.cut["peers"] <= now && n.cut["to:"+o.name] <= now
+}
+
+// said is a message as the other side reads it: a version before rows and carried calls
+// passes over what it does not know, as gob does.
+func (n *simNode) said(o *simNode, m Message) (Message, bool) {
+	s := n.s
+	if s.unlike && m.Carry != nil {
+		return m, false
+	}
+	if m.Beat != nil && (n.old || o.old || s.lies) {
+		b := *m.Beat
+		switch b.Rows = nil; {
+		case s.lies && !n.old && !o.old:
+			b.Rows = s.lie()
+		}
+		m.Beat = &b
+	}
+	if o.old {
+		m.Carry, m.Carried, m.Pass = nil, nil, nil
+	}
+	if n.old && (m.Carry != nil || m.Carried != nil || m.Pass != nil) {
+		s.breaks("versions", "%s sends what its version does not know", n.name)
+	}
+	return m, true
+}
+
+// lie draws rows that mean nothing.
+func (s *sim) lie() []reach.Row {
+	var out []reach.Row
+	for range 1 + s.rnd.IntN(5) {
+		r := reach.Row{Node: s.anyNode().name, AgeMS: s.rnd.Int64N(20_000) - 1000, StateMS: s.rnd.Int64N(6000) - 500, FreshMS: s.rnd.Int64N(6000) - 500,
+			Deaf: s.rnd.IntN(3) == 0, Hungry: s.rnd.IntN(2) == 0}
+		for _, o := range s.nodes {
+			if s.rnd.IntN(2) == 0 {
+				r.Hears = append(r.Hears, o.name)
+			}
+		}
+		if s.rnd.IntN(3) == 0 {
+			r.Zones = []reach.ZoneWord{{Zone: s.facts.Zones[0], Held: s.rnd.IntN(9) - 1, HeardMS: s.rnd.Int64N(20_000) - 1000, Lost: s.rnd.IntN(2) == 0}}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// wayLosses counts tasks that were killed by their lease, by whether a way from their
+// worker to the state service was up, through one controller, for the whole of it.
+type wayLosses struct {
+	urgent, other int // there was a way
+	cut           int // there was none, or none that could be found in a lease: each try of a controller that holds takes 5 s
+	since         map[string]map[string]time.Duration
+}
+
+// watchWays notes since when each worker has had a way through each controller:
+// worker to controller to state service, or to a peer that has it.
+func (s *sim) watchWays() {
+	if s.saved.since == nil {
+		s.saved.since = map[string]map[string]time.Duration{}
+	}
+	states := map[*simNode]bool{}
+	for _, n := range s.nodes {
+		states[n] = n.core != nil && n.cut["state"] <= s.now && n.refused <= s.now && s.kv.down <= s.now
+	}
+	for _, n := range s.nodes {
+		served := states[n]
+		for _, o := range s.nodes {
+			served = served || n.core != nil && states[o] && n.tells(o) && o.tells(n)
+		}
+		up := s.saved.since[n.name]
+		if up == nil {
+			up = map[string]time.Duration{}
+			s.saved.since[n.name] = up
+		}
+		for _, z := range s.facts.Zones {
+			switch {
+			case !served || n.cut["workers"] > s.now || n.cut["zone:"+z] > s.now:
+				delete(up, z)
+			case up[z] == 0:
+				up[z] = s.now
+			}
+		}
+	}
+	s.after(100*time.Millisecond, s.watchWays)
+}
+
+// judgeLoss counts what a worker's lease ends.
+func (w *simWorker) judgeLoss() {
+	s := w.s
+	lease := seconds(s.facts.Workers.Lease)
+	if s.saved.since == nil || w.hung > s.now-lease {
+		return
+	}
+	way, held := false, 0
+	for _, up := range s.saved.since {
+		way = way || up[w.zone] > 0 && s.now-up[w.zone] >= lease
+	}
+	for _, n := range s.nodes {
+		// One that crashes at the same time holds them up like one that can't be reached: they
+		// wait for it to go on without new claims.
+		if n.cut["workers"] > s.now-lease || n.cut["zone:"+w.zone] > s.now-lease || n.core == nil || n.started > s.now-lease {
+			held++
+		}
+	}
+	way = way && seconds(1.25*s.facts.Workers.Report)+time.Duration(held)*5*time.Second+2*time.Second < lease
+	for _, l := range w.loads {
+		switch u := s.users[l.id]; {
+		case !l.on() || u == nil:
+		case !way:
+			s.saved.cut++
+		case u.spec.Priority == job.Production:
+			s.saved.urgent++
+		default:
+			s.saved.other++
+		}
+		if s.trace != nil {
+			fmt.Fprintf(s.trace, "%8.3f LEASE stoker=%s zone=%s load=%s/%d way=%v answered=%.3f\n", s.now.Seconds(), w.name, w.zone, l.id, l.index, way, w.answered.Seconds())
+		}
+	}
+}
+
+// cuts are the ways in which a link of one controller can fail.
+func (s *sim) cuts() []string {
+	out := []string{"state", "state reset", "refused", "workers", "workers reset", "state flaps", "workers flap", "peers", "zone:" + s.facts.Zones[0]}
+	for _, o := range s.nodes {
+		out = append(out, "to:"+o.name)
+	}
+	return out
+}
+
+// cutLink makes a link of a controller fail for a time.
+func (s *sim) cutLink(n *simNode, kind string, long time.Duration) {
+	if s.trace != nil {
+		fmt.Fprintf(s.trace, "%8.3f CUT node=%s %s for %v\n", s.now.Seconds(), n.name, kind, long)
+	}
+	link, reset := strings.CutSuffix(kind, " reset")
+	switch {
+	case kind == "refused":
+		n.refused = s.now + long
+	case strings.Contains(kind, " flap"):
+		link, _, _ = strings.Cut(kind, " ")
+		for at := time.Duration(0); at < long; at += 6 * time.Second {
+			s.after(at, func() { n.cut[link] = s.now + 4*time.Second })
+		}
+	default:
+		n.cut[link] = s.now + long
+		if n.reset == nil {
+			n.reset = map[string]bool{}
+		}
+		n.reset[link] = reset
+	}
+}
+
+// cutDay is a day of a calm site on which links of controllers fail together.
+func cutDay(s *sim, die int, cuts ...func()) {
+	s.told.Limits.MaxSockets, s.facts.Limits.MaxSockets = 200, 200
+	for i := range 4 {
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", i+1), Class: "svc", Team: "blue", Shape: job.Service, Priority: job.Production, Tasks: 3, CPUs: 2, GPUs: 0.5, MemoryGB: 8}, 0, 0)
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", i+11), Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Low, Tasks: 6, CPUs: 2, GPUs: 0.5, MemoryGB: 8}, 90, 0)
+	}
+	s.watchWays()
+	s.after(50*time.Second, func() {
+		for _, c := range cuts {
+			c()
+		}
+	})
+	s.after(54*time.Second, func() {
+		for _, w := range s.cloud.sorted() {
+			if die--; w.up && die >= 0 {
+				w.die()
+				w.failed = true
+			}
+		}
+	})
+	s.run(130 * time.Second)
+}
+
+// TestPairsOfCuts has every pair of cuts meet, on three controllers, with and without
+// a loss of machines. Every rule is judged, and no urgent task may be killed
+// by its lease on a machine that had a way to the state service the whole time.
+func TestPairsOfCuts(t *testing.T) {
+	kinds := newSim(1, 0).cuts()
+	type cut struct {
+		node int
+		kind string
+	}
+	var all []cut
+	for node := range 3 {
+		for _, k := range kinds {
+			if k != fmt.Sprintf("to:n%d", node) {
+				all = append(all, cut{node, k})
+			}
+		}
+	}
+	seed := uint64(9000)
+	for i, a := range all {
+		seed += 2 * uint64(len(all)-i)
+		t.Run(fmt.Sprintf("n%d %s", a.node, a.kind), func(t *testing.T) {
+			t.Parallel()
+			other, lost, days := 0, 0, 0
+			for j, b := range all[i+1:] {
+				for k, die := range []int{0, 3} {
+					s := newSim(seed+uint64(2*j+k), 0)
+					cutDay(s, die, func() { s.cutLink(s.nodes[a.node], a.kind, 40*time.Second) }, func() { s.cutLink(s.nodes[b.node], b.kind, 40*time.Second) })
+					days++
+					if len(s.broken) > 0 || s.saved.urgent > 0 {
+						t.Errorf("with n%d %s, %d machines lost: %d urgent tasks killed that had a way; %v", b.node, b.kind, die, s.saved.urgent, s.broken)
+					}
+					other, lost = other+s.saved.other, lost+s.saved.cut
+				}
+			}
+			t.Logf("%d days: %d lesser tasks killed that had a way, %d that had none", days, other, lost)
+		})
+	}
+}
+
+// TestDrawnCuts draws three to six cuts at a time on five controllers and a hundred
+// machines and more, with the rates of a real state service. SIM_DAYS plays more days.
+func TestDrawnCuts(t *testing.T) {
+	days, err := strconv.Atoi(os.Getenv("SIM_DAYS"))
+	if err != nil {
+		days = 16
+	}
+	for seed := uint64(9500); seed < 9500+uint64(days); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := drawnCuts(t, seed)
+			s.report(t)
+			if s.saved.urgent > 0 {
+				t.Errorf("%d urgent tasks killed that had a way", s.saved.urgent)
+			}
+			t.Logf("killed by their lease: %d urgent and %d others that had a way, %d that had none", s.saved.urgent, s.saved.other, s.saved.cut)
+		})
+	}
+}
+
+func drawnCuts(t *testing.T, seed uint64) *sim {
+	s := grownSim(seed)
+	s.traceTo(t, seed)
+	s.unordered = true // cuts and late watches: see judgeOrder
+	s.loadGrown(3 * time.Minute)
+	s.watchWays()
+	kinds := s.cuts()
+	var next func()
+	next = func() {
+		if s.now > 150*time.Second {
+			return
+		}
+		for range 3 + s.rnd.IntN(4) {
+			s.cutLink(s.anyNode(), kinds[s.rnd.IntN(len(kinds))], s.ms(10_000, 60_000))
+		}
+		switch s.rnd.IntN(4) {
+		case 0:
+			s.anyNode().crash(s.ms(500, 5000))
+		case 1:
+			for i, w := range s.cloud.sorted() {
+				if i%12 == 0 && w.up {
+					w.die()
+					w.failed = true
+				}
+			}
+		case 2:
+			for i, w := range s.cloud.sorted() {
+				if i%15 == 0 {
+					w.hung = s.now + s.ms(5000, 40_000)
+				}
+			}
+		}
+		s.after(s.ms(30_000, 60_000), next)
+	}
+	s.after(60*time.Second, next)
+	s.run(210 * time.Second)
+	return s
+}
+
+// TestWaysAreJudged has the checker of ways find what it is for: when nobody carries
+// calls, two of three controllers that lose the state service while the third loses its
+// workers lose urgent tasks that had a way.
+func TestWaysAreJudged(t *testing.T) {
+	day := func(unlike bool) *sim {
+		s := newSim(9900, 0)
+		s.unlike = unlike
+		cutDay(s, 0, func() { s.cutLink(s.nodes[0], "state", time.Minute) }, func() { s.cutLink(s.nodes[1], "state", time.Minute) },
+			func() { s.cutLink(s.nodes[2], "workers", time.Minute) })
+		return s
+	}
+	if s := day(false); s.saved.urgent+s.saved.other > 0 || len(s.broken) > 0 {
+		t.Errorf("%+v %v", s.saved, s.broken)
+	}
+	if s := day(true); s.saved.urgent == 0 {
+		t.Error("nobody carries calls, and nothing was found")
+	}
+}
+
+// TestRulesDoNotDependOnRows has beats tell drawn rows, on days with drawn cuts.
+func TestRulesDoNotDependOnRows(t *testing.T) {
+	days, err := strconv.Atoi(os.Getenv("SIM_DAYS"))
+	if err != nil {
+		days = 12
+	}
+	for seed := uint64(9700); seed < 9700+uint64(days); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(seed, 0.004)
+			s.unordered, s.lies = true, true
+			s.load(3 * time.Minute)
+			s.after(20*time.Second, func() { s.trouble(3 * time.Minute) })
+			s.after(30*time.Second, func() { s.cutOff(3 * time.Minute) })
+			s.run(4 * time.Minute)
+			s.report(t)
+		})
+	}
+}
+
+// TestRollingRestartFromTheVersionBefore has one and two of three controllers run the
+// version before rows while links fail, and then all the new one.
+func TestRollingRestartFromTheVersionBefore(t *testing.T) {
+	for old := 1; old <= 2; old++ {
+		s := newSim(uint64(9800+old), 0.002)
+		s.unordered = true
+		for i := range old {
+			s.nodes[i].old = true
+		}
+		s.load(2 * time.Minute)
+		for i, n := range s.nodes {
+			s.after(time.Duration(40+15*i)*time.Second, func() { n.crash(2 * time.Second); n.old = false })
+		}
+		s.after(25*time.Second, func() { s.cutLink(s.nodes[2], "state", 30*time.Second) })
+		s.after(60*time.Second, func() { s.cutLink(s.nodes[1], "workers", 30*time.Second) })
+		s.finish(t, 150*time.Second)
+		s.report(t)
+	}
+}
+
+// TestMessagesOfOtherVersions has gob carry messages between this version and the one
+// before, whose types are written down here.
+func TestMessagesOfOtherVersions(t *testing.T) {
+	type oldBeat struct {
+		FreshMS           int64
+		Hungry            bool
+		Lit, Dark, Unkept []string
+	}
+	type oldAsk struct {
+		At     time.Duration
+		Ledger uint64
+	}
+	type oldMessage struct {
+		Beat *oldBeat
+		Ask  *oldAsk
+	}
+	var link bytes.Buffer
+	enc, dec := gob.NewEncoder(&link), gob.NewDecoder(&link)
+	for _, m := range []Message{{Beat: &Beat{FreshMS: 7, Rows: []reach.Row{{Node: "n1", Hears: []string{"n2"}}}}}, {Carry: &reach.Carry{ID: 3}},
+		{Pass: &Pass{From: "n1"}}, {Ask: &Ask{At: 5, Ledger: 9, Life: 4}}} {
+		if err := enc.Encode(m); err != nil {
+			t.Fatal(err)
+		}
+		var o oldMessage
+		if err := dec.Decode(&o); err != nil {
+			t.Fatalf("the version before can't read %+v: %v", m, err)
+		}
+		if m.Beat != nil && (o.Beat == nil || o.Beat.FreshMS != 7) || m.Ask != nil && (o.Ask == nil || o.Ask.Ledger != 9) || m.Carry != nil && (o.Beat != nil || o.Ask != nil) {
+			t.Errorf("%+v was read as %+v", m, o)
+		}
+	}
+	if err := enc.Encode(oldMessage{Beat: &oldBeat{FreshMS: 8, Hungry: true}}); err != nil {
+		t.Fatal(err)
+	}
+	var m Message
+	if err := dec.Decode(&m); err != nil || m.Beat == nil || m.Beat.FreshMS != 8 || m.Beat.Rows != nil {
+		t.Errorf("a beat of the version before: %+v %v", m.Beat, err)
+	}
+}
+
+// FuzzPeerMessages feeds a controller what a link may bring, decoded as the program does.
+func FuzzPeerMessages(f *testing.F) {
+	for _, m := range []Message{{Beat: &Beat{FreshMS: 7, Rows: []reach.Row{{Node: "n1", AgeMS: -1, Hears: []string{"n2"}}}}},
+		{Carry: &reach.Carry{ID: 3, Method: "GET", Path: "/watch?under=sg/", TimeoutMS: 500}}, {Carried: &reach.Carried{ID: 1, Life: 2, Status: 200}},
+		{Pass: &Pass{From: "n1", To: "n0", Ask: &Ask{At: 1}}}, {Pass: &Pass{From: "n2", To: "n1"}}, {Vouch: &Vouch{At: 1 << 60, Cancelled: []string{"x"}}},
+		{Forward: &Forward{"wk-000001", []int{-1, 1 << 40}}}} {
+		var b bytes.Buffer
+		if err := gob.NewEncoder(&b).Encode(m); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b.Bytes())
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m Message
+		if gob.NewDecoder(bytes.NewReader(data)).Decode(&m) != nil {
+			return
+		}
+		s := newSim(9990, 0)
+		s.run(4 * time.Second) // the records are read
+		n := s.nodes[0]
+		for _, from := range []string{"n1", "nobody"} {
+			n.effects(n.tape.Peer(n.clock(), from, m))
+		}
+		s.run(8 * time.Second)
+		if len(s.broken) > 0 {
+			t.Error(s.broken)
+		}
+	})
+}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -60,6 +60,9 @@
 	sets      []protocol.DataSet // data sets that jobs read; nil: staging is off
 	unordered bool               // the order of launches is not judged: controllers learn late when what they launch was committed
 	misled    bool               // broken on purpose: production jobs are submitted as idle ones
+	unlike    bool               // broken on purpose: nobody carries calls of the state service
+	lies      bool               // rows of beats are drawn, not true
+	saved     wayLosses          // tasks killed by leases, judged by the ways that were up
 	judged    int                // launches of lesser work while production work waited
 	warm      int                // starts on machines that held the inputs when the launch came
 	cold      int
@@ -106,7 +109,9 @@
 	life    int64
 	tickAt  time.Duration
 	ticks   int                      // in all its lives
-	cut     map[string]time.Duration // "state", "workers", "peers", "users": cut off until
+	cut     map[string]time.Duration // "state", "workers", "peers", "users", "cloud", "zone:Z" (its workers), "to:N" (messages to a peer): cut off until
+	reset   map[string]bool          // cut off so that connections fail at once
+	old     bool                     // runs the version before rows and carried calls
 	refused time.Duration            // by the state service alone
 	lag     time.Duration            // until then watches are answered late, transactions are not
 	reqs    map[uint64]func(status int, body []byte)
@@ -189,8 +194,12 @@
 		}
 	}
 	s.after(4*time.Second, func() { once(0, nil) })
+	if n.cut[who] > s.now && n.reset[who] {
+		s.after(s.ms(0.2, 3), func() { once(0, nil) })
+		return
+	}
 	if n.cut[who] > s.now || s.rnd.Float64() < s.noise/4 {
-		if who == "workers" && s.rnd.IntN(2) == 0 { // held back and delivered late
+		if who != "users" && s.rnd.IntN(2) == 0 { // held back and delivered late
 			s.after(s.ms(1000, 60_000), func() { n.deliver(method, path, body, func(int, []byte) {}) })
 		}
 		return
@@ -234,10 +243,13 @@
 	}
 	for _, m := range e.Sends {
 		for _, o := range s.nodes {
-			if o.name != m.To || n.cut["peers"] > s.now || o.cut["peers"] > s.now || s.rnd.Float64() < s.noise {
+			if o.name != m.To || !n.tells(o) || s.rnd.Float64() < s.noise {
+				continue
+			}
+			msg, ok := n.said(o, m.Message)
+			if !ok {
 				continue
 			}
-			msg := m.Message
 			s.after(s.ms(0.2, 5), func() {
 				if o.core != nil {
 					o.effects(o.tape.Peer(o.clock(), n.name, msg))
@@ -256,6 +268,13 @@
 		}
 		s.after(k.Timeout, func() { reply(0, nil) })
 		who := [...]string{"state", "cloud", "workers"}[k.Target]
+		if w := s.work[k.Address]; k.Target == protocol.ToWorker && w != nil && n.cut["zone:"+w.zone] > s.now {
+			who = "zone:" + w.zone
+		}
+		if n.cut[who] > s.now && n.reset[who] {
+			s.after(s.ms(0.2, 3), func() { reply(0, nil) })
+			continue
+		}
 		serve := func(reply func(int, []byte)) {
 			switch k.Target {
 			case protocol.ToState:
@@ -708,6 +727,7 @@
 	}
 	over := max(w.answered, w.began) + seconds(w.s.facts.Workers.Lease)
 	if w.s.now > over {
+		w.judgeLoss()
 		for _, l := range w.loads {
 			l.status, l.gen = protocol.LoadEnded, l.gen+1
 		}
@@ -762,7 +782,11 @@
 	rep := w.state()
 	shift, sent := w.shift, s.now
 	n := s.nodes[w.node]
-	n.request("workers", "POST", protocol.PathCheckin, encode(rep), func(st int, body []byte) {
+	link := "workers"
+	if n.cut["zone:"+w.zone] > s.now {
+		link = "zone:" + w.zone
+	}
+	n.request(link, "POST", protocol.PathCheckin, encode(rep), func(st int, body []byte) {
 		if s.trace != nil {
 			fmt.Fprintf(s.trace, "%8.3f CHECKIN stoker=%s node=%s shift=%d tally=%d baton=%d sent=%.3f status=%d %s\n", s.now.Seconds(), w.name, n.name, shift, rep.Tally, rep.Baton, sent.Seconds(), st, body)
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -252,7 +252,7 @@
 		c.refuse(id, 503, "starting")
 		return
 	}
-	c.reach.WorkerHeard()
+	c.reach.WorkerHeard(r.Depot)
 	if peer := c.betterPlaced(r); peer != "" {
 		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
 		return
@@ -309,10 +309,17 @@
 		nearHeld = allHeld
 	}
 	now := c.reach.Picture()
+	// One that comes because its controller did not answer, or that runs urgent work, goes
+	// only where its zone is known to be heard.
+	sure := m.stamp != 0 && !c.mine(m) || m.urgent()
+	// Or to its own controller that has restarted since, and goes on without a new claim.
+	home := func(name string) bool {
+		return m.stamp != 0 && m.claim.Owner == name && m.claim.Life != c.members[name].Life
+	}
 	for i := range now.Peers {
 		p := &now.Peers[i]
 		name := p.Name.Node
-		if c.members[name] == nil || p.Word > now.Report || !reach.Serves(&now, p, zone, now.Report) {
+		if c.members[name] == nil || p.Word > now.Report || !reach.Serves(&now, p, zone, now.Report) || sure && p.Carries && !home(name) && !reach.Proven(&now, p, zone) {
 			continue
 		}
 		all, allHeld = append(all, name), allHeld+c.held[name]
@@ -738,7 +745,11 @@
 		z.newest = max(z.newest, m.heard)
 	}
 	c.fleet.see(c.cfg.Node, c.now, zones, seconds(1.25*w.Report))
-	c.reach.Workers(mine)
+	held := map[string]int{}
+	for name, z := range zones {
+		held[name] = z.held
+	}
+	c.reach.Workers(held)
 	for _, m := range c.ours {
 		if c.now-m.heard > entryAge {
 			c.unlist(m)
@@ -841,7 +852,7 @@
 		m.asking = false
 		c.asks--
 		if r.Status != 0 {
-			c.reach.WorkerHeard()
+			c.reach.WorkerHeard(m.claim.Zone)
 		}
 		if m.mute++; r.Status != 0 || m.heard != at {
 			m.mute = 0
--- a/internal/reach/decide.go
+++ b/internal/reach/decide.go
@@ -64,21 +64,49 @@
 }
 
 // Serves tells whether a peer can answer a zone's workers, by a word that is no older
-// than within: its records are fresh, and it hears the zone's workers as far as is known.
+// than within: its records are fresh, and it hears the zone.
 //
 // The rule that this must not break: none. 421 is advice: who is sent to the wrong place
 // is refused there and tries the next, and only a claim lets a controller answer.
 func Serves(p *Picture, q *Peer, zone string, within time.Duration) bool {
-	return q.Age < within && ms(q.FreshMS) <= p.Report/2 && !q.Deaf && !slices.Contains(q.Dark, zone)
+	return q.Age < within && ms(q.FreshMS) <= p.Report/2 && Hears(p, q, zone)
+}
+
+// Hears tells whether a peer hears a zone's workers at this moment, as far as its word
+// goes: one of those that it holds there has reported within its patience. One that holds
+// none, and has not lost them, is taken to.
+//
+// Guards against a worker that is sent back to the controller that it comes from because it
+// could not reach it: with a few others like it on its way, its lease runs out.
+func Hears(p *Picture, q *Peer, zone string) bool {
+	for _, z := range q.Zones {
+		if z.Zone == zone && (z.Lost || z.Held > 0 && ms(z.HeardMS) > patience(p.Report, z.Held)) {
+			return false
+		}
+	}
+	return !q.Deaf
+}
+
+// witnesses is how many workers of a zone a controller must hold for its word to prove
+// that it hears the zone.
+const witnesses = 4
+
+// Proven tells whether a peer is known to hear a zone, and not merely not known to be deaf
+// to it: it holds several workers there and hears them (of one or two, what is heard is
+// seconds old). A worker whose controller did not answer it is sent to no other: each
+// wrong guess takes it seconds of a lease that has begun to run out.
+func Proven(p *Picture, q *Peer, zone string) bool {
+	return Hears(p, q, zone) && slices.ContainsFunc(q.Zones, func(z ZoneWord) bool { return z.Zone == zone && z.Held >= witnesses })
 }
 
 // Receiver names the peer that a worker is best sent to by a controller that can't
 // answer it for long: one of its zone first, and by the worker's name among those that are
-// equal, so that none is drowned. "" if none is known.
-func Receiver(p *Picture, zone, worker string, within time.Duration) string {
+// equal, so that none is drowned. Not the one that it comes from, which did not answer it.
+// "" if none is known.
+func Receiver(p *Picture, zone, worker, from string, within time.Duration) string {
 	var near, all []string
 	for i := range p.Peers {
-		if q := &p.Peers[i]; Serves(p, q, zone, within) {
+		if q := &p.Peers[i]; q.Name.Node != from && Serves(p, q, zone, within) {
 			all = append(all, q.Name.Node)
 			if q.Name.Zone == zone {
 				near = append(near, q.Name.Node)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -12,6 +12,7 @@
 package reach
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -37,9 +38,17 @@
 	StateMS int64    // since the state service last answered it without anybody's help
 	FreshMS int64    // since its records were last proved complete, by whatever way
 	Deaf    bool     // it should hear workers, and hears none
-	Dark    []string // zones of whose workers it hears none, and should
 	Hungry  bool     // its work waits for the state service's rates
 	Hears   []string // controllers whose own beats reach it
+	Zones   []ZoneWord
+}
+
+// ZoneWord is what a controller says of a zone whose workers report to it.
+type ZoneWord struct {
+	Zone    string
+	Held    int   // how many
+	HeardMS int64 // since it heard any of them
+	Lost    bool  // it heard none for too long, and none since, even if none reports to it any more
 }
 
 // heard is a row and when it was true, by our clock.
@@ -82,7 +91,7 @@
 // New makes a Reach that knows nothing yet.
 func New(cfg Config) *Reach {
 	return &Reach{cfg: cfg, heard: map[string]*heard{}, cooling: map[string]time.Duration{}, vouched: map[string]time.Duration{},
-		named: map[string]bool{}, desk: desk{asked: map[uint64]*asked{}}}
+		named: map[string]bool{}, ears: ears{zones: map[string]*ear{}}, desk: desk{asked: map[uint64]*asked{}}}
 }
 
 // still is the least gap between two steps that counts as having stood still: a
@@ -184,34 +193,122 @@
 	}
 }
 
-// ears is whether workers are heard.
+// ears is whether workers are heard, by zone and of all.
 type ears struct {
+	zones map[string]*ear
+	all   ear
+	deaf  bool
+}
+
+type ear struct {
 	at    time.Duration // the last report or answer of any worker
-	since time.Duration // since when as many as now are to be heard
+	since time.Duration // since when any is to be heard
 	held  int
-	deaf  bool
+	lost  bool          // none was heard for too long, and since then not for long enough
+	good  time.Duration // since when they are heard again; 0: not
+	need  time.Duration // for how long they must be
+	upAt  time.Duration // when they last were
 }
 
-// Workers takes how many workers report to us, by the records.
-func (r *Reach) Workers(held int) {
-	e := &r.ears
-	if e.held == 0 && held > 0 {
-		e.since = r.now
+// lose and regain are the hysteresis of a zone's workers: heard again for two report periods, and
+// for twice as long each time when they are lost again within half a minute.
+func (e *ear) lose(now, report time.Duration) {
+	e.good = 0
+	if e.lost {
+		return
+	}
+	e.lost = true
+	if e.need = min(2*e.need, 8*report); e.need < 2*report || now-e.upAt > flapping {
+		e.need = 2 * report
 	}
-	e.held = held
-	quiet := r.silence(max(e.at, e.since))
-	if held > 0 && quiet > r.cfg.Report/4 && quiet*time.Duration(held) > 8*r.cfg.Report {
+}
+
+func (e *ear) regain(now time.Duration) {
+	if e.at = now; !e.lost {
+		return
+	}
+	if e.good == 0 {
+		e.good = now
+	}
+	if now-e.good >= e.need {
+		e.lost, e.upAt = false, now
+	}
+}
+
+func (e *ear) hold(n int, now time.Duration) {
+	if e.held == 0 && n > 0 {
+		e.since = now
+	}
+	e.held = n
+}
+
+// Workers takes how many workers of each zone report to us, by the records.
+func (r *Reach) Workers(held map[string]int) {
+	e, all := &r.ears, 0
+	for zone, n := range held {
+		if e.zones[zone] == nil {
+			e.zones[zone] = &ear{}
+		}
+		all += n
+	}
+	for zone, z := range e.zones {
+		// Before the new count: whose last worker was just claimed by another controller
+		// may have lost it because it can't be reached.
+		switch quiet := r.silence(max(z.at, z.since)); {
+		case z.held > 0 && quiet > patience(r.cfg.Report, z.held), z.lost && z.held == 0 && quiet > r.cfg.Report/2:
+			z.lose(r.now, r.cfg.Report)
+		}
+		z.hold(held[zone], r.now)
+	}
+	e.all.hold(all, r.now)
+	quiet := r.silence(max(e.all.at, e.all.since))
+	if all > 0 && quiet > r.cfg.Report/4 && quiet*time.Duration(all) > 8*r.cfg.Report {
 		e.deaf = true
 	}
 }
 
-// WorkerHeard takes that a worker was heard. One is enough: deafness is of all.
-func (r *Reach) WorkerHeard() { r.ears.at, r.ears.deaf = r.now, false }
+// WorkerHeard takes that a worker of a zone was heard. One is enough: deafness is of all.
+func (r *Reach) WorkerHeard(zone string) {
+	r.ears.all.at, r.ears.deaf = r.now, false
+	if z := r.ears.zones[zone]; z != nil {
+		z.regain(r.now)
+	}
+}
+
+// patience is how long a controller with so many workers waits for a word of any of
+// them: a time in which two should have reported, and a quarter of a report period at least.
+func patience(report time.Duration, held int) time.Duration {
+	return max(report/4, 2*report/time.Duration(held))
+}
+
+// Silent names the zones that we don't hear and where nobody reports to us any more: only
+// a question can show that we hear them again.
+func (r *Reach) Silent() []string {
+	var out []string
+	for zone, z := range r.ears.zones {
+		if z.lost && z.held == 0 {
+			out = append(out, zone)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
 
 // Deaf tells whether we hear no worker and should: eight reports at least are missing. A
 // controller that has lost all its workers to others stays deaf until it hears one.
 func (r *Reach) Deaf() bool { return r.ears.deaf }
 
+// words is what our row says of zones, in their order.
+func (r *Reach) words() []ZoneWord {
+	var out []ZoneWord
+	for _, zone := range slices.Sorted(maps.Keys(r.ears.zones)) {
+		if z := r.ears.zones[zone]; z.held > 0 || z.lost {
+			out = append(out, ZoneWord{zone, z.held, r.silence(max(z.at, z.since)).Milliseconds(), z.lost})
+		}
+	}
+	return out
+}
+
 // BeatDue tells whether peers are to be told, a third of a report period after the
 // last time.
 func (r *Reach) BeatDue() bool {
@@ -233,8 +330,8 @@
 }
 
 // Rows is what a beat carries: our own row, then the others' as we have them.
-func (r *Reach) Rows(fresh time.Duration, hungry bool, dark []string) []Row {
-	own := Row{Node: r.cfg.Self, StateMS: r.silence(r.state.answered).Milliseconds(), FreshMS: fresh.Milliseconds(), Deaf: r.ears.deaf, Dark: dark, Hungry: hungry}
+func (r *Reach) Rows(fresh time.Duration, hungry bool) []Row {
+	own := Row{Node: r.cfg.Self, StateMS: r.silence(r.state.answered).Milliseconds(), FreshMS: fresh.Milliseconds(), Deaf: r.ears.deaf, Hungry: hungry, Zones: r.words()}
 	if r.Lost() {
 		own.StateMS = max(own.StateMS, r.cfg.Late.Milliseconds()+1)
 	}
@@ -303,11 +400,11 @@
 	}
 	if at := r.now - age; own || at > h.at {
 		h.row, h.at, h.rows = *row, at, true
-		h.row.Dark, h.row.Hears = clip(row.Dark), clip(row.Hears)
+		h.row.Zones, h.row.Hears = clip(row.Zones), clip(row.Hears)
 	}
 }
 
-func clip(names []string) []string { return slices.Clone(names[:min(len(names), maxNames)]) }
+func clip[T any](all []T) []T { return slices.Clone(all[:min(len(all), maxNames)]) }
 
 // Heard is when a peer's own beat came last, 0 for never.
 func (r *Reach) Heard(peer string) time.Duration {
