--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -312,9 +312,10 @@
 	// One that comes because its controller did not answer, or that runs urgent work, goes
 	// only where its zone is known to be heard.
 	sure := m.stamp != 0 && !c.mine(m) || m.urgent()
-	// Or to its own controller that has restarted since, and goes on without a new claim.
+	// Or to its own controller that has restarted since, and goes on without a new claim;
+	// unless we have had it look for that one already.
 	home := func(name string) bool {
-		return m.stamp != 0 && m.claim.Owner == name && m.claim.Life != c.members[name].Life
+		return m.stamp != 0 && m.claim.Owner == name && m.claim.Life != c.members[name].Life && m.homeAt == 0
 	}
 	for i := range now.Peers {
 		p := &now.Peers[i]
@@ -745,11 +746,18 @@
 		z.newest = max(z.newest, m.heard)
 	}
 	c.fleet.see(c.cfg.Node, c.now, zones, seconds(1.25*w.Report))
-	held := map[string]int{}
+	held, awaited := map[string]int{}, map[string]int{}
 	for name, z := range zones {
 		held[name] = z.held
 	}
-	c.reach.Workers(held)
+	if c.held[c.cfg.Node] > len(c.ours) {
+		for _, m := range c.machines {
+			if m.stamp != 0 && m.claim.Owner == c.cfg.Node && !c.mine(m) {
+				awaited[m.claim.Zone]++
+			}
+		}
+	}
+	c.reach.Workers(held, awaited)
 	for _, m := range c.ours {
 		if c.now-m.heard > entryAge {
 			c.unlist(m)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -204,10 +204,12 @@
 	at    time.Duration // the last report or answer of any worker
 	since time.Duration // since when any is to be heard
 	held  int
-	lost  bool          // none was heard for too long, and since then not for long enough
-	good  time.Duration // since when they are heard again; 0: not
-	need  time.Duration // for how long they must be
-	upAt  time.Duration // when they last were
+	// awaited are those of an earlier life of ours that have not come back yet.
+	awaited int
+	lost    bool          // none was heard for too long, and since then not for long enough
+	good    time.Duration // since when they are heard again; 0: not
+	need    time.Duration // for how long they must be
+	upAt    time.Duration // when they last were
 }
 
 // lose and regain are the hysteresis of a zone's workers: heard again for two report periods, and
@@ -235,32 +237,38 @@
 	}
 }
 
-func (e *ear) hold(n int, now time.Duration) {
-	if e.held == 0 && n > 0 {
+func (e *ear) hold(n, awaited int, now time.Duration) {
+	if e.held+e.awaited == 0 && n+awaited > 0 {
 		e.since = now
 	}
-	e.held = n
+	e.held, e.awaited = n, awaited
 }
 
-// Workers takes how many workers of each zone report to us, by the records.
-func (r *Reach) Workers(held map[string]int) {
+// Workers takes how many workers of each zone report to us, by the records, and how many
+// did so to an earlier life of ours and are still to come back.
+func (r *Reach) Workers(held, awaited map[string]int) {
 	e, all := &r.ears, 0
-	for zone, n := range held {
-		if e.zones[zone] == nil {
-			e.zones[zone] = &ear{}
+	for _, zones := range []map[string]int{held, awaited} {
+		for zone := range zones {
+			if e.zones[zone] == nil {
+				e.zones[zone] = &ear{}
+			}
 		}
+	}
+	for _, n := range held {
 		all += n
 	}
 	for zone, z := range e.zones {
 		// Before the new count: whose last worker was just claimed by another controller
 		// may have lost it because it can't be reached.
 		switch quiet := r.silence(max(z.at, z.since)); {
-		case z.held > 0 && quiet > patience(r.cfg.Report, z.held), z.lost && z.held == 0 && quiet > r.cfg.Report/2:
+		case z.held > 0 && quiet > patience(r.cfg.Report, z.held), z.lost && z.held == 0 && quiet > r.cfg.Report/2,
+			z.held == 0 && awaited[zone] > 0 && quiet > 2*r.cfg.Report:
 			z.lose(r.now, r.cfg.Report)
 		}
-		z.hold(held[zone], r.now)
+		z.hold(held[zone], awaited[zone], r.now)
 	}
-	e.all.hold(all, r.now)
+	e.all.hold(all, 0, r.now)
 	quiet := r.silence(max(e.all.at, e.all.since))
 	if all > 0 && quiet > r.cfg.Report/4 && quiet*time.Duration(all) > 8*r.cfg.Report {
 		e.deaf = true
