--- /dev/null
+++ b/internal/reach/main_test.go
@@ -0,0 +1,9 @@
+package reach
+
+import (
+	"testing"
+
+	"silvergate/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,407 @@
+package reach
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"silvergate/internal/protocol"
+)
+
+const report = 4 * time.Second
+
+// made is controller n0 of five, whose peers n1 to n4 are heard and well.
+func made() *Reach {
+	c := Config{Self: "n0", Zone: "a", Life: 7, Report: report, Late: 2500 * time.Millisecond}
+	for i := 1; i < 5; i++ {
+		c.Peers = append(c.Peers, Name{fmt.Sprintf("n%d", i), []string{"a", "b"}[i%2]})
+	}
+	return New(c)
+}
+
+func (r *Reach) hearAll() {
+	for _, p := range r.cfg.Peers {
+		r.Beat(p.Node, 0, false, []Row{{Node: p.Node, Hears: []string{"n0"}}})
+	}
+}
+
+// drawPeer draws what is known of a controller, also what no honest one says.
+func drawPeer(t *rapid.T, name string) Peer {
+	age := rapid.SampledFrom([]int64{-5, 0, 900, 2400, 2600, 60_000, 1 << 60})
+	zone := rapid.SampledFrom([]string{"a", "b", ""})
+	return Peer{Name: Name{name, zone.Draw(t, "zone")}, Word: time.Duration(rapid.IntRange(0, 9000).Draw(t, "word")) * time.Millisecond,
+		Age: time.Duration(rapid.IntRange(0, 60_000).Draw(t, "age")) * time.Millisecond, Carries: rapid.Bool().Draw(t, "carries"), Cooling: rapid.Bool().Draw(t, "cooling"),
+		Row: Row{Node: name, StateMS: age.Draw(t, "state"), FreshMS: age.Draw(t, "fresh"), Deaf: rapid.Bool().Draw(t, "deaf"), Hungry: rapid.Bool().Draw(t, "hungry"),
+			Hears: rapid.SliceOfN(rapid.SampledFrom([]string{"n0", "n1", "n2", "n3"}), 0, 3).Draw(t, "hears"),
+			Zones: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) ZoneWord {
+				return ZoneWord{zone.Draw(t, "z"), rapid.IntRange(-2, 9).Draw(t, "held"), age.Draw(t, "heard"), rapid.Bool().Draw(t, "lost")}
+			}), 0, 3).Draw(t, "zones")}}
+}
+
+// TestDecisions holds each decision on drawn pictures against its terms.
+func TestDecisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Picture{Self: "n0", Zone: "a", Report: report, Late: 2500 * time.Millisecond}
+		for i := 1; i <= rapid.IntRange(0, 4).Draw(t, "peers"); i++ {
+			p.Peers = append(p.Peers, drawPeer(t, fmt.Sprintf("n%d", i)))
+		}
+		find := func(name string) *Peer {
+			for i := range p.Peers {
+				if p.Peers[i].Name.Node == name {
+					return &p.Peers[i]
+				}
+			}
+			t.Fatalf("%q was chosen, which nobody is", name)
+			return nil
+		}
+		carries := func(q *Peer) bool {
+			return q.Carries && !q.Cooling && p.Near(q) && q.StateMS <= 2500
+		}
+		kept := rapid.SampledFrom([]string{"", "n1", "n2", "n9"}).Draw(t, "kept")
+		switch to := Carrier(&p, kept); {
+		case to == "" && slices.ContainsFunc(p.Peers, func(q Peer) bool { return carries(&q) }):
+			t.Fatal("somebody could carry, and nobody was chosen")
+		case to != "" && !carries(find(to)):
+			t.Fatalf("%+v can't carry", find(to))
+		case to != "" && to != kept && slices.ContainsFunc(p.Peers, func(q Peer) bool { return q.Name.Node == kept && carries(&q) }):
+			t.Fatal("a carrier that works was left")
+		}
+		within := time.Duration(rapid.IntRange(0, 40_000).Draw(t, "within")) * time.Millisecond
+		worker := rapid.StringMatching("i-0000000[0-9]").Draw(t, "worker")
+		switch to := Receiver(&p, "a", worker, kept, within); {
+		case to == "" && slices.ContainsFunc(p.Peers, func(q Peer) bool { return q.Name.Node != kept && Serves(&p, &q, "a", within) }):
+			t.Fatal("somebody could serve the worker, and nobody was chosen")
+		case to != "":
+			q := find(to)
+			if to == kept || q.Deaf || q.Age >= within || q.FreshMS > 2000 || slices.ContainsFunc(q.Zones, func(z ZoneWord) bool { return z.Zone == "a" && z.Lost }) {
+				t.Fatalf("a worker that comes from %q is sent to %+v", kept, q)
+			}
+			if again := Receiver(&p, "a", worker, kept, within); again != to {
+				t.Fatalf("the same worker goes to %s and to %s", to, again)
+			}
+		}
+		for i := range p.Peers {
+			q := &p.Peers[i]
+			if Proven(&p, q, "a") && (!Hears(&p, q, "a") || !slices.ContainsFunc(q.Zones, func(z ZoneWord) bool { return z.Zone == "a" && z.Held >= witnesses })) {
+				t.Fatalf("%+v proves nothing", q)
+			}
+			if by := Third(&p, q.Name.Node); by != "" && (by == q.Name.Node || p.Near(q) || !slices.Contains(find(by).Hears, q.Name.Node) || !p.Near(find(by))) {
+				t.Fatalf("%s can't be asked by way of %s", q.Name.Node, by)
+			}
+			if Homeward(&p, q.Name.Node, within) && (q.Deaf || q.StateMS > 2500 || q.Word > within) {
+				t.Fatalf("a worker waits for %+v", q)
+			}
+		}
+		alive := func(name string) bool { return name != "n2" }
+		if hungry, idle := Claimants(&p, alive); hungry < 0 || idle < 0 || hungry+idle > len(p.Peers) {
+			t.Fatalf("%d hungry and %d idle of %d", hungry, idle, len(p.Peers))
+		}
+	})
+}
+
+// TestHandOverInOrder: urgent workers go at once, none later than a more urgent one, and all
+// before the time to answer is over.
+func TestHandOverInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		window := time.Duration(rapid.IntRange(1, 60_000).Draw(t, "window")) * time.Millisecond
+		alone := time.Duration(rapid.Int64Range(0, int64(window)).Draw(t, "alone"))
+		left := window - alone
+		went := true
+		for l := Urgent; l <= Empty; l++ {
+			goes := HandOver(l, alone, left)
+			if goes && !went {
+				t.Fatalf("level %d goes before %d", l, l-1)
+			}
+			if later := min(window, alone+time.Millisecond); goes && !HandOver(l, later, window-later) {
+				t.Fatal("what went stays a moment later")
+			}
+			went = goes
+		}
+		if !HandOver(Urgent, alone, left) || left == 0 && !went {
+			t.Fatal("a worker stays too long")
+		}
+	})
+}
+
+// TestFlappingLinkChangesSeldom has the link to the state service come and go as drawn: the way
+// of calls changes a bounded number of times, is found within Late and a step when
+// the link is gone, and comes back when it holds.
+func TestFlappingLinkChangesSeldom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := made()
+		const step = 100 * time.Millisecond
+		up, changes, via, gone := true, 0, "", time.Duration(0)
+		left := 0
+		for now := step; now <= 60*time.Second; now += step {
+			if left--; left < 0 {
+				up, left = !up, rapid.IntRange(1, 60).Draw(t, "for")
+			}
+			r.Advance(now)
+			if now%(report/3/step*step) == 0 {
+				r.hearAll()
+			}
+			if r.Probe() {
+				r.Probed(map[bool]int{true: 404, false: 503}[up])
+			}
+			if up && via == "" {
+				r.StateAnswered(200)
+			}
+			if gone = map[bool]time.Duration{false: gone + step}[up]; gone > r.cfg.Late+2*step && r.Route() == "" {
+				t.Fatalf("the link is gone for %v", gone)
+			}
+			if to := r.Route(); to != via {
+				changes++
+				via = to
+			}
+		}
+		if changes > 16 {
+			t.Fatalf("%d changes in a minute", changes)
+		}
+		for now := 60 * time.Second; now <= 60*time.Second+mostTrust+2*time.Second; now += step {
+			r.Advance(now)
+			r.hearAll()
+			if r.Probe() {
+				r.Probed(404)
+			}
+			if r.Route() == "" {
+				r.StateAnswered(200)
+			}
+		}
+		if to := r.Route(); to != "" {
+			t.Fatalf("the link holds, and %s still carries", to)
+		}
+	})
+}
+
+// TestStandStillIsNotSilence guards against a process that stood still, or was suspended, and
+// takes all others for silent when it wakes.
+func TestStandStillIsNotSilence(t *testing.T) {
+	r := made()
+	all := map[string]int{"a": 50}
+	for now := time.Duration(0); now < 10*time.Second; now += 300 * time.Millisecond {
+		r.Advance(now)
+		r.StateAnswered(200)
+		r.Workers(all, nil)
+		r.WorkerHeard("a")
+	}
+	r.Advance(50 * time.Second)
+	r.Workers(all, nil)
+	if r.Lost() || r.Deaf() || r.Rows(0, false)[0].Zones[0].Lost || r.Stats.StoodStill != 1 {
+		t.Fatalf("lost %v, deaf %v, %+v", r.Lost(), r.Deaf(), r.Rows(0, false)[0])
+	}
+	for now := 50 * time.Second; now < 54*time.Second; now += 300 * time.Millisecond {
+		r.Advance(now)
+		r.Workers(all, nil)
+	}
+	if !r.Lost() || !r.Deaf() || !r.Rows(0, false)[0].Zones[0].Lost {
+		t.Fatal("four seconds of silence after it are none")
+	}
+}
+
+// TestEars: a zone whose workers went to others stays lost until it is heard for two report
+// periods, and longer when it is lost again.
+func TestEars(t *testing.T) {
+	r := made()
+	now := time.Duration(0)
+	pass := func(d time.Duration, held int, hear bool) {
+		for end := now + d; now < end; now += 250 * time.Millisecond {
+			r.Advance(now)
+			if hear {
+				r.WorkerHeard("a")
+			}
+			r.Workers(map[string]int{"a": held, "b": 0}, nil)
+		}
+	}
+	lost := func() bool {
+		return slices.ContainsFunc(r.Rows(0, false)[0].Zones, func(z ZoneWord) bool { return z.Zone == "a" && z.Lost })
+	}
+	pass(5*time.Second, 30, true)
+	if lost() || r.Deaf() {
+		t.Fatal("lost while heard")
+	}
+	pass(3*time.Second, 30, false)
+	pass(10*time.Second, 0, false) // claimed by others
+	if !lost() || !slices.Equal(r.Silent(), []string{"a"}) {
+		t.Fatalf("not lost after it was silent: %v", r.Silent())
+	}
+	pass(2*report-time.Second, 0, true)
+	if !lost() {
+		t.Fatal("back too soon")
+	}
+	pass(2*time.Second, 0, true)
+	if lost() || len(r.Silent()) > 0 {
+		t.Fatal("heard for two report periods, and still lost")
+	}
+	pass(time.Second, 30, true)
+	pass(3*time.Second, 30, false)
+	pass(2*report+time.Second, 30, true)
+	if !lost() {
+		t.Fatal("lost twice in half a minute, and trusted as soon as the first time")
+	}
+	pass(2*report, 30, true)
+	if lost() {
+		t.Fatal("never trusted again")
+	}
+}
+
+// TestEachCallIsAnsweredOnce draws questions, answers of all kinds, twice and late, and
+// times that run out.
+func TestEachCallIsAnsweredOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := made()
+		now := time.Duration(0)
+		times := map[uint64]int{}
+		var sent []*Carry
+		var replies []Carried
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				id := r.desk.next + 1
+				c := r.Ask("n1", protocol.Call{Method: "POST", Path: "/txn", Body: []byte{byte(id)}, Timeout: time.Second}, func(protocol.Reply) { times[id]++ })
+				sent = append(sent, c)
+			case 1:
+				if len(sent) > 0 {
+					c := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")]
+					replies = append(replies, Carried{Life: c.Life, ID: c.ID, Sum: c.sum(), Status: 200})
+				}
+			case 2:
+				if len(replies) > 0 {
+					a := replies[rapid.IntRange(0, len(replies)-1).Draw(t, "which")]
+					wrong := rapid.IntRange(0, 4).Draw(t, "wrong")
+					from := "n1"
+					switch wrong {
+					case 1:
+						a.Life++
+					case 2:
+						a.Sum++
+					case 3:
+						from = "n2"
+					}
+					done := r.Answer(from, &a)
+					if wrong >= 1 && wrong <= 3 && done != nil {
+						t.Fatal("an answer to something else was taken")
+					}
+					if done != nil {
+						done()
+					}
+				}
+			case 3:
+				now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+				r.Advance(now)
+				for _, done := range r.Expire() {
+					done()
+				}
+			}
+		}
+		r.Advance(now + time.Minute)
+		for _, done := range r.Expire() {
+			done()
+		}
+		for _, c := range sent {
+			if times[c.ID] != 1 {
+				t.Fatalf("call %d was answered %d times", c.ID, times[c.ID])
+			}
+		}
+	})
+}
+
+// TestCarrierIsBounded: what peers ask for at a time is bounded, each and all; what is over, from
+// strangers, or no call of the state service, is declined as not executed.
+func TestCarrierIsBounded(t *testing.T) {
+	r := made()
+	r.Advance(time.Second)
+	r.StateAnswered(200)
+	var taken []string
+	for i := range 400 {
+		from := fmt.Sprintf("n%d", 1+i%4)
+		if _, no := r.Take(from, &Carry{ID: uint64(i), Method: "POST", Path: "/txn", TimeoutMS: 1500}); no == nil {
+			taken = append(taken, from)
+		} else if no.Status != 503 || no.Sent {
+			t.Fatalf("declined with %+v", no)
+		}
+	}
+	if len(taken) != carryAll {
+		t.Errorf("%d calls were taken, of %d", len(taken), carryAll)
+	}
+	for _, from := range taken {
+		r.Done(from, &Carry{}, protocol.Reply{Status: 200})
+	}
+	for i := range 2 * carryEach {
+		if _, no := r.Take("n1", &Carry{Method: "GET", Path: "/keys/sg/fleet", TimeoutMS: 1500}); (no == nil) != (i < carryEach) {
+			t.Fatalf("call %d of one peer: %v", i, no)
+		}
+	}
+	for _, c := range []Carry{{Method: "GET", Path: "/keys/a", TimeoutMS: 0}, {Method: "GET", Path: "/keys/a", TimeoutMS: 1 << 40}, {Method: "DELETE", Path: "/grants/3", TimeoutMS: 9},
+		{Method: "GET", Path: "/keys/a HTTP/1.1\r\nx: y", TimeoutMS: 9}, {Method: "POST", Path: "/rentals", TimeoutMS: 9}, {Method: "POST", Path: "/txn", TimeoutMS: 9, Body: make([]byte, carryBody+1)}} {
+		if _, no := r.Take("n2", &c); no == nil {
+			t.Errorf("%s %.40q was taken", c.Method, c.Path)
+		}
+	}
+	if _, no := r.Take("stranger", &Carry{Method: "GET", Path: "/keys/a", TimeoutMS: 9}); no == nil {
+		t.Error("a stranger's call was taken")
+	}
+	for now := time.Second; now < 5*time.Second; now += 500 * time.Millisecond {
+		r.Advance(now) // without an answer
+	}
+	if _, no := r.Take("n3", &Carry{Method: "GET", Path: "/keys/a", TimeoutMS: 9}); no == nil {
+		t.Error("a call was taken by one that does not reach the service itself")
+	}
+}
+
+// TestLargeAnswers: more changes than a message holds have the records read anew.
+func TestLargeAnswers(t *testing.T) {
+	r := made()
+	for path, want := range map[string]int{"/watch?under=sg/&from=3&blockMs=9": 410, "/keys?under=sg/": 0} {
+		got := -1
+		c := r.Ask("n1", protocol.Call{Method: "GET", Path: path, Timeout: time.Second}, func(rep protocol.Reply) { got = rep.Status })
+		r.desk.carried = map[string]int{"n1": 1}
+		done := r.Answer("n1", r.Done("n1", c, protocol.Reply{Status: 200, Body: make([]byte, carryMost+1)}))
+		if done == nil {
+			t.Fatal("the answer was not taken")
+		}
+		if done(); got != want {
+			t.Errorf("%s: status %d", path, got)
+		}
+	}
+}
+
+// TestHostileRowsAreBounded: whatever a beat says, little of it is kept, and of peers alone.
+func TestHostileRowsAreBounded(t *testing.T) {
+	r := made()
+	long := make([]string, 5000)
+	rows := []Row{{Node: "n3", Hears: long, Zones: make([]ZoneWord, 5000), FreshMS: 1}}
+	for i := range 5000 {
+		rows = append(rows, Row{Node: fmt.Sprint("x", i)}, Row{Node: "n2", AgeMS: -1}, Row{Node: "n0", StateMS: 1 << 62})
+	}
+	r.Beat("n1", 0, false, rows)
+	r.Beat("nobody", 0, false, rows)
+	if len(r.heard) > 4 || r.heard["n3"] != nil || len(r.heard["n1"].row.Hears) > maxNames || len(r.heard["n1"].row.Zones) > maxNames {
+		t.Errorf("%d names, %+v", len(r.heard), r.heard["n1"].row)
+	}
+	if r.heard["n2"] != nil && r.heard["n2"].at > 0 {
+		t.Error("a row from the future was believed")
+	}
+}
+
+// FuzzTake feeds the carrier's gate: what passes is one line of a request to the state service.
+func FuzzTake(f *testing.F) {
+	f.Add("GET", "/keys?under=sg/", []byte(nil), int64(1500))
+	f.Add("POST", "/grants/7/touch", []byte("{}"), int64(1500))
+	f.Add("POST", "/txn?\r\n", []byte("x"), int64(-1))
+	f.Fuzz(func(t *testing.T, method, path string, body []byte, wait int64) {
+		r := made()
+		r.Advance(time.Second)
+		r.StateAnswered(200)
+		k, no := r.Take("n1", &Carry{Method: method, Path: path, Body: body, TimeoutMS: wait})
+		if no != nil {
+			return
+		}
+		if strings.ContainsAny(k.Path, " \r\n\t\x00") || !strings.HasPrefix(k.Path, "/") || k.Method != "GET" && k.Method != "POST" || k.Timeout <= 0 || k.Timeout > carryWait || len(k.Body) > carryBody {
+			t.Errorf("taken: %q %q for %v", k.Method, k.Path, k.Timeout)
+		}
+	})
+}
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -117,7 +117,7 @@
 // it, else what is to be called with the reply.
 func (r *Reach) Answer(from string, c *Carried) func() {
 	a := r.desk.asked[c.ID]
-	if a == nil || c.Life != r.cfg.Life || a.to != from || c.Sum != a.sum {
+	if a == nil || !fits(r.cfg.Life, a.to, a.sum, from, c) {
 		return nil
 	}
 	delete(r.desk.asked, c.ID)
@@ -134,6 +134,14 @@
 	return func() { a.done(rep) }
 }
 
+// fits tells whether an answer is to the call that has its number in this life.
+//
+// Guards against a call of an earlier life, whose numbers began anew: its answer would tell
+// this one that a transaction was applied which was not.
+func fits(life int64, to string, sum uint64, from string, c *Carried) bool {
+	return c.Life == life && from == to && c.Sum == sum
+}
+
 // judge leaves a carrier alone that brings no word of the state service.
 func (r *Reach) judge(from string, well bool) {
 	if from != r.desk.via {
@@ -191,6 +199,9 @@
 
 // allowed tells whether a call is one that controllers make of the state service.
 func allowed(c *Carry) bool {
+	if strings.ContainsFunc(c.Path, func(r rune) bool { return r <= ' ' || r >= 0x7f }) {
+		return false // it would not be one line of a request
+	}
 	path, _, _ := strings.Cut(c.Path, "?")
 	switch c.Method {
 	case http.MethodGet:
