--- a/cmd/silvergate/client.go
+++ b/cmd/silvergate/client.go
@@ -457,6 +457,7 @@
 		newClient().byRef("cancel JOB", "Cancel a job", "POST", "/"+protocol.PathAbort),
 		newClient().jobsCommand(),
 		newClient().nodesCommand(),
+		reachCommand(),
 		st,
 	}
 }
--- a/cmd/silvergate/parts.go
+++ b/cmd/silvergate/parts.go
@@ -288,6 +288,7 @@
 	exitCancelled = 4
 	exitLate      = 5
 	exitDiffers   = 6
+	exitLinks     = 7
 )
 
 // statusOf is the exit status for an error.
--- /dev/null
+++ b/cmd/silvergate/reach.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"silvergate/internal/reach"
+)
+
+// links is what a controller says of its links in its counters.
+type links struct {
+	Node  string `json:"node"`
+	Reach struct {
+		reach.Stats
+		State string      `json:"state"`
+		Via   string      `json:"via"`
+		Deaf  bool        `json:"deaf"`
+		Rows  []reach.Row `json:"rows"`
+	} `json:"reach"`
+}
+
+// reachCommand shows which controller reaches what.
+func reachCommand() *cobra.Command {
+	k := newClient()
+	c := &cobra.Command{
+		Use: "reach", Short: "Show which controller reaches what, and through whom", Args: cobra.NoArgs,
+		Long: `reach asks controllers how their links are: the state service (direct, relayed by a
+peer, or lost), the workers by zone, the other controllers. With --site it asks all of
+them; with --address one, and shows what that one has heard from the others, and when.
+
+Status 0: every link that was told of is up. 7: one is not.`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			all, err := k.addresses()
+			if err != nil {
+				return err
+			}
+			var told []links
+			var last error
+			for _, a := range all {
+				one := *k
+				one.site, one.address = "", a
+				var l links
+				if err := one.get("/stats", &l); err != nil {
+					last = err
+					continue
+				}
+				told = append(told, l)
+			}
+			if len(told) == 0 {
+				return last
+			}
+			rows, down := lines(told)
+			if k.format == "json" {
+				err = json.NewEncoder(c.OutOrStdout()).Encode(told)
+			} else {
+				err = table(c.OutOrStdout(), "CONTROLLER TOLD-BY STATE-SERVICE RECORDS WORKERS HEARS", rows)
+			}
+			switch {
+			case err != nil:
+				return err
+			case last != nil:
+				return exitCode{exitLinks, fmt.Errorf("a controller does not answer: %w", last)}
+			case down:
+				return exitCode{exitLinks, errors.New("a link is down: docs/operations.md, \"Links\", says what each costs and what to do")}
+			}
+			return nil
+		},
+	}
+	k.users(c)
+	return c
+}
+
+// lines is a table of what controllers told: each of itself, and of the others what the
+// first one heard that could not be asked. down tells whether any link is.
+func lines(told []links) (rows [][]string, down bool) {
+	asked := map[string]bool{}
+	for _, l := range told {
+		asked[l.Node] = true
+	}
+	seen := map[string]bool{}
+	for _, l := range told {
+		for i, r := range l.Reach.Rows {
+			own := i == 0
+			if seen[r.Node] || !own && asked[r.Node] {
+				continue
+			}
+			seen[r.Node] = true
+			state := l.Reach.State
+			switch {
+			case own && l.Reach.Via != "":
+				state += " by " + l.Reach.Via
+			case !own:
+				state = "answered " + age(float64(r.StateMS+r.AgeMS)/1000) + " ago"
+			}
+			by := "itself"
+			if !own {
+				by = fmt.Sprintf("%s, %s ago", l.Node, age(float64(r.AgeMS)/1000))
+			}
+			var zones []string
+			held := 0
+			for _, z := range r.Zones {
+				held += z.Held
+				word := fmt.Sprintf("%s %d", z.Zone, z.Held)
+				if z.Lost {
+					word += " lost"
+					down = true
+				}
+				zones = append(zones, word)
+			}
+			workers := strings.Join(zones, ", ")
+			if workers == "" {
+				workers = "-"
+			}
+			hears := strings.Join(r.Hears, ",")
+			if hears == "" {
+				hears = "-"
+			}
+			down = down || r.Deaf || own && l.Reach.State != "direct" || own && len(r.Hears) < len(l.Reach.Rows)-1
+			rows = append(rows, []string{r.Node, by, state, age(float64(r.FreshMS)/1000) + " old", workers, hears})
+		}
+	}
+	return rows, down
+}
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -40,6 +40,9 @@
 	for _, done := range c.reach.Expire() {
 		done()
 	}
+	if how, via, changed := c.reach.News(); changed {
+		c.log.Info("the link to the state service", "now", how, "via", via, "deaf", c.reach.Deaf())
+	}
 	if c.reach.Probe() {
 		c.call(protocol.Call{Target: protocol.ToState, Method: "GET", Path: protocol.PathKeys + "/" + keyFleet, Timeout: time.Second},
 			func(r protocol.Reply) { c.reach.Probed(r.Status) })
@@ -173,12 +176,6 @@
 	if !c.store.Ready() {
 		age = starting
 	}
-	s := reachStats{Stats: c.reach.Stats, State: "direct", Via: c.reach.Via(), Deaf: c.reach.Deaf(), Rows: c.reach.Rows(age, c.store.Hungry())}
-	if c.reach.Lost() {
-		s.State = "lost"
-		if s.Via != "" {
-			s.State = "relayed"
-		}
-	}
-	return s
+	how, via := c.reach.Link()
+	return reachStats{Stats: c.reach.Stats, State: how, Via: via, Deaf: c.reach.Deaf(), Rows: c.reach.Rows(age, c.store.Hungry())}
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -33,22 +33,22 @@
 // Row is what a controller says of its own links. Ages are in milliseconds, as of
 // the telling.
 type Row struct {
-	Node    string
-	AgeMS   int64    // since its own telling, where another passes it on
-	StateMS int64    // since the state service last answered it without anybody's help
-	FreshMS int64    // since its records were last proved complete, by whatever way
-	Deaf    bool     // it should hear workers, and hears none
-	Hungry  bool     // its work waits for the state service's rates
-	Hears   []string // controllers whose own beats reach it
-	Zones   []ZoneWord
+	Node    string     `json:"node"`
+	AgeMS   int64      `json:"ageMs"`   // since its own telling, where another passes it on
+	StateMS int64      `json:"stateMs"` // since the state service last answered it without anybody's help
+	FreshMS int64      `json:"freshMs"` // since its records were last proved complete, by whatever way
+	Deaf    bool       `json:"deaf"`    // it should hear workers, and hears none
+	Hungry  bool       `json:"hungry"`  // its work waits for the state service's rates
+	Hears   []string   `json:"hears"`   // controllers whose own beats reach it
+	Zones   []ZoneWord `json:"zones"`
 }
 
 // ZoneWord is what a controller says of a zone whose workers report to it.
 type ZoneWord struct {
-	Zone    string
-	Held    int   // how many
-	HeardMS int64 // since it heard any of them
-	Lost    bool  // it heard none for too long, and none since, even if none reports to it any more
+	Zone    string `json:"zone"`
+	Held    int    `json:"held"`    // how many
+	HeardMS int64  `json:"heardMs"` // since it heard any of them
+	Lost    bool   `json:"lost"`    // it heard none for too long, and none since for long enough, even if none reports to it any more
 }
 
 // heard is a row and when it was true, by our clock.
@@ -73,6 +73,7 @@
 	vouched map[string]time.Duration // as of when a peer has named all cancellations
 	named   map[string]bool          // cancelled jobs that peers named and no record shows yet
 	desk    desk
+	told    string // the last that operators were told
 	Stats   Stats
 }
 
@@ -165,6 +166,26 @@
 	return s.down
 }
 
+// Link is how the state service is reached: "direct", "relayed" by a peer, or "lost", which an
+// outage that all see is, too.
+func (r *Reach) Link() (how, via string) {
+	switch {
+	case !r.Lost():
+		return "direct", ""
+	case r.desk.via != "":
+		return "relayed", r.desk.via
+	}
+	return "lost", ""
+}
+
+// News is Link, and whether it has changed since the last call.
+func (r *Reach) News() (how, via string, changed bool) {
+	how, via = r.Link()
+	changed = r.told != how+" "+via && (r.told != "" || how != "direct")
+	r.told = how + " " + via
+	return how, via, changed
+}
+
 // Probe tells whether our own link to the state service is to be tried: while a peer
 // carries our calls nothing else shows that it is back.
 func (r *Reach) Probe() bool {
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -100,9 +100,6 @@
 	return via
 }
 
-// Via is who carries our calls at present, "" for nobody.
-func (r *Reach) Via() string { return r.desk.via }
-
 // Ask makes the message that has a peer carry a call; done gets what comes of it,
 // in a later step.
 func (r *Reach) Ask(to string, k protocol.Call, done func(protocol.Reply)) *Carry {
