Reach: the controller that rents and gets no answer from the cloud gives way

Need: one that only the cloud can't be reached by kept the fleet's lease, and nothing was rented or returned until that link was mended.

Change: rows tell the cloud's link; followers ask it while the holder says it gets no answer; the holder drops the lease's record, conditional on its stamp, when another can rent.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -15,6 +15,7 @@
 	"silvergate/internal/evidence"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
+	"silvergate/internal/reach"
 )
 
 // fleet rents and returns machines. One controller at a time does so, under a
@@ -168,7 +169,14 @@
 	}
 	f.calls.level = min(max(1, rate), f.calls.level+rate*(c.now-f.lastFill).Seconds())
 	f.lastFill = c.now
-	if c.flavorsIn || (len(c.catalogue) > 0 && (!c.leads() || c.now < c.flavorsAt)) || c.now < c.flavorsAt || f.calls.level < 1 {
+	if c.flavorsIn || f.calls.level < 1 {
+		return
+	}
+	if len(c.catalogue) > 0 && !c.leads() {
+		if !c.reach.AskCloud(f.owner) {
+			return
+		}
+	} else if c.now < c.flavorsAt {
 		return
 	}
 	c.flavorsIn = true
@@ -194,7 +202,10 @@
 	if body != nil {
 		raw = encode(body)
 	}
-	c.call(protocol.Call{Target: protocol.ToCloud, Method: method, Path: path, Body: raw, Timeout: 5 * time.Second}, done)
+	c.call(protocol.Call{Target: protocol.ToCloud, Method: method, Path: path, Body: raw, Timeout: 5 * time.Second}, func(r protocol.Reply) {
+		c.reach.CloudAnswered(r.Status)
+		done(r)
+	})
 }
 
 func (c *Core) leads() bool {
@@ -204,6 +215,13 @@
 // fleetTick takes the lease if it is free and acts while holding it.
 func (c *Core) fleetTick() {
 	f := &c.fleet
+	if c.reach.NoCloud() {
+		now := c.reach.Picture()
+		if reach.OtherRents(&now) {
+			c.yieldFleet()
+			return
+		}
+	}
 	if f.stamp == 0 && c.permit != 0 && !f.taking {
 		f.taking = true
 		c.store.Txn(budget.Work, []protocol.Cond{{Key: keyFleet}},
@@ -227,6 +245,24 @@
 	}
 }
 
+// yieldFleet gives the lease up, or leaves it alone when it is free. Guards against a leader that only
+// the cloud can't be reached by: nothing would be rented or returned until that link is
+// mended, with everything else well.
+func (c *Core) yieldFleet() {
+	f := &c.fleet
+	if f.stamp == 0 || f.owner != c.cfg.Node || f.taking {
+		return
+	}
+	f.taking = true
+	c.store.Txn(budget.Work, []protocol.Cond{{Key: keyFleet, Stamp: f.stamp}}, []protocol.Op{{Drop: keyFleet}},
+		func(o bookkeeping.Outcome, _ []string, _ uint64) {
+			f.taking = false
+			if o == bookkeeping.OK {
+				c.log.Info("leaving the fleet to another: the cloud does not answer us")
+			}
+		})
+}
+
 // list reads the cloud's list, page by page.
 func (c *Core) list() {
 	f := &c.fleet
--- a/internal/coordination/reach_test.go
+++ b/internal/coordination/reach_test.go
@@ -143,7 +143,10 @@
 
 // cuts are the ways in which a link of one controller can fail.
 func (s *sim) cuts() []string {
-	out := []string{"state", "state reset", "refused", "workers", "workers reset", "state flaps", "workers flap", "peers", "zone:" + s.facts.Zones[0]}
+	out := []string{"state", "state reset", "refused", "workers", "workers reset", "state flaps", "workers flap", "peers", "cloud", "users"}
+	for _, z := range s.facts.Zones[:1+len(s.nodes)/5*2] { // on few controllers one stands for all
+		out = append(out, "zone:"+z)
+	}
 	for _, o := range s.nodes {
 		out = append(out, "to:"+o.name)
 	}
@@ -314,6 +317,46 @@
 	}
 }
 
+// TestRenterWithoutTheCloudGivesWay cuts the controller that rents off from the cloud alone: another
+// rents soon, and it stays so. Where the cloud answers nobody, the lease stays where it is.
+func TestRenterWithoutTheCloudGivesWay(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		s := newSim(9950, 0)
+		s.load(3 * time.Minute)
+		s.run(50 * time.Second)
+		var first *simNode
+		for _, n := range s.nodes {
+			if n.core.leads() {
+				first = n
+			}
+		}
+		for _, n := range s.nodes {
+			if n == first || all {
+				s.cutLink(n, "cloud", time.Minute)
+			}
+		}
+		changes, last, rentable := 0, first, time.Duration(0)
+		for now := 50 * time.Second; now < 150*time.Second; now += 500 * time.Millisecond {
+			s.run(now)
+			for _, n := range s.nodes {
+				if !n.core.leads() {
+					continue
+				}
+				if n != last {
+					changes, last = changes+1, n
+				}
+				if n.cut["cloud"] <= now {
+					rentable += 500 * time.Millisecond
+				}
+			}
+		}
+		if all && changes != 0 || !all && (changes != 1 || rentable < 80*time.Second) {
+			t.Errorf("all cut off: %v; the lease changed hands %d times, and its holder could rent for %v of 100 s", all, changes, rentable)
+		}
+		s.report(t)
+	}
+}
+
 // TestRulesDoNotDependOnRows has beats tell drawn rows, on days with drawn cuts.
 func TestRulesDoNotDependOnRows(t *testing.T) {
 	days, err := strconv.Atoi(os.Getenv("SIM_DAYS"))
--- a/internal/reach/decide.go
+++ b/internal/reach/decide.go
@@ -190,6 +190,23 @@
 	return ""
 }
 
+// Renterless tells whether the controller that rents says that the cloud does not answer it.
+func Renterless(p *Picture, renter string) bool {
+	return slices.ContainsFunc(p.Peers, func(q Peer) bool { return q.Name.Node == renter && q.Word < p.Report && q.NoCloud })
+}
+
+// OtherRents tells whether a controller that the cloud does not answer leaves renting to others: one
+// of them has fresh records and got an answer a moment ago. Else it is the cloud that is away.
+//
+// The rule that this must not break: one controller rents. Who gives up drops the lease's record,
+// conditional on its stamp, and who takes it creates the record; what was under way is on
+// record under its name, and is asked again by that name.
+func OtherRents(p *Picture) bool {
+	return slices.ContainsFunc(p.Peers, func(q Peer) bool {
+		return q.Carries && q.Word < p.Report && !q.NoCloud && ms(q.CloudMS) < 2*p.Report && ms(q.FreshMS) <= p.Report/2
+	})
+}
+
 // Claimants counts the peers that may want more than their share of the state service's
 // rates: those that say so, and those that are not heard and may use it; and those that have
 // nothing to use theirs for: who hears no workers, and who reached the service through
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -41,6 +41,8 @@
 	Hungry  bool       `json:"hungry"`  // its work waits for the state service's rates
 	Hears   []string   `json:"hears"`   // controllers whose own beats reach it
 	Zones   []ZoneWord `json:"zones"`
+	CloudMS int64      `json:"cloudMs"` // since the cloud last answered it; only who rents asks often
+	NoCloud bool       `json:"noCloud"` // it asks, and has got no answer for too long
 }
 
 // ZoneWord is what a controller says of a zone whose workers report to it.
@@ -67,6 +69,7 @@
 	beatAt  time.Duration
 	shedAt  time.Duration
 	state   stateLink
+	cloud   cloudLink
 	ears    ears
 	heard   map[string]*heard
 	cooling map[string]time.Duration // carriers that failed: not before
@@ -214,6 +217,46 @@
 	}
 }
 
+// cloudLink is our own link to the cloud.
+type cloudLink struct {
+	answered time.Duration // the last real answer
+	asked    time.Duration // the first question since then that got none; 0: none
+	probeAt  time.Duration // not to be asked only for its answer's sake before
+}
+
+// cloudLate is how long the cloud may be silent to who asks it every few seconds: a call that
+// nobody answers takes 5 s, and the next one proves that it was not that call alone.
+const cloudLate = 8 * time.Second
+
+// CloudAnswered takes what came of a call of the cloud. In an outage it answers 503 to all.
+func (r *Reach) CloudAnswered(status int) {
+	switch c := &r.cloud; {
+	case status != 0 && status != 503:
+		c.answered, c.asked = r.now, 0
+	case c.asked == 0:
+		c.asked = r.now
+	}
+}
+
+// NoCloud tells whether the cloud does not answer us, though we ask.
+func (r *Reach) NoCloud() bool {
+	return r.cloud.asked > 0 && r.silence(r.cloud.answered) > cloudLate && r.silence(r.cloud.asked) > cloudLate/4
+}
+
+// AskCloud tells whether the cloud is to be asked whether it answers us, which nothing else shows of
+// a controller that does not rent: the one that does says that it gets no answer, or we got none
+// ourselves. At most once in a report period.
+func (r *Reach) AskCloud(renter string) bool {
+	if r.now < r.cloud.probeAt || r.silence(r.cloud.answered) < r.cfg.Report {
+		return false
+	}
+	if p := r.Picture(); !r.NoCloud() && !Renterless(&p, renter) {
+		return false
+	}
+	r.cloud.probeAt = r.now + r.cfg.Report
+	return true
+}
+
 // ears is whether workers are heard, by zone and of all.
 type ears struct {
 	zones map[string]*ear
@@ -360,7 +403,8 @@
 
 // Rows is what a beat carries: our own row, then the others' as we have them.
 func (r *Reach) Rows(fresh time.Duration, hungry bool) []Row {
-	own := Row{Node: r.cfg.Self, StateMS: r.silence(r.state.answered).Milliseconds(), FreshMS: fresh.Milliseconds(), Deaf: r.ears.deaf, Hungry: hungry, Zones: r.words()}
+	own := Row{Node: r.cfg.Self, StateMS: r.silence(r.state.answered).Milliseconds(), FreshMS: fresh.Milliseconds(), Deaf: r.ears.deaf, Hungry: hungry, Zones: r.words(),
+		CloudMS: r.silence(r.cloud.answered).Milliseconds(), NoCloud: r.NoCloud()}
 	if r.Lost() {
 		own.StateMS = max(own.StateMS, r.cfg.Late.Milliseconds()+1)
 	}
