Records: a claim waits 3 s for the budget, as a worker waits 4 s for its answer

Cause: with two of three controllers without their workers, claims at the third waited longer than 2 s, were refused, and their workers tried the two that they could not reach: 10 s of a lease that had 16 s left.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -76,6 +76,9 @@
 const (
 	callTimeout  = 1500 * time.Millisecond
 	queueTimeout = 2 * time.Second
+	// claimTimeout is for claims: a worker waits 4 s for its answer, and one that is refused
+	// tries the next controller, which may not be in its reach and cost it 5 s each.
+	claimTimeout = 3 * time.Second
 	maxInflight  = 24
 )
 
@@ -135,11 +138,19 @@
 	s.tell(r.class)
 }
 
+// patience is how long a transaction of a class may wait for the budget.
+func patience(c budget.Class) time.Duration {
+	if c == budget.Claims || c == budget.Holders || c == budget.Spare {
+		return claimTimeout
+	}
+	return queueTimeout
+}
+
 // Txn sends a transaction. After OK the mirror holds its changes.
 func (s *Store) Txn(class budget.Class, conds []protocol.Cond, ops []protocol.Op, done func(Outcome, []string, uint64)) {
 	body := protocol.Encode(protocol.Txn{If: conds, Then: ops})
 	s.put(&request{class: class, method: http.MethodPost, path: protocol.PathTxn, body: body,
-		writes: float64(len(ops)), deadline: s.now + queueTimeout, done: func(r protocol.Reply) {
+		writes: float64(len(ops)), deadline: s.now + patience(class), done: func(r protocol.Reply) {
 			var t protocol.TxnResult
 			switch r.Status {
 			case http.StatusOK:
