--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -12,7 +12,7 @@
 // out what is decided there.
 
 func newReach(cfg *config.Settings, life int64, late time.Duration) *reach.Reach {
-	r := reach.Config{Self: cfg.Node, Zone: cfg.Zone, Life: life, Report: seconds(cfg.Facts.Workers.Report), Late: late}
+	r := reach.Config{Self: cfg.Node, Life: life, Report: seconds(cfg.Facts.Workers.Report), Late: late}
 	for _, p := range cfg.Peers {
 		r.Peers = append(r.Peers, reach.Name{Node: p.Node, Zone: p.Zone})
 	}
--- a/internal/coordination/reach_test.go
+++ b/internal/coordination/reach_test.go
@@ -24,7 +24,7 @@
 // passes over what it does not know, as gob does.
 func (n *simNode) said(o *simNode, m Message) (Message, bool) {
 	s := n.s
-	if s.unlike && m.Carry != nil {
+	if s.noCarrier && m.Carry != nil {
 		return m, false
 	}
 	if m.Beat != nil && (n.old || o.old || s.lies) {
@@ -302,9 +302,9 @@
 // calls, two of three controllers that lose the state service while the third loses its
 // workers lose urgent tasks that had a way.
 func TestWaysAreJudged(t *testing.T) {
-	day := func(unlike bool) *sim {
+	day := func(noCarrier bool) *sim {
 		s := newSim(9900, 0)
-		s.unlike = unlike
+		s.noCarrier = noCarrier
 		cutDay(s, 0, func() { s.cutLink(s.nodes[0], "state", time.Minute) }, func() { s.cutLink(s.nodes[1], "state", time.Minute) },
 			func() { s.cutLink(s.nodes[2], "workers", time.Minute) })
 		return s
--- a/internal/reach/decide.go
+++ b/internal/reach/decide.go
@@ -20,7 +20,7 @@
 
 // Picture is who reaches what, as known to one controller at one moment.
 type Picture struct {
-	Self, Zone   string
+	Self         string
 	Report, Late time.Duration
 	Peers        []Peer
 }
@@ -95,7 +95,13 @@
 // to it: it holds several workers there and hears them (of one or two, what is heard is
 // seconds old). A worker whose controller did not answer it is sent to no other: each
 // wrong guess takes it seconds of a lease that has begun to run out.
+//
+// Not one whose link to any zone flaps: one that is lost, and was heard a moment ago all the
+// same. It holds the workers that came while the link was up, and they prove nothing.
 func Proven(p *Picture, q *Peer, zone string) bool {
+	if slices.ContainsFunc(q.Zones, func(z ZoneWord) bool { return z.Lost && ms(z.HeardMS) < 2*p.Report }) {
+		return false
+	}
 	return Hears(p, q, zone) && slices.ContainsFunc(q.Zones, func(z ZoneWord) bool { return z.Zone == zone && z.Held >= witnesses })
 }
 
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -20,7 +20,6 @@
 // Config is what a Reach is made for.
 type Config struct {
 	Self   string
-	Zone   string
 	Life   int64 // tells this life of the process from others
 	Peers  []Name
 	Report time.Duration // between two reports of a worker; beats come three times as often
@@ -479,17 +478,9 @@
 
 func clip[T any](all []T) []T { return slices.Clone(all[:min(len(all), maxNames)]) }
 
-// Heard is when a peer's own beat came last, 0 for never.
-func (r *Reach) Heard(peer string) time.Duration {
-	if h := r.heard[peer]; h != nil {
-		return h.came
-	}
-	return 0
-}
-
 // Picture is what is known now, for decisions.
 func (r *Reach) Picture() Picture {
-	p := Picture{Self: r.cfg.Self, Zone: r.cfg.Zone, Report: r.cfg.Report, Late: r.cfg.Late, Peers: make([]Peer, 0, len(r.cfg.Peers))}
+	p := Picture{Self: r.cfg.Self, Report: r.cfg.Report, Late: r.cfg.Late, Peers: make([]Peer, 0, len(r.cfg.Peers))}
 	for _, n := range r.cfg.Peers {
 		q := Peer{Name: n, Word: never, Age: never}
 		if h := r.heard[n.Node]; h != nil {
@@ -512,9 +503,6 @@
 	}
 }
 
-// VouchedBy is as of when a peer has vouched last.
-func (r *Reach) VouchedBy(peer string) time.Duration { return r.vouched[peer] }
-
 // Name notes a cancelled job that no record shows yet, Known that one does, and
 // Named tells.
 func (r *Reach) Name(job string) { r.named[job] = true }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -16,7 +16,7 @@
 
 // made is controller n0 of five, whose peers n1 to n4 are heard and well.
 func made() *Reach {
-	c := Config{Self: "n0", Zone: "a", Life: 7, Report: report, Late: 2500 * time.Millisecond}
+	c := Config{Self: "n0", Life: 7, Report: report, Late: 2500 * time.Millisecond}
 	for i := 1; i < 5; i++ {
 		c.Peers = append(c.Peers, Name{fmt.Sprintf("n%d", i), []string{"a", "b"}[i%2]})
 	}
@@ -45,7 +45,7 @@
 // TestDecisions holds each decision on drawn pictures against its terms.
 func TestDecisions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := Picture{Self: "n0", Zone: "a", Report: report, Late: 2500 * time.Millisecond}
+		p := Picture{Self: "n0", Report: report, Late: 2500 * time.Millisecond}
 		for i := 1; i <= rapid.IntRange(0, 4).Draw(t, "peers"); i++ {
 			p.Peers = append(p.Peers, drawPeer(t, fmt.Sprintf("n%d", i)))
 		}
@@ -103,6 +103,19 @@
 	})
 }
 
+// TestAFlappingLinkProvesNothing guards against workers sent to a controller that had met their zone
+// in the two seconds in which its link was up.
+func TestAFlappingLinkProvesNothing(t *testing.T) {
+	p := Picture{Self: "n0", Report: report}
+	q := Peer{Name: Name{"n1", "b"}, Row: Row{Zones: []ZoneWord{{Zone: "a", Held: 6, HeardMS: 272}, {Zone: "c", Held: 1, HeardMS: 3878, Lost: true}}}}
+	if Proven(&p, &q, "a") {
+		t.Error("zone c comes and goes, and zone a is taken for sure")
+	}
+	if q.Zones[1].HeardMS = 60_000; !Proven(&p, &q, "a") {
+		t.Error("zone c is cut off, and zone a is doubted")
+	}
+}
+
 // TestHandOverInOrder: urgent workers go at once, none later than a more urgent one, and all
 // before the time to answer is over.
 func TestHandOverInOrder(t *testing.T) {
