--- a/internal/coordination/cutoff_test.go
+++ b/internal/coordination/cutoff_test.go
@@ -14,20 +14,27 @@
 // answered late, in part, while peers claim its machines and releases under the old
 // tokens wait. SIM_DAYS plays more of them.
 func TestRulesHoldWhenAZoneIsCutOff(t *testing.T) {
+	drawnDays(t, 5000, 12, func(t *testing.T, seed uint64) {
+		s := newSim(seed, 0.004)
+		s.unordered = true
+		s.traceTo(t, seed)
+		s.load(3 * time.Minute)
+		s.after(20*time.Second, func() { s.cutOff(3 * time.Minute) })
+		s.run(4 * time.Minute)
+		s.report(t)
+	})
+}
+
+// drawnDays plays days from a first seed on, as many as SIM_DAYS says.
+func drawnDays(t *testing.T, first uint64, usual int, day func(t *testing.T, seed uint64)) {
 	days, err := strconv.Atoi(os.Getenv("SIM_DAYS"))
 	if err != nil {
-		days = 12
+		days = usual
 	}
-	for seed := uint64(5000); seed < 5000+uint64(days); seed++ {
+	for seed := first; seed < first+uint64(days); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			s := newSim(seed, 0.004)
-			s.unordered = true
-			s.traceTo(t, seed)
-			s.load(3 * time.Minute)
-			s.after(20*time.Second, func() { s.cutOff(3 * time.Minute) })
-			s.run(4 * time.Minute)
-			s.report(t)
+			day(t, seed)
 		})
 	}
 }
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -94,10 +94,7 @@
 	if c.reach.BeatDue() {
 		c.shareOut()
 		own, told := c.fleet.seen[c.cfg.Node], c.fleet.unkept.told()
-		age := c.now - c.store.Fresh()
-		if !c.store.Ready() {
-			age = starting
-		}
+		age := c.recordsAge()
 		rows := c.reach.Rows(age, c.store.Hungry())
 		blind := c.store.Ready() && c.now-c.store.Fresh() > seconds(c.cfg.Facts.Workers.Report)
 		for _, p := range c.cfg.Peers {
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -28,6 +28,11 @@
 		c.send(via, Message{Carry: c.reach.Ask(via, k, done)})
 		return
 	}
+	c.direct(k, done)
+}
+
+// direct makes a call of the state service on our own link.
+func (c *Core) direct(k protocol.Call, done func(protocol.Reply)) {
 	c.call(k, func(r protocol.Reply) {
 		c.reach.StateAnswered(r.Status)
 		done(r)
@@ -55,6 +60,9 @@
 // listen asks a worker of a zone for its status, a different one each time, when all that
 // we held there are with others: no report would ever show that we hear again.
 func (c *Core) listen(zone string) {
+	if c.asks >= 2 {
+		return
+	}
 	var first *machine
 	for _, m := range c.machines {
 		if m.claim.Address == "" || m.claim.Zone != zone || m.stamp == 0 || m.asking || c.now < m.askAt {
@@ -64,7 +72,7 @@
 			first = m
 		}
 	}
-	if first != nil && c.asks < 2 {
+	if first != nil {
 		c.askStatus(first)
 	}
 }
@@ -76,10 +84,7 @@
 		c.send(from, Message{Carried: refused})
 		return
 	}
-	c.call(call, func(r protocol.Reply) {
-		c.reach.StateAnswered(r.Status)
-		c.send(from, Message{Carried: c.reach.Done(from, k, r)})
-	})
+	c.direct(call, func(r protocol.Reply) { c.send(from, Message{Carried: c.reach.Done(from, k, r)}) })
 }
 
 // Pass is a question about cancellations, or its answer, that goes by way of a third
@@ -114,6 +119,14 @@
 	}
 }
 
+// recordsAge is how old our records are, as peers and operators are told.
+func (c *Core) recordsAge() time.Duration {
+	if !c.store.Ready() {
+		return starting
+	}
+	return c.now - c.store.Fresh()
+}
+
 // shareOut tells the budget how many peers want more than their share.
 func (c *Core) shareOut() {
 	now := c.reach.Picture()
@@ -172,10 +185,6 @@
 }
 
 func (c *Core) reachStats() reachStats {
-	age := c.now - c.store.Fresh()
-	if !c.store.Ready() {
-		age = starting
-	}
 	how, via := c.reach.Link()
-	return reachStats{Stats: c.reach.Stats, State: how, Via: via, Deaf: c.reach.Deaf(), Rows: c.reach.Rows(age, c.store.Hungry())}
+	return reachStats{Stats: c.reach.Stats, State: how, Via: via, Deaf: c.reach.Deaf(), Rows: c.reach.Rows(c.recordsAge(), c.store.Hungry())}
 }
--- a/internal/coordination/reach_test.go
+++ b/internal/coordination/reach_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -242,21 +240,14 @@
 // TestDrawnCuts draws three to six cuts at a time on five controllers and a hundred
 // machines and more, with the rates of a real state service. SIM_DAYS plays more days.
 func TestDrawnCuts(t *testing.T) {
-	days, err := strconv.Atoi(os.Getenv("SIM_DAYS"))
-	if err != nil {
-		days = 16
-	}
-	for seed := uint64(9500); seed < 9500+uint64(days); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			s := drawnCuts(t, seed)
-			s.report(t)
-			if s.saved.urgent > 0 {
-				t.Errorf("%d urgent tasks killed that had a way", s.saved.urgent)
-			}
-			t.Logf("killed by their lease: %d urgent and %d others that had a way, %d that had none", s.saved.urgent, s.saved.other, s.saved.cut)
-		})
-	}
+	drawnDays(t, 9500, 16, func(t *testing.T, seed uint64) {
+		s := drawnCuts(t, seed)
+		s.report(t)
+		if s.saved.urgent > 0 {
+			t.Errorf("%d urgent tasks killed that had a way", s.saved.urgent)
+		}
+		t.Logf("killed by their lease: %d urgent and %d others that had a way, %d that had none", s.saved.urgent, s.saved.other, s.saved.cut)
+	})
 }
 
 func drawnCuts(t *testing.T, seed uint64) *sim {
@@ -359,22 +350,15 @@
 
 // TestRulesDoNotDependOnRows has beats tell drawn rows, on days with drawn cuts.
 func TestRulesDoNotDependOnRows(t *testing.T) {
-	days, err := strconv.Atoi(os.Getenv("SIM_DAYS"))
-	if err != nil {
-		days = 12
-	}
-	for seed := uint64(9700); seed < 9700+uint64(days); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			s := newSim(seed, 0.004)
-			s.unordered, s.lies = true, true
-			s.load(3 * time.Minute)
-			s.after(20*time.Second, func() { s.trouble(3 * time.Minute) })
-			s.after(30*time.Second, func() { s.cutOff(3 * time.Minute) })
-			s.run(4 * time.Minute)
-			s.report(t)
-		})
-	}
+	drawnDays(t, 9700, 12, func(t *testing.T, seed uint64) {
+		s := newSim(seed, 0.004)
+		s.unordered, s.lies = true, true
+		s.load(3 * time.Minute)
+		s.after(20*time.Second, func() { s.trouble(3 * time.Minute) })
+		s.after(30*time.Second, func() { s.cutOff(3 * time.Minute) })
+		s.run(4 * time.Minute)
+		s.report(t)
+	})
 }
 
 // TestRollingRestartFromTheVersionBefore has one and two of three controllers run the
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -161,6 +161,11 @@
 	return m.stamp != 0 && m.claim.Owner == c.cfg.Node && (m.claim.Life == c.life || m.adopted)
 }
 
+// earlier tells whether an earlier life of ours has claimed the machine, and nobody since.
+func (c *Core) earlier(m *machine) bool {
+	return m.stamp != 0 && m.claim.Owner == c.cfg.Node && !c.mine(m)
+}
+
 // barred tells whether new work may not go to the machine.
 func (c *Core) barred(m *machine) bool {
 	_, drained := c.drains[m.id]
@@ -411,26 +416,23 @@
 		return false
 	}
 	now := c.reach.Picture()
-	for i := range now.Peers {
-		p := &now.Peers[i]
-		if p.Name.Node != m.claim.Owner || p.Zone != r.Depot {
-			continue
-		}
-		if p.Word < now.Report && p.FreshMS < starting.Milliseconds() {
-			return false // it is there, and has sent the worker on
-		}
-		// Guards against workers of a controller that is cut off: they come
-		// after a report period and a wait for its answer, with little left of
-		// their lease. One that was restarted is back before that.
-		if !reach.Homeward(&now, m.claim.Owner, seconds(c.cfg.Facts.Workers.Lease/3)) {
-			return false
-		}
-		if m.homeAt == 0 {
-			m.homeAt = c.now
-		}
-		return c.now-m.homeAt < seconds(c.cfg.Facts.Workers.Lease/4)
+	p := now.Find(m.claim.Owner)
+	if p == nil || p.Zone != r.Depot {
+		return false
+	}
+	if p.Word < now.Report && p.FreshMS < starting.Milliseconds() {
+		return false // it is there, and has sent the worker on
+	}
+	// Guards against workers of a controller that is cut off: they come
+	// after a report period and a wait for its answer, with little left of
+	// their lease. One that was restarted is back before that.
+	if !reach.Homeward(&now, p, seconds(c.cfg.Facts.Workers.Lease/3)) {
+		return false
+	}
+	if m.homeAt == 0 {
+		m.homeAt = c.now
 	}
-	return false
+	return c.now-m.homeAt < seconds(c.cfg.Facts.Workers.Lease/4)
 }
 
 // urgent tells whether production work is bound to the machine.
@@ -752,7 +754,7 @@
 	}
 	if c.held[c.cfg.Node] > len(c.ours) {
 		for _, m := range c.machines {
-			if m.stamp != 0 && m.claim.Owner == c.cfg.Node && !c.mine(m) {
+			if c.earlier(m) {
 				awaited[m.claim.Zone]++
 			}
 		}
@@ -831,7 +833,7 @@
 	w := &c.cfg.Facts.Workers
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
-		if m.stamp == 0 || m.claim.Owner != c.cfg.Node || c.mine(m) || m.claiming {
+		if !c.earlier(m) || m.claiming {
 			continue
 		}
 		quiet := c.now - max(c.readyAt, m.heard)
--- a/internal/reach/decide.go
+++ b/internal/reach/decide.go
@@ -25,6 +25,16 @@
 	Peers        []Peer
 }
 
+// Find is a peer by its name, nil if there is none of that name.
+func (p *Picture) Find(name string) *Peer {
+	for i := range p.Peers {
+		if p.Peers[i].Name.Node == name {
+			return &p.Peers[i]
+		}
+	}
+	return nil
+}
+
 // Near tells whether messages pass both ways between us and a peer: its beats come,
 // and say that ours do.
 func (p *Picture) Near(q *Peer) bool {
@@ -162,13 +172,8 @@
 // Homeward tells whether a worker's own controller may be back soon and go on without a
 // new claim. Not one that is silent after it said that it reaches the state service
 // through others alone, or hears no workers: what it lacked it still lacks.
-func Homeward(p *Picture, owner string, within time.Duration) bool {
-	for i := range p.Peers {
-		if q := &p.Peers[i]; q.Name.Node == owner {
-			return q.Word <= within && !q.Deaf && ms(q.StateMS) <= p.Late
-		}
-	}
-	return false
+func Homeward(p *Picture, owner *Peer, within time.Duration) bool {
+	return owner.Word <= within && !owner.Deaf && ms(owner.StateMS) <= p.Late
 }
 
 // Third names a peer by way of which another can be asked that we can't ask ourselves:
@@ -178,13 +183,7 @@
 // clock and life, so an answer that is late, or meant for an earlier life, proves
 // nothing new; who passes it on adds nothing to it.
 func Third(p *Picture, to string) string {
-	var target *Peer
-	for i := range p.Peers {
-		if p.Peers[i].Name.Node == to {
-			target = &p.Peers[i]
-		}
-	}
-	if target == nil || p.Near(target) {
+	if target := p.Find(to); target == nil || p.Near(target) {
 		return ""
 	}
 	for i := range p.Peers {
@@ -198,7 +197,8 @@
 
 // Renterless tells whether the controller that rents says that the cloud does not answer it.
 func Renterless(p *Picture, renter string) bool {
-	return slices.ContainsFunc(p.Peers, func(q Peer) bool { return q.Name.Node == renter && q.Word < p.Report && q.NoCloud })
+	q := p.Find(renter)
+	return q != nil && q.Word < p.Report && q.NoCloud
 }
 
 // OtherRents tells whether a controller that the cloud does not answer leaves renting to others: one
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -13,6 +13,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 )
@@ -117,15 +118,54 @@
 
 // stateLink is our own link to the state service.
 type stateLink struct {
+	trust
 	answered time.Duration // the last real answer
-	down     bool
-	upAt     time.Duration // when it came back last
-	good     time.Duration // since when every probe was answered; 0: not
-	need     time.Duration // for how long they must be, before it counts as back
 	probeAt  time.Duration
 	probing  bool
 }
 
+// trust is the hysteresis of a link: one that was lost is back when it was heard for a time
+// without a gap, and for twice as long each time when it is lost again within half a minute.
+type trust struct {
+	lost bool
+	good time.Duration // since when it is heard again; 0: not
+	need time.Duration // for how long it must be
+	upAt time.Duration // when it last was
+}
+
+// fail takes a gap; first and most bound how long the link must be heard after it. It tells
+// whether the link is lost by it.
+func (t *trust) fail(now, first, most time.Duration) bool {
+	t.good = 0
+	if t.lost {
+		return false
+	}
+	t.lost = true
+	if t.need = min(2*t.need, most); t.need < first || now-t.upAt > flapping {
+		t.need = first
+	}
+	return true
+}
+
+// hear takes a word over the link, and tells whether it is back with it.
+func (t *trust) hear(now time.Duration) bool {
+	if !t.lost {
+		return false
+	}
+	if t.good == 0 {
+		t.good = now
+	}
+	if now-t.good < t.need {
+		return false
+	}
+	t.lost, t.upAt = false, now
+	return true
+}
+
+// answers tells whether a status is a service's own word: 503 is what a controller gets that
+// is refused, and in an outage.
+func answers(status int) bool { return status != 0 && status != http.StatusServiceUnavailable }
+
 const (
 	// A link that fails again soon after it came back has to hold longer each time.
 	firstTrust = time.Second
@@ -134,38 +174,27 @@
 	probePause = time.Second
 )
 
-// StateAnswered takes what came of a call that we made ourselves. 503 is what a
-// controller gets that is refused, and in an outage.
+// StateAnswered takes what came of a call that we made ourselves.
 func (r *Reach) StateAnswered(status int) {
-	if status == 0 || status == 503 {
+	if !answers(status) {
 		return
 	}
 	s := &r.state
 	s.answered = r.now
-	if s.down && r.desk.via == "" {
-		r.up() // nobody carries for us: there is nothing better to keep to
+	if s.lost && r.desk.via == "" {
+		s.lost, s.upAt = false, r.now // nobody carries for us: there is nothing better to keep to
 	}
 }
 
-func (r *Reach) up() {
-	r.state.down, r.state.good, r.state.upAt = false, 0, r.now
-	r.desk.via = ""
-}
-
 // Lost tells whether the state service is out of reach for us: it has not answered for
-// longer than a watch and a slow answer take. Hysteresis: it is back when probes were
-// answered for a second, and for twice as long each time when it fails again
-// within half a minute.
+// longer than a watch and a slow answer take. It is back when probes were answered for a
+// second or more.
 func (r *Reach) Lost() bool {
 	s := &r.state
-	if !s.down && r.silence(s.answered) > r.cfg.Late {
-		s.down, s.good = true, 0
+	if !s.lost && r.silence(s.answered) > r.cfg.Late && s.fail(r.now, firstTrust, mostTrust) {
 		r.Stats.Downs++
-		if s.need = min(2*s.need, mostTrust); s.need < firstTrust || r.now-s.upAt > flapping {
-			s.need = firstTrust
-		}
 	}
-	return s.down
+	return s.lost
 }
 
 // Link is how the state service is reached: "direct", "relayed" by a peer, or "lost", which an
@@ -192,7 +221,7 @@
 // carries our calls nothing else shows that it is back.
 func (r *Reach) Probe() bool {
 	s := &r.state
-	if !s.down || r.desk.via == "" || s.probing || r.now < s.probeAt {
+	if !s.lost || r.desk.via == "" || s.probing || r.now < s.probeAt {
 		return false
 	}
 	s.probing, s.probeAt = true, r.now+probePause
@@ -203,16 +232,13 @@
 func (r *Reach) Probed(status int) {
 	s := &r.state
 	s.probing = false
-	if status == 0 || status == 503 {
+	if !answers(status) {
 		s.good = 0
 		return
 	}
 	s.answered = r.now
-	if s.good == 0 {
-		s.good = r.now
-	}
-	if s.down && r.now-s.good >= s.need {
-		r.up()
+	if s.hear(r.now) {
+		r.desk.via = ""
 	}
 }
 
@@ -230,7 +256,7 @@
 // CloudAnswered takes what came of a call of the cloud. In an outage it answers 503 to all.
 func (r *Reach) CloudAnswered(status int) {
 	switch c := &r.cloud; {
-	case status != 0 && status != 503:
+	case answers(status):
 		c.answered, c.asked = r.now, 0
 	case c.asked == 0:
 		c.asked = r.now
@@ -269,35 +295,7 @@
 	held  int
 	// awaited are those of an earlier life of ours that have not come back yet.
 	awaited int
-	lost    bool          // none was heard for too long, and since then not for long enough
-	good    time.Duration // since when they are heard again; 0: not
-	need    time.Duration // for how long they must be
-	upAt    time.Duration // when they last were
-}
-
-// lose and regain are the hysteresis of a zone's workers: heard again for two report periods, and
-// for twice as long each time when they are lost again within half a minute.
-func (e *ear) lose(now, report time.Duration) {
-	e.good = 0
-	if e.lost {
-		return
-	}
-	e.lost = true
-	if e.need = min(2*e.need, 8*report); e.need < 2*report || now-e.upAt > flapping {
-		e.need = 2 * report
-	}
-}
-
-func (e *ear) regain(now time.Duration) {
-	if e.at = now; !e.lost {
-		return
-	}
-	if e.good == 0 {
-		e.good = now
-	}
-	if now-e.good >= e.need {
-		e.lost, e.upAt = false, now
-	}
+	trust
 }
 
 func (e *ear) hold(n, awaited int, now time.Duration) {
@@ -327,7 +325,7 @@
 		switch quiet := r.silence(max(z.at, z.since)); {
 		case z.held > 0 && quiet > patience(r.cfg.Report, z.held), z.lost && z.held == 0 && quiet > r.cfg.Report/2,
 			z.held == 0 && awaited[zone] > 0 && quiet > 2*r.cfg.Report:
-			z.lose(r.now, r.cfg.Report)
+			z.fail(r.now, 2*r.cfg.Report, 8*r.cfg.Report)
 		}
 		z.hold(held[zone], awaited[zone], r.now)
 	}
@@ -342,7 +340,8 @@
 func (r *Reach) WorkerHeard(zone string) {
 	r.ears.all.at, r.ears.deaf = r.now, false
 	if z := r.ears.zones[zone]; z != nil {
-		z.regain(r.now)
+		z.at = r.now
+		z.hear(r.now)
 	}
 }
 
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -50,13 +50,11 @@
 			p.Peers = append(p.Peers, drawPeer(t, fmt.Sprintf("n%d", i)))
 		}
 		find := func(name string) *Peer {
-			for i := range p.Peers {
-				if p.Peers[i].Name.Node == name {
-					return &p.Peers[i]
-				}
+			q := p.Find(name)
+			if q == nil {
+				t.Fatalf("%q was chosen, which nobody is", name)
 			}
-			t.Fatalf("%q was chosen, which nobody is", name)
-			return nil
+			return q
 		}
 		carries := func(q *Peer) bool {
 			return q.Carries && !q.Cooling && p.Near(q) && q.StateMS <= 2500
@@ -92,7 +90,7 @@
 			if by := Third(&p, q.Name.Node); by != "" && (by == q.Name.Node || p.Near(q) || !slices.Contains(find(by).Hears, q.Name.Node) || !p.Near(find(by))) {
 				t.Fatalf("%s can't be asked by way of %s", q.Name.Node, by)
 			}
-			if Homeward(&p, q.Name.Node, within) && (q.Deaf || q.StateMS > 2500 || q.Word > within) {
+			if Homeward(&p, q, within) && (q.Deaf || q.StateMS > 2500 || q.Word > within) {
 				t.Fatalf("a worker waits for %+v", q)
 			}
 		}
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -127,7 +127,7 @@
 	case c.Large:
 		rep = protocol.Reply{Sent: true}
 	}
-	r.judge(from, c.Status != 0 && c.Status != http.StatusServiceUnavailable)
+	r.judge(from, answers(c.Status))
 	return func() { a.done(rep) }
 }
 
