Cancel horizon: one inequality with every term, drift included

Need: the horizon's tenth covered the clocks' drift by chance; with cancel_s hardly above lease_s it did not.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"silvergate/internal/archive"
+	"silvergate/internal/evidence"
 )
 
 // OperatorFile is the name of the operators' file, looked for in the folder
@@ -350,8 +351,9 @@
 	if f.State.TxnOps < 4 {
 		return errors.New("facts.state.txn_ops: must be at least 4")
 	}
-	if f.Workers.Cancel <= f.Workers.Lease {
-		return errors.New("facts.workers.cancel_s: must be above lease_s")
+	// Nobody could ever be answered: the first answer after a proof would last too long.
+	if evidence.Horizon(time.Duration(f.Workers.Cancel*float64(time.Second)), time.Duration(f.Workers.Lease*float64(time.Second))) == 0 {
+		return errors.New("facts.workers.cancel_s: must be above lease_s, by a five-hundredth of itself at least")
 	}
 	if f.Limits.MaxSockets < 64 {
 		return errors.New("facts.limits.max_sockets: must be at least 64")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -88,3 +88,13 @@
 		t.Fatal("a named file that is missing passed")
 	}
 }
+
+// TestCancelNeedsRoomForTheLease refuses settings under which no worker could ever be answered.
+func TestCancelNeedsRoomForTheLease(t *testing.T) {
+	for cancel, ok := range map[string]bool{"18": false, "18.01": false, "18.5": true} {
+		_, err := Parse([]byte(strings.Replace(settings, `"cancel_s":48`, `"cancel_s":`+cancel, 1)))
+		if (err == nil) != ok || err != nil && !strings.Contains(err.Error(), "facts.workers.cancel_s") {
+			t.Errorf("cancel_s %s: %v", cancel, err)
+		}
+	}
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -20,6 +20,7 @@
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/config"
 	"silvergate/internal/doors"
+	"silvergate/internal/evidence"
 	"silvergate/internal/protocol"
 	"silvergate/internal/reach"
 )
@@ -462,13 +463,10 @@
 
 func encode(v any) json.RawMessage { return protocol.Encode(v) }
 
-// horizon is how long workers may be answered on the strength of an old
-// mirror. A cancellation acknowledged elsewhere right after the last proof
-// must have its tasks gone cancel_s later, and a worker goes on for lease_s
-// after the last answer. A tenth is kept as margin for drift and delay.
+// horizon is how old the last proof about cancellations may be for workers to be answered.
 func (c *Core) horizon() time.Duration {
 	w := &c.cfg.Facts.Workers
-	return seconds((w.Cancel - w.Lease) * 0.9)
+	return evidence.Horizon(seconds(w.Cancel), seconds(w.Lease))
 }
 
 // leaseOver is how long after an answered report's arrival its worker has
