Every answer stops what is over on the machine, listed or not; cancellations in the model

Change: such answers also stop what is bound there and over (killFinal); three worlds and four seeded defects in the model; tests of endings far apart, of machines that hear nobody, of old reports; the simulated state service judges that every write has a condition of its own.

--- /dev/null
+++ b/internal/coordination/apart_test.go
@@ -0,0 +1,178 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// apartDay is a calm site with jobs of two or three tasks that end far apart, and nothing else.
+func apartDay(seed uint64) *sim {
+	s := newSim(seed, 0)
+	s.after(time.Second, func() {
+		for i := range 8 {
+			u := s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", i), Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Normal, Tasks: 2 + i%2,
+				CPUs: 2, GPUs: 0.5, MemoryGB: 8}, 8, 0)
+			u.apart = 40
+		}
+	})
+	return s
+}
+
+// TestEndingsFarApart has the controllers change in every way between the endings of a job's tasks. No ending
+// is forgotten before it is committed and none is counted twice: every job is called done,
+// not early (the checker of the rules says), and no task is started a second time while its machine is there.
+func TestEndingsFarApart(t *testing.T) {
+	for name, change := range map[string]func(s *sim){
+		"the leader ends for good": func(s *sim) { s.busiest().crash(5 * time.Minute) },
+		"it is back within a second": func(s *sim) {
+			for at := time.Duration(0); at < 70*time.Second; at += s.ms(2000, 12_000) {
+				s.after(at, func() { s.busiest().crash(s.ms(50, 900)) })
+			}
+		},
+		"hand-over and back": func(s *sim) {
+			for i, n := range s.nodes {
+				s.after(time.Duration(15*i)*time.Second, func() { n.cut["workers"] = s.now + 14*time.Second })
+			}
+		},
+		"all end, one returns": func(s *sim) {
+			for i, n := range s.nodes {
+				n.crash(700*time.Millisecond + time.Duration(i)*40*time.Second)
+			}
+		},
+		"refused, then down for all": func(s *sim) {
+			s.busiest().refused = s.now + 20*time.Second
+			s.after(20*time.Second, func() { s.kv.down = s.now + 30*time.Second })
+		},
+		"late transactions": func(s *sim) { s.lateTxns = 0.3; s.after(time.Minute, func() { s.lateTxns = 0 }) },
+		"late reports":      func(s *sim) { s.copies = 0.5; s.after(time.Minute, func() { s.copies = 0 }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(43_000); seed < 43_004; seed++ {
+				s := apartDay(seed)
+				s.after(36*time.Second, func() { change(s) })
+				s.finish(t, 150*time.Second)
+				s.report(t)
+				for _, u := range s.users {
+					if u.again > 0 || u.begun != u.spec.Tasks {
+						t.Errorf("seed %d: %s: %d of %d tasks begun, %d of them again though their machines were there", seed, u.spec.ID, u.begun, u.spec.Tasks, u.again)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestMachinesThatHearNobodyWhenTheirLeaderEnds has the leader end for good while its machines hear nobody, for
+// longer than their leases. What was bound there counts until there is evidence, so that no team is over its
+// limit and no task runs twice (the checkers say), and then it is free without the cloud's help, while they are still deaf, and runs in the end.
+func TestMachinesThatHearNobodyWhenTheirLeaderEnds(t *testing.T) {
+	for seed := uint64(43_100); seed < 43_106; seed++ {
+		s := newSim(seed, 0)
+		s.after(time.Second, func() {
+			for i := range 10 {
+				s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", i), Class: "svc", Team: []string{"red", "blue"}[i%2], Shape: job.Service, Priority: job.Production, Tasks: 2,
+					CPUs: 2, GPUs: 1, MemoryGB: 8}, 0, 0)
+			}
+		})
+		s.run(50 * time.Second)
+		leader := s.busiest()
+		deaf := map[string]bool{}
+		for _, w := range s.cloud.sorted() {
+			if m := leader.core.machines[w.name]; m != nil && leader.core.mine(m) {
+				w.deaf, deaf[w.name] = s.now+70*time.Second, true
+			}
+		}
+		bound := func() (n int) {
+			for _, o := range s.nodes {
+				if o.core == nil {
+					continue
+				}
+				n = 0
+				for _, m := range o.core.machines {
+					if deaf[m.id] {
+						n += len(m.bound)
+					}
+				}
+			}
+			return n
+		}
+		before := bound()
+		leader.crash(5 * time.Minute)
+		s.run(50*time.Second + 36*time.Second) // the lease, a report period and a claim
+		if n := bound(); before == 0 || n > 0 {
+			t.Errorf("seed %d: %d tasks were bound to machines that became deaf, %d are after twice their lease", seed, before, n)
+		}
+		s.run(4 * time.Minute)
+		for _, id := range sortedKeys(s.users) {
+			on := 0
+			for _, w := range s.work {
+				for _, l := range w.loads {
+					if l.id == id && l.on() {
+						on++
+					}
+				}
+			}
+			if on != 2 {
+				t.Errorf("seed %d: %s: %d of 2 run in the end", seed, id, on)
+			}
+		}
+		s.report(t)
+	}
+}
+
+// TestOldReportsChangeNothing sends copies of old reports, of an earlier session, attempt, holder and of after the
+// forgetting, at every later moment of a machine's story: none has anything written or launched.
+func TestOldReportsChangeNothing(t *testing.T) {
+	running := protocol.Load{Load: "wk-700000/0", Try: 1, Status: protocol.LoadRunning}
+	over := protocol.Load{Load: "wk-700000/0", Try: 1, Status: protocol.LoadEnded, Cause: protocol.CauseDone}
+	type old struct {
+		baton, shift, tally uint64
+		loads               []protocol.Load
+	}
+	copies := []old{
+		{0, 1, 1, nil},                        // before the claim
+		{50, 1, 1, []protocol.Load{over}},     // of an earlier holder's time
+		{120, 1, 2, nil},                      // before the launch
+		{120, 1, 4, []protocol.Load{running}}, // while it ran
+		{120, 1, 4, []protocol.Load{over}},    // a tally that is not newer
+		{120, 1, 4, []protocol.Load{{Load: "wk-700000/0", Try: 0, Status: protocol.LoadEnded}}},
+	}
+	for i, k := range copies {
+		for _, later := range []string{"it runs", "in the next session", "under a new token"} {
+			s := held(t)
+			s.reply(protocol.PathOrders, protocol.VerbLaunch, 200, protocol.Report{Stoker: "i-000001", Shift: 1, Tally: 4, Baton: 120, Loads: []protocol.Load{running}})
+			s.at += time.Second
+			s.report(120, 5, running)
+			switch later {
+			case "in the next session":
+				s.next++
+				s.take(s.c.Request(s.clock(), s.next, "POST", protocol.PathCheckin, encode(protocol.Report{Stoker: "i-000001", Address: "10.1.0.1:9000",
+					Rig: "small", Depot: "a", Shift: 2, Tally: 9, Baton: 120, Loads: []protocol.Load{}})))
+				s.pass(time.Second) // its release is under way
+			case "under a new token":
+				s.report(130, 6, running) // as if a peer had answered it: a claim is due
+				s.reply(protocol.PathTxn, keyClaim, 200, protocol.TxnResult{Ledger: 140})
+			}
+			open := len(s.todo)
+			s.next++
+			s.ans = nil
+			s.take(s.c.Request(s.clock(), s.next, "POST", protocol.PathCheckin, encode(protocol.Report{Stoker: "i-000001", Address: "10.1.0.1:9000",
+				Rig: "small", Depot: "a", Shift: k.shift, Tally: k.tally, Baton: k.baton, Loads: append([]protocol.Load{}, k.loads...)})))
+			for _, c := range s.todo[open:] {
+				if c.Path == protocol.PathTxn || c.Path == protocol.PathOrders {
+					t.Errorf("copy %d when %s: %s %s", i, later, c.Path, c.Body)
+				}
+			}
+			for _, o := range s.answer().Orders {
+				if o.Verb != protocol.VerbKill {
+					t.Errorf("copy %d when %s: ordered %+v", i, later, o)
+				}
+			}
+		}
+	}
+}
--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -15,7 +15,8 @@
 	spec      *job.Spec
 	body      []byte
 	runs      float64
-	copy      string // of the data set that it reads
+	apart     float64 // each task runs so much longer than the one before
+	copy      string  // of the data set that it reads
 	done      []bool
 	mistaken  bool // fails on every machine
 	failures  int
@@ -26,7 +27,8 @@
 	waited    time.Duration // until then, without outages
 	outagesAt time.Duration // when it was submitted
 	begun     int           // tasks that have started
-	started   []bool
+	started   []startedOn
+	again     int           // starts of tasks that were on machines that are still there
 	cancelled time.Duration // when the user was told
 	asked     bool          // to cancel
 	via       *simNode      // takes what the user says from now on; nil: any
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -213,3 +213,20 @@
 		}
 	}
 }
+
+// TestAnOvertakenReportIsAnsweredWithStops guards the cancel horizon: the answer to a report that a direct launch
+// had overtaken renewed the lease and stopped only what the report listed, which was before the launch.
+func TestAnOvertakenReportIsAnsweredWithStops(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		s := held(t)
+		s.reply(protocol.PathOrders, protocol.VerbLaunch, 200, protocol.Report{Stoker: "i-000001", Shift: 1, Tally: 4, Baton: 120,
+			Loads: []protocol.Load{{Load: "wk-700000/0", Try: 1, Status: protocol.LoadPulling}}})
+		if cancelled {
+			s.take(s.c.Peer(s.clock(), "n0", Message{Vouch: &Vouch{Cancelled: []string{"wk-700000"}}}))
+		}
+		a := s.report(120, 3) // sent before the launch came
+		if a.Baton != 120 || len(a.Orders) > 0 != cancelled || cancelled && (a.Orders[0].Verb != protocol.VerbKill || a.Orders[0].Load != "wk-700000/0" || a.Orders[0].Try != 1) {
+			t.Errorf("cancelled %v: answered with %+v", cancelled, a)
+		}
+	}
+}
--- a/internal/coordination/served_test.go
+++ b/internal/coordination/served_test.go
@@ -108,15 +108,24 @@
 	}
 }
 
-// startedOnce notes a task's first start.
-func (u *simUser) startedOnce(index int) {
+// startedOn is where a task was started last.
+type startedOn struct {
+	w     *simWorker
+	shift uint64
+}
+
+// start notes a task's start, and whether it was started before on a machine that is still there, in
+// the same session.
+func (u *simUser) start(index int, w *simWorker) {
 	if u.started == nil {
-		u.started = make([]bool, u.spec.Tasks)
+		u.started = make([]startedOn, u.spec.Tasks)
 	}
-	if !u.started[index] {
-		u.started[index] = true
+	if b := u.started[index]; b.w == nil {
 		u.begun++
+	} else if !b.w.dead && b.w.shift == b.shift {
+		u.again++
 	}
+	u.started[index] = startedOn{w, w.shift}
 	if u.began == 0 {
 		u.began = u.s.now
 		u.waited = u.s.now - u.sentAt - (u.s.outages - u.outagesAt)
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -431,6 +431,22 @@
 	k.wake()
 }
 
+// judgeCondition judges that a transaction which is carried out late, after newer ones, stops by itself:
+// every key that it writes or drops is among its conditions. Member records are the one exception, which
+// nothing but time hangs on; what a job is to run goes with its acceptance.
+func (k *simState) judgeCondition(t protocol.Txn, o protocol.Op) {
+	key := o.Write + o.Drop
+	if strings.HasPrefix(key, keyMember) || strings.HasPrefix(key, keyExtra) {
+		return
+	}
+	for _, f := range t.If {
+		if f.Key == key {
+			return
+		}
+	}
+	k.s.breaks("unconditional", "%s", key)
+}
+
 func (k *simState) sorted(after string) []string {
 	var out []string
 	for key := range k.keys {
@@ -526,6 +542,7 @@
 			}
 		}
 		for _, o := range t.Then {
+			k.judgeCondition(t, o)
 			if len(o.Data) > int(k.s.facts.State.ValueKB*1024) {
 				k.s.breaks("state limits", "value of %d bytes at %s", len(o.Data), o.Write)
 			}
@@ -1026,7 +1043,7 @@
 		fmt.Fprintf(s.trace, "%8.3f START load=%s/%d try=%d stoker=%s shift=%d baton=%d\n", s.now.Seconds(), l.id, l.index, l.try, w.name, w.shift, w.baton)
 	}
 	s.checkStart(w, u, l)
-	u.startedOnce(l.index)
+	u.start(l.index, w)
 	l.status = protocol.LoadRunning
 	if u.done[l.index] {
 		l.status, l.cause = protocol.LoadEnded, protocol.CauseDone
@@ -1040,7 +1057,7 @@
 	if u.spec.Shape == job.Service {
 		return
 	}
-	s.after(seconds(u.runs), func() { w.finish(u, l, l.gen) })
+	s.after(seconds(u.runs+u.apart*float64(l.index)), func() { w.finish(u, l, l.gen) })
 }
 
 func (w *simWorker) finish(u *simUser, l *simLoad, gen int) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -565,7 +565,7 @@
 	}
 	ans := protocol.CheckinAnswer{Baton: m.stamp, Orders: []protocol.Order{}}
 	if hearing != evidence.Believe {
-		ans.Orders = c.killFinal(r)
+		ans.Orders = c.killFinal(m, r)
 		c.outlived(m, r)
 	} else {
 		ans.Orders = c.orders(m, r)
@@ -602,15 +602,26 @@
 // believed renews the lease, and the horizon stands on every cancellation that we know
 // of being told with the answer. A controller whose watch was late answered so for
 // twenty seconds, and the next one after it.
-func (c *Core) killFinal(r *protocol.Report) []protocol.Order {
+//
+// Also what is bound to the machine and not listed: a report that a direct launch has overtaken lacks what
+// runs by now, and its answer renews the lease. (The model found it; a stop of what is not there does nothing.)
+func (c *Core) killFinal(m *machine, r *protocol.Report) []protocol.Order {
 	orders := []protocol.Order{}
+	listed := map[string]bool{}
 	for i := range r.Loads {
 		l := &r.Loads[i]
+		listed[l.Load] = true
 		id, _, err := job.SplitTaskName(l.Load)
 		if rec := c.jobs[id]; err == nil && l.Status != protocol.LoadEnded && (rec != nil && rec.final() || c.reach.Named(id)) {
 			orders = append(orders, kill(l, 0))
 		}
 	}
+	for _, k := range m.tasks() {
+		name := job.TaskName(k.id, k.index)
+		if a, ok := c.boundHere(m, k); ok && m.bound[k].final() && a.Session == r.Shift && !listed[name] {
+			orders = append(orders, kill(&protocol.Load{Load: name, Try: a.Try}, 0))
+		}
+	}
 	return orders
 }
 
--- a/internal/evidence/model_test.go
+++ b/internal/evidence/model_test.go
@@ -75,10 +75,11 @@
 	claim, page, late    txn
 	direct               [2]launch // two at a time at the most
 	unwanted             bool
+	knows                bool // that the job is cancelled, from the records or by a peer's word
 }
 
 type report struct {
-	on                     bool
+	on, after              bool // after: sent when the horizon had passed, as a lease counts from that
 	c, shift, tally, baton uint8
 	loads                  [attempts + 1]uint8
 }
@@ -102,6 +103,7 @@
 	loads                          [attempts + 1]uint8
 	x                              exchange
 	held                           report
+	fresh                          bool // its session began, or its lease was renewed, after the horizon
 }
 
 type world struct {
@@ -110,11 +112,14 @@
 	c                         [controllers]controller
 	w                         [machines]worker
 	crashes, deletions, holds uint8
+	// The job's cancellation: committed, confirmed to its user; then the horizon passes, and then cancel_s.
+	cancelled, told, over, due bool
 }
 
 // bounds keep a walk finite.
 type bounds struct {
 	machines, revs, tries, sessions, tallies, crashes, deletions, holds uint8
+	cancels                                                             bool
 }
 
 // defect is what is broken on purpose; the zero value is the code as it is.
@@ -123,6 +128,7 @@
 	noClaim, noToken, noStamp, noLedger, unproved, anyDirect bool
 	noDirect, oneSlot, overtaken, adoptAll, adoptBlind       bool
 	leaseUnshown, unheard                                    bool
+	noUnlisted, noVoid, noKill, noHorizon                    bool
 }
 
 // truth is a key's present value and stamp.
@@ -203,6 +209,9 @@
 func (md *model) launchSoon(s *world, c uint8) {
 	n := &s.c[c]
 	for m := uint8(0); m < md.b.machines; m++ {
+		if n.knows {
+			return // nothing of a job that is over is launched
+		}
 		a, ok := md.bound(s, c, m)
 		slot := 0
 		for slot < len(n.direct) && n.direct[slot].on {
@@ -225,6 +234,9 @@
 // receive has a controller take a report; it tells what the answer carries.
 func (md *model) receive(s *world, c, m uint8, r report) (x exchange) {
 	n, v := &s.c[c], &s.c[c].v[m]
+	if s.over && !n.knows && !md.d.noHorizon {
+		return x // the last proof is older than the horizon
+	}
 	head := Report{Baton: uint64(r.baton), Shift: uint64(r.shift), Tally: uint64(r.tally)}
 	a, isBound := md.bound(s, c, m)
 	if k := s.of(c, m); k.a == c+1 && k.b < n.life && !v.adopted && r.baton == n.known[m] && n.claim.kind == 0 &&
@@ -236,6 +248,11 @@
 			}
 		}
 	}
+	for t := range r.loads { // see the core's voidLaunches
+		if n.knows && v.direct>>t&1 == 1 && r.loads[t] == nothing && !md.d.noVoid {
+			v.tainted = true
+		}
+	}
 	st := md.standing(s, c, m)
 	hearing := st.Hear(head)
 	switch hearing {
@@ -255,6 +272,14 @@
 	// Our clock starts with the report's arrival: what the worker has sent and begun by
 	// now is covered by it, however old this report is.
 	v.answered, v.answeredIn = s.w[m].tally, s.w[m].session
+	for t, l := range r.loads { // every answer stops what is over
+		if n.knows && l == running && !md.d.noKill {
+			x.kill |= 1 << t
+		}
+	}
+	if n.knows && isBound && !md.d.noUnlisted {
+		x.kill |= 1 << a.Try // also one that the report lacks, as a launch has overtaken it
+	}
 	if hearing != Believe {
 		if !isBound || md.d.unheard {
 			if md.d.unheard && isBound && r.loads[a.Try] == nothing { // what an unbelieved list lacks
@@ -285,13 +310,13 @@
 		case Release:
 			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), n.known[m]}
 		case Keep:
-			if n.unwanted {
+			if n.unwanted || n.knows && !md.d.noKill {
 				x.kill |= 1 << t
 			}
 		}
 	}
 	if isBound && !listed {
-		switch act, kind := st.Lacking(head, a, v.direct>>a.Try&1 == 1 && !md.d.noDirect, !n.unwanted, n.p.kind != 0 || n.page.kind != 0); act {
+		switch act, kind := st.Lacking(head, a, v.direct>>a.Try&1 == 1 && !md.d.noDirect, !n.unwanted && !n.knows, n.p.kind != 0 || n.page.kind != 0); act {
 		case Release:
 			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), n.known[m]}
 		case Renew:
@@ -320,6 +345,9 @@
 func (md *model) execute(s *world, c uint8, t *txn) (done uint8) {
 	_, task := s.truth(taskKey)
 	_, claim := s.truth(t.m)
+	if t.kind == placing && s.cancelled {
+		return 2
+	}
 	if t.kind != claiming && task != t.ifTask && !md.d.noStamp || t.ifClaim != unconditional && claim != t.ifClaim {
 		return 2
 	}
@@ -349,6 +377,39 @@
 			md.nextWorker(s, &t, m, try)
 		}
 	}
+	if md.b.cancels {
+		md.nextCancel(s, &t, try)
+	}
+}
+
+// nextCancel is what becomes of a cancellation. Time is not counted, but for this: a worker that nobody
+// has answered since the horizon passed has ended everything when cancel_s passes.
+func (md *model) nextCancel(s, t *world, try func(func())) {
+	switch {
+	case !s.cancelled && s.rev < md.b.revs:
+		try(func() { t.cancelled = true; t.write(change{}) })
+	case s.cancelled && !s.told:
+		try(func() { t.told = true })
+	case s.told && !s.over:
+		try(func() {
+			t.over = true
+			for m := range t.w {
+				t.w[m].fresh = false
+			}
+		})
+	case s.over && !s.due:
+		for m := uint8(0); m < md.b.machines; m++ {
+			if !s.w[m].gone && !s.w[m].fresh {
+				return
+			}
+		}
+		try(func() { t.due = true })
+	}
+	for c := range s.c {
+		if s.cancelled && !s.c[c].knows {
+			try(func() { t.c[c].knows = true }) // a peer names it
+		}
+	}
 }
 
 func (md *model) nextController(s, t *world, c uint8, try func(func())) {
@@ -362,6 +423,10 @@
 			n := &t.c[c]
 			for rev := n.ledger + 1; rev <= l; rev++ {
 				n.ledger = rev
+				if t.hist[rev].key == 0 {
+					n.knows = true
+					continue
+				}
 				md.learn(t, c, t.hist[rev].key-1, rev)
 			}
 			for m := range n.v {
@@ -464,7 +529,7 @@
 				for i := range d {
 					d[i].late = d[i].on
 				}
-				t.c[c] = controller{life: n.life + 1, ledger: t.rev, opened: t.rev, late: late, direct: d}
+				t.c[c] = controller{life: n.life + 1, ledger: t.rev, opened: t.rev, late: late, direct: d, knows: t.cancelled}
 				for k := range uint8(keys) {
 					_, t.c[c].known[k] = t.truth(k)
 				}
@@ -548,7 +613,7 @@
 			try(func() {
 				w := &t.w[m]
 				w.tally++
-				w.x = exchange{r: report{true, c, w.session, w.tally, w.baton, w.loads}}
+				w.x = exchange{r: report{true, t.over, c, w.session, w.tally, w.baton, w.loads}}
 			})
 		}
 	case x.r.on && !x.answered:
@@ -565,7 +630,7 @@
 			if x.token < w.baton || x.r.shift != w.session {
 				return
 			}
-			w.baton, w.renewed = x.token, x.r.tally
+			w.baton, w.renewed, w.fresh = x.token, x.r.tally, w.fresh || x.r.after
 			for i := 1; i <= attempts; i++ {
 				if x.forget>>i&1 == 1 && w.loads[i] == ended {
 					w.loads[i] = nothing
@@ -588,6 +653,7 @@
 	if w.session < md.b.sessions {
 		try(func() {
 			t.w[m].session++
+			t.w[m].fresh = true
 			t.w[m].loads = [attempts + 1]uint8{}
 		})
 	}
@@ -605,6 +671,9 @@
 	task, _ := s.truth(taskKey)
 	for m := range s.w {
 		for i, l := range s.w[m].loads {
+			if l == running && s.due {
+				return fmt.Sprintf("attempt %d of a cancelled job runs on machine %d after cancel_s", i, m)
+			}
 			if l == running && (task.a != 1 || task.c != uint8(m) || task.b != uint8(i) || task.d != s.w[m].session) {
 				return fmt.Sprintf("attempt %d runs on machine %d in session %d, the record says %s", i, m, s.w[m].session, task.task())
 			}
@@ -624,13 +693,26 @@
 func label(a, b *world) string {
 	out := ""
 	for rev := a.rev + 1; rev <= b.rev; rev++ {
-		if h := b.hist[rev]; h.key == taskKey+1 {
+		if h := b.hist[rev]; h.key == 0 {
+			out += fmt.Sprintf("revision %d: the job is cancelled; ", rev)
+		} else if h.key == taskKey+1 {
 			out += fmt.Sprintf("revision %d: the task is %s; ", rev, h.task())
 		} else {
 			out += fmt.Sprintf("revision %d: machine %d is claimed by controller %d, life %d; ", rev, h.key-1, h.a-1, h.b)
 		}
 	}
+	for _, e := range []struct {
+		was, is bool
+		text    string
+	}{{a.told, b.told, "its user is told; "}, {a.over, b.over, "the horizon passes; "}, {a.due, b.due, "cancel_s passes; "}} {
+		if e.is && !e.was {
+			out += e.text
+		}
+	}
 	for c := range b.c {
+		if b.c[c].knows && !a.c[c].knows {
+			out += fmt.Sprintf("controller %d knows of the cancellation; ", c)
+		}
 		x, y := &a.c[c], &b.c[c]
 		switch {
 		case x.life != y.life:
@@ -764,6 +846,13 @@
 	return s
 }
 
+// launchingNow is the same, and nothing has launched it yet.
+func launchingNow() world {
+	s := launchingThere()
+	s.w[0].loads[1] = nothing
+	return s
+}
+
 func (md *model) walk(start func() world, limit int) explore.Result {
 	return explore.Run(explore.Model[world]{Start: start(), Next: md.next, Broken: md.broken, Label: label}, limit)
 }
@@ -791,6 +880,9 @@
 	{"during an ending", endingThere, bounds{machines: 1, revs: 4, tries: 1, sessions: 1, tallies: 6}},
 	{"after a launch", launchedThere(running), bounds{machines: 1, revs: 4, tries: 1, sessions: 1, tallies: 4, crashes: 1}},
 	{"after a launch that has not come", launchedThere(nothing), bounds{machines: 1, revs: 4, tries: 1, sessions: 1, tallies: 4, crashes: 1}},
+	{"a cancellation", begun, bounds{machines: 1, revs: 5, tries: 1, sessions: 2, tallies: 4, crashes: 1, holds: 1, cancels: true}},
+	{"a cancellation and a launch that may come", launchingNow, bounds{machines: 1, revs: 5, tries: 1, sessions: 2, tallies: 4, cancels: true}},
+	{"a cancellation and a launch that was given up", launchedThere(nothing), bounds{machines: 1, revs: 5, tries: 1, sessions: 2, tallies: 4, crashes: 1, cancels: true}},
 	{"during a launch", launchingThere, bounds{machines: 1, revs: 6, tries: 2, sessions: 1, tallies: 5}},
 }
 
@@ -822,6 +914,10 @@
 	{name: "a claim of an earlier life adopted whatever the worker lists", in: "after a launch that has not come", adoptAll: true},
 	{name: "an adopted claim without the launches that the earlier life may have left", in: "after a launch", adoptBlind: true},
 	{name: "absence proved by a report that is not believed", in: "after a launch that has not come", unheard: true},
+	{name: "a lease renewed under the old token while a cancelled launch may come", in: "a cancellation and a launch that may come", noVoid: true},
+	{name: "stops for listed attempts alone, when a launch has overtaken the report", in: "a cancellation and a launch that may come", noUnlisted: true},
+	{name: "answers that do not stop what is cancelled", in: "a cancellation", noKill: true},
+	{name: "answers on a proof that is older than the horizon", in: "a cancellation", noHorizon: true},
 	{name: "a lease that ends although the token was never shown", in: "one session", leaseUnshown: true},
 }
 
