A site that can't be reached after a restart is kept

Change: where more than three quarters of what the earlier life held are missing, and at least four, the early judgement waits.

--- a/internal/coordination/apart_test.go
+++ b/internal/coordination/apart_test.go
@@ -176,3 +176,48 @@
 		}
 	}
 }
+
+// TestASiteThatCantBeReachedAfterARestartIsKept guards against a site that was returned whole: all controllers
+// ended, and their machines could not be reached for a while. None of the new lives held any of them, so
+// "most of ours are heard" was true of nothing, and after two and a half report periods all were drained.
+func TestASiteThatCantBeReachedAfterARestartIsKept(t *testing.T) {
+	for _, v := range []struct {
+		name  string
+		share int // of four machines, so many can't be reached
+		kept  bool
+	}{{"all of them", 4, true}, {"a few of them", 1, false}} {
+		s := newSim(43_200, 0)
+		for k := range s.cloud.free {
+			s.cloud.free[k] = map[string]int{"small": 6}[k.rig]
+		}
+		s.after(time.Second, func() {
+			for i := range 16 {
+				s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", i), Class: "svc", Team: "blue", Shape: job.Service, Priority: job.Production, Tasks: 2,
+					CPUs: 2, GPUs: 1, MemoryGB: 8, Types: []string{"small"}}, 0, 0)
+			}
+		})
+		s.run(60 * time.Second)
+		n := 0
+		for i, w := range s.cloud.sorted() {
+			if w.up && i%4 < v.share {
+				w.hung = s.now + 15*time.Second
+				n++
+			}
+		}
+		for _, c := range s.nodes {
+			c.crash(time.Second)
+		}
+		s.run(75 * time.Second)
+		drained := 0
+		for _, why := range s.kv.drainedAs {
+			if why == drainSilent {
+				drained++
+			}
+		}
+		if n == 0 || (drained == 0) != v.kept {
+			t.Errorf("%s: %d of %d that could not be reached were drained as silent", v.name, drained, n)
+		}
+		s.run(2 * time.Minute)
+		s.report(t)
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -43,9 +43,11 @@
 	fenced   map[string]bool          // and answered
 	deleting map[string]bool
 	lost     map[string]time.Duration // claimed by the dead, since when
-	planAt   time.Duration
-	seen     map[string]sight // by controller
-	unkept   *unkept
+	// inherited is how many machines an earlier life of ours held, at the most, since we have started.
+	inherited int
+	planAt    time.Duration
+	seen      map[string]sight // by controller
+	unkept    *unkept
 }
 
 // sight is in which zones a controller hears machines of its own, and in which
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -912,15 +912,27 @@
 // seconds for it. One that does not answer us either, while most of ours are
 // heard, is in trouble; after the horizon, when no controller can have answered
 // it any more, so is any.
+//
+// Guards against a site that is returned whole: where more than three quarters of all that the earlier life
+// held, and at least four, are silent, it is not single machines that are in trouble. They can't be reached for
+// a while, and go on with their tasks when they can; what has just come up, and is heard, proves nothing about them.
 func (c *Core) watchEarlier(well bool) {
 	w := &c.cfg.Facts.Workers
+	missing, late := 0, seconds(1.75*w.Report)
+	for _, m := range c.machines {
+		if c.earlier(m) && !m.claiming {
+			missing++
+		}
+	}
+	c.fleet.inherited = max(c.fleet.inherited, missing)
+	well = well && (missing < 4 || 4*missing <= 3*c.fleet.inherited)
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
 		if !c.earlier(m) || m.claiming {
 			continue
 		}
 		quiet := c.now - max(c.readyAt, m.heard)
-		if quiet > seconds(1.75*w.Report) && !m.asking && c.now >= m.askAt {
+		if quiet > late && !m.asking && c.now >= m.askAt {
 			c.askStatus(m)
 		}
 		// In a zone that nobody hears, only the machines of production work are
