--- a/internal/coordination/meeting_test.go
+++ b/internal/coordination/meeting_test.go
@@ -273,32 +273,22 @@
 func TestRefusedThenDown(t *testing.T) {
 	usual := meeting{3, "up", "during", "lives", "well", "well", false, false, true, false, nil}
 	var all []meeting
-	for _, v := range dimensions.links {
-		m := usual
-		m.links = v
-		all = append(all, m)
-		m.stay = false
-		all = append(all, m)
-	}
-	for _, v := range dimensions.when {
-		m := usual
-		m.when = v
-		all = append(all, m)
-	}
-	for _, v := range dimensions.after {
-		m := usual
-		m.after = v
-		all = append(all, m)
-	}
-	for _, v := range dimensions.leader {
-		m := usual
-		m.leader = v
-		all = append(all, m)
-	}
-	for _, v := range dimensions.workers {
-		m := usual
-		m.workers = v
-		all = append(all, m)
+	for _, d := range []struct {
+		values []string
+		set    func(m *meeting, v string)
+	}{
+		{dimensions.links, func(m *meeting, v string) { m.links = v }},
+		{dimensions.links, func(m *meeting, v string) { m.links, m.stay = v, false }},
+		{dimensions.when, func(m *meeting, v string) { m.when = v }},
+		{dimensions.after, func(m *meeting, v string) { m.after = v }},
+		{dimensions.leader, func(m *meeting, v string) { m.leader = v }},
+		{dimensions.workers, func(m *meeting, v string) { m.workers = v }},
+	} {
+		for _, v := range d.values {
+			m := usual
+			d.set(&m, v)
+			all = append(all, m)
+		}
 	}
 	for i := range 3 {
 		m := usual
--- a/internal/evidence/model_test.go
+++ b/internal/evidence/model_test.go
@@ -277,7 +277,7 @@
 			x.kill |= 1 << t
 		}
 	}
-	if n.knows && isBound && !md.d.noUnlisted {
+	if n.knows && isBound && !md.d.noUnlisted && !md.d.noKill {
 		x.kill |= 1 << a.Try // also one that the report lacks, as a launch has overtaken it
 	}
 	if hearing != Believe {
