Read once more: one way to ask whether a job is over, the scripts' own beginning used again

killFinal and voidLaunches asked the same question in two ways; holder_test.go had written script.held again; the check of a publication held a condition that the comparison implies.

--- a/internal/coordination/apart_test.go
+++ b/internal/coordination/apart_test.go
@@ -144,7 +144,7 @@
 	}
 	for i, k := range copies {
 		for _, later := range []string{"it runs", "in the next session", "under a new token"} {
-			s := held(t)
+			s := launching(t)
 			s.reply(protocol.PathOrders, protocol.VerbLaunch, 200, protocol.Report{Stoker: "i-000001", Shift: 1, Tally: 4, Baton: 120, Loads: []protocol.Load{running}})
 			s.at += time.Second
 			s.report(120, 5, running)
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -11,20 +11,11 @@
 	"silvergate/internal/reach"
 )
 
-// held is a script whose controller, n1, has taken i-000001 over, with a task bound there
+// launching is a script whose controller, n1, has taken i-000001 over, with a task bound there
 // in session 1, launched directly and not yet answered.
-func held(t *testing.T) *script {
+func launching(t *testing.T) *script {
 	s := newScript(t)
-	s.pass(100 * time.Millisecond)
-	s.reply(protocol.PathKeys+"?", "", 200, protocol.EntryPage{Ledger: 100, Entries: []protocol.Entry{
-		{Key: keyJob + "wk-700000", Data: encode(storedJob{lateSpec(), job.Open, 1, "n0"}), Stamp: 90}}})
-	s.pass(200 * time.Millisecond)
-	s.report(0, 1)
-	s.reply(protocol.PathTxn, keyClaim, 200, protocol.TxnResult{Ledger: 120})
-	s.at += 500 * time.Millisecond
-	s.report(120, 2)
-	s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Ledger: 125, News: []protocol.News{{Write: pageKey("wk-700000", 0),
-		Data: writePage([]job.Task{{Phase: job.Bound, Try: 1, Machine: "i-000001", Session: 1}}), Stamp: 125}}})
+	s.held(protocol.News{Write: pageKey("wk-700000", 0), Data: writePage([]job.Task{{Phase: job.Bound, Try: 1, Machine: "i-000001", Session: 1}}), Stamp: 125})
 	if s.launches() != 1 {
 		t.Fatalf("%d direct launches", s.launches())
 	}
@@ -46,7 +37,7 @@
 		{"cancelled, and the launch has not come", []string{"wk-700000"}, nil, false},
 		{"cancelled, and the launch has come", []string{"wk-700000"}, []protocol.Load{load}, true},
 	} {
-		s := held(t)
+		s := launching(t)
 		s.take(s.c.Peer(s.clock(), "n0", Message{Vouch: &Vouch{Cancelled: v.vouch}}))
 		s.at += 300 * time.Millisecond
 		a := s.report(120, 3, v.loads...)
@@ -67,7 +58,7 @@
 // ended everything long ago.
 func TestALaterSessionEndsWhatADeafMachineRan(t *testing.T) {
 	for _, session := range []uint64{1, 2} {
-		s := held(t)
+		s := launching(t)
 		s.reply(protocol.PathOrders, protocol.VerbLaunch, 200, protocol.Report{Stoker: "i-000001", Shift: 1, Tally: 3, Baton: 120,
 			Loads: []protocol.Load{{Load: "wk-700000/0", Try: 1, Status: protocol.LoadRunning}}})
 		// Another controller claims it and the worker does not hear of it; it comes back here.
@@ -218,7 +209,7 @@
 // had overtaken renewed the lease and stopped only what the report listed, which was before the launch.
 func TestAnOvertakenReportIsAnsweredWithStops(t *testing.T) {
 	for _, cancelled := range []bool{false, true} {
-		s := held(t)
+		s := launching(t)
 		s.reply(protocol.PathOrders, protocol.VerbLaunch, 200, protocol.Report{Stoker: "i-000001", Shift: 1, Tally: 4, Baton: 120,
 			Loads: []protocol.Load{{Load: "wk-700000/0", Try: 1, Status: protocol.LoadPulling}}})
 		if cancelled {
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -85,7 +85,7 @@
 		c.formats[name] = m.Format
 		// Guards against an older publication, also of an earlier life, that is carried out after
 		// a newer one: it has no condition, and what is published is written again only when it changes.
-		if own := (m.Life != c.life || string(data) != c.published); name == c.cfg.Node && own && c.published != "" {
+		if name == c.cfg.Node && string(data) != c.published {
 			c.published = ""
 		}
 	}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -457,8 +457,7 @@
 		return
 	}
 	for a := range m.direct {
-		rec := c.jobs[a.id]
-		if (rec == nil || !rec.final()) && !c.reach.Named(a.id) {
+		if !c.over(a.id) {
 			continue
 		}
 		name := job.TaskName(a.id, a.index)
@@ -612,7 +611,7 @@
 		l := &r.Loads[i]
 		listed[l.Load] = true
 		id, _, err := job.SplitTaskName(l.Load)
-		if rec := c.jobs[id]; err == nil && l.Status != protocol.LoadEnded && (rec != nil && rec.final() || c.reach.Named(id)) {
+		if err == nil && l.Status != protocol.LoadEnded && c.over(id) {
 			orders = append(orders, kill(l, 0))
 		}
 	}
@@ -625,6 +624,12 @@
 	return orders
 }
 
+// over tells whether a job is known to be over, by its record or by a peer's word.
+func (c *Core) over(id string) bool {
+	rec := c.jobs[id]
+	return rec != nil && rec.final() || c.reach.Named(id)
+}
+
 // kill stops what a worker lists, within a time in seconds.
 func kill(l *protocol.Load, grace float64) protocol.Order {
 	return protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &grace}
