--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -46,6 +46,7 @@
 		s.after(s.ms(0, 500), n.start)
 	}
 	s.watchCancelled()
+	s.countOutages()
 	s.stranger()
 	return s
 }
--- /dev/null
+++ b/internal/coordination/holder_test.go
@@ -0,0 +1,215 @@
+package coordination
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"silvergate/internal/evidence"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+	"silvergate/internal/reach"
+)
+
+// held is a script whose controller, n1, has taken i-000001 over, with a task bound there
+// in session 1, launched directly and not yet answered.
+func held(t *testing.T) *script {
+	s := newScript(t)
+	s.pass(100 * time.Millisecond)
+	s.reply(protocol.PathKeys+"?", "", 200, protocol.EntryPage{Ledger: 100, Entries: []protocol.Entry{
+		{Key: keyJob + "wk-700000", Data: encode(storedJob{lateSpec(), job.Open, 1, "n0"}), Stamp: 90}}})
+	s.pass(200 * time.Millisecond)
+	s.report(0, 1)
+	s.reply(protocol.PathTxn, keyClaim, 200, protocol.TxnResult{Ledger: 120})
+	s.at += 500 * time.Millisecond
+	s.report(120, 2)
+	s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Ledger: 125, News: []protocol.News{{Write: pageKey("wk-700000", 0),
+		Data: writePage([]job.Task{{Phase: job.Bound, Try: 1, Machine: "i-000001", Session: 1}}), Stamp: 125}}})
+	if s.launches() != 1 {
+		t.Fatalf("%d direct launches", s.launches())
+	}
+	return s
+}
+
+// TestNoAnswerWhileACancelledLaunchMayCome guards the cancel horizon: a report that came between a
+// direct launch and its time-out was answered under the old token though the job had been
+// cancelled meanwhile, which gave the launch another lease to be carried out in.
+func TestNoAnswerWhileACancelledLaunchMayCome(t *testing.T) {
+	load := protocol.Load{Load: "wk-700000/0", Try: 1, Status: protocol.LoadPulling}
+	for _, v := range []struct {
+		name   string
+		vouch  []string
+		loads  []protocol.Load
+		answer bool
+	}{
+		{"not cancelled", nil, nil, true},
+		{"cancelled, and the launch has not come", []string{"wk-700000"}, nil, false},
+		{"cancelled, and the launch has come", []string{"wk-700000"}, []protocol.Load{load}, true},
+	} {
+		s := held(t)
+		s.take(s.c.Peer(s.clock(), "n0", Message{Vouch: &Vouch{Cancelled: v.vouch}}))
+		s.at += 300 * time.Millisecond
+		a := s.report(120, 3, v.loads...)
+		if (a.Baton == 120) != v.answer {
+			t.Errorf("%s: answered with %+v", v.name, a)
+		}
+		if !v.answer { // a new token settles it
+			s.reply(protocol.PathTxn, keyClaim, 200, protocol.TxnResult{Ledger: 130})
+			if a := s.answer(); a.Baton != 130 {
+				t.Errorf("%s: after the claim answered with %+v", v.name, a)
+			}
+		}
+	}
+}
+
+// TestALaterSessionEndsWhatADeafMachineRan guards against tasks that stayed bound to a machine that hears
+// nobody: its reports came with an old token, nothing in them was believed, and its lease had
+// ended everything long ago.
+func TestALaterSessionEndsWhatADeafMachineRan(t *testing.T) {
+	for _, session := range []uint64{1, 2} {
+		s := held(t)
+		s.reply(protocol.PathOrders, protocol.VerbLaunch, 200, protocol.Report{Stoker: "i-000001", Shift: 1, Tally: 3, Baton: 120,
+			Loads: []protocol.Load{{Load: "wk-700000/0", Try: 1, Status: protocol.LoadRunning}}})
+		// Another controller claims it and the worker does not hear of it; it comes back here.
+		s.pass(time.Second)
+		s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Ledger: 140, News: []protocol.News{{Write: keyClaim + "i-000001",
+			Data: encode(claim{"n0", 3, "10.1.0.1:9000", "small", "a", false}), Stamp: 140}}})
+		s.next++
+		s.ans = nil
+		s.take(s.c.Request(s.clock(), s.next, "POST", protocol.PathCheckin, encode(protocol.Report{Stoker: "i-000001", Address: "10.1.0.1:9000",
+			Rig: "small", Depot: "a", Shift: session, Tally: 9, Baton: 120, Loads: []protocol.Load{}})))
+		s.reply(protocol.PathTxn, keyClaim, 200, protocol.TxnResult{Ledger: 150})
+		if a := s.answer(); a.Baton != 150 {
+			t.Fatalf("session %d: answered with %+v", session, a)
+		}
+		s.pass(time.Second)
+		released := false
+		for _, k := range s.todo {
+			released = released || k.Path == protocol.PathTxn && strings.Contains(string(k.Body), pageKey("wk-700000", 0))
+		}
+		if released != (session == 2) {
+			t.Errorf("session %d: released %v on a report that shows an old token", session, released)
+		}
+	}
+}
+
+// TestWorkersAreSentToTheirHolder guards against workers that lost one answer in an outage and their lease on
+// the way round, and against a claim by each controller for each machine that is deaf.
+func TestWorkersAreSentToTheirHolder(t *testing.T) {
+	for _, v := range []struct {
+		name    string
+		baton   uint64        // what the worker shows; its claim is 110
+		after   time.Duration // since the claim came to be known
+		beat    bool          // of the holder
+		deaf    bool          // it says that it hears no workers
+		outage  bool
+		home    bool
+		repeats bool // it comes once more at once
+		busy    bool // it has a task
+	}{
+		{"an outage", 110, 6 * time.Second, true, false, true, true, false, true},
+		{"an outage, and it comes back at once", 110, 6 * time.Second, true, false, true, false, true, true},
+		{"an outage, and nobody has heard of its holder", 110, 6 * time.Second, false, false, true, false, false, true},
+		{"an outage, and its holder hears no workers", 110, 6 * time.Second, true, true, true, false, false, true},
+		{"no outage: the holder did not answer it", 110, time.Second, true, false, false, false, false, true},
+		{"it has not heard of its new holder", 50, time.Second, true, false, false, true, false, false},
+		{"nor has it, and its lease may run out", 50, time.Second, true, false, false, false, false, true},
+		{"nor for a third of its lease", 50, 7 * time.Second, true, false, false, false, false, false},
+	} {
+		s := newScript(t)
+		s.pass(100 * time.Millisecond)
+		s.reply(protocol.PathKeys+"?", "", 200, protocol.EntryPage{Ledger: 120, Entries: []protocol.Entry{{Key: keyClaim + "i-000001",
+			Data: encode(claim{"n0", 3, "10.1.0.1:9000", "small", "b", false}), Stamp: 110}}})
+		for end := s.at + v.after; s.at < end; {
+			s.pass(200 * time.Millisecond)
+			if !v.outage {
+				for _, k := range s.todo {
+					if strings.HasPrefix(k.Path, protocol.PathWatch) {
+						s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Ledger: 120})
+						break
+					}
+				}
+			}
+		}
+		if v.beat {
+			s.take(s.c.Peer(s.clock(), "n0", Message{Beat: &Beat{FreshMS: v.after.Milliseconds(), Rows: []reach.Row{{Node: "n0", Deaf: v.deaf,
+				FreshMS: v.after.Milliseconds(), StateMS: v.after.Milliseconds(), Hears: []string{"n1"}}}}}))
+		}
+		n := 1
+		if v.repeats {
+			n = 2
+		}
+		status, loads := 0, []protocol.Load{}
+		if v.busy {
+			loads = append(loads, protocol.Load{Load: "wk-700000/0", Try: 1, Status: protocol.LoadRunning})
+		}
+		for range n {
+			s.next++
+			s.ans = nil
+			s.take(s.c.Request(s.clock(), s.next, "POST", protocol.PathCheckin, encode(protocol.Report{Stoker: "i-000001", Address: "10.1.0.1:9000",
+				Rig: "small", Depot: "b", Shift: 1, Tally: 9, Baton: v.baton, Loads: loads})))
+			status = 0
+			for _, a := range s.ans {
+				if a.ID == s.next {
+					status = a.Status
+				}
+			}
+		}
+		if (status == 421) != v.home {
+			t.Errorf("%s: answered with status %d", v.name, status)
+		}
+	}
+}
+
+// TestAnOlderPublicationIsWrittenOver guards against a publication without an answer that is carried out
+// after newer ones: it has no condition, and would stay until the list's length changes.
+func TestAnOlderPublicationIsWrittenOver(t *testing.T) {
+	s := newSim(41_000, 0)
+	s.run(30 * time.Second)
+	n := s.nodes[0]
+	old := encode(member{n.core.life - 1, 99, 0, pageFormat})
+	s.kv.rev++
+	s.kv.change(keyMember+n.name, old, n.core.permit, s.kv.rev)
+	s.run(40 * time.Second)
+	if got := s.kv.keys[keyMember+n.name].data; string(got) == string(old) {
+		t.Errorf("ten seconds later the record is still %s", got)
+	}
+}
+
+// TestAControllerThatIsCutOffFromAllLeavesTheBalancer judges /up: without the state service and without the
+// others a controller is of no use to users, and an outage that all see is no such case.
+func TestAControllerThatIsCutOffFromAllLeavesTheBalancer(t *testing.T) {
+	for _, v := range []struct {
+		name   string
+		spoil  func(s *sim, n *simNode)
+		status int
+	}{
+		{"well", func(*sim, *simNode) {}, 200},
+		{"no state service and no peers", func(s *sim, n *simNode) { n.cut["state"], n.cut["peers"] = time.Hour, time.Hour }, 503},
+		{"no peers", func(s *sim, n *simNode) { n.cut["peers"] = time.Hour }, 200},
+		{"an outage", func(s *sim, n *simNode) { s.kv.down = time.Hour }, 200},
+		{"an outage, and no peers", func(s *sim, n *simNode) { s.kv.down, n.cut["peers"] = time.Hour, time.Hour }, 200},
+	} {
+		s := newSim(41_100, 0)
+		s.run(20 * time.Second)
+		n := s.nodes[0]
+		v.spoil(s, n)
+		s.run(28 * time.Second)
+		got := 0
+		n.request("users", "GET", protocol.PathUp, nil, func(st int, _ []byte) { got = st })
+		s.run(29 * time.Second)
+		if got != v.status {
+			t.Errorf("%s: /up says %d, want %d", v.name, got, v.status)
+		}
+	}
+}
+
+// TestOutlivedNeedsALaterSession is the table of evidence.Outlived.
+func TestOutlivedNeedsALaterSession(t *testing.T) {
+	for shift := uint64(1); shift <= 3; shift++ {
+		act, kind := evidence.Outlived(evidence.Report{Shift: shift}, evidence.Attempt{Session: 2})
+		if (act == evidence.Release && kind == evidence.Session) != (shift == 3) {
+			t.Errorf("session %d: %v %v", shift, act, kind)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/served_test.go
@@ -0,0 +1,137 @@
+package coordination
+
+import (
+	"fmt"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// Known and served: what users expect of a day beside its rules. The checkers say it
+// as outsiders see it: by the answers that users get, and by what starts on workers.
+
+const (
+	forgottenAfter = 75 * time.Second // without any answer to a question about a job
+	largestWithin  = 4 * time.Minute
+)
+
+// served is what is known of how users fared.
+type served struct {
+	from time.Duration // when all troubles are over; 0: not yet
+	lost map[string]bool
+}
+
+// knownFrom has the users of all accepted jobs ask about them from now on, when all troubles
+// are over, and judges that each gets an answer.
+func (s *sim) knownFrom(now time.Duration) {
+	s.after(now-s.now, func() {
+		s.served = served{from: s.now, lost: map[string]bool{}}
+		s.askAll()
+	})
+}
+
+func (s *sim) askAll() {
+	for _, id := range sortedKeys(s.users) {
+		u := s.users[id]
+		if !u.accepted {
+			continue
+		}
+		if since := s.now - max(s.served.from, u.knownAt, u.sentAt); since > forgottenAfter && !s.served.lost[id] {
+			s.served.lost[id] = true
+			s.breaks("unanswered", "%s: no question is answered for %v", id, since)
+		}
+		if u.final == "" {
+			continue // its user polls anyway
+		}
+		u.ask()
+	}
+	s.after(15*time.Second, s.askAll)
+}
+
+// ask polls once more.
+func (u *simUser) ask() {
+	before := u.final
+	u.s.anyNode().request("users", "GET", protocol.PathRuns+"/"+u.spec.ID, nil, func(st int, body []byte) { u.polled(st, body, before) })
+}
+
+// polled judges a poll's answer.
+func (u *simUser) polled(st int, body []byte, before string) {
+	switch st {
+	case 200:
+		u.knownAt = u.s.now
+		u.hear(body, before)
+	case 404:
+		u.s.breaks("forgotten", "%s", u.spec.ID)
+	}
+}
+
+// judgeServed judges at the end of a day whether half of each class, of each team and of
+// each class's largest jobs was served, and whether those largest began in time. Jobs that their users
+// cancelled or that came too late to be judged do not count.
+func (s *sim) judgeServed() {
+	type tally struct{ served, all int }
+	groups := map[string]*tally{}
+	count := func(name string, ok bool) {
+		if groups[name] == nil {
+			groups[name] = &tally{}
+		}
+		groups[name].all++
+		if ok {
+			groups[name].served++
+		}
+	}
+	most := map[string]int{}
+	for _, u := range s.users {
+		most[u.spec.Class] = max(most[u.spec.Class], u.spec.Tasks)
+	}
+	for _, id := range sortedKeys(s.users) {
+		u := s.users[id]
+		if u.asked || u.mistaken || s.now-u.sentAt < largestWithin {
+			continue
+		}
+		ok := u.accepted && u.begun == u.spec.Tasks
+		count("class "+u.spec.Class, ok)
+		count("team "+u.spec.Team, ok)
+		if u.spec.Tasks*4 < most[u.spec.Class]*3 {
+			continue
+		}
+		// To be served, these have to begin in time.
+		count("largest of class "+u.spec.Class, ok && u.waited <= largestWithin)
+	}
+	for _, name := range sortedKeys(groups) {
+		if g := groups[name]; 2*g.served < g.all {
+			s.breaks("not served", "%s: %d of %d jobs", name, g.served, g.all)
+		}
+	}
+}
+
+// startedOnce notes a task's first start.
+func (u *simUser) startedOnce(index int) {
+	if u.started == nil {
+		u.started = make([]bool, u.spec.Tasks)
+	}
+	if !u.started[index] {
+		u.started[index] = true
+		u.begun++
+	}
+	if u.began == 0 {
+		u.began = u.s.now
+		u.waited = u.s.now - u.sentAt - (u.s.outages - u.outagesAt)
+	}
+}
+
+// countOutages adds up the times in which the state service was down for all: nobody can
+// begin anything in them, and they do not count for what has to begin in time.
+func (s *sim) countOutages() {
+	if s.kv.down > s.now {
+		s.outages += 100 * time.Millisecond
+	}
+	s.after(100*time.Millisecond, s.countOutages)
+}
+
+// largeJob submits a job that is large for the site, so that the largest of a class are judged.
+func (s *sim) largeJob(n int) {
+	s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", 500_000+n), Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Normal, Tasks: 40,
+		CPUs: 4, GPUs: 0.5, MemoryGB: 8, Spot: true}, 8, 0)
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -40,7 +40,10 @@
 	if c.now-c.store.Fresh() < limit {
 		return false
 	}
-	if c.reach.OthersServe(limit) {
+	// Guards against a controller that users reach and that can do nothing for them: cut off from
+	// the state service and all others it has no word of who serves, and answers so fast that the
+	// balancer prefers it.
+	if c.reach.OthersServe(limit) || c.reach.Alone() {
 		return true
 	}
 	return c.now-c.proof() > c.horizon()
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -72,6 +72,8 @@
 	released   bool          // its lease is over and its tasks were given up
 	recalled   bool
 	claiming   bool
+	claimedAt  time.Duration             // when its claim came to be known
+	sentHome   time.Duration             // to its holder, see hasHolder
 	adopted    bool                      // claimed by an earlier life of ours, whose token we go on with
 	homeAt     time.Duration             // when it first came here while its own controller was down
 	sentAway   time.Duration             // to another controller, when it reported last
@@ -190,7 +192,7 @@
 	if !decode(c.log, id, data, &k) {
 		return
 	}
-	m.claim, m.stamp = k, stamp
+	m.claim, m.stamp, m.claimedAt = k, stamp, c.now
 	m.shown, m.proved, m.released, m.adopted, m.homeAt = false, false, false, false, 0
 	m.soon, m.owed = nil, nil
 	m.reoccupy()
@@ -273,6 +275,7 @@
 		return
 	}
 	c.adopt(m, r)
+	c.voidLaunches(m, r)
 	if c.standing(m).Hear(head(r)) != evidence.Claim {
 		c.accept(id, m, r)
 		return
@@ -285,6 +288,16 @@
 		c.refuse(id, 503, "its own controller may be back soon")
 		return
 	}
+	if c.hasHolder(m, r) {
+		c.answer(id, 421, protocol.Redirect{Dispatcher: m.claim.Owner}, 0)
+		return
+	}
+	if c.cutOff() && c.isolated() {
+		// Others may serve it: it must not wait here for a claim that can't be written. (In an outage
+		// that all see the wait costs nothing, and keeps workers from going round in haste.)
+		c.refuse(id, 503, "cut off from the state service")
+		return
+	}
 	c.take(m, r, 0, func(m *machine, ok bool) {
 		if !ok {
 			c.refuse(id, 503, "the claim failed")
@@ -435,6 +448,50 @@
 	return c.now-m.homeAt < seconds(c.cfg.Facts.Workers.Lease/4)
 }
 
+// voidLaunches has the worker answered with a new token alone while a direct launch for a job
+// that is over may still be carried out on it: until the call is given up nothing else
+// shows that it is late, and an answer under the old token would let it start what was cancelled
+// for a lease longer. What the worker lists has come; a launch of that does nothing.
+func (c *Core) voidLaunches(m *machine, r *protocol.Report) {
+	if !c.mine(m) || m.tainted || len(m.direct) == 0 {
+		return
+	}
+	for a := range m.direct {
+		rec := c.jobs[a.id]
+		if (rec == nil || !rec.final()) && !c.reach.Named(a.id) {
+			continue
+		}
+		name := job.TaskName(a.id, a.index)
+		if !slices.ContainsFunc(r.Loads, func(l protocol.Load) bool { return l.Load == name && l.Try == a.try }) {
+			m.tainted = true
+			return
+		}
+	}
+}
+
+// hasHolder tells whether a worker is better sent to the living controller that holds it than
+// claimed: in an outage nobody else can answer it, and one that has just been claimed and has not
+// heard so yet is heard there, not here.
+//
+// Guards against a worker whose one answer was lost in an outage and whose lease ran out
+// on its way round, 3 s for each claim that was refused in the end; and against machines that hear
+// nobody for so long that their leases end: each went round the controllers, and each of those wrote a claim.
+//
+// Once in a report period: a holder that may not answer any more refuses it at once, and what
+// waits for the claim's refusal here keeps a whole site's workers from going to and fro.
+func (c *Core) hasHolder(m *machine, r *protocol.Report) bool {
+	if m.stamp == 0 || c.mine(m) || !c.reach.Home(m.claim.Owner) {
+		return false
+	}
+	// With work on it a claim is worth its try here: its holder may be the one that can't be heard.
+	unheard := len(r.Loads) == 0 && r.Baton < m.stamp && c.now-m.claimedAt < seconds(c.cfg.Facts.Workers.Lease/3)
+	if !c.cutOff() && !unheard || m.sentHome > 0 && c.now-m.sentHome < seconds(c.cfg.Facts.Workers.Report) {
+		return false
+	}
+	m.sentHome = c.now
+	return true
+}
+
 // urgent tells whether production work is bound to the machine.
 func (m *machine) urgent() bool { return m.levels[job.Production] > 0 }
 
@@ -509,6 +566,7 @@
 	ans := protocol.CheckinAnswer{Baton: m.stamp, Orders: []protocol.Order{}}
 	if hearing != evidence.Believe {
 		ans.Orders = c.killFinal(r)
+		c.outlived(m, r)
 	} else {
 		ans.Orders = c.orders(m, r)
 		m.released = false
@@ -523,6 +581,20 @@
 	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: 200, Body: encode(ans), Urgent: m.urgent()})
 }
 
+// outlived releases what a report that is not believed shows to be of an earlier session.
+func (c *Core) outlived(m *machine, r *protocol.Report) {
+	for _, k := range m.tasks() {
+		rec := m.bound[k]
+		a, ok := c.boundHere(m, k)
+		if !ok || c.ending(rec, k.index) {
+			continue
+		}
+		if act, kind := evidence.Outlived(head(r), a); act == evidence.Release {
+			c.propose(rec, k.index, change{machine: m.id, session: a.Session, try: a.Try, kind: kind})
+		}
+	}
+}
+
 // killFinal stops what belongs to jobs that are over. It is safe whatever the records
 // lack, as final states never change.
 //
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -22,7 +22,7 @@
 	// under any claim, as an attempt that has ended does not start again before it
 	// is forgotten, and it is forgotten only after its release.
 	Ended Kind = iota + 1
-	// Session: a report under our token is of a later session than the attempt's.
+	// Session: a report, under whatever token, is of a later session than the attempt's.
 	// It stays true under any claim: a session never comes back.
 	Session
 	// Absent: a report under our token lacks an attempt that is not wanted any
@@ -174,7 +174,7 @@
 func (s Standing) Lacking(r Report, a Attempt, direct, wanted, ending bool) (Act, Kind) {
 	switch {
 	case a.Session < r.Shift:
-		return Release, Session
+		return Outlived(r, a)
 	case a.Session > r.Shift:
 		return Keep, 0
 	case wanted && !ending && s.launchable(a):
@@ -189,6 +189,20 @@
 	return Release, Absent
 }
 
+// Outlived judges an attempt that is bound to the machine when a report comes that is
+// answered and not believed. It needs no token: whoever launched the attempt named its session or answered a
+// report of it, which the worker refuses and drops in every later one, and sessions
+// never come back.
+//
+// Guards against tasks that stay bound to a machine that hears nobody, for as long as it is deaf:
+// it shows no token, so nothing in its reports is believed, while its lease has ended all they ran.
+func Outlived(r Report, a Attempt) (Act, Kind) {
+	if a.Session < r.Shift {
+		return Release, Session
+	}
+	return Keep, 0
+}
+
 // launchable tells whether the records that bind an attempt can be relied on to be
 // the newest.
 //
--- a/internal/reach/decide.go
+++ b/internal/reach/decide.go
@@ -176,6 +176,15 @@
 	return owner.Word <= within && !owner.Deaf && ms(owner.StateMS) <= p.Late
 }
 
+// Home tells whether a worker's own controller is there and hears workers, as far as its beats tell.
+//
+// The rule that this must not break: the cancel horizon, which the holder judges itself.
+func (r *Reach) Home(owner string) bool {
+	p := r.Picture()
+	q := p.Find(owner)
+	return q != nil && q.Word < p.Report && !q.Deaf
+}
+
 // Third names a peer by way of which another can be asked that we can't ask ourselves:
 // both hear one another. "" if there is none, or if none is needed.
 //
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -120,6 +120,7 @@
 type stateLink struct {
 	trust
 	answered time.Duration // the last real answer
+	refused  time.Duration // the last refusal, which an outage gives, too
 	probeAt  time.Duration
 	probing  bool
 }
@@ -176,10 +177,13 @@
 
 // StateAnswered takes what came of a call that we made ourselves.
 func (r *Reach) StateAnswered(status int) {
+	s := &r.state
+	if status == http.StatusServiceUnavailable {
+		s.refused = r.now
+	}
 	if !answers(status) {
 		return
 	}
-	s := &r.state
 	s.answered = r.now
 	if s.lost && r.desk.via == "" {
 		s.lost, s.upAt = false, r.now // nobody carries for us: there is nothing better to keep to
@@ -197,6 +201,20 @@
 	return s.lost
 }
 
+// Alone tells whether we are cut off from the state service and from every other controller. It
+// is not an outage, in which the service refuses, and the others are heard.
+func (r *Reach) Alone() bool {
+	if len(r.cfg.Peers) == 0 || !r.Lost() || r.silence(r.state.refused) <= r.cfg.Late {
+		return false
+	}
+	for _, h := range r.heard {
+		if r.silence(h.came) < r.cfg.Report {
+			return false
+		}
+	}
+	return true
+}
+
 // Link is how the state service is reached: "direct", "relayed" by a peer, or "lost", which an
 // outage that all see is, too.
 func (r *Reach) Link() (how, via string) {
--- a/tools/regress/main.go
+++ b/tools/regress/main.go
@@ -116,7 +116,7 @@
 	if !o.full {
 		args = append(args, "--quick")
 	}
-	bench, err := filepath.Abs(filepath.Join(o.kit, "more/fleet/bin/fleetbench"))
+	bench, err := filepath.Abs(filepath.Join(o.kit, "more/hunt/bin/fleetbench"))
 	if err != nil {
 		return err
 	}
--- a/tools/regress/regress.go
+++ b/tools/regress/regress.go
@@ -89,7 +89,7 @@
 // The groups of sites, below the kit.
 var (
 	earlier = Run{"any change of what is built", []string{"more/*-ops.toml", "lean/*.toml"}}
-	fleet   = Run{"storage, membership, timers or what machines say to each other", []string{"more/fleet/*.toml"}}
+	fleet   = Run{"storage, membership, timers or what machines say to each other", []string{"more/fleet/*.toml", "more/hunt/*.toml"}}
 )
 
 // outside lists what no built controller contains: it owes nothing.
