--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -34,6 +35,8 @@
 	via       *simNode      // takes what the user says from now on; nil: any
 	lastOn    time.Duration // when a task was seen on a machine after the cancellation was confirmed
 	final     string
+	known     bool // an answer has said that the job is accepted
+	waits     roomWait
 }
 
 func (s *sim) submit(sp *job.Spec, runs float64, cancelAfter time.Duration) *simUser {
@@ -67,13 +70,22 @@
 
 func (s *sim) anyNode() *simNode { return s.nodes[s.rnd.IntN(len(s.nodes))] }
 
+// told is the most that any answer has told of a job: nothing, that it is accepted, or its final state.
+// No answer to a question that is asked later may be older.
+type told struct {
+	known bool
+	final string
+}
+
+func (u *simUser) told() told { return told{u.known, u.final} }
+
 func (u *simUser) send() {
-	s, before := u.s, u.final
+	s, before := u.s, u.told()
 	s.anyNode().request("users", "POST", protocol.PathRuns, u.body, func(st int, body []byte) {
 		switch st {
 		case 200, 201:
-			u.hear(body, before)
 			u.accepted = true
+			u.hear(body, before)
 			s.after(s.ms(500, 5000), u.poll)
 			if s.rnd.IntN(8) == 0 { // a late repetition
 				s.after(s.ms(1000, 90_000), u.send)
@@ -90,9 +102,14 @@
 	})
 }
 
-// hear judges an answer to a request that was sent when the job's final state
-// was known to be before, or "".
-func (u *simUser) hear(body []byte, before string) {
+// hear judges an answer to a request that was sent when so much had been told before.
+func (u *simUser) hear(body []byte, before told) {
+	was := u.told()
+	defer func() {
+		if u.known = true; was != u.told() {
+			u.lookClosely()
+		}
+	}()
 	var r protocol.RunState
 	if json.Unmarshal(body, &r) != nil || r.Ref != u.spec.ID {
 		u.s.breaks("format", "%s: %q", u.spec.ID, body)
@@ -102,8 +119,8 @@
 	for _, d := range u.done {
 		all = all && d
 	}
-	if before != "" && r.Status != before {
-		u.s.breaks("went_back", "%s was %s, is %s", u.spec.ID, before, r.Status)
+	if before.final != "" && r.Status != before.final || u.final != "" && r.Status != u.final && (r.Status == "done" || r.Status == "cancelled") {
+		u.s.breaks("went_back", "%s was %s, is %s", u.spec.ID, cmp.Or(before.final, u.final), r.Status)
 	}
 	switch r.Status {
 	case "done":
@@ -123,7 +140,7 @@
 }
 
 func (u *simUser) poll() {
-	s, before := u.s, u.final
+	s, before := u.s, u.told()
 	s.anyNode().request("users", "GET", protocol.PathRuns+"/"+u.spec.ID, nil, func(st int, body []byte) {
 		u.polled(st, body, before)
 		if u.final == "" || s.rnd.IntN(4) == 0 {
@@ -135,15 +152,18 @@
 func (u *simUser) cancel() {
 	s := u.s
 	u.asked = true
-	before := u.final
+	before := u.told()
 	n := u.via
 	if n == nil || n.core == nil {
 		n = s.anyNode()
 	}
 	n.request("users", "POST", protocol.PathRuns+"/"+u.spec.ID+"/abort", nil, func(st int, body []byte) {
-		if st == 200 {
+		switch {
+		case st == 200:
 			u.hear(body, before)
 			return
+		case st == 404 && before.known:
+			s.breaks("forgotten", "%s can't be cancelled", u.spec.ID)
 		}
 		s.after(time.Second, u.cancel)
 	})
--- a/internal/coordination/served_test.go
+++ b/internal/coordination/served_test.go
@@ -30,6 +30,7 @@
 	s.after(now-s.now, func() {
 		s.served = served{from: s.now, lost: map[string]bool{}}
 		s.askAll()
+		s.watchRoom()
 	})
 }
 
@@ -53,18 +54,25 @@
 
 // ask polls once more.
 func (u *simUser) ask() {
-	before := u.final
-	u.s.anyNode().request("users", "GET", protocol.PathRuns+"/"+u.spec.ID, nil, func(st int, body []byte) { u.polled(st, body, before) })
+	u.askAt(u.s.anyNode())
+}
+
+// askAt polls once more at a node.
+func (u *simUser) askAt(n *simNode) {
+	before := u.told()
+	n.request("users", "GET", protocol.PathRuns+"/"+u.spec.ID, nil, func(st int, body []byte) { u.polled(st, body, before) })
 }
 
 // polled judges a poll's answer.
-func (u *simUser) polled(st int, body []byte, before string) {
+func (u *simUser) polled(st int, body []byte, before told) {
 	switch st {
 	case 200:
 		u.knownAt = u.s.now
 		u.hear(body, before)
 	case 404:
-		u.s.breaks("forgotten", "%s", u.spec.ID)
+		if before.known {
+			u.s.breaks("forgotten", "%s", u.spec.ID)
+		}
 	}
 }
 
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -73,6 +73,7 @@
 	warm      int           // starts on machines that held the inputs when the launch came
 	cold      int
 	tapes     []*simTape
+	met       meetings
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -227,7 +228,7 @@
 		}
 		return
 	}
-	s.after(s.ms(0.2, 3), func() { n.deliver(method, path, body, once) })
+	s.after(s.hop(), func() { n.deliver(method, path, body, once) })
 }
 
 func (n *simNode) deliver(method, path string, body []byte, done func(int, []byte)) {
@@ -247,7 +248,7 @@
 	id := n.nextReq
 	life := n.life
 	n.reqs[id] = func(st int, b []byte) {
-		n.s.after(n.s.ms(0.2, 3), func() {
+		n.s.after(n.s.hop(), func() {
 			if n.life == life {
 				done(st, b)
 			}
@@ -324,6 +325,10 @@
 				}
 			}
 		}
+		if n.loses(k) { // carried out at once, and only the answer is lost
+			s.after(s.ms(1, 5), func() { serve(func(int, []byte) {}) })
+			continue
+		}
 		watch := strings.HasPrefix(k.Path, protocol.PathWatch)
 		switch { // troubles that are no noise: see meeting_test.go
 		case k.Path == protocol.PathOrders && n.holding > s.now:
@@ -350,6 +355,8 @@
 			s.after(s.ms(1, 5), func() { serve(func(st int, b []byte) { s.after(late, func() { reply(st, b) }) }) })
 		case watch:
 			s.after(s.ms(1, 5), func() { serve(reply) })
+		case k.Path == protocol.PathTxn && s.met.writesLag > s.now:
+			s.after(s.ms(200, 1600), func() { serve(func(st int, b []byte) { s.after(s.ms(1, 5), func() { reply(st, b) }) }) })
 		default:
 			s.after(s.ms(1, 5), func() {
 				serve(func(st int, b []byte) { s.after(s.ms(1, 5), func() { reply(st, b) }) })
@@ -465,6 +472,7 @@
 		_ = json.Unmarshal(data, &d)
 		k.drainedAs[key] = d.Why
 	}
+	k.s.claimed(key, data)
 	if data == nil {
 		delete(k.keys, key)
 		k.news = append(k.news, protocol.News{Drop: key, Stamp: rev})
@@ -669,6 +677,7 @@
 		_ = json.Unmarshal(k.Body, &n)
 		for _, name := range n.Stokers {
 			if w := c.all[name]; w != nil {
+				s.judgeReturn(w)
 				w.die()
 				delete(c.all, name)
 				if !w.taken {
@@ -718,7 +727,9 @@
 			s.work[w.addr] = w
 			c.all[w.name] = w
 			names = append(names, w.name)
-			if s.rnd.IntN(20) > 0 {
+			if s.met.quickBoots {
+				s.after(s.ms(50, 2000), w.boot)
+			} else if s.rnd.IntN(20) > 0 {
 				s.after(seconds(c.types[r.Rig].StartupS*(0.6+0.9*s.rnd.Float64())), w.boot)
 			}
 		}
@@ -756,6 +767,7 @@
 	taken    bool
 	hung     time.Duration
 	deaf     time.Duration // until then answers and direct commands are lost
+	mute     time.Duration // until then it reaches no controller, while direct commands reach it
 	partly   float64       // the share of them that is lost at any time
 	keeps    bool          // is one of those whose tasks are counted, see countCaution
 	shift    uint64
@@ -848,6 +860,12 @@
 		s.after(w.hung-s.now, w.report)
 		return
 	}
+	if s.now < w.mute {
+		w.node = (w.node + 1) % len(s.nodes)
+		s.met.unopened++
+		s.after(time.Second, w.report)
+		return
+	}
 	rep := w.state()
 	shift, sent := w.shift, s.now
 	n := s.nodes[w.node]
@@ -858,7 +876,12 @@
 	if s.copies > 0 && s.rnd.Float64() < s.copies {
 		s.after(s.ms(2000, 1300*s.facts.Workers.Lease), func() { n.deliver("POST", protocol.PathCheckin, encode(rep), func(int, []byte) {}) })
 	}
-	n.request(link, "POST", protocol.PathCheckin, encode(rep), func(st int, body []byte) {
+	s.keepCopy(w, rep)
+	ask := func(done func(int, []byte)) { n.request(link, "POST", protocol.PathCheckin, encode(rep), done) }
+	if s.holdBack(w, rep) {
+		ask = func(done func(int, []byte)) { s.after(4*time.Second, func() { done(0, nil) }) }
+	}
+	ask(func(st int, body []byte) {
 		if s.trace != nil {
 			fmt.Fprintf(s.trace, "%8.3f CHECKIN stoker=%s node=%s shift=%d tally=%d baton=%d sent=%.3f status=%d %s\n", s.now.Seconds(), w.name, n.name, shift, rep.Tally, rep.Baton, sent.Seconds(), st, body)
 		}
@@ -1043,6 +1066,7 @@
 		fmt.Fprintf(s.trace, "%8.3f START load=%s/%d try=%d stoker=%s shift=%d baton=%d\n", s.now.Seconds(), l.id, l.index, l.try, w.name, w.shift, w.baton)
 	}
 	s.checkStart(w, u, l)
+	s.countLateStart(u)
 	u.start(l.index, w)
 	l.status = protocol.LoadRunning
 	if u.done[l.index] {
@@ -1075,4 +1099,5 @@
 		}
 	}
 	u.done[l.index] = true
+	u.ends()
 }
