A cancellation that a peer has named stays known

Cause: an answer of the state service that was given before a cancellation can come after a peer has named it. Found by reading. TestACancellationOnceKnownStays fails without it.

--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -221,3 +221,45 @@
 		}
 	}
 }
+
+// TestACancellationOnceKnownStays guards against reads that overtake one another: a peer named a cancelled job, and
+// then an answer of the state service came that had been given before the cancellation. The job counted as open
+// again, the peer's word went on being a proof that no cancellation is unknown, and the worker was answered without a stop.
+func TestACancellationOnceKnownStays(t *testing.T) {
+	older := protocol.News{Write: keyJob + "wk-700000", Data: encode(storedJob{lateSpec(), job.Open, 1, "n0"}), Stamp: 135}
+	load := protocol.Load{Load: "wk-700000/0", Try: 1, Status: protocol.LoadRunning}
+	for _, v := range []struct {
+		name    string
+		unknown bool // the job's record had not been read when the peer named it
+		named   bool
+	}{{"known, and not cancelled", false, false}, {"known", false, true}, {"not known", true, true}} {
+		s := newScript(t)
+		here := protocol.News{Write: pageKey("wk-700000", 0), Data: writePage([]job.Task{{Phase: job.Bound, Try: 1, Machine: "i-000001", Session: 1}}), Stamp: 125}
+		if v.unknown { // the machine is ours, and the records are those of before the job
+			s.pass(100 * time.Millisecond)
+			s.reply(protocol.PathKeys+"?", "", 200, protocol.EntryPage{Ledger: 100})
+			s.pass(200 * time.Millisecond)
+			s.report(0, 1)
+			s.reply(protocol.PathTxn, keyClaim, 200, protocol.TxnResult{Ledger: 120})
+			s.at += 500 * time.Millisecond
+			s.report(120, 2)
+			s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Ledger: 120})
+		} else {
+			s.held(here)
+			s.reply(protocol.PathOrders, "", 200, protocol.Report{Stoker: "i-000001", Shift: 1, Tally: 3, Baton: 120, Loads: []protocol.Load{load}})
+		}
+		s.pass(1200 * time.Millisecond) // the next watch is opened, and its answer is held up
+		if v.named {
+			s.take(s.c.Peer(s.clock(), "n0", Message{Vouch: &Vouch{Cancelled: []string{"wk-700000"}, At: s.at, Life: 7}}))
+		}
+		s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Ledger: 136, News: []protocol.News{here, older}})
+		s.at += 500 * time.Millisecond
+		stopped := false
+		for _, o := range s.report(120, 9, load).Orders {
+			stopped = stopped || o.Verb == protocol.VerbKill && o.Load == "wk-700000/0"
+		}
+		if stopped != v.named {
+			t.Errorf("%s: stopped %v by the next answer", v.name, stopped)
+		}
+	}
+}
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -108,6 +108,10 @@
 		return
 	}
 	r := c.jobs[id]
+	// Guards against reads that overtake one another: a peer names a cancelled job, and then comes an answer that
+	// the state service gave before the cancellation. The peer's word goes on being a proof that
+	// no cancellation is unknown here, so the job must not count as open again.
+	over := c.over(id)
 	if r == nil {
 		r = &record{spec: s.Spec, due: c.within(s.Spec), zones: map[string]int{}}
 		n := c.pageTasks()
@@ -119,6 +123,9 @@
 		c.reach.Known(id)
 	}
 	r.status, r.at, r.home, r.stamp = s.Status, s.At, s.Home, stamp
+	if over && s.Status == job.Open {
+		r.status = job.Cancelled
+	}
 	switch _, was := c.open[id]; {
 	case was && r.final():
 		c.close(r)
