Nothing is returned by records that are behind or torn

Causes: a drain of our own is in the mirror before what others had placed on the machine before it, and the deletion was asked for at once; while the records are read anew by pages, tasks may be read whose machine's claim, written meanwhile, was not. Both returned machines in use: no rule, but work lost. Deletions of drained machines wait until the mirror has reached the drain, and strays, the lost and the unclaimed are judged by whole and new records alone. Found by reading; TestNoMachineIsReturnedThatIsInUse and TestATornMirrorReturnsNothing fail without it.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -52,6 +52,7 @@
 	loading  bool
 	watching bool
 	loaded   bool
+	whole    bool
 	seen     map[string]bool
 	from     string
 	start    uint64
@@ -100,6 +101,11 @@
 // changes, as a key is seen as it is and not as it became so.
 func (s *Store) Reading() bool { return s.seen != nil }
 
+// Whole tells whether the mirror is one that the state service once had, if for writes of ours that are ahead of it. It
+// is not while the records are read by pages, and until the watch has brought what changed meanwhile: a later
+// page may show what came of a change that an earlier one was read before.
+func (s *Store) Whole() bool { return s.whole }
+
 // Ledger is the revision up to which the mirror is complete.
 func (s *Store) Ledger() uint64 { return s.ledger }
 
@@ -427,13 +433,14 @@
 				}
 			}
 			s.ledger = max(s.ledger, w.Ledger)
-			s.fresh = sent
+			s.fresh, s.whole = sent, true
 			for k, v := range s.graves {
 				if v <= s.ledger {
 					delete(s.graves, k)
 				}
 			}
 		case http.StatusGone:
+			s.whole = false
 			s.seen, s.from, s.start = map[string]bool{}, "", 0
 		default:
 			s.nextOpen = s.now + callTimeout/5
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -310,7 +310,7 @@
 			c.machineGone(id)
 			f.deleting[id] = true
 		case m != nil && m.stamp != 0:
-		case known && l.AgeS > 4*t.StartupS+c.cfg.Facts.Workers.Lease:
+		case known && c.sees() && l.AgeS > 4*t.StartupS+c.cfg.Facts.Workers.Lease:
 			// Never came up, or came up and nobody hears it.
 			c.log.Info("returning a machine that never reported", "stoker", id, "ageS", l.AgeS)
 			f.deleting[id] = true
@@ -341,7 +341,7 @@
 	f := &c.fleet
 	for id, d := range c.drains {
 		m := c.machines[id]
-		if m == nil || m.stamp == 0 || len(m.bound) == 0 || d.Why == drainSilent || d.Why == drainFailed {
+		if m == nil || m.stamp == 0 || len(m.bound) == 0 && c.fencedOff(id) || d.Why == drainSilent || d.Why == drainFailed {
 			f.deleting[id] = true
 		}
 	}
@@ -363,6 +363,9 @@
 			c.forgetMachine(id)
 			continue
 		}
+		if !c.sees() {
+			continue
+		}
 		// Guards against tasks bound for ever: whoever deleted the machine
 		// may have died before their release was committed.
 		if m.stamp == 0 && len(m.bound) > 0 {
@@ -421,6 +424,19 @@
 	})
 }
 
+// fencedOff tells whether nothing can be placed on a drained machine any more that our mirror does not show. Placements are
+// conditional on the absence of the drain, so what there is was committed before it, and the mirror has reached it.
+//
+// Guards against a deletion that overtakes the records: our own drain is in the mirror with its answer, ahead of
+// what others had placed there before it.
+func (c *Core) fencedOff(id string) bool { return c.store.Ledger() >= c.store.Stamp(keyDrain+id) }
+
+// sees tells whether the records that we have can be judged by: they are whole, and new. A machine that nobody seems to hold may have
+// been claimed since, and one whose claim has not been read may be anybody's.
+func (c *Core) sees() bool {
+	return c.store.Whole() && c.now-c.store.Fresh() < seconds(c.cfg.Facts.Workers.Report)
+}
+
 // forgetMachine drops the records of a machine that is gone, once nothing is
 // bound to it.
 func (c *Core) forgetMachine(id string) {
--- /dev/null
+++ b/internal/coordination/returns_test.go
@@ -0,0 +1,127 @@
+package coordination
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// leading is the controller that rents, nil if none does.
+func (s *sim) leading() *simNode {
+	for _, n := range s.nodes {
+		if n.core != nil && n.core.leads() {
+			return n
+		}
+	}
+	return nil
+}
+
+// TestNoMachineIsReturnedThatIsInUse guards against a deletion that overtakes the records: who rents drained a machine
+// as idle while its mirror was behind, its own drain was in the mirror at once, and it had the machine deleted
+// before the watch showed what had been placed there before the drain.
+func TestNoMachineIsReturnedThatIsInUse(t *testing.T) {
+	met := 0
+	for seed := uint64(45_000); seed < 45_006; seed++ {
+		s := newSim(seed, 0)
+		s.after(time.Second, func() {
+			for i := range 6 {
+				s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", i), Class: "svc", Team: "blue", Shape: job.Service, Priority: job.Production, Tasks: 1, CPUs: 2, GPUs: 1, MemoryGB: 8}, 0, 0)
+			}
+		})
+		s.run(50 * time.Second)
+		l := s.leading()
+		l.lag = time.Hour // its watch is answered late
+		s.launched = func(w *simWorker, o protocol.Order) {
+			m := l.core.machines[w.name]
+			if m == nil || m.stamp == 0 || len(m.bound) > 0 || l.core.mine(m) {
+				return
+			}
+			met++
+			l.core.begin(l.clock())
+			l.core.drain(m, drainIdle)
+			l.effects(l.core.end())
+		}
+		for i := range 12 {
+			s.submit(&job.Spec{ID: fmt.Sprintf("wk-7%05d", i), Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Normal, Tasks: 2, CPUs: 2, GPUs: 1, MemoryGB: 8}, 30, 0)
+		}
+		s.run(80 * time.Second)
+		s.launched = nil
+		if s.met.inUse > 0 {
+			t.Errorf("seed %d: %d tasks ran on machines that were returned as idle", seed, s.met.inUse)
+		}
+		s.report(t)
+	}
+	if met == 0 {
+		t.Error("no machine was drained behind the records: the day is none")
+	}
+}
+
+// TestATornMirrorReturnsNothing guards against a deletion while the records are read anew, by pages: what is bound to a machine
+// may be read although its claim, written meanwhile, was not, and a machine with tasks and no claim is one to be returned.
+func TestATornMirrorReturnsNothing(t *testing.T) {
+	for _, torn := range []bool{true, false} {
+		s := newSim(45_100, 0)
+		s.run(20 * time.Second)
+		l := s.leading()
+		c := l.core
+		// A job of one task that runs on a machine of which the mirror has no claim.
+		spec := encode(storedJob{&job.Spec{ID: "wk-700000", Class: "arr", Team: "blue", Shape: job.Array, Tasks: 1, CPUs: 1, MemoryGB: 1}, job.Open, 1, l.name})
+		page := json.RawMessage(writePage([]job.Task{{Phase: job.Bound, Try: 1, Machine: "i-900000", Session: 1}}))
+		write := func(key string, data json.RawMessage) {
+			s.kv.rev++
+			s.kv.change(key, data, 0, s.kv.rev)
+		}
+		asked := 0
+		count := func(e Effects) Effects {
+			for _, k := range e.Calls {
+				if k.Path == protocol.PathDelete {
+					asked++
+				}
+			}
+			return e
+		}
+		if torn { // the watch is too old, and the page of claims has been read before the claim
+			l.cut["state"] = s.now + 1500*time.Millisecond // a watch is lost meanwhile
+			s.run(s.now + 1500*time.Millisecond)
+			for i := range 2 * s.kv.memory {
+				write(fmt.Sprintf("sg/s/x%d", i), json.RawMessage("0"))
+			}
+			claimed := false
+			for at := s.now; s.now < at+20*time.Second && !claimed; {
+				s.run(s.now + time.Millisecond)
+				if c.store.Reading() {
+					claimed = true
+					write(keyClaim+"i-900000", encode(claim{"n9", 1, "w:i-900000", "small", "a", false}))
+					write(keyJob+"wk-700000", spec)
+					write(pageKey("wk-700000", 0), page)
+					s.kv.change(keyClaim+"i-900000", nil, 0, s.kv.rev) // as the reader saw it
+				}
+			}
+			if !claimed {
+				t.Fatal("the records were not read anew")
+			}
+		} else { // the same without a reading: the claim is gone, the task is not
+			write(keyJob+"wk-700000", spec)
+			write(pageKey("wk-700000", 0), page)
+		}
+		for end := s.now + 2*time.Second; s.now < end; {
+			s.run(s.now + 10*time.Millisecond)
+			if torn && !c.store.Reading() && c.store.Whole() {
+				break
+			}
+			if m := c.machines["i-900000"]; m == nil || len(m.bound) == 0 {
+				continue
+			}
+			c.begin(l.clock())
+			c.deletions()
+			l.effects(count(c.end()))
+		}
+		if torn && asked > 0 || !torn && asked == 0 {
+			t.Errorf("torn %v: %d deletions were asked for", torn, asked)
+		}
+	}
+}
