--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -12,31 +12,32 @@
 
 // simUser is the user of one job.
 type simUser struct {
-	s         *sim
-	spec      *job.Spec
-	body      []byte
-	runs      float64
-	apart     float64 // each task runs so much longer than the one before
-	copy      string  // of the data set that it reads
-	done      []bool
-	mistaken  bool // fails on every machine
-	failures  int
-	accepted  bool
-	sentAt    time.Duration // first submitted
-	knownAt   time.Duration // a question was answered
-	began     time.Duration // the first start of any task; 0: none
-	waited    time.Duration // until then, without outages
-	outagesAt time.Duration // when it was submitted
-	begun     int           // tasks that have started
-	started   []startedOn
-	again     int           // starts of tasks that were on machines that are still there
-	cancelled time.Duration // when the user was told
-	asked     bool          // to cancel
-	via       *simNode      // takes what the user says from now on; nil: any
-	lastOn    time.Duration // when a task was seen on a machine after the cancellation was confirmed
-	final     string
-	known     bool // an answer has said that the job is accepted
-	waits     roomWait
+	s             *sim
+	spec          *job.Spec
+	body          []byte
+	runs          float64
+	apart         float64 // each task runs so much longer than the one before
+	copy          string  // of the data set that it reads
+	done          []bool
+	mistaken      bool // fails on every machine
+	failures      int
+	accepted      bool
+	sentAt        time.Duration // first submitted
+	knownAt       time.Duration // a question was answered
+	began         time.Duration // the first start of any task; 0: none
+	waited        time.Duration // until then, without outages
+	outagesAt     time.Duration // when it was submitted
+	begun         int           // tasks that have started
+	started       []startedOn
+	again         int           // starts of tasks that were on machines that are still there
+	cancelled     time.Duration // when the user was told
+	asked         bool          // to cancel
+	via           *simNode      // takes what the user says from now on; nil: any
+	lastOn        time.Duration // when a task was seen on a machine after the cancellation was confirmed
+	final         string
+	answeredAfter time.Duration // the first submission's acceptance
+	known         bool          // an answer has said that the job is accepted
+	waits         roomWait
 }
 
 func (s *sim) submit(sp *job.Spec, runs float64, cancelAfter time.Duration) *simUser {
@@ -84,6 +85,9 @@
 	s.anyNode().request("users", "POST", protocol.PathRuns, u.body, func(st int, body []byte) {
 		switch st {
 		case 200, 201:
+			if !u.accepted {
+				u.answeredAfter = s.now - u.sentAt
+			}
 			u.accepted = true
 			u.hear(body, before)
 			s.after(s.ms(500, 5000), u.poll)
--- a/internal/coordination/meeting_test.go
+++ b/internal/coordination/meeting_test.go
@@ -26,13 +26,14 @@
 	saving   bool   // the gangs are saving, and take long
 	stay     bool   // no worker reaches another controller
 	shortest bool   // cancel_s is hardly longer than lease_s
+	moment   bool   // the cancellations come at the very moment of the refusal, and the outage a second later
 
 	spoil func(s *sim) // breaks something on purpose; nil: nothing
 }
 
 func (m meeting) String() string {
-	return fmt.Sprintf("{nodes:%d links:%s when:%s after:%s leader:%s workers:%s held:%v saving:%v stay:%v shortest:%v}",
-		m.nodes, m.links, m.when, m.after, m.leader, m.workers, m.held, m.saving, m.stay, m.shortest)
+	return fmt.Sprintf("{nodes:%d links:%s when:%s after:%s leader:%s workers:%s held:%v saving:%v stay:%v shortest:%v moment:%v}",
+		m.nodes, m.links, m.when, m.after, m.leader, m.workers, m.held, m.saving, m.stay, m.shortest, m.moment)
 }
 
 // dimensions are the values of a meeting's fields.
@@ -130,7 +131,10 @@
 		submit(job.Gang, job.High, 2)
 	}
 	s.followCancelled()
-	const refusedFor = 25 * time.Second
+	refusedFor := 25 * time.Second
+	if m.moment {
+		refusedFor = time.Second
+	}
 	s.run(55 * time.Second)
 	leader := s.busiest()
 	var others []*simNode
@@ -170,6 +174,9 @@
 		}
 	})
 	when := map[string]time.Duration{"before": at - s.ms(0, 60), "during": at + refusedFor/2, "end": end - s.ms(0, 100), "unanswered": end - s.ms(100, 4000)}[m.when]
+	if m.moment {
+		when = at + s.ms(-20, 20)
+	}
 	s.after(when-s.now, func() {
 		if m.when == "unanswered" {
 			confirms.mislays = s.now + 2*time.Second
@@ -251,7 +258,7 @@
 func drawMeeting(s *sim) meeting {
 	one := func(of []string) string { return of[s.rnd.IntN(len(of))] }
 	coin := func() bool { return s.rnd.IntN(2) == 0 }
-	return meeting{3 + 2*s.rnd.IntN(2), one(dimensions.links), one(dimensions.when), one(dimensions.after), one(dimensions.leader), one(dimensions.workers), coin(), coin(), coin(), s.rnd.IntN(4) == 0, nil}
+	return meeting{3 + 2*s.rnd.IntN(2), one(dimensions.links), one(dimensions.when), one(dimensions.after), one(dimensions.leader), one(dimensions.workers), coin(), coin(), coin(), s.rnd.IntN(4) == 0, s.rnd.IntN(3) == 0, nil}
 }
 
 // judge fails the test if a rule broke, and tells how near the day came to cancel_s.
@@ -271,7 +278,7 @@
 // TestRefusedThenDown plays the day with each of its variants alone, and then with drawn
 // ones of all; SIM_DAYS plays more of those.
 func TestRefusedThenDown(t *testing.T) {
-	usual := meeting{3, "up", "during", "lives", "well", "well", false, false, true, false, nil}
+	usual := meeting{3, "up", "during", "lives", "well", "well", false, false, true, false, false, nil}
 	var all []meeting
 	for _, d := range []struct {
 		values []string
@@ -290,9 +297,14 @@
 			all = append(all, m)
 		}
 	}
-	for i := range 3 {
+	for i := range 4 {
+		m := usual
+		m.held, m.saving, m.shortest, m.moment = i == 0, i == 1, i == 2, i == 3
+		all = append(all, m)
+	}
+	for _, links := range dimensions.links {
 		m := usual
-		m.held, m.saving, m.shortest = i == 0, i == 1, i == 2
+		m.moment, m.links, m.held = true, links, true
 		all = append(all, m)
 	}
 	for i, m := range all {
@@ -317,7 +329,7 @@
 
 // TestTheMeetingIsJudged breaks what the day stands on, one thing at a time, and has the checker find it.
 func TestTheMeetingIsJudged(t *testing.T) {
-	base := meeting{3, "up", "during", "lives", "well", "well", false, false, true, false, nil}
+	base := meeting{3, "up", "during", "lives", "well", "well", false, false, true, false, false, nil}
 	for _, v := range []struct {
 		name  string
 		m     func(m *meeting)
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -332,6 +332,7 @@
 		watch := strings.HasPrefix(k.Path, protocol.PathWatch)
 		switch { // troubles that are no noise: see meeting_test.go
 		case k.Path == protocol.PathOrders && n.holding > s.now:
+			s.met.heldUp++
 			s.after(n.holding-s.now+s.ms(0, 5000), func() { serve(func(int, []byte) {}) })
 			continue
 		case k.Path == protocol.PathTxn && n.mislays > s.now:
@@ -545,7 +546,7 @@
 		}
 		var failed []string
 		for _, f := range t.If {
-			if k.keys[f.Key].stamp != f.Stamp && !k.blind {
+			if k.keys[f.Key].stamp != f.Stamp && !k.blind && !(k.s.met.agrees && len(t.Then) == 0) {
 				failed = append(failed, f.Key)
 			}
 		}
@@ -676,7 +677,7 @@
 		var n protocol.Names
 		_ = json.Unmarshal(k.Body, &n)
 		for _, name := range n.Stokers {
-			if w := c.all[name]; w != nil {
+			if w := c.all[name]; w != nil && !s.met.noReturns {
 				s.judgeReturn(w)
 				w.die()
 				delete(c.all, name)
@@ -796,6 +797,7 @@
 		return
 	}
 	w.up, w.shift, w.began, w.answered = true, 1, w.s.now, w.s.now
+	w.s.countEarly(w)
 	w.node = w.s.rnd.IntN(len(w.s.nodes))
 	w.report()
 	w.leaseLoop()
@@ -809,10 +811,15 @@
 	if w.s.now > over {
 		w.judgeLoss()
 		w.countCaution()
-		for _, l := range w.loads {
-			l.status, l.gen = protocol.LoadEnded, l.gen+1
+		if len(w.loads) > 0 {
+			w.s.met.ended++
+		}
+		if !w.s.met.noLease {
+			for _, l := range w.loads {
+				l.status, l.gen = protocol.LoadEnded, l.gen+1
+			}
+			w.loads = map[string]*simLoad{}
 		}
-		w.loads = map[string]*simLoad{}
 		w.shift++
 		w.began = w.s.now
 		over = w.began + seconds(w.s.facts.Workers.Lease)
@@ -822,7 +829,7 @@
 
 func (w *simWorker) state() protocol.Report {
 	w.tally++
-	r := protocol.Report{Stoker: w.name, Address: w.addr, Rig: w.rig, Depot: w.zone, Casual: w.spot, Shift: w.shift, Tally: w.tally, Baton: w.baton, Loads: []protocol.Load{}}
+	r := protocol.Report{Stoker: w.name, Address: w.addr, Rig: w.rig, Depot: w.tellsZone(), Casual: w.spot, Shift: w.shift, Tally: w.tally, Baton: w.baton, Loads: []protocol.Load{}}
 	if w.unkept > w.s.now {
 		r.Unkept = 1
 	}
@@ -933,11 +940,13 @@
 }
 
 func (w *simWorker) direct(k protocol.Call, reply func(int, []byte)) {
+	s := w.s
 	if w.dead || !w.up || w.misses() {
 		return
 	}
-	if w.s.now < w.hung { // taken in when the machine goes on
-		w.s.after(w.hung-w.s.now+time.Millisecond, func() { w.direct(k, reply) })
+	if s.now < w.hung { // taken in when the machine goes on
+		s.met.heldUp++
+		s.after(w.hung-s.now+time.Millisecond, func() { w.direct(k, reply) })
 		return
 	}
 	if k.Path == protocol.PathStatus {
@@ -946,11 +955,14 @@
 	}
 	var d protocol.DirectOrders
 	_ = json.Unmarshal(k.Body, &d)
-	if d.Baton < w.baton || d.Shift != w.shift {
+	if w.mute > s.now {
+		s.met.direct++
+	}
+	if (d.Baton < w.baton || d.Shift != w.shift) && !s.met.lax {
 		reply(409, encode(w.state()))
 		return
 	}
-	w.baton = d.Baton
+	w.baton = max(w.baton, d.Baton)
 	w.execute(d.Orders)
 	reply(200, encode(w.state()))
 }
@@ -997,7 +1009,7 @@
 			gen := l.gen
 			s.after(s.ms(200, 4000), func() { w.begin(u, l, gen) })
 		case protocol.VerbKill:
-			if l := w.loads[key]; l != nil && l.status != protocol.LoadEnded {
+			if l := w.loads[key]; l != nil && !s.met.noKills && l.status != protocol.LoadEnded {
 				l.status, l.cause, l.gen = protocol.LoadEnded, protocol.CauseStopped, l.gen+1
 			}
 		case protocol.VerbForget:
--- a/internal/coordination/troublemakers_test.go
+++ b/internal/coordination/troublemakers_test.go
@@ -29,6 +29,24 @@
 	heldBack  map[string][]byte
 	copies    map[string][]byte
 
+	// Broken on purpose.
+	agrees    bool // the state service confirms every comparison
+	noKills   bool // workers stop nothing
+	noLease   bool // workers go on with their tasks when their lease has ended
+	lax       bool // workers carry out direct orders of any session and token
+	noReturns bool // the cloud keeps what it was told to delete
+	astray    bool // some workers tell a wrong zone
+	forged    bool // old reports show the newest token, and tell that everything is done
+
+	short   bool           // there is less room than work
+	byKind  map[string]int // answers lost, by the kind of record
+	changes int            // of leaders
+	hungNow int            // machines that hang as their jobs are called off
+
+	direct     int // orders that reached a mute machine
+	heldUp     int // orders held up, by a link or a machine that hangs
+	ended      int // sessions that ended with work
+	early      int // machines up before the rental's record named them
 	unopened   int // reports that found no controller, as their machine is mute
 	answers    int // of transactions, lost
 	delivered  int // reports, held back or kept, to a new leader
@@ -122,14 +140,15 @@
 		for _, n := range s.nodes {
 			if n.name == now.Owner {
 				s.met.delivered++
-				s.after(s.ms(1, 4000), func() { n.deliver("POST", protocol.PathCheckin, body, func(int, []byte) {}) })
+				s.after(s.ms(1, 4000), func() { n.deliver("POST", protocol.PathCheckin, s.old(name, body), func(int, []byte) {}) })
 			}
 		}
 	}
 	if body, ok := s.met.copies[name]; ok {
+		delete(s.met.copies, name)
 		for _, n := range s.nodes {
 			s.met.delivered++
-			s.after(s.ms(0, 1500), func() { n.deliver("POST", protocol.PathCheckin, body, func(int, []byte) {}) })
+			s.after(s.ms(0, 1500), func() { n.deliver("POST", protocol.PathCheckin, s.old(name, body), func(int, []byte) {}) })
 		}
 	}
 	w := s.cloud.all[name]
@@ -145,14 +164,51 @@
 	}
 }
 
+// old is a report that was kept, as it arrives.
+func (s *sim) old(name string, body []byte) []byte {
+	if !s.met.forged {
+		return body
+	}
+	var r protocol.Report
+	_ = json.Unmarshal(body, &r)
+	r.Baton, r.Tally = s.kv.keys[keyClaim+name].stamp, r.Tally+1_000_000
+	if w := s.cloud.all[name]; w != nil {
+		r.Shift, r.Loads = w.shift, w.state().Loads
+	}
+	for i := range r.Loads {
+		r.Loads[i].Status, r.Loads[i].Cause = protocol.LoadEnded, protocol.CauseDone
+	}
+	return encode(r)
+}
+
+// countEarly counts machines that are up before anybody could have read that they were rented.
+func (s *sim) countEarly(w *simWorker) {
+	for key, v := range s.kv.keys {
+		if strings.HasPrefix(key, keyRental) && bytes.Contains(v.data, []byte(`"`+w.name+`"`)) {
+			return
+		}
+	}
+	s.met.early++
+}
+
+// tellsZone is the zone that a worker reports.
+func (w *simWorker) tellsZone() string {
+	if !w.s.met.astray || len(w.name) == 0 || w.name[len(w.name)-1]%3 > 0 {
+		return w.zone
+	}
+	return map[string]string{"a": "b", "b": "a", "c": "a"}[w.zone]
+}
+
 // oldReports has every controller hear all copies that are kept.
 func (s *sim) oldReports(within time.Duration) {
-	for _, name := range sortedKeys(s.met.copies) {
-		body := s.met.copies[name]
+	copies := s.met.copies
+	s.met.copies = nil
+	for _, name := range sortedKeys(copies) {
+		body := copies[name]
 		for _, n := range s.nodes {
 			s.after(s.ms(0, 1000*within.Seconds()), func() {
 				s.met.delivered++
-				n.deliver("POST", protocol.PathCheckin, body, func(int, []byte) {})
+				n.deliver("POST", protocol.PathCheckin, s.old(name, body), func(int, []byte) {})
 			})
 		}
 	}
@@ -172,6 +228,7 @@
 		for _, w := range s.cloud.sorted() {
 			if hang > 0 && hung < 8 && w.up && w.holds(id) && w.hung <= s.now {
 				hung++
+				s.met.hungNow++
 				s.after(s.ms(0, 300), func() { w.hung = s.now + hang })
 			}
 		}
@@ -392,7 +449,7 @@
 	for _, id := range sortedKeys(s.users) {
 		u := s.users[id]
 		started := u.begun + u.again
-		if !u.accepted || u.asked || u.mistaken || u.failures > 0 || u.final != "" || started != u.waits.begun || !u.couldStart(usable, on[id], zones[id], use[u.spec.Team]) {
+		if u.waits.since == 0 || !u.accepted || u.asked || u.mistaken || u.failures > 0 || u.final != "" || started != u.waits.begun || !u.couldStart(usable, on[id], zones[id], use[u.spec.Team]) {
 			u.waits = roomWait{s.now, started}
 			continue
 		}
