Machines that hear nobody are no room

The plan counted on machines whose reports come and that never show their holder's token, so nothing was rented for what waited until they heard again. Their holder names them in its beats (TestNothingWaitsForRoomOnDeafMachines: 0 of 4 tasks begun within 45 s without it).

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -51,16 +51,17 @@
 }
 
 // sight is in which zones a controller hears machines of its own, and in which
-// none of them any more.
+// none of them any more; and which of its machines do not hear it.
 type sight struct {
 	at        time.Duration
 	lit, dark []string
+	deaf      []string
 }
 
 // see takes what this controller hears. A zone is dark when nothing of it was
 // heard for a while.
-func (f *fleet) see(node string, now time.Duration, zones map[string]*zoneHeard, while time.Duration) {
-	v := sight{at: now}
+func (f *fleet) see(node string, now time.Duration, zones map[string]*zoneHeard, deaf []string, while time.Duration) {
+	v := sight{at: now, deaf: deaf}
 	for _, z := range sortedKeys(zones) {
 		switch h := zones[z]; {
 		case now-h.newest <= while:
@@ -598,6 +599,12 @@
 		slots = append(slots, s)
 	}
 	known := map[string]bool{}
+	deaf := map[string]bool{}
+	for _, v := range f.seen {
+		for _, id := range v.deaf {
+			deaf[id] = c.now-v.at < seconds(c.cfg.Facts.Workers.Report)
+		}
+	}
 	zones := map[string]int{} // machines in each
 	dark := map[string]bool{}
 	for _, z := range c.cfg.Facts.Zones {
@@ -613,7 +620,7 @@
 		if _, drained := c.drains[id]; drained || m.stamp == 0 || m.draining {
 			continue
 		}
-		if dark[m.claim.Zone] || c.mine(m) && m.released {
+		if dark[m.claim.Zone] || deaf[id] || c.mine(m) && m.released {
 			m.idleAt = c.now // nobody can use it now; it is not idle by choice
 			continue
 		}
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -42,6 +42,7 @@
 	FreshMS   int64
 	Hungry    bool
 	Lit, Dark []string
+	Deaf      []string    // machines that do not hear the sender: no work can be given to them
 	Unkept    []string    // machines with output that the archive does not have yet
 	Rows      []reach.Row // who reaches what: the sender first; none from versions without internal/reach
 }
@@ -109,7 +110,7 @@
 			if blind {
 				c.askPeer(p.Node)
 			}
-			c.send(p.Node, Message{Beat: &Beat{age.Milliseconds(), c.store.Hungry(), own.lit, own.dark, told, rows}})
+			c.send(p.Node, Message{Beat: &Beat{FreshMS: age.Milliseconds(), Hungry: c.store.Hungry(), Lit: own.lit, Dark: own.dark, Deaf: own.deaf, Unkept: told, Rows: rows}})
 		}
 	}
 	if !c.store.Ready() || c.granting {
@@ -161,7 +162,7 @@
 	switch {
 	case m.Beat != nil:
 		c.reach.Beat(from, time.Duration(m.Beat.FreshMS)*time.Millisecond, m.Beat.Hungry, m.Beat.Rows)
-		c.fleet.seen[from] = sight{c.now, m.Beat.Lit, m.Beat.Dark}
+		c.fleet.seen[from] = sight{c.now, m.Beat.Lit, m.Beat.Dark, m.Beat.Deaf}
 		c.fleet.unkept.beat(m.Beat.Unkept)
 		c.shareOut()
 	case m.Carry != nil:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -816,6 +816,7 @@
 	silent := seconds(3*w.Report + 4)
 	blind := c.now-c.store.Fresh() > seconds(w.Report)
 	heard, recent, mine := 0, 0, 0
+	var deaf []string
 	zones := map[string]*zoneHeard{}
 	for _, m := range c.ours {
 		mine++
@@ -834,8 +835,13 @@
 		}
 		z.held++
 		z.newest = max(z.newest, m.heard)
+		// Guards against work that waits for room on a machine that hears nobody: its reports come, so it is not silent,
+		// and it never shows the token under which it could be given any.
+		if !m.shown && c.now-m.claimedAt > seconds(2*w.Report) && c.now-m.heard < silent && len(deaf) < mostDeaf {
+			deaf = append(deaf, m.id)
+		}
 	}
-	c.fleet.see(c.cfg.Node, c.now, zones, seconds(1.25*w.Report))
+	c.fleet.see(c.cfg.Node, c.now, zones, deaf, seconds(1.25*w.Report))
 	held, awaited := map[string]int{}, map[string]int{}
 	for name, z := range zones {
 		held[name] = z.held
@@ -883,6 +889,9 @@
 	}
 }
 
+// mostDeaf bounds how many machines a beat names as deaf.
+const mostDeaf = 256
+
 // zoneHeard counts machines of ours in a zone, and those of them whose report
 // is overdue.
 type zoneHeard struct {
