--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -230,7 +230,7 @@
 			s.after(s.ms(0, 3000), func() { l.crash(s.ms(500, 20_000)) })
 			s.after(s.ms(15_000, 30_000), func() { s.busiest().crash(time.Second) })
 		},
-		met:   func(s *sim) int { return s.met.changing / 2 },
+		met:   func(s *sim) int { return s.met.changing },
 		spoil: func(s *sim) { s.told.Workers.Lease = 2 }, rule: "quota"},
 
 	{name: "jobs are cancelled in the seconds in which one controller's work changes hands",
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -949,15 +949,15 @@
 		s.after(w.hung-s.now+time.Millisecond, func() { w.direct(k, reply) })
 		return
 	}
+	if w.mute > s.now {
+		s.met.direct++
+	}
 	if k.Path == protocol.PathStatus {
 		reply(200, encode(w.state()))
 		return
 	}
 	var d protocol.DirectOrders
 	_ = json.Unmarshal(k.Body, &d)
-	if w.mute > s.now {
-		s.met.direct++
-	}
 	if d.Baton < w.baton || d.Shift != w.shift {
 		reply(409, encode(w.state()))
 		return
--- a/internal/coordination/troublemakers_test.go
+++ b/internal/coordination/troublemakers_test.go
@@ -42,7 +42,7 @@
 	changes int            // of leaders
 	hungNow int            // machines that hang as their jobs are called off
 
-	direct     int // orders that reached a mute machine
+	direct     int // orders and questions that reached a mute machine
 	heldUp     int // orders held up, by a link or a machine that hangs
 	ended      int // sessions that ended with work
 	early      int // machines up before the rental's record named them
