--- /dev/null
+++ b/internal/coordination/launches.go
@@ -0,0 +1,142 @@
+package coordination
+
+import (
+	"net/http"
+	"slices"
+
+	"silvergate/internal/evidence"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// launchSoon sends a committed launch straight to its worker with the step's
+// other launches, which saves the wait for the next report.
+func (c *Core) launchSoon(id string, k taskKey, try int) {
+	m := c.machines[id]
+	if m == nil || !c.mine(m) || !m.shown || m.tainted || m.claim.Address == "" {
+		return // the answer to its next report launches it
+	}
+	if len(m.soon) == 0 {
+		c.launching = append(c.launching, m)
+	}
+	m.soon = append(m.soon, attempt{k, try})
+}
+
+// sendLaunches makes one direct call for every machine with launches.
+//
+// A launch is judged here, at the end of the step, and not when the record that
+// binds it comes: the same answer of the watch may bring that it has ended since.
+//
+// Guards against late execution: a direct command may be carried out minutes
+// after we gave up on it, as long as token and session match. Until its answer
+// the attempt is neither forgotten nor released for being absent; without an
+// answer the machine is tainted, and its next report gets a new token.
+func (c *Core) sendLaunches() {
+	for _, m := range c.launching {
+		soon, st := m.soon, c.standing(m)
+		m.soon = nil
+		var orders []protocol.Order
+		var sent []attempt
+		for _, a := range soon {
+			b, ok := c.boundHere(m, a.taskKey)
+			if !ok || b.Try != a.try || m.bound[a.taskKey].final() {
+				c.log.Debug("launch withheld: the attempt is over", "load", job.TaskName(a.id, a.index), "try", a.try, "stoker", m.id)
+				continue
+			}
+			if !st.Direct(b) {
+				if b.Session == m.session {
+					c.log.Debug("launch withheld: the records are behind", "load", job.TaskName(a.id, a.index), "try", a.try, "stoker", m.id,
+						"ledger", c.store.Ledger(), "token", m.stamp, "since", b.Since)
+					m.owe(a)
+				}
+				continue
+			}
+			m.direct[a] = true
+			sent = append(sent, a)
+			orders = append(orders, c.launch(m, a))
+		}
+		if len(orders) == 0 {
+			continue
+		}
+		token := m.stamp
+		body := encode(protocol.DirectOrders{Baton: token, Shift: m.session, Orders: orders})
+		c.call(protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: "POST", Path: protocol.PathOrders,
+			Body: body, Timeout: seconds(c.cfg.Facts.Workers.Report / 2)}, func(r protocol.Reply) {
+			if m.stamp != token {
+				return // a newer token was taken meanwhile
+			}
+			var rep protocol.Report
+			carried := r.Status == http.StatusOK && protocol.Decode(r.Body, &rep) == nil
+			if !carried && (r.Status == 0 && r.Sent || r.Status == http.StatusOK || r.Status >= 500) {
+				m.tainted = true // it may have been carried out, or may yet be
+				return
+			}
+			if at := (evidence.Mark{Shift: rep.Shift, Tally: rep.Tally}); carried && m.launchedAt.Before(at) {
+				m.launchedAt = at
+			}
+			c.observe(m, token, r)
+			for _, a := range sent {
+				delete(m.direct, a)
+			}
+		})
+	}
+	c.launching = c.launching[:0]
+}
+
+// owe notes a launch that has to wait until the records are known to be complete.
+func (m *machine) owe(a attempt) {
+	if !slices.Contains(m.owed, a) {
+		m.owed = append(m.owed, a)
+	}
+}
+
+// launchOwed sends launches that had to wait, once they need not any more. Without
+// it they would wait for the worker's next report.
+func (c *Core) launchOwed(m *machine) {
+	if len(m.owed) == 0 || !c.proved(m) {
+		return
+	}
+	owed := m.owed
+	m.owed = nil
+	for _, a := range owed {
+		_, stopping := m.stops[a.taskKey]
+		b, ok := c.boundHere(m, a.taskKey)
+		if !ok || b.Try != a.try || stopping || m.recalled || m.direct[a] || c.ending(m.bound[a.taskKey], a.index) {
+			continue
+		}
+		c.launchSoon(m.id, a.taskKey, a.try)
+	}
+}
+
+// standing is what this controller knows of a machine, for a decision.
+func (c *Core) standing(m *machine) evidence.Standing {
+	return evidence.Standing{Ours: c.mine(m), Adopted: m.adopted, Token: m.stamp, Ledger: c.store.Ledger(), Shown: m.shown, Proved: c.proved(m),
+		Tainted: m.tainted, Session: m.session, Tally: m.tally, Newest: m.launchedAt}
+}
+
+// proved tells whether the mirror was complete at a moment when the worker had
+// shown our token.
+func (c *Core) proved(m *machine) bool {
+	if !m.proved && m.shown && c.store.Fresh() >= m.shownAt {
+		m.proved = true
+	}
+	return m.proved
+}
+
+// boundHere is what the records bind to a machine of a task, if anything.
+func (c *Core) boundHere(m *machine, k taskKey) (evidence.Attempt, bool) {
+	rec := m.bound[k]
+	if rec == nil {
+		return evidence.Attempt{}, false
+	}
+	t := rec.task(c, k.index)
+	if t == nil || t.Phase != job.Bound || t.Machine != m.id {
+		return evidence.Attempt{}, false
+	}
+	return evidence.Attempt{Try: t.Try, Session: t.Session, Since: m.boundAt[k].since}, true
+}
+
+// head is a report without its list.
+func head(r *protocol.Report) evidence.Report {
+	return evidence.Report{Baton: r.Baton, Shift: r.Shift, Tally: r.Tally}
+}
--- /dev/null
+++ b/internal/coordination/returns.go
@@ -0,0 +1,176 @@
+package coordination
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/budget"
+	"silvergate/internal/evidence"
+	"silvergate/internal/protocol"
+)
+
+// listIn looks at a whole list: failed machines are evidence, others that
+// nobody uses are strays.
+func (c *Core) listIn() {
+	f := &c.fleet
+	for _, id := range sortedKeys(f.listed) {
+		l := f.listed[id]
+		if t, ok := f.gone[id]; ok && c.now-t < seconds(4*c.cfg.Facts.Cloud.ListLag) {
+			continue
+		}
+		t, known := c.catalogue[l.Rig]
+		m := c.machines[id]
+		switch {
+		case l.Status == protocol.StatusFailed:
+			c.machineGone(id)
+			f.deleting[id] = true
+		case m != nil && m.stamp != 0:
+		case known && c.sees() && l.AgeS > 4*t.StartupS+c.cfg.Facts.Workers.Lease:
+			// Never came up, or came up and nobody hears it.
+			c.log.Info("returning a machine that never reported", "stoker", id, "ageS", l.AgeS)
+			f.deleting[id] = true
+		}
+	}
+}
+
+// machineGone releases everything on a machine of which the cloud has said
+// that it is no more.
+func (c *Core) machineGone(id string) {
+	m := c.machines[id]
+	if m == nil {
+		return
+	}
+	for _, k := range m.tasks() {
+		rec := m.bound[k]
+		t := rec.task(c, k.index)
+		if !c.ending(rec, k.index) {
+			c.propose(rec, k.index, change{machine: id, session: t.Session, try: t.Try, kind: evidence.Cloud})
+		}
+	}
+}
+
+// deletions returns machines: drained ones once nothing is bound to them,
+// silent and faulty ones at once. The cloud's 200 is the evidence that
+// whatever was on them is gone.
+func (c *Core) deletions() {
+	f := &c.fleet
+	for id, d := range c.drains {
+		m := c.machines[id]
+		if m == nil || m.stamp == 0 || len(m.bound) == 0 && c.fencedOff(id) || d.Why == drainSilent || d.Why == drainFailed {
+			f.deleting[id] = true
+		}
+	}
+	var odd []string // most machines are looked after by a living controller
+	for id, m := range c.machines {
+		if _, gone := f.gone[id]; gone || m.stamp == 0 || !c.alive(m.claim.Owner) {
+			odd = append(odd, id)
+		} else if f.lost[id] != 0 {
+			delete(f.lost, id)
+		}
+	}
+	sort.Strings(odd)
+	for _, id := range odd {
+		m := c.machines[id]
+		if t, ok := f.gone[id]; ok && (m.stamp != 0 || len(m.bound) > 0) && f.fenced[id] && c.now-t < seconds(2*c.cfg.Facts.Cloud.ListLag) {
+			// Known to be gone: releases that failed are proposed again, and
+			// the records go once nothing is bound any more.
+			c.machineGone(id)
+			c.forgetMachine(id)
+			continue
+		}
+		if !c.sees() {
+			continue
+		}
+		// Guards against tasks bound for ever: whoever deleted the machine
+		// may have died before their release was committed.
+		if m.stamp == 0 && len(m.bound) > 0 {
+			f.deleting[id] = true
+			continue
+		}
+		// Machines of dead controllers that report to nobody else.
+		if m.stamp == 0 || c.alive(m.claim.Owner) { // a living owner looks after them itself
+			delete(f.lost, id)
+			continue
+		}
+		if f.lost[id] == 0 {
+			f.lost[id] = c.now
+		} else if c.now-f.lost[id] > c.horizon()+seconds(3*c.cfg.Facts.Workers.Report) {
+			// A controller that is only cut off sends its workers on when
+			// its horizon is reached; what has not moved by then is lost.
+			f.deleting[id] = true
+		}
+	}
+	if len(f.deleting) == 0 || f.calls.level < 1 {
+		return
+	}
+	var names []string
+	for id := range f.deleting {
+		if t, ok := f.gone[id]; !ok || c.now-t > seconds(2*c.cfg.Facts.Cloud.ListLag) {
+			names = append(names, id)
+		}
+	}
+	sort.Strings(names)
+	if len(names) > 100 {
+		names = names[:100]
+	}
+	clear(f.deleting)
+	if len(names) == 0 {
+		return
+	}
+	for _, id := range names {
+		f.gone[id] = c.now // not again while this is under way
+		delete(f.fenced, id)
+	}
+	c.cloud(http.MethodPost, protocol.PathDelete, protocol.Names{Stokers: names}, func(r protocol.Reply) {
+		if r.Status != http.StatusOK {
+			for _, id := range names {
+				f.deleting[id] = true
+				delete(f.gone, id)
+			}
+			return
+		}
+		c.Stats.Deleted += uint64(len(names))
+		c.log.Info("machines returned", "stokers", names)
+		for _, id := range names {
+			f.fenced[id] = true
+			c.machineGone(id)
+			c.forgetMachine(id)
+		}
+	})
+}
+
+// fencedOff tells whether nothing can be placed on a drained machine any more that our mirror does not show. Placements are
+// conditional on the absence of the drain, so what there is was committed before it, and the mirror has reached it.
+//
+// Guards against a deletion that overtakes the records: our own drain is in the mirror with its answer, ahead of
+// what others had placed there before it.
+func (c *Core) fencedOff(id string) bool { return c.store.Ledger() >= c.store.Stamp(keyDrain+id) }
+
+// sees tells whether the records that we have can be judged by: they are whole, and new. A machine that nobody seems to hold may have
+// been claimed since, and one whose claim has not been read may be anybody's.
+func (c *Core) sees() bool {
+	return c.store.Whole() && c.now-c.store.Fresh() < seconds(c.cfg.Facts.Workers.Report)
+}
+
+// forgetMachine drops the records of a machine that is gone, once nothing is
+// bound to it.
+func (c *Core) forgetMachine(id string) {
+	if m := c.machines[id]; m != nil && (len(m.bound) > 0 || m.forgetting > c.now) {
+		return
+	} else if m != nil {
+		m.forgetting = c.now + time.Second
+	}
+	var conds []protocol.Cond
+	var ops []protocol.Op
+	for _, key := range []string{keyClaim + id, keyDrain + id} {
+		if s := c.store.Stamp(key); s != 0 {
+			conds = append(conds, protocol.Cond{Key: key, Stamp: s})
+			ops = append(ops, protocol.Op{Drop: key})
+		}
+	}
+	if len(ops) > 0 {
+		c.store.Txn(budget.Work, conds, ops, func(bookkeeping.Outcome, []string, uint64) {})
+	}
+}
--- /dev/null
+++ b/internal/coordination/silence.go
@@ -0,0 +1,180 @@
+package coordination
+
+import (
+	"time"
+
+	"silvergate/internal/evidence"
+	"silvergate/internal/protocol"
+)
+
+// watchMachines looks for machines of ours that have gone silent.
+func (c *Core) watchMachines() {
+	w := &c.cfg.Facts.Workers
+	entryAge := seconds(w.Report * c.cfg.Operator.EntryAge)
+	// A worker gives up on an answer after 4 s; three reports and one such
+	// wait without a word, while others are heard, is a machine in trouble.
+	silent := seconds(3*w.Report + 4)
+	blind := c.now-c.store.Fresh() > seconds(w.Report)
+	heard, recent, mine := 0, 0, 0
+	var deaf []string
+	zones := map[string]*zoneHeard{}
+	for _, m := range c.ours {
+		mine++
+		z := zones[m.claim.Zone]
+		if z == nil {
+			z = &zoneHeard{}
+			zones[m.claim.Zone] = z
+		}
+		if c.now-m.heard < silent {
+			heard++
+		}
+		if c.now-m.heard < seconds(1.25*w.Report) {
+			recent++
+		} else {
+			z.quiet++
+		}
+		z.held++
+		z.newest = max(z.newest, m.heard)
+		// Guards against work that waits for room on a machine that hears nobody: its reports come, so it is not silent,
+		// and it never shows the token under which it could be given any.
+		if !m.shown && c.now-m.claimedAt > seconds(2*w.Report) && c.now-m.heard < silent && len(deaf) < mostDeaf {
+			deaf = append(deaf, m.id)
+		}
+	}
+	c.fleet.see(c.cfg.Node, c.now, zones, deaf, seconds(1.25*w.Report))
+	held, awaited := map[string]int{}, map[string]int{}
+	for name, z := range zones {
+		held[name] = z.held
+	}
+	if c.held[c.cfg.Node] > len(c.ours) {
+		for _, m := range c.machines {
+			if c.earlier(m) {
+				awaited[m.claim.Zone]++
+			}
+		}
+	}
+	c.reach.Workers(held, awaited)
+	for _, m := range c.ours {
+		if c.now-m.heard > entryAge {
+			c.unlist(m)
+		}
+		c.launchOwed(m)
+		if c.standing(m).LeaseOver(c.now, m.answered, c.leaseOver()) {
+			m.released = true
+			for _, k := range m.tasks() {
+				rec := m.bound[k]
+				t := rec.task(c, k.index)
+				if t.Session <= m.session && !c.ending(rec, k.index) {
+					c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: evidence.Lease})
+				}
+			}
+		}
+		// A report is overdue, the machine did not answer us twice either, and
+		// a quarter of all were heard within one report period, so it is not we
+		// who are cut off: that is enough. (Cut off from all workers, nobody
+		// would have been heard for so long.) Guards against a controller that
+		// takes itself for cut off when more than half of its machines hang.
+		quiet := c.now - m.heard
+		if quiet > seconds(1.35*w.Report) && !m.asking && c.now >= m.askAt {
+			c.askStatus(m)
+		}
+		fast := quiet > seconds(1.75*w.Report) && m.mute > 1 && recent*4 >= mine
+		if !blind && (fast || quiet > silent && (heard*4 >= mine || quiet > c.leaseOver())) &&
+			(!zones[m.claim.Zone].cut(c.now, seconds(w.Report)) || quiet > c.leaseOver()+silent+seconds(c.kind(m).StartupS)) {
+			c.drain(m, drainSilent)
+		}
+	}
+	if c.held[c.cfg.Node] > len(c.ours) && !blind {
+		c.watchEarlier(recent*4 >= mine)
+	}
+}
+
+// mostDeaf bounds how many machines a beat names as deaf.
+const mostDeaf = 256
+
+// zoneHeard counts machines of ours in a zone, and those of them whose report
+// is overdue.
+type zoneHeard struct {
+	held, quiet int
+	newest      time.Duration // when the last report of any came
+}
+
+// cut tells whether it is the zone that can't be heard, and not single machines
+// of it: several are quiet, and more than three quarters of all; or no report
+// came in a time in which eight should have.
+//
+// Guards against a zone that is cut off, has no controller in it, and has all
+// its machines returned. Their tasks run on for the lease, and may outlast the
+// cut; after that they are free without a deletion, and the machines go on when
+// the zone is back, while rented ones would have to boot first, in the same zone
+// where the others are full. The second condition is for the first seconds, in
+// which those that reported longest ago are overdue and the others are not.
+//
+// They are returned when they have been of no use for as long as another takes to
+// boot: that at most doubles what the wrong guess costs, whichever it was.
+func (z *zoneHeard) cut(now, report time.Duration) bool {
+	return z.quiet >= 4 && 4*z.quiet > 3*z.held || z.held >= 4 && (now-z.newest)*time.Duration(z.held) > 8*report
+}
+
+// asksAtOnce is how many workers may be asked for their status at a time:
+// questions to a zone that is cut off hang, and must not take the connections
+// that launches need.
+func (c *Core) asksAtOnce() int { return max(2, c.cfg.Facts.Limits.MaxSockets/40) }
+
+// watchEarlier looks for machines that an earlier life of ours held and that
+// have found nobody since: a worker that is up needs a report period and a few
+// seconds for it. One that does not answer us either, while most of ours are
+// heard, is in trouble; after the horizon, when no controller can have answered
+// it any more, so is any.
+//
+// Guards against a site that is returned whole: where more than three quarters of all that the earlier life
+// held, and at least four, are silent, it is not single machines that are in trouble. They can't be reached for
+// a while, and go on with their tasks when they can; what has just come up, and is heard, proves nothing about them.
+func (c *Core) watchEarlier(well bool) {
+	w := &c.cfg.Facts.Workers
+	missing, late := 0, seconds(1.75*w.Report)
+	for _, m := range c.machines {
+		if c.earlier(m) && !m.claiming {
+			missing++
+		}
+	}
+	c.fleet.inherited = max(c.fleet.inherited, missing)
+	well = well && (missing < 4 || 4*missing <= 3*c.fleet.inherited)
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		if !c.earlier(m) || m.claiming {
+			continue
+		}
+		quiet := c.now - max(c.readyAt, m.heard)
+		if quiet > late && !m.asking && c.now >= m.askAt {
+			c.askStatus(m)
+		}
+		// In a zone that nobody hears, only the machines of production work are
+		// returned that soon: their tasks are known to be gone by it.
+		if well && m.mute > 1 && quiet > seconds(2.5*w.Report) && (m.urgent() || !c.zoneDark(m.claim.Zone)) || quiet > c.horizon()+seconds(3*w.Report) {
+			c.drain(m, drainSilent)
+		}
+	}
+}
+
+// askStatus asks an overdue worker for its state. An answer shows that it is
+// up, silence that it probably is not.
+func (c *Core) askStatus(m *machine) {
+	if c.asks >= c.asksAtOnce() {
+		return
+	}
+	c.asks++
+	m.asking, m.askAt = true, c.now+seconds(c.cfg.Facts.Workers.Report/4)
+	at := m.heard
+	c.call(protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: "GET", Path: protocol.PathStatus,
+		Timeout: seconds(c.cfg.Facts.Workers.Report / 4)}, func(r protocol.Reply) {
+		m.asking = false
+		c.asks--
+		if r.Status != 0 {
+			c.reach.WorkerHeard(m.claim.Zone)
+		}
+		if m.mute++; r.Status != 0 || m.heard != at {
+			m.mute = 0
+		}
+	})
+}
