Deletions are fenced by a drain on record

Cause: machines that never reported, whose claim was gone or that were lost with their controller were deleted from the leader's memory. Now a drain, conditional on who rents and on the claim as it was judged, goes ahead of every deletion but that of failed machines; placements are conditional on its absence. Idle drains by who rents are conditional on the lease too.

--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -235,8 +235,12 @@
 	s.saveTapes(t)
 	// Guards against judgements that take turns on a machine: inc-41e3 spent
 	// the state service's whole rate on them.
+	grades := map[int]bool{} // each replaces the ones before once
+	for _, g := range gravity {
+		grades[g] = true
+	}
 	for _, key := range sortedKeys(s.kv.drains) {
-		if n := s.kv.drains[key]; n > len(gravity) {
+		if n := s.kv.drains[key]; n > len(grades) {
 			t.Errorf("%s was written %d times", key, n)
 		}
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -39,7 +39,10 @@
 	gone     map[string]time.Duration // deletion asked for
 	fenced   map[string]bool          // and answered
 	deleting map[string]bool
-	lost     map[string]time.Duration // claimed by the dead, since when
+	// condemned are machines that nobody looks after, and why they are to be returned; see condemn.
+	condemned  map[string]string
+	condemning bool
+	lost       map[string]time.Duration // claimed by the dead, since when
 	// inherited is how many machines an earlier life of ours held, at the most, since we have started.
 	inherited int
 	planAt    time.Duration
@@ -127,7 +130,7 @@
 	f.rentals, f.seen = map[string]*rental{}, map[string]sight{}
 	f.refused, f.strikes = map[place]time.Duration{}, map[place]int{}
 	f.fenced = map[string]bool{}
-	f.gone, f.deleting, f.lost = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
+	f.gone, f.deleting, f.lost, f.condemned = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}, map[string]string{}
 	f.listed, f.listing = map[string]protocol.Listed{}, map[string]protocol.Listed{}
 }
 
@@ -369,7 +372,7 @@
 		}
 		open = true
 		if late {
-			c.fleet.deleting[id] = true
+			c.fleet.condemned[id] = drainStray
 		}
 	}
 	if !open && !r.busy {
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -202,7 +202,7 @@
 			continue
 		}
 		if c.now-m.idleAt > seconds(idleShare*c.kind(m).StartupS) && !c.fleet.unkept.holds(m.id) {
-			c.drain(m, drainIdle)
+			c.drain(m, drainIdle, protocol.Cond{Key: keyFleet, Stamp: f.stamp}) // one that was replaced returns nothing
 		}
 	}
 	if c.verbose {
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sort"
+	"strings"
 	"time"
 
 	"silvergate/internal/bookkeeping"
@@ -29,8 +30,7 @@
 		case m != nil && m.stamp != 0:
 		case known && c.sees() && l.AgeS > 4*t.StartupS+c.cfg.Facts.Workers.Lease:
 			// Never came up, or came up and nobody hears it.
-			c.log.Info("returning a machine that never reported", "stoker", id, "ageS", l.AgeS)
-			f.deleting[id] = true
+			f.condemned[id] = drainStray
 		}
 	}
 }
@@ -52,13 +52,18 @@
 }
 
 // deletions returns machines: drained ones once nothing is bound to them,
-// silent and faulty ones at once. The cloud's 200 is the evidence that
+// silent and lost ones at once. The cloud's 200 is the evidence that
 // whatever was on them is gone.
+//
+// The fence: no deletion is asked for but of a machine that the cloud lists as failed, or whose drain is on record. Every
+// placement is conditional on the absence of a drain, and only a deletion that was answered lets the record go. So a deletion that is
+// carried out late, after its sender was replaced and forgotten, hits a machine on which nothing was placed
+// since it was asked for.
 func (c *Core) deletions() {
 	f := &c.fleet
 	for id, d := range c.drains {
 		m := c.machines[id]
-		if m == nil || m.stamp == 0 || len(m.bound) == 0 && c.fencedOff(id) || d.Why == drainSilent || d.Why == drainFailed {
+		if m == nil || m.stamp == 0 || len(m.bound) == 0 && c.fencedOff(id) || gravity[d.Why] >= gravity[drainSilent] {
 			f.deleting[id] = true
 		}
 	}
@@ -86,7 +91,7 @@
 		// Guards against tasks bound for ever: whoever deleted the machine
 		// may have died before their release was committed.
 		if m.stamp == 0 && len(m.bound) > 0 {
-			f.deleting[id] = true
+			f.condemned[id] = drainStray
 			continue
 		}
 		// Machines of dead controllers that report to nobody else.
@@ -99,9 +104,10 @@
 		} else if c.now-f.lost[id] > c.horizon()+seconds(3*c.cfg.Facts.Workers.Report) {
 			// A controller that is only cut off sends its workers on when
 			// its horizon is reached; what has not moved by then is lost.
-			f.deleting[id] = true
+			f.condemned[id] = drainLost
 		}
 	}
+	c.condemn()
 	if len(f.deleting) == 0 || f.calls.level < 1 {
 		return
 	}
@@ -141,6 +147,41 @@
 	})
 }
 
+// condemn writes the drains of machines that are to be returned and that nobody looks after, as many in a transaction as it
+// takes: conditional on who rents, so that one that was replaced condemns nothing, and on their claims, so that what has been claimed
+// since is left alone.
+func (c *Core) condemn() {
+	f := &c.fleet
+	for id := range f.condemned {
+		if _, drained := c.drains[id]; drained {
+			delete(f.condemned, id)
+		}
+	}
+	if f.condemning || f.taking || len(f.condemned) == 0 {
+		return
+	}
+	conds := []protocol.Cond{{Key: keyFleet, Stamp: f.stamp}}
+	var ops []protocol.Op
+	for _, id := range sortedKeys(f.condemned) {
+		if len(ops) == c.cfg.Facts.State.TxnOps || len(conds)+2 > 4*c.cfg.Facts.State.TxnOps {
+			break
+		}
+		conds = append(conds, protocol.Cond{Key: keyClaim + id, Stamp: c.store.Stamp(keyClaim + id)}, protocol.Cond{Key: keyDrain + id})
+		ops = append(ops, protocol.Op{Write: keyDrain + id, Data: encode(drain{f.condemned[id]})})
+		c.log.Info("giving a machine up", "stoker", id, "why", f.condemned[id])
+	}
+	f.condemning = true
+	c.store.Txn(budget.Work, conds, ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
+		f.condemning = false
+		if o != bookkeeping.Conflict {
+			return // what is not on record then is found again
+		}
+		for _, key := range failed {
+			delete(f.condemned, strings.TrimPrefix(strings.TrimPrefix(key, keyClaim), keyDrain))
+		}
+	})
+}
+
 // fencedOff tells whether nothing can be placed on a drained machine any more that our mirror does not show. Placements are
 // conditional on the absence of the drain, so what there is was committed before it, and the mirror has reached it.
 //
--- a/internal/coordination/returns_test.go
+++ b/internal/coordination/returns_test.go
@@ -125,3 +125,73 @@
 		}
 	}
 }
+
+// TestALateDeletionHitsNothingInUse guards against deletions without a record: the leader has machines deleted that it takes for strays
+// or for lost with their controller, the request is held up, and meanwhile they report, are claimed and get work. The drain that goes ahead of
+// every deletion keeps them from it, whoever leads by then.
+func TestALateDeletionHitsNothingInUse(t *testing.T) {
+	for _, v := range []struct {
+		name string
+		lost bool
+	}{{"machines that came up too late", false}, {"machines of a controller that is gone", true}} {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			held := 0
+			for seed := uint64(45_200); seed < 45_206; seed++ {
+				s := newSim(seed, 0)
+				more := func(from, n int) {
+					for i := range n {
+						s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", from+i), Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Normal, Tasks: 4, CPUs: 4, GPUs: 1, MemoryGB: 8}, 20, 0)
+					}
+				}
+				s.after(time.Second, func() { more(0, 8) })
+				s.met.returns = func(names []string) bool {
+					mine := false
+					for _, name := range names {
+						w := s.cloud.all[name]
+						if w == nil || w.dead || s.kv.drainedAs[keyDrain+name] == drainIdle {
+							continue
+						}
+						mine = true
+						if !w.up { // it comes up just now
+							s.after(s.ms(0, 500), w.boot)
+						}
+						w.hung = s.now
+						held++
+					}
+					if mine { // who asked for it stands still, or ends, and there is work
+						l := s.leading()
+						if l != nil && s.rnd.IntN(2) == 0 {
+							l.crash(s.ms(1000, 20_000))
+						} else if l != nil {
+							l.frozen = s.now + s.ms(1000, 20_000)
+						}
+						more(700_000+int(s.now/time.Millisecond), 3)
+					}
+					return mine
+				}
+				if v.lost {
+					s.run(40 * time.Second)
+					n := s.busiest()
+					if n == s.leading() {
+						n = s.others(n)[0]
+					}
+					for _, w := range s.cloud.sorted() {
+						if n.holds(w) {
+							w.hung = s.now + time.Hour // until it is to be returned
+						}
+					}
+					n.crash(time.Hour)
+				}
+				s.run(4 * time.Minute)
+				if s.met.inUse > 0 {
+					t.Errorf("seed %d: %d tasks ran on machines when a deletion was carried out that was asked for before they started", seed, s.met.inUse)
+				}
+				s.report(t)
+			}
+			if held == 0 {
+				t.Error("no deletion was held up: the day is none")
+			}
+		})
+	}
+}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -676,6 +676,10 @@
 	case k.Path == protocol.PathDelete:
 		var n protocol.Names
 		_ = json.Unmarshal(k.Body, &n)
+		if f := s.met.returns; f != nil && f(n.Stokers) { // held up: carried out later, and unanswered
+			s.after(s.ms(10_000, 30_000), func() { s.met.returns = nil; c.serve(k, func(int, []byte) {}); s.met.returns = f })
+			return
+		}
 		for _, name := range n.Stokers {
 			if w := c.all[name]; w != nil && !s.met.noReturns {
 				s.judgeReturn(w)
--- a/internal/coordination/troublemakers_test.go
+++ b/internal/coordination/troublemakers_test.go
@@ -21,6 +21,7 @@
 	quickBoots bool          // machines are up within two seconds
 
 	loses     func(n *simNode, t protocol.Txn) bool // transactions that are carried out at once while only the answer is lost
+	returns   func(names []string) bool             // deletions that are held up
 	held      float64                               // share of reports that are held back until a new leader has acted
 	kept      float64                               // share of reports of which a copy is kept for the next leader
 	looks     bool                                  // users ask at all nodes, within milliseconds
@@ -382,7 +383,12 @@
 // judgeReturn counts machines that are returned while work runs there that was not given up: nobody called the
 // machine silent, failed, faulty or recalled, and the job is not over.
 func (s *sim) judgeReturn(w *simWorker) {
-	if w.dead || !w.up || s.now < w.hung || s.kv.drainedAs[keyDrain+w.name] != drainIdle && s.kv.drainedAs[keyDrain+w.name] != "" {
+	switch s.kv.drainedAs[keyDrain+w.name] {
+	case "", drainIdle, drainStray, drainLost:
+	default:
+		return
+	}
+	if w.dead || !w.up || s.now < w.hung {
 		return
 	}
 	for _, k := range sortedKeys(w.loads) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -39,10 +39,12 @@
 	drainRecall = "recall"
 	drainFaulty = "faulty"
 	drainFailed = "failed"
+	drainStray  = "stray" // nobody holds it: it never reported, or its claim is gone
+	drainLost   = "lost"  // with its controller
 )
 
 // gravity orders them: the graver ones do not wait until nothing is bound.
-var gravity = map[string]int{drainIdle: 0, drainRecall: 1, drainFaulty: 2, drainSilent: 3, drainFailed: 4}
+var gravity = map[string]int{drainIdle: 0, drainRecall: 1, drainFaulty: 2, drainSilent: 3, drainStray: 3, drainLost: 3, drainFailed: 4}
 
 type machine struct {
 	id       string
@@ -787,8 +789,8 @@
 	clear(m.gone)
 }
 
-// drain writes a machine's drain record.
-func (c *Core) drain(m *machine, why string) {
+// drain writes a machine's drain record, under further conditions if any.
+func (c *Core) drain(m *machine, why string, conds ...protocol.Cond) {
 	// Guards against two judgements that take turns on one machine and eat up
 	// the state service's rate: only a graver one replaces an earlier one, and
 	// only while it makes a difference to what is on the machine.
@@ -800,7 +802,7 @@
 	c.log.Debug("draining", "stoker", m.id, "why", why)
 	// The claim is a condition too: a controller that was cut off must not
 	// judge machines that have long reported to another.
-	c.store.Txn(m.class(), []protocol.Cond{{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}, {Key: keyClaim + m.id, Stamp: m.stamp}},
+	c.store.Txn(m.class(), append(conds, protocol.Cond{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}),
 		[]protocol.Op{{Write: keyDrain + m.id, Data: encode(drain{why})}}, func(bookkeeping.Outcome, []string, uint64) {
 			m.draining = false
 		})
