--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -837,6 +837,9 @@
 	if w.unkept > w.s.now {
 		r.Unkept = 1
 	}
+	if w.s.met.emptyLists {
+		return r
+	}
 	var names []string
 	for n := range w.loads {
 		names = append(names, n)
@@ -1013,6 +1016,9 @@
 			gen := l.gen
 			s.after(s.ms(200, 4000), func() { w.begin(u, l, gen) })
 		case protocol.VerbKill:
+			if s.met.killed != nil {
+				s.met.killed(w, o)
+			}
 			if l := w.loads[key]; l != nil && !s.met.noKills && l.status != protocol.LoadEnded {
 				l.status, l.cause, l.gen = protocol.LoadEnded, protocol.CauseStopped, l.gen+1
 			}
--- a/internal/coordination/troublemakers_test.go
+++ b/internal/coordination/troublemakers_test.go
@@ -31,17 +31,19 @@
 	copies    map[string][]byte
 
 	// Broken on purpose.
-	agrees    bool // the state service confirms every comparison
-	noKills   bool // workers stop nothing
-	noLease   bool // workers go on with their tasks when their lease has ended
-	noReturns bool // the cloud keeps what it was told to delete
-	astray    bool // some workers tell a wrong zone
-	forged    bool // old reports show the newest token, and tell that everything is done
-
-	short   bool           // there is less room than work
-	byKind  map[string]int // answers lost, by the kind of record
-	changes int            // of leaders
-	hungNow int            // machines that hang as their jobs are called off
+	agrees     bool // the state service confirms every comparison
+	emptyLists bool // reports list nothing
+	noKills    bool // workers stop nothing
+	noLease    bool // workers go on with their tasks when their lease has ended
+	noReturns  bool // the cloud keeps what it was told to delete
+	astray     bool // some workers tell a wrong zone
+	forged     bool // old reports show the newest token, and tell that everything is done
+
+	killed  func(*simWorker, protocol.Order) // sees stops; may be nil
+	short   bool                             // there is less room than work
+	byKind  map[string]int                   // answers lost, by the kind of record
+	changes int                              // of leaders
+	hungNow int                              // machines that hang as their jobs are called off
 
 	direct     int // orders and questions that reached a mute machine
 	heldUp     int // orders held up, by a link or a machine that hangs
