--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -95,17 +95,19 @@
 		deaf    bool          // it says that it hears no workers
 		outage  bool
 		home    bool
-		repeats bool // it comes once more at once
-		busy    bool // it has a task
+		repeats bool          // it comes once more
+		busy    bool          // it has a task
+		pause   time.Duration // before that
 	}{
-		{"an outage", 110, 6 * time.Second, true, false, true, true, false, true},
-		{"an outage, and it comes back at once", 110, 6 * time.Second, true, false, true, false, true, true},
-		{"an outage, and nobody has heard of its holder", 110, 6 * time.Second, false, false, true, false, false, true},
-		{"an outage, and its holder hears no workers", 110, 6 * time.Second, true, true, true, false, false, true},
-		{"no outage: the holder did not answer it", 110, time.Second, true, false, false, false, false, true},
-		{"it has not heard of its new holder", 50, time.Second, true, false, false, true, false, false},
-		{"nor has it, and its lease may run out", 50, time.Second, true, false, false, false, false, true},
-		{"nor for a third of its lease", 50, 7 * time.Second, true, false, false, false, false, false},
+		{"an outage", 110, 6 * time.Second, true, false, true, true, false, true, 0},
+		{"an outage, and it comes back at once", 110, 6 * time.Second, true, false, true, false, true, true, 0},
+		{"an outage, and it comes back when its holder did not answer", 110, 6 * time.Second, true, false, true, false, true, true, 5 * time.Second},
+		{"an outage, and nobody has heard of its holder", 110, 6 * time.Second, false, false, true, false, false, true, 0},
+		{"an outage, and its holder hears no workers", 110, 6 * time.Second, true, true, true, false, false, true, 0},
+		{"no outage: the holder did not answer it", 110, time.Second, true, false, false, false, false, true, 0},
+		{"it has not heard of its new holder", 50, time.Second, true, false, false, true, false, false, 0},
+		{"nor has it, and its lease may run out", 50, time.Second, true, false, false, false, false, true, 0},
+		{"nor for a third of its lease", 50, 7 * time.Second, true, false, false, false, false, false, 0},
 	} {
 		s := newScript(t)
 		s.pass(100 * time.Millisecond)
@@ -122,10 +124,13 @@
 				}
 			}
 		}
-		if v.beat {
+		beat := func() {
 			s.take(s.c.Peer(s.clock(), "n0", Message{Beat: &Beat{FreshMS: v.after.Milliseconds(), Rows: []reach.Row{{Node: "n0", Deaf: v.deaf,
 				FreshMS: v.after.Milliseconds(), StateMS: v.after.Milliseconds(), Hears: []string{"n1"}}}}}))
 		}
+		if v.beat {
+			beat()
+		}
 		n := 1
 		if v.repeats {
 			n = 2
@@ -134,7 +139,11 @@
 		if v.busy {
 			loads = append(loads, protocol.Load{Load: "wk-700000/0", Try: 1, Status: protocol.LoadRunning})
 		}
-		for range n {
+		for i := range n {
+			if i > 0 && v.pause > 0 {
+				s.pass(v.pause)
+				beat()
+			}
 			s.next++
 			s.ans = nil
 			s.take(s.c.Request(s.clock(), s.next, "POST", protocol.PathCheckin, encode(protocol.Report{Stoker: "i-000001", Address: "10.1.0.1:9000",
--- a/internal/coordination/reach_test.go
+++ b/internal/coordination/reach_test.go
@@ -81,12 +81,12 @@
 	}
 	states := map[*simNode]bool{}
 	for _, n := range s.nodes {
-		states[n] = n.core != nil && n.cut["state"] <= s.now && n.refused <= s.now && s.kv.down <= s.now
+		states[n] = n.core != nil && n.frozen <= s.now && n.cut["state"] <= s.now && n.refused <= s.now && s.kv.down <= s.now
 	}
 	for _, n := range s.nodes {
 		served := states[n]
 		for _, o := range s.nodes {
-			served = served || n.core != nil && states[o] && n.tells(o) && o.tells(n)
+			served = served || n.frozen <= s.now && n.core != nil && states[o] && n.tells(o) && o.tells(n)
 		}
 		up := s.saved.since[n.name]
 		if up == nil {
@@ -122,7 +122,7 @@
 		if n.cut["workers"] > s.now-lease || n.cut["zone:"+w.zone] > s.now-lease {
 			held++
 		}
-		if n.core == nil || n.started > s.now-lease {
+		if n.core == nil || n.started > s.now-lease || n.frozen > s.now-lease {
 			held++
 		}
 	}
@@ -145,7 +145,7 @@
 
 // cuts are the ways in which a link of one controller can fail.
 func (s *sim) cuts() []string {
-	out := []string{"state", "state reset", "refused", "workers", "workers reset", "state flaps", "workers flap", "peers", "cloud", "users"}
+	out := []string{"state", "state reset", "refused", "workers", "workers reset", "state flaps", "workers flap", "peers", "cloud", "users", "stands still"}
 	for _, z := range s.facts.Zones[:1+len(s.nodes)/5*2] { // on few controllers one stands for all
 		out = append(out, "zone:"+z)
 	}
@@ -164,6 +164,8 @@
 	switch {
 	case kind == "refused":
 		n.refused = s.now + long
+	case kind == "stands still": // all its links hold, and nobody is at home
+		n.frozen = s.now + long
 	case strings.Contains(kind, " flap"):
 		link, _, _ = strings.Cut(kind, " ")
 		for at := time.Duration(0); at < long; at += 6 * time.Second {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -477,15 +477,17 @@
 // on its way round, 3 s for each claim that was refused in the end; and against machines that hear
 // nobody for so long that their leases end: each went round the controllers, and each of those wrote a claim.
 //
-// Once in a report period: a holder that may not answer any more refuses it at once, and what
-// waits for the claim's refusal here keeps a whole site's workers from going to and fro.
+// Once in a lease: a holder that may not answer any more refuses it at once, and what
+// waits for the claim's refusal here keeps a whole site's workers from going to and fro. One that comes back within
+// it was not answered there: sent home each time, it spent its whole lease between a controller whose
+// link to the state service flapped and one that could not hear its zone.
 func (c *Core) hasHolder(m *machine, r *protocol.Report) bool {
 	if m.stamp == 0 || c.mine(m) || !c.reach.Home(m.claim.Owner) {
 		return false
 	}
 	// With work on it a claim is worth its try here: its holder may be the one that can't be heard.
 	unheard := len(r.Loads) == 0 && r.Baton < m.stamp && c.now-m.claimedAt < seconds(c.cfg.Facts.Workers.Lease/3)
-	if !c.cutOff() && !unheard || m.sentHome > 0 && c.now-m.sentHome < seconds(c.cfg.Facts.Workers.Report) {
+	if !c.cutOff() && !unheard || m.sentHome > 0 && c.now-m.sentHome < c.leaseOver() {
 		return false
 	}
 	m.sentHome = c.now
