A gang of a team at its limit gets it from the team's less urgent work

Each controller stops one such task at a time, of lower priority, the one that loses least (TestEverythingBegins).

--- a/internal/coordination/begin_test.go
+++ b/internal/coordination/begin_test.go
@@ -14,13 +14,14 @@
 // ones go first. Each begins within four minutes, and the small ones go on.
 func TestEverythingBegins(t *testing.T) {
 	for _, v := range []struct {
-		name  string
-		limit float64
-		slow  *job.Spec
+		name string
+		runs float64 // the small ones
+		slow *job.Spec
 	}{
-		{"a gang of a team at its limit", 8, &job.Spec{Class: "gng", Shape: job.Gang, Tasks: 3, CPUs: 4, GPUs: 2, Priority: job.Normal}},
-		{"the largest job", 8, &job.Spec{Class: "arr", Shape: job.Array, Tasks: 300, CPUs: 4, GPUs: 1, Priority: job.Normal}},
-		{"a job that is late", 8, &job.Spec{Class: "arr", Shape: job.Array, Tasks: 12, CPUs: 4, GPUs: 1, Priority: job.Normal}},
+		{"a gang of a team at its limit", 10, &job.Spec{Class: "gng", Shape: job.Gang, Tasks: 3, CPUs: 4, GPUs: 2, Priority: job.Normal}},
+		{"a gang of a team at its limit, whose other tasks run long and are less urgent", 300, &job.Spec{Class: "gng", Shape: job.Gang, Tasks: 3, CPUs: 4, GPUs: 2, Priority: job.High}},
+		{"the largest job", 10, &job.Spec{Class: "arr", Shape: job.Array, Tasks: 300, CPUs: 4, GPUs: 1, Priority: job.Normal}},
+		{"a job that is late", 10, &job.Spec{Class: "arr", Shape: job.Array, Tasks: 12, CPUs: 4, GPUs: 1, Priority: job.Normal}},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			t.Parallel()
@@ -29,12 +30,12 @@
 				for k := range s.cloud.free {
 					s.cloud.free[k] *= 2
 				}
-				s.facts.Teams = []config.Team{{Name: "red", GPUsMax: v.limit}, {Name: "blue"}}
+				s.facts.Teams = []config.Team{{Name: "red", GPUsMax: 8}, {Name: "blue"}}
 				s.told = s.facts
 				n := 0
 				var next func()
 				next = func() {
-					s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", n), Class: "arr", Team: "red", Shape: job.Array, Tasks: 3, CPUs: 4, GPUs: 1, MemoryGB: 8, Priority: job.Normal}, 10, 0)
+					s.submit(&job.Spec{ID: fmt.Sprintf("wk-%06d", n), Class: "arr", Team: "red", Shape: job.Array, Tasks: 3, CPUs: 4, GPUs: 1, MemoryGB: 8, Priority: job.Normal}, v.runs, 0)
 					n++
 					s.after(s.ms(2000, 3600), next)
 				}
@@ -53,7 +54,7 @@
 						begun++
 					}
 				}
-				if begun < 40 {
+				if want := min(40, int(400/v.runs)); begun < want {
 					t.Errorf("seed %d: only %d small jobs began meanwhile", seed, begun)
 				}
 				s.report(t)
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -34,6 +34,50 @@
 			c.preemptOn(r, w, m, victims)
 		}
 	}
+	for _, name := range sortedKeys(c.teams) {
+		c.preemptForLimit(c.teams[name])
+	}
+}
+
+// stopLimit is why a task is stopped whose team's limit is saved for a gang.
+const stopLimit = "preempted for its team's limit"
+
+// preemptForLimit stops a task of lower priority of the team whose limit is saved for a gang, the one that loses least. Only one at a
+// time: every controller does so, and each learns from the records what the others have done.
+func (c *Core) preemptForLimit(tm *team) {
+	r := tm.saves
+	if r == nil || tm.within(tm.use.plus(r.spec, float64(r.spec.Tasks))) {
+		return
+	}
+	var best *machine
+	var victim taskKey
+	cost, seen := 0.0, 0
+	start := c.rnd.IntN(max(1, len(c.ours)))
+	for i := 0; i < len(c.ours) && seen < compared; i++ {
+		m := c.ours[(start+i)%len(c.ours)]
+		for k, s := range m.stops {
+			if v := m.bound[k]; s.why == stopLimit && v != nil && v.spec.Team == r.spec.Team {
+				return
+			}
+		}
+		if len(m.bound) == m.services || len(m.stops) > 0 || !m.shown || m.released {
+			continue
+		}
+		seen++
+		for _, k := range m.tasks() {
+			v := m.bound[k]
+			if v.spec.Team != r.spec.Team || v.spec.Priority >= r.spec.Priority || multi(v) || v.final() || m.gone[k] != nil {
+				continue
+			}
+			if loss := c.lossOf(m, k, v); best == nil || loss < cost {
+				best, victim, cost = m, k, loss
+			}
+		}
+	}
+	if best != nil {
+		c.stop(best, victim, stopLimit)
+		c.Stats.Preemptions++
+	}
 }
 
 // preemptOn stops tasks on a machine for a waiter. Their exits are reported at
