--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -544,8 +544,8 @@
 // tasks are independent; here whatever one task leaves of a limit was taken by the next small one, and a
 // gang of the same team never began.
 //
-// What runs is not stopped for it, so the saving pays only where enough ends by itself: for a share of the time
-// in which jobs are to begin, then not for as long, so that nobody waits beside room for longer than that.
+// Nobody shall wait beside room for long, and it may be machines that the gang lacks: so the limit is saved for a share of the time
+// in which jobs are to begin, then not for as long, and after that twice, four times as long.
 func (c *Core) saveForGangs() {
 	saved, stays := map[*record]bool{}, map[*team]usage{}
 	for _, tm := range c.teams {
@@ -562,8 +562,8 @@
 		if tm == nil || tm.saves != nil || !limited(tm) || !multi(r) || r.bound > 0 || len(r.held) > 0 || c.paused(r) {
 			continue
 		}
-		waits := now - float64(r.at)/1000 - within // its turn comes first then
-		if waits < 0 || math.Mod(waits, 2*savingShare*within) > savingShare*within {
+		waits := (now-float64(r.at)/1000-within)/(savingShare*within) + 2 // its turn comes first from 2 on
+		if waits < 2 || waits-math.Exp2(math.Floor(math.Log2(waits))) > 1 {
 			continue
 		}
 		n := float64(r.spec.Tasks)
