Who rents holds the grant that its record was written under

Cause: a controller that stood still lost its grant, got another, and its mirror still showed the record that had gone with the first: for a second or more two took themselves for the one that rents.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -22,6 +22,7 @@
 	owner    string
 	life     int64
 	stamp    uint64
+	permit   uint64 // that we last asked for the lease with
 	rentals  map[string]*rental
 	taking   bool
 	seq      int
@@ -211,8 +212,14 @@
 	})
 }
 
+// leads tells whether we rent: the lease's record names this life, and the grant that it was written under is the one that we hold
+// and have renewed in time.
+//
+// Guards against a controller that stood still, lost its grant, and got another: its mirror still showed the record that
+// had gone with the first one, and for a second or more two took themselves for the one that rents.
 func (c *Core) leads() bool {
-	return c.fleet.stamp != 0 && c.fleet.owner == c.cfg.Node && c.fleet.life == c.life && c.permit != 0 && c.now-c.permitAt < c.ttl*9/10
+	f := &c.fleet
+	return f.stamp != 0 && f.owner == c.cfg.Node && f.life == c.life && c.permit != 0 && c.permit == f.permit && c.now-c.permitAt < c.ttl*9/10
 }
 
 // fleetTick takes the lease if it is free and acts while holding it.
@@ -226,7 +233,7 @@
 		}
 	}
 	if f.stamp == 0 && c.permit != 0 && !f.taking {
-		f.taking = true
+		f.taking, f.permit = true, c.permit
 		c.store.Txn(budget.Work, []protocol.Cond{{Key: keyFleet}},
 			[]protocol.Op{{Write: keyFleet, Data: encode(lease{c.cfg.Node, c.life}), Permit: c.permit}},
 			func(o bookkeeping.Outcome, _ []string, _ uint64) {
--- a/internal/coordination/returns_test.go
+++ b/internal/coordination/returns_test.go
@@ -195,3 +195,99 @@
 		})
 	}
 }
+
+// TestWhoRentsIsReplaced has the controller that rents stand still, end or lose a link, again and again, while machines are rented
+// and returned. Two never act at a time: what one that was replaced has asked for is finished by its successor under the same
+// name, or hits nothing in use; nobody rents for no longer than its lease and two report periods; and in the end nothing is paid for.
+func TestWhoRentsIsReplaced(t *testing.T) {
+	for _, v := range []struct {
+		name  string
+		do    func(s *sim, l *simNode)
+		keeps bool // others carry its calls, and it goes on
+		late  bool // a renewal that is held up is carried out later: the record lives for another term, and nobody knows
+	}{
+		{"it stands still", func(s *sim, l *simNode) { l.frozen = s.now + s.ms(8000, 20_000) }, false, false},
+		{"it ends in the middle of a call", func(s *sim, l *simNode) {
+			s.met.returns = func([]string) bool { s.met.returns = nil; l.crash(s.ms(300, 9000)); return true }
+		}, false, false},
+		{"it ends as a rental is recorded", func(s *sim, l *simNode) {
+			s.met.loses = func(n *simNode, t protocol.Txn) bool {
+				if n != l || !touches(t, keyRental) {
+					return false
+				}
+				s.met.loses = nil
+				s.after(s.ms(0, 400), func() { l.crash(s.ms(300, 9000)) })
+				return true
+			}
+		}, false, false},
+		{"it loses the state service", func(s *sim, l *simNode) { l.cut["state"] = s.now + s.ms(10_000, 30_000) }, true, true},
+		{"it loses the state service and the others", func(s *sim, l *simNode) {
+			l.cut["state"], l.cut["peers"] = s.now+20*time.Second, s.now+20*time.Second
+		}, false, true},
+		{"it is refused", func(s *sim, l *simNode) { l.refused = s.now + s.ms(10_000, 30_000) }, true, false},
+		{"the cloud does not answer it", func(s *sim, l *simNode) { l.cut["cloud"] = s.now + s.ms(15_000, 40_000) }, false, false},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			longest, replaced, met := time.Duration(0), 0, 0
+			for seed := uint64(45_300); seed < 45_304; seed++ {
+				s := meetingSim(seed, meeting{nodes: 3 + 2*int(seed%2), workers: "well"})
+				s.unordered = true
+				s.met.quickBoots = seed%2 == 0
+				s.load(140 * time.Second)
+				for i := range 4 {
+					s.after(time.Duration(30+28*i)*time.Second, func() {
+						if l := s.leading(); l != nil {
+							met++
+							v.do(s, l)
+						}
+					})
+				}
+				var last *simNode
+				since, worst := time.Duration(0), time.Duration(0)
+				var watch func()
+				watch = func() {
+					leads := 0
+					for _, n := range s.nodes {
+						if n.core != nil && n.frozen <= s.now && n.core.leads() {
+							if leads++; n != last {
+								last = n
+								replaced++
+							}
+						}
+					}
+					if leads > 1 {
+						t.Errorf("seed %d: %d rent at %v", seed, leads, s.now)
+					}
+					if leads > 0 || s.now < 20*time.Second {
+						since = s.now
+					}
+					worst = max(worst, s.now-since)
+					s.after(50*time.Millisecond, watch)
+				}
+				watch()
+				s.finish(t, 180*time.Second)
+				bound := s.lease(1.0/3) + seconds(2*s.facts.Workers.Report)
+				if v.late {
+					bound += s.lease(1.0 / 3)
+				}
+				if worst > bound {
+					t.Errorf("seed %d: nobody rents for %v, the bound is %v", seed, worst, bound)
+				}
+				longest = max(longest, worst)
+				s.run(s.now + 3*time.Minute)
+				for _, w := range s.cloud.sorted() {
+					t.Errorf("seed %d: %s is still paid for, up %v", seed, w.name, w.up)
+				}
+				if s.met.inUse > 0 {
+					t.Errorf("seed %d: %d tasks ran on machines that were returned", seed, s.met.inUse)
+				}
+				s.report(t)
+			}
+			if met < 12 || replaced < 8 && !v.keeps {
+				t.Errorf("it took place %d times, and who rents changed %d times", met, replaced)
+			}
+			t.Logf("nobody rents for %v at the longest, %d changes", longest, replaced)
+		})
+	}
+}
