--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -152,8 +152,12 @@
 // since is left alone.
 func (c *Core) condemn() {
 	f := &c.fleet
-	for id := range f.condemned {
-		if _, drained := c.drains[id]; drained {
+	// Guards against a judgement that waits for the budget while the machine reports and is claimed: conditional on
+	// that claim, the drain would be written all the same.
+	for id, why := range f.condemned {
+		m := c.machines[id]
+		claimed := m != nil && m.stamp != 0
+		if _, drained := c.drains[id]; drained || claimed != (why == drainLost) || claimed && c.alive(m.claim.Owner) {
 			delete(f.condemned, id)
 		}
 	}
@@ -168,13 +172,18 @@
 		}
 		conds = append(conds, protocol.Cond{Key: keyClaim + id, Stamp: c.store.Stamp(keyClaim + id)}, protocol.Cond{Key: keyDrain + id})
 		ops = append(ops, protocol.Op{Write: keyDrain + id, Data: encode(drain{f.condemned[id]})})
-		c.log.Info("giving a machine up", "stoker", id, "why", f.condemned[id])
 	}
 	f.condemning = true
 	c.store.Txn(budget.Work, conds, ops, func(o bookkeeping.Outcome, failed []string, _ uint64) {
 		f.condemning = false
+		if o == bookkeeping.OK {
+			for _, op := range ops {
+				id := strings.TrimPrefix(op.Write, keyDrain)
+				c.log.Info("giving a machine up", "stoker", id, "why", c.drains[id].Why)
+			}
+		}
 		if o != bookkeeping.Conflict {
-			return // what is not on record then is found again
+			return // what is not on record then is tried again
 		}
 		for _, key := range failed {
 			delete(f.condemned, strings.TrimPrefix(strings.TrimPrefix(key, keyClaim), keyDrain))
--- a/internal/coordination/returns_test.go
+++ b/internal/coordination/returns_test.go
@@ -291,3 +291,33 @@
 		})
 	}
 }
+
+// TestWhatWasClaimedSinceIsNotCondemned guards against a judgement that had waited for the budget while the machine was claimed.
+func TestWhatWasClaimedSinceIsNotCondemned(t *testing.T) {
+	s := newSim(45_400, 0)
+	s.submit(&job.Spec{ID: "wk-000001", Class: "svc", Team: "blue", Shape: job.Service, Priority: job.Production, Tasks: 2, CPUs: 2, GPUs: 1, MemoryGB: 8}, 0, 0)
+	s.run(50 * time.Second)
+	l := s.leading()
+	c := l.core
+	c.begin(l.clock())
+	for _, w := range s.cloud.sorted() {
+		if w.up {
+			c.fleet.condemned[w.name] = []string{drainStray, drainLost}[len(c.fleet.condemned)%2]
+		}
+	}
+	c.fleet.condemned["i-900000"] = drainStray
+	if len(c.fleet.condemned) < 2 {
+		t.Fatal("no machine is up")
+	}
+	c.condemn()
+	l.effects(c.end())
+	s.run(52 * time.Second)
+	for key := range s.kv.drains {
+		if key != keyDrain+"i-900000" {
+			t.Errorf("%s was written as %s", key, s.kv.drainedAs[key])
+		}
+	}
+	if s.kv.drains[keyDrain+"i-900000"] != 1 {
+		t.Error("what nobody has claimed was not condemned")
+	}
+}
