--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -681,7 +681,7 @@
 			return
 		}
 		for _, name := range n.Stokers {
-			if w := c.all[name]; w != nil && !s.met.noReturns {
+			if w := c.all[name]; w != nil {
 				s.judgeReturn(w)
 				w.die()
 				delete(c.all, name)
--- a/internal/coordination/troublemakers_test.go
+++ b/internal/coordination/troublemakers_test.go
@@ -35,7 +35,6 @@
 	emptyLists bool // reports list nothing
 	noKills    bool // workers stop nothing
 	noLease    bool // workers go on with their tasks when their lease has ended
-	noReturns  bool // the cloud keeps what it was told to delete
 	astray     bool // some workers tell a wrong zone
 	forged     bool // old reports show the newest token, and tell that everything is done
 
