--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -184,3 +184,26 @@
 		}
 	}
 }
+
+// TestNothingBeginsAfterACancellation guards against tasks that wait for their image when their job is cancelled: the stop came with
+// the next report, and they had begun by then.
+func TestNothingBeginsAfterACancellation(t *testing.T) {
+	for seed := uint64(49_100); seed < 49_103; seed++ {
+		s := newSim(seed, 0)
+		s.met.quickBoots = true // each machine comes up
+		s.after(time.Second, func() {
+			s.submit(&job.Spec{ID: "wk-000001", Class: "svc", Team: "blue", Shape: job.Service, Priority: job.Production, Tasks: 6, CPUs: 2, GPUs: 1, MemoryGB: 8}, 0, 0)
+		})
+		s.run(40 * time.Second) // there are machines
+		for i := range 40 {
+			s.after(time.Duration(i)*500*time.Millisecond, func() {
+				s.submit(&job.Spec{ID: fmt.Sprintf("wk-7%05d", i), Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Normal, Tasks: 2, CPUs: 1, GPUs: 0.25, MemoryGB: 1}, 20, s.ms(100, 2500))
+			})
+		}
+		s.run(80 * time.Second)
+		if s.starts < 10 || s.met.lateStarts > 0 {
+			t.Errorf("seed %d: %d of %d starts came after the user had been told that the job is cancelled", seed, s.met.lateStarts, s.starts)
+		}
+		s.report(t)
+	}
+}
