--- a/internal/coordination/blackstart_test.go
+++ b/internal/coordination/blackstart_test.go
@@ -16,7 +16,7 @@
 type blackStart struct {
 	up       int              // machines
 	tasks    int              // on them at the return
-	claims   uint64           // written since
+	claims   uint64           // written by the lives that began then
 	changes  uint64           // of the state service
 	refused  int              // requests above its limits
 	again    int              // launches of what the worker had already
--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -162,14 +162,9 @@
 		n = s.anyNode()
 	}
 	n.request("users", "POST", protocol.PathRuns+"/"+u.spec.ID+"/abort", nil, func(st int, body []byte) {
-		switch {
-		case st == 200:
-			u.hear(body, before)
-			return
-		case st == 404 && before.known:
-			s.breaks("forgotten", "%s can't be cancelled", u.spec.ID)
+		if !u.aborted(st, body, before) {
+			s.after(time.Second, u.cancel)
 		}
-		s.after(time.Second, u.cancel)
 	})
 }
 
--- a/internal/coordination/troublemakers_test.go
+++ b/internal/coordination/troublemakers_test.go
@@ -141,7 +141,7 @@
 		for _, n := range s.nodes {
 			if n.name == now.Owner {
 				s.met.delivered++
-				s.after(s.ms(1, 4000), func() { n.deliver("POST", protocol.PathCheckin, s.old(name, body), func(int, []byte) {}) })
+				s.after(s.ms(1, 4000), func() { n.hearsLate(name, body) })
 			}
 		}
 	}
@@ -149,7 +149,7 @@
 		delete(s.met.copies, name)
 		for _, n := range s.nodes {
 			s.met.delivered++
-			s.after(s.ms(0, 1500), func() { n.deliver("POST", protocol.PathCheckin, s.old(name, body), func(int, []byte) {}) })
+			s.after(s.ms(0, 1500), func() { n.hearsLate(name, body) })
 		}
 	}
 	w := s.cloud.all[name]
@@ -182,6 +182,11 @@
 	return encode(r)
 }
 
+// hearsLate has a controller get a report that was kept; nobody waits for its answer.
+func (n *simNode) hearsLate(name string, body []byte) {
+	n.deliver("POST", protocol.PathCheckin, n.s.old(name, body), func(int, []byte) {})
+}
+
 // countEarly counts machines that are up before anybody could have read that they were rented.
 func (s *sim) countEarly(w *simWorker) {
 	for key, v := range s.kv.keys {
@@ -209,7 +214,7 @@
 		for _, n := range s.nodes {
 			s.after(s.ms(0, 1000*within.Seconds()), func() {
 				s.met.delivered++
-				n.deliver("POST", protocol.PathCheckin, s.old(name, body), func(int, []byte) {})
+				n.hearsLate(name, body)
 			})
 		}
 	}
@@ -309,14 +314,18 @@
 // cancelAgain asks once for a cancellation of what is over or was cancelled before.
 func (u *simUser) cancelAgain() {
 	before := u.told()
-	u.s.anyNode().request("users", "POST", protocol.PathRuns+"/"+u.spec.ID+"/abort", nil, func(st int, b []byte) {
-		switch {
-		case st == 200:
-			u.hear(b, before)
-		case st == 404 && before.known:
-			u.s.breaks("forgotten", "%s can't be cancelled", u.spec.ID)
-		}
-	})
+	u.s.anyNode().request("users", "POST", protocol.PathRuns+"/"+u.spec.ID+"/abort", nil, func(st int, b []byte) { u.aborted(st, b, before) })
+}
+
+// aborted judges the answer to a cancellation, and tells whether it is one.
+func (u *simUser) aborted(st int, body []byte, before told) bool {
+	if st == 404 && before.known {
+		u.s.breaks("forgotten", "%s can't be cancelled", u.spec.ID)
+	}
+	if st == 200 {
+		u.hear(body, before)
+	}
+	return st == 200
 }
 
 // oddRequests has users repeat submissions, also with other content, cancel what is done, and send what fits
