--- a/cmd/silvergate/root.go
+++ b/cmd/silvergate/root.go
@@ -73,7 +73,7 @@
 		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "silvergate", version) },
 	})
 	cmd.AddCommand(clientCommands()...)
-	cmd.AddCommand(upCommand(), lossesCommand(), replayCommand(), stateCommands(), providerCommand(), soakCommand(), dataCommands(), certsCommands(), archiveCommands(), logsCommand(), artefactsCommand(), whyCommand(), benchCommands())
+	cmd.AddCommand(upCommand(), lossesCommand(), replayCommand(), stateCommands(), providerCommand(), soakCommand(), dataCommands(), certsCommands(), archiveCommands(), logsCommand(), artefactsCommand(), whyCommand(), benchCommands(), scaleCommand())
 	cmd.AddCommand(agentCommands()...)
 	return cmd
 }
--- /dev/null
+++ b/cmd/silvergate/scale.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"silvergate/internal/scale"
+)
+
+// errRuleBroken ends a scale run in which a rule was broken.
+var errRuleBroken = errors.New("a rule is broken")
+
+// scaleCommand measures the program at sizes that one machine can't run for real.
+func scaleCommand() *cobra.Command {
+	var dir string
+	client := newClient()
+	cmd := &cobra.Command{
+		Use: "scale SCENARIO --dir DIR", Short: "Measure cells of real controllers with hollow workers on this machine", Args: cobra.ExactArgs(1),
+		Long: `scale plays a scenario on loopback: real controllers and state services, hollow
+workers that speak the worker's protocol in full and run no programs, some real
+agents, users, faults, and checkers of the rules. It ends all that it started, also on
+Ctrl-C. SCENARIO is a YAML file or one that comes with the program: ` + strings.Join(scale.Shipped(), ", ") + `.
+The folder gets result.json and the parts' logs; tools/scalereport draws the result.`,
+		Example: `  silvergate scale small --dir /tmp/small
+  silvergate scale cell --dir /tmp/cell --output json`,
+		RunE: func(c *cobra.Command, args []string) error {
+			scenario, err := scale.LoadScenario(args[0])
+			if err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+			defer cancel()
+			result, err := scale.Run(ctx, scale.Options{Scenario: scenario, Dir: dir, Self: self, Out: c.ErrOrStderr(), Log: partLogger("scale")})
+			if result == nil {
+				return err
+			}
+			if reportErr := scale.WriteResult(dir, result); reportErr != nil {
+				return errors.Join(err, reportErr)
+			}
+			if showErr := client.show(c, result, scale.Summary(result)); showErr != nil || err != nil {
+				return errors.Join(err, showErr)
+			}
+			if result.Broken > 0 {
+				return fmt.Errorf("%w: see %s", errRuleBroken, filepath.Join(dir, scale.ResultFile))
+			}
+			return nil
+		},
+	}
+	client.output(cmd)
+	cmd.Flags().StringVar(&dir, "dir", "", "a folder that is empty or not there")
+	_ = cmd.MarkFlagRequired("dir")
+	cmd.AddCommand(scaleCellCommand())
+	return cmd
+}
+
+// scaleCellCommand is one cell's cloud, workers and users, as scale starts it.
+func scaleCellCommand() *cobra.Command {
+	var settings, result string
+	cmd := &cobra.Command{
+		Use: "cell --settings FILE --result FILE", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			cfg := scale.CellSettings{}
+			if err := readSettings(settings, &cfg); err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			stop := make(chan struct{})
+			untilTold(func() { close(stop) })
+			measured, err := scale.RunCell(cfg, self, partLogger("cell"), stop)
+			if err != nil {
+				return err
+			}
+			return scale.WriteJSON(result, measured)
+		},
+	}
+	settingsFlag(cmd, &settings)
+	cmd.Flags().StringVar(&result, "result", "", "the file for what was measured")
+	_ = cmd.MarkFlagRequired("result")
+	return cmd
+}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -872,6 +873,27 @@
 // Description is the job's, nil if no attempt of it is here.
 func (w *Worker) Description(id string) *protocol.Description { return w.specs[id] }
 
+// Descriptions lists the jobs of which attempts are here, in no order.
+func (w *Worker) Descriptions() []*protocol.Description {
+	return slices.Collect(maps.Values(w.specs))
+}
+
+// Attempts lists the attempts of a job that are here, in no order.
+func (w *Worker) Attempts(id string) (out []Key) {
+	for k := range w.loads {
+		if k.Job == id {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// Restarted begins the next session as a restarted agent does: all that ran is gone.
+func (w *Worker) Restarted(now time.Duration) Effects {
+	w.clearing = true
+	return w.Cleared(now)
+}
+
 // Count tells how many attempts are here and how many of them are not over.
 func (w *Worker) Count() (all, live int) {
 	for _, l := range w.loads {
--- /dev/null
+++ b/internal/hollow/hollow.go
@@ -0,0 +1,546 @@
+// Package hollow runs thousands of workers in one process: each speaks the
+// worker's protocol in full (reports, sessions, tallies, tokens, leases, direct
+// commands), by the same state machine as the real agent, and runs no programs.
+// Images and tasks take time and nothing else.
+//
+// Gang tasks learn of one another inside the process. Reports share a pool of
+// connections, so a fleet opens fewer of them than as many real machines would.
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"silvergate/internal/agent"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+	"silvergate/internal/transport"
+)
+
+// Machine is what a hollow worker pretends to be.
+type Machine struct {
+	Name, Type, Zone string
+	Spot             bool
+	Room             agent.Room
+	// PullGBPerS is how fast it fetches images, in GB a second.
+	PullGBPerS float64
+}
+
+// Observer is told what happens on the fleet's machines. Calls come from many
+// goroutines.
+type Observer interface {
+	// Describe returns a job's description; false: nobody has submitted it.
+	Describe(id string) (*protocol.Description, bool)
+	// RunTime is how long a task runs; 0: until it is stopped.
+	RunTime(id string, index int) time.Duration
+	// Started and Stopped bracket the time for which a task is on a machine. done
+	// tells that it completed.
+	Started(m *Machine, k agent.Key)
+	Stopped(m *Machine, k agent.Key, done bool)
+	// LeaseEnded tells that a worker's lease ended with live tasks on it.
+	LeaseEnded(m *Machine, tasks int)
+}
+
+// Stats counts what the fleet did.
+type Stats struct {
+	Reports, Answered, Redirected, Refused, Unanswered atomic.Int64
+	// BytesOut and BytesIn are the bodies and about the heads of reports and their answers.
+	BytesOut, BytesIn atomic.Int64
+	Orders            atomic.Int64
+	Sessions          atomic.Int64 // that ended by their lease
+	AnswerNanos       atomic.Int64 // time until answers, of answered reports
+}
+
+// headBytes is about what the head of a request or a response takes.
+const headBytes = 110
+
+// reportPatience is how long a worker waits for the answer to a report (PROTOCOL).
+const reportPatience = 4 * time.Second
+
+// statusPeriod is the time between two looks at calls that are late.
+const statusPeriod = 250 * time.Millisecond
+
+// Fleet is a set of hollow workers.
+type Fleet struct {
+	Stats Stats
+
+	nodes    []agent.Node
+	periods  agent.Periods
+	observer Observer
+	listenIP string
+	begun    time.Time
+	pool     *transport.Pool
+	done     chan struct{}
+
+	mu      sync.Mutex
+	workers map[string]*worker
+	gangs   map[gangAttempt]map[*worker]bool
+	closed  bool
+}
+
+type gangAttempt struct {
+	job string
+	try int
+}
+
+// NewFleet makes an empty fleet that reports to the controllers. Workers listen at
+// ports of listenIP, a loopback address; connections bounds how many are open for reports.
+func NewFleet(nodes []agent.Node, periods agent.Periods, listenIP string, connections int, observer Observer) *Fleet {
+	f := &Fleet{nodes: nodes, periods: periods, observer: observer, listenIP: listenIP, begun: time.Now(), pool: transport.NewPool(connections),
+		done: make(chan struct{}), workers: map[string]*worker{}, gangs: map[gangAttempt]map[*worker]bool{}}
+	go f.expire()
+	return f
+}
+
+// expire gives calls up that are late.
+func (f *Fleet) expire() {
+	ticker := time.NewTicker(statusPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			f.pool.Expire(now)
+		case <-f.done:
+			return
+		}
+	}
+}
+
+func (f *Fleet) clock() time.Duration { return time.Since(f.begun) }
+
+// Add starts a worker. seed draws its chances.
+func (f *Fleet) Add(m Machine, seed uint64) error {
+	listener, err := net.Listen("tcp4", f.listenIP+":0")
+	if err != nil {
+		return fmt.Errorf("worker %s: %w", m.Name, err)
+	}
+	w := &worker{fleet: f, machine: m, address: listener.Addr().String(), running: map[agent.Key]*time.Timer{}, images: map[string]bool{}}
+	me := protocol.Report{Stoker: m.Name, Address: w.address, Rig: m.Type, Depot: m.Zone, Casual: m.Spot}
+	w.state = agent.NewWorker(me, m.Room, f.periods, f.nodes, 1, 0, rand.New(rand.NewPCG(seed, uint64(len(m.Name)))))
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: reportPatience, ErrorLog: nil}
+	f.mu.Lock()
+	if f.closed {
+		f.mu.Unlock()
+		listener.Close()
+		return errors.New("the fleet is closed")
+	}
+	f.workers[m.Name] = w
+	f.mu.Unlock()
+	go func() { _ = w.server.Serve(listener) }()
+	w.step(func(now time.Duration) agent.Effects { return w.state.Tick(now) })
+	return nil
+}
+
+// Remove ends workers without a word, as machines that are deleted or die.
+func (f *Fleet) Remove(names ...string) {
+	for _, name := range names {
+		f.mu.Lock()
+		w := f.workers[name]
+		delete(f.workers, name)
+		f.mu.Unlock()
+		if w != nil {
+			w.stop()
+		}
+	}
+}
+
+// Restart ends what runs on a worker and begins its next session, as a machine
+// whose agent is restarted.
+func (f *Fleet) Restart(name string) {
+	f.mu.Lock()
+	w := f.workers[name]
+	f.mu.Unlock()
+	if w != nil {
+		w.restart()
+	}
+}
+
+// Names lists the workers, in no order.
+func (f *Fleet) Names(zone string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for name, w := range f.workers {
+		if zone == "" || w.machine.Zone == zone {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Address is where a worker listens, "" if there is none of that name.
+func (f *Fleet) Address(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[name]; w != nil {
+		return w.address
+	}
+	return ""
+}
+
+// Running counts the tasks that run now, and the workers that a controller has answered
+// within the last lease.
+func (f *Fleet) Running() (tasks, answered int) {
+	f.mu.Lock()
+	list := make([]*worker, 0, len(f.workers))
+	for _, w := range f.workers {
+		list = append(list, w)
+	}
+	f.mu.Unlock()
+	since := f.clock() - time.Duration(f.periods.Report*2*float64(time.Second))
+	for _, w := range list {
+		w.mu.Lock()
+		tasks += len(w.running)
+		if w.answered > 0 && w.answered >= since {
+			answered++
+		}
+		w.mu.Unlock()
+	}
+	return tasks, answered
+}
+
+// Close ends all workers.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.closed = true
+	list := f.workers
+	f.workers = map[string]*worker{}
+	f.mu.Unlock()
+	for _, w := range list {
+		w.stop()
+	}
+	close(f.done)
+}
+
+// join notes that a worker holds a task of a gang's attempt.
+func (f *Fleet) join(w *worker, k agent.Key) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := gangAttempt{k.Job, k.Try}
+	if f.gangs[at] == nil {
+		f.gangs[at] = map[*worker]bool{}
+	}
+	f.gangs[at][w] = true
+}
+
+// leave notes that it does not any more.
+func (f *Fleet) leave(w *worker, k agent.Key) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := gangAttempt{k.Job, k.Try}
+	if delete(f.gangs[at], w); len(f.gangs[at]) == 0 {
+		delete(f.gangs, at)
+	}
+}
+
+// gang asks the workers of a gang's attempt how its tasks are.
+func (f *Fleet) gang(k agent.Key) map[int]string {
+	f.mu.Lock()
+	var list []*worker
+	for w := range f.gangs[gangAttempt{k.Job, k.Try}] {
+		list = append(list, w)
+	}
+	f.mu.Unlock()
+	states := map[int]string{}
+	for _, w := range list {
+		w.mu.Lock()
+		if !w.stopped {
+			for index, state := range w.state.Gang(k.Job, k.Try) {
+				states[index] = state
+			}
+		}
+		w.mu.Unlock()
+	}
+	return states
+}
+
+// worker is one hollow worker. Its lock is never held while another one's is taken.
+type worker struct {
+	fleet   *Fleet
+	machine Machine
+	address string
+	server  *http.Server
+
+	mu       sync.Mutex
+	state    *agent.Worker
+	timer    *time.Timer
+	running  map[agent.Key]*time.Timer
+	images   map[string]bool // being fetched
+	answered time.Duration   // when a report was last answered with 200
+	stopped  bool
+}
+
+// step feeds an event to the worker's state machine and carries out what follows.
+func (w *worker) step(event func(now time.Duration) agent.Effects) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.do(event(w.fleet.clock()))
+	}
+}
+
+// do carries out effects; the lock is held.
+func (w *worker) do(e agent.Effects) {
+	if e.Clear {
+		w.leaseOver()
+	}
+	for _, k := range e.Kill {
+		w.end(k, 0)
+	}
+	for _, k := range e.Stop {
+		w.end(k, stopTime)
+	}
+	for _, name := range e.Leave {
+		delete(w.images, name)
+	}
+	for _, id := range e.Describe {
+		w.describe(id)
+	}
+	for _, name := range e.Fetch {
+		w.fetch(name)
+	}
+	for _, k := range e.Start {
+		w.start(k)
+	}
+	for _, k := range e.Ask {
+		go w.askGang(k)
+	}
+	if e.Report != nil {
+		w.report(e.Report)
+	}
+	w.arm()
+}
+
+// stopTime is how long a task takes to end that is told to save.
+const stopTime = 100 * time.Millisecond
+
+func (w *worker) arm() {
+	wait := max(w.state.Due()-w.fleet.clock(), time.Millisecond)
+	if w.timer == nil {
+		w.timer = time.AfterFunc(wait, func() { w.step(w.state.Tick) })
+		return
+	}
+	w.timer.Reset(wait)
+}
+
+// later steps the worker after a while.
+func (w *worker) later(wait time.Duration, event func(now time.Duration) agent.Effects) *time.Timer {
+	return time.AfterFunc(wait, func() { w.step(event) })
+}
+
+func (w *worker) describe(id string) {
+	w.later(time.Millisecond, func(now time.Duration) agent.Effects {
+		d, known := w.fleet.observer.Describe(id)
+		if known && d.Shape == job.Gang {
+			defer w.joinGangs(id)
+		}
+		return w.state.Described(now, id, d, !known)
+	})
+}
+
+// joinGangs registers the attempts of a gang that have just been described.
+func (w *worker) joinGangs(id string) {
+	for _, k := range w.state.Attempts(id) {
+		w.fleet.join(w, k)
+	}
+}
+
+func (w *worker) fetch(name string) {
+	w.images[name] = true
+	wait := time.Duration(w.sizeOf(name) / w.machine.PullGBPerS * float64(time.Second))
+	w.later(wait, func(now time.Duration) agent.Effects {
+		if !w.images[name] {
+			return w.state.Tick(now)
+		}
+		delete(w.images, name)
+		return w.state.Fetched(now, name, nil)
+	})
+}
+
+// sizeOf is the size of an image that a task here waits for, in GB.
+func (w *worker) sizeOf(name string) float64 {
+	for _, d := range w.state.Descriptions() {
+		if d.Kit == name {
+			return d.Size
+		}
+	}
+	return 0
+}
+
+func (w *worker) start(k agent.Key) {
+	wait := w.fleet.observer.RunTime(k.Job, k.Index)
+	if wait > 0 {
+		w.running[k] = w.later(wait, func(now time.Duration) agent.Effects { return w.exited(now, k, true) })
+	} else {
+		w.running[k] = nil
+	}
+	w.fleet.observer.Started(&w.machine, k)
+}
+
+// end ends a task that was told to.
+func (w *worker) end(k agent.Key, wait time.Duration) {
+	if t := w.running[k]; t != nil {
+		t.Stop()
+	}
+	w.later(wait, func(now time.Duration) agent.Effects { return w.exited(now, k, false) })
+}
+
+// exited takes that a task's program has ended; the lock is held.
+func (w *worker) exited(now time.Duration, k agent.Key, done bool) agent.Effects {
+	if _, here := w.running[k]; !here {
+		return w.state.Tick(now)
+	}
+	delete(w.running, k)
+	w.fleet.observer.Stopped(&w.machine, k, done)
+	code := 0
+	if !done {
+		code = 1
+	}
+	if d := w.state.Description(k.Job); d != nil && d.Shape == job.Gang {
+		defer w.later(time.Duration(w.fleet.periods.GangWait*float64(time.Second)), func(now time.Duration) agent.Effects {
+			w.fleet.leave(w, k)
+			return w.state.Tick(now)
+		})
+	}
+	return w.state.Exited(now, k, agent.Exit{Code: code})
+}
+
+func (w *worker) askGang(k agent.Key) {
+	states := w.fleet.gang(k)
+	w.step(func(now time.Duration) agent.Effects { return w.state.Peers(now, k, states) })
+}
+
+// leaseOver ends everything, as the lease has; the lock is held.
+func (w *worker) leaseOver() {
+	_, live := w.state.Count()
+	w.fleet.Stats.Sessions.Add(1)
+	if live > 0 {
+		w.fleet.observer.LeaseEnded(&w.machine, live)
+	}
+	w.dropAll()
+	w.later(time.Millisecond, w.state.Cleared)
+}
+
+// dropAll ends all tasks at once; the lock is held.
+func (w *worker) dropAll() {
+	for k, t := range w.running {
+		if t != nil {
+			t.Stop()
+		}
+		w.fleet.observer.Stopped(&w.machine, k, false)
+		w.fleet.leave(w, k)
+	}
+	clear(w.running)
+	clear(w.images)
+}
+
+// restart begins the next session at once.
+func (w *worker) restart() {
+	w.step(func(now time.Duration) agent.Effects {
+		w.dropAll()
+		return w.state.Restarted(now)
+	})
+}
+
+// stop ends the worker for good.
+func (w *worker) stop() {
+	w.mu.Lock()
+	w.stopped = true
+	w.dropAll()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.mu.Unlock()
+	_ = w.server.Close()
+}
+
+func (w *worker) report(s *agent.Send) {
+	stats := &w.fleet.Stats
+	stats.Reports.Add(1)
+	stats.BytesOut.Add(int64(len(s.Body) + headBytes))
+	sent := w.fleet.clock()
+	w.fleet.pool.Start(transport.Call{Addr: s.Node.Address, Method: http.MethodPost, Target: protocol.PathCheckin, Body: s.Body, Timeout: reportPatience,
+		Done: func(r *transport.Response, _ bool, err error) {
+			w.step(func(now time.Duration) agent.Effects {
+				if err != nil {
+					stats.Unanswered.Add(1)
+					return w.state.Answered(now, s, 0, nil)
+				}
+				stats.BytesIn.Add(int64(len(r.Body) + headBytes))
+				switch r.Status {
+				case http.StatusOK:
+					stats.Answered.Add(1)
+					stats.AnswerNanos.Add(int64(now - sent))
+					w.answered = now
+				case http.StatusMisdirectedRequest:
+					stats.Redirected.Add(1)
+				default:
+					stats.Refused.Add(1)
+				}
+				return w.state.Answered(now, s, r.Status, r.Body)
+			})
+		}})
+}
+
+// ServeHTTP answers direct commands and questions for the worker's status.
+func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody))
+	if err != nil {
+		http.Error(out, "the body can't be read", http.StatusBadRequest)
+		return
+	}
+	status, answer := w.serve(r.Method, r.URL.Path, body)
+	out.Header().Set("Content-Type", "application/json")
+	out.WriteHeader(status)
+	_, _ = out.Write(answer)
+}
+
+func (w *worker) serve(method, path string, body []byte) (status int, answer []byte) {
+	problem := func(status int, why string) (int, []byte) {
+		return status, protocol.Encode(protocol.Problem{Error: why})
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var e agent.Effects
+	switch {
+	case w.stopped:
+		return problem(http.StatusServiceUnavailable, "the machine is gone")
+	case path == protocol.PathOrders && method == http.MethodPost:
+		w.fleet.Stats.Orders.Add(1)
+		status, answer, e = w.state.Direct(w.fleet.clock(), body)
+	case path == protocol.PathStatus && method == http.MethodGet:
+		var err error
+		if answer, e, err = w.state.Status(w.fleet.clock()); err != nil {
+			return problem(http.StatusServiceUnavailable, err.Error())
+		}
+		status = http.StatusOK
+	default:
+		return problem(http.StatusNotFound, "no such path")
+	}
+	w.do(e)
+	return status, answer
+}
+
+// Wait returns when the context ends or so many workers have been answered.
+func (f *Fleet) Wait(ctx context.Context, workers int) error {
+	ticker := time.NewTicker(statusPeriod)
+	defer ticker.Stop()
+	for {
+		if _, answered := f.Running(); answered >= workers {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/cell.go
@@ -0,0 +1,473 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.yaml.in/yaml/v3"
+
+	"silvergate/internal/agent"
+	"silvergate/internal/hollow"
+	"silvergate/internal/protocol"
+	"silvergate/internal/provider"
+)
+
+// CellSettings is what a cell process is told.
+type CellSettings struct {
+	Scenario *Scenario `yaml:"scenario"`
+	Number   int       `yaml:"number"`
+	State    int       `yaml:"state"`
+	Cloud    int       `yaml:"cloud"`
+	// Controllers are their ports for workers and users.
+	Controllers []int  `yaml:"controllers"`
+	Dir         string `yaml:"dir"`
+}
+
+// Sample is a cell's state at a moment.
+type Sample struct {
+	AtS       float64 `json:"atS"`
+	Starts    int     `json:"starts"`    // so far
+	Running   int     `json:"running"`   // tasks
+	Workers   int     `json:"workers"`   // that are up
+	Answered  int     `json:"answered"`  // of them, within two report periods
+	Reports   int64   `json:"reports"`   // so far
+	LeaseKill int     `json:"leaseKill"` // tasks killed by leases, so far
+}
+
+// Latency is a histogram in short, in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50Ms"`
+	P95   float64 `json:"p95Ms"`
+	P99   float64 `json:"p99Ms"`
+	Max   float64 `json:"maxMs"`
+}
+
+// CellResult is what a cell process measured.
+type CellResult struct {
+	Number      int                `json:"number"`
+	Samples     []Sample           `json:"samples"`
+	Broken      map[string]int     `json:"broken"`
+	FirstBroken []string           `json:"firstBroken,omitempty"`
+	Accepted    int                `json:"accepted"`
+	GivenUp     int                `json:"givenUp"`
+	Finished    int                `json:"finished"`
+	Starts      int                `json:"starts"`
+	LeaseKilled int                `json:"leaseKilled"`
+	Sessions    int64              `json:"sessions"`
+	Submit      Latency            `json:"submit"`
+	FirstStart  map[string]Latency `json:"firstStart"` // submission to a job's first task, by urgency
+	TaskStart   map[string]Latency `json:"taskStart"`  // submission to each task's first start, by urgency
+	Reports     int64              `json:"reports"`
+	Answers     map[string]int64   `json:"answers"`       // to reports, by kind
+	AnswerMs    float64            `json:"answerMs"`      // mean time until a report's answer
+	BytesPerS   float64            `json:"bytesPerS"`     // of a worker, both ways, mean
+	CloudCalls  int                `json:"cloudRequests"` // and how many of them were refused
+	CloudRefuse int                `json:"cloudRefused"`
+}
+
+// cell is what a cell process holds.
+type cell struct {
+	scenario *Scenario
+	layout   *cellLayout
+	dir      string
+	self     string
+	log      *slog.Logger
+	begun    time.Time
+	checker  *checker
+	fleet    *hollow.Fleet
+	cloud    *cloud
+	users    *users
+
+	mu        sync.Mutex
+	samples   []Sample
+	starts    int
+	killed    int
+	submit    *hdrhistogram.Histogram
+	first     map[string]*hdrhistogram.Histogram
+	tasks     map[string]*hdrhistogram.Histogram
+	startedBy map[string]map[int]bool // tasks that have started, by job
+	agents    map[string]*exec.Cmd
+	workerS   float64 // seconds of workers that were up
+}
+
+// Intervals of a cell process.
+const (
+	samplePeriod = time.Second
+	drainLook    = 250 * time.Millisecond
+)
+
+// realImage is the image of the real agents' jobs; its program sleeps.
+const realImage = "sleeper"
+
+// RunCell plays one cell's part of a run and returns what it measured. It ends when
+// users are done, or when stop is closed.
+func RunCell(settings CellSettings, self string, log *slog.Logger, stop <-chan struct{}) (*CellResult, error) {
+	s := settings.Scenario
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	c := &cell{scenario: s, dir: settings.Dir, self: self, log: log, begun: time.Now(), submit: histogram(),
+		layout: &cellLayout{scenario: s, number: settings.Number, state: settings.State, cloud: settings.Cloud, controllers: settings.Controllers},
+		first:  map[string]*hdrhistogram.Histogram{}, tasks: map[string]*hdrhistogram.Histogram{}, startedBy: map[string]map[int]bool{}, agents: map[string]*exec.Cmd{}}
+	c.checker = newChecker(s, c.now)
+	c.fleet = hollow.NewFleet(c.layout.nodes(), c.layout.periods(), c.layout.workerIP(), reportConnections(s), c)
+	defer c.fleet.Close()
+	c.cloud = newCloud(s, s.Seed+uint64(settings.Number), log)
+	c.cloud.boot, c.cloud.remove = c.boot, c.remove
+	if err := c.cloud.serve(loopback(settings.Cloud)); err != nil {
+		return nil, fmt.Errorf("cloud: %w", err)
+	}
+	defer c.cloud.close()
+	defer c.endAgents()
+	c.users = newUsers(c)
+	if err := c.awaitController(); err != nil {
+		return nil, err
+	}
+	c.play(stop)
+	return c.result(), nil
+}
+
+// awaitController waits until a controller serves; users begin then.
+func (c *cell) awaitController() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startPatience)
+	defer cancel()
+	for _, n := range c.layout.nodes() {
+		if err := awaitUp(ctx, n.Address); err != nil {
+			return fmt.Errorf("%s is not up: %w", n.Name, err)
+		}
+	}
+	c.begun = time.Now()
+	return nil
+}
+
+// reportConnections is how many connections the hollow workers of a cell share.
+func reportConnections(s *Scenario) int {
+	return s.Controllers * max(16, s.Controller.MaxSockets/4)
+}
+
+func (c *cell) now() time.Duration { return time.Since(c.begun) }
+
+// play has users and faults run their time.
+func (c *cell) play(stop <-chan struct{}) {
+	over := make(chan struct{})
+	go c.sample(over)
+	go c.faults(over)
+	go c.expireCalls(over)
+	submitted := make(chan struct{})
+	go func() {
+		c.users.run(over)
+		close(submitted)
+	}()
+	wait := func(until time.Duration, done func() bool) bool {
+		for c.now() < until && !done() {
+			select {
+			case <-stop:
+				return false
+			case <-time.After(drainLook):
+			}
+		}
+		return true
+	}
+	end := time.Duration(c.scenario.DurationS * float64(time.Second))
+	if wait(end, func() bool { return false }) {
+		<-submitted
+		wait(end+time.Duration(c.scenario.DrainS*float64(time.Second)), c.drained)
+	}
+	close(over)
+	c.users.wait.Wait()
+}
+
+// drained tells whether all jobs but services are over.
+func (c *cell) drained() bool {
+	c.users.mu.Lock()
+	defer c.users.mu.Unlock()
+	for _, s := range c.users.open {
+		if s.Shape != "standing" {
+			return false
+		}
+	}
+	return true
+}
+
+// expireCalls gives up users' calls that are late.
+func (c *cell) expireCalls(over <-chan struct{}) {
+	ticker := time.NewTicker(drainLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			c.users.pool.Expire(now)
+		case <-over:
+			c.users.pool.Expire(time.Now().Add(time.Hour))
+			return
+		}
+	}
+}
+
+// sample notes the cell's state once a second.
+func (c *cell) sample(over <-chan struct{}) {
+	ticker := time.NewTicker(samplePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.checker.sweep()
+			tasks, answered := c.fleet.Running()
+			workers := len(c.fleet.Names(""))
+			c.mu.Lock()
+			c.samples = append(c.samples, Sample{AtS: c.now().Seconds(), Starts: c.starts, Running: tasks, Workers: workers, Answered: answered,
+				Reports: c.fleet.Stats.Reports.Load(), LeaseKill: c.killed})
+			c.workerS += float64(workers) * samplePeriod.Seconds()
+			c.mu.Unlock()
+		case <-over:
+			return
+		}
+	}
+}
+
+// faults plays those of the workers; the caller of the run plays those of the controllers.
+func (c *cell) faults(over <-chan struct{}) {
+	for i := range c.scenario.Faults {
+		f := c.scenario.Faults[i]
+		if f.Kind == FaultControllerKill {
+			continue
+		}
+		go func() {
+			select {
+			case <-time.After(time.Duration(f.AtS*float64(time.Second)) - c.now()):
+				c.fault(f, over)
+			case <-over:
+			}
+		}()
+	}
+}
+
+func (c *cell) fault(f Fault, over <-chan struct{}) {
+	names := c.fleet.Names(f.Zone)
+	slices.Sort(names)
+	names = names[:int(float64(len(names))*f.Share)]
+	c.log.Info("fault", "kind", f.Kind, "workers", len(names))
+	if f.Kind == FaultWorkersGone {
+		c.fleet.Remove(names...)
+		c.cloud.died(names)
+		return
+	}
+	for i, name := range names {
+		c.fleet.Restart(name)
+		select {
+		case <-time.After(time.Duration(f.ForS / float64(len(names)) * float64(time.Second))):
+		case <-over:
+			c.log.Info("the run ended in a rolling restart", "restarted", i+1)
+			return
+		}
+	}
+}
+
+// boot brings a machine up: a hollow worker, or a real agent.
+func (c *cell) boot(m provider.Machine) (string, error) {
+	if m.Rig == realType {
+		return c.bootAgent(m)
+	}
+	s := c.scenario
+	err := c.fleet.Add(hollow.Machine{Name: m.Name, Type: m.Rig, Zone: m.Depot, Spot: m.Casual, PullGBPerS: s.Machine.PullGBPerS,
+		Room: agent.Room{CPUs: s.Machine.CPUs, GPUs: s.Machine.GPUs, RAM: s.Machine.RAM}}, s.Seed^uint64(m.RentedMS))
+	return c.fleet.Address(m.Name), err
+}
+
+// bootAgent starts a real agent as a process. It ends with this one.
+func (c *cell) bootAgent(m provider.Machine) (string, error) {
+	taker := &portTaker{}
+	port, err := taker.take(0)
+	taker.release()
+	if err != nil {
+		return "", err
+	}
+	s := c.scenario
+	cfg := agent.DefaultConfig()
+	cfg.Stoker, cfg.Rig, cfg.Depot, cfg.Casual, cfg.Listen = m.Name, m.Rig, m.Depot, m.Casual, loopback(port)
+	cfg.Dir = filepath.Join(c.dir, "agents", m.Name)
+	cfg.Controllers, cfg.Workers = c.layout.nodes(), c.layout.periods()
+	cfg.Room = agent.Room{CPUs: s.Machine.CPUs, GPUs: s.Machine.GPUs, RAM: s.Machine.RAM}
+	cfg.Images = []agent.Image{{Name: realImage, Path: "/bin", Command: []string{"sleep", fmt.Sprint(c.realSeconds())}}}
+	raw, err := yaml.Marshal(cfg)
+	if err != nil {
+		return "", err
+	}
+	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
+		return "", err
+	}
+	path := cfg.Dir + ".yaml"
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return "", err
+	}
+	cmd := exec.Command(c.self, "agent", "--settings", path)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGTERM}
+	log, err := os.Create(cfg.Dir + ".log")
+	if err != nil {
+		return "", err
+	}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return "", err
+	}
+	log.Close()
+	c.mu.Lock()
+	c.agents[m.Name] = cmd
+	c.mu.Unlock()
+	return cfg.Listen, nil
+}
+
+// realSeconds is how long a program of the real agents sleeps.
+func (c *cell) realSeconds() float64 {
+	for i := range c.scenario.Load {
+		if c.scenario.Load[i].Real {
+			return c.scenario.Load[i].RunS
+		}
+	}
+	return 1
+}
+
+// remove ends machines that were deleted.
+func (c *cell) remove(names []string) {
+	c.fleet.Remove(names...)
+	for _, name := range names {
+		c.mu.Lock()
+		cmd := c.agents[name]
+		delete(c.agents, name)
+		c.mu.Unlock()
+		if cmd != nil {
+			endProcess(cmd)
+		}
+	}
+}
+
+func (c *cell) endAgents() {
+	c.mu.Lock()
+	var names []string
+	for name := range c.agents {
+		names = append(names, name)
+	}
+	c.mu.Unlock()
+	c.remove(names)
+}
+
+// Describe, RunTime, Started, Stopped and LeaseEnded make the cell the fleet's observer.
+
+// Describe returns a job's description.
+func (c *cell) Describe(id string) (*protocol.Description, bool) { return c.checker.describe(id) }
+
+// RunTime is how long a task runs.
+func (c *cell) RunTime(id string, index int) time.Duration { return c.checker.runTime(id, index) }
+
+// Started takes that a task runs.
+func (c *cell) Started(m *hollow.Machine, k agent.Key) {
+	nth := c.checker.started(m, k)
+	s := c.checker.submission(k.Job)
+	if s == nil {
+		return
+	}
+	wait := c.now() - s.at
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts++
+	if nth == 1 {
+		record(c.first, s.Urgency, wait)
+	}
+	if c.startedBy[k.Job] == nil {
+		c.startedBy[k.Job] = map[int]bool{}
+	}
+	if !c.startedBy[k.Job][k.Index] {
+		c.startedBy[k.Job][k.Index] = true
+		record(c.tasks, s.Urgency, wait)
+	}
+}
+
+// Stopped takes that a task is gone.
+func (c *cell) Stopped(m *hollow.Machine, k agent.Key, done bool) { c.checker.stopped(m, k, done) }
+
+// LeaseEnded counts tasks that a lease has killed.
+func (c *cell) LeaseEnded(_ *hollow.Machine, tasks int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.killed += tasks
+}
+
+// submitted takes how long a submission took to be accepted.
+func (c *cell) submitted(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.submit.RecordValue(bounded(took))
+}
+
+// longest is the longest time that histograms hold.
+const longest = time.Hour
+
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longest.Microseconds(), 3) }
+
+func bounded(d time.Duration) int64 {
+	return min(max(1, d.Microseconds()), longest.Microseconds())
+}
+
+func record(by map[string]*hdrhistogram.Histogram, name string, d time.Duration) {
+	if by[name] == nil {
+		by[name] = histogram()
+	}
+	_ = by[name].RecordValue(bounded(d))
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	ms := func(micros int64) float64 { return float64(micros) / 1000 }
+	return Latency{h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(95)), ms(h.ValueAtQuantile(99)), ms(h.Max())}
+}
+
+func latencies(by map[string]*hdrhistogram.Histogram) map[string]Latency {
+	out := map[string]Latency{}
+	for name, h := range by {
+		out[name] = latency(h)
+	}
+	return out
+}
+
+// result sums a cell up.
+func (c *cell) result() *CellResult {
+	accepted, given, finished := c.users.counts()
+	broken, first := c.checker.verdict()
+	stats := &c.fleet.Stats
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := &CellResult{Number: c.layout.number, Samples: c.samples, Broken: broken, FirstBroken: first, Accepted: accepted, GivenUp: given, Finished: finished,
+		Starts: c.starts, LeaseKilled: c.killed, Sessions: stats.Sessions.Load(), Submit: latency(c.submit), FirstStart: latencies(c.first), TaskStart: latencies(c.tasks),
+		Reports: stats.Reports.Load(), CloudCalls: c.cloud.requests, CloudRefuse: c.cloud.refused,
+		Answers: map[string]int64{"answered": stats.Answered.Load(), "redirected": stats.Redirected.Load(), "refused": stats.Refused.Load(), "unanswered": stats.Unanswered.Load()}}
+	if n := stats.Answered.Load(); n > 0 {
+		r.AnswerMs = float64(stats.AnswerNanos.Load()) / float64(n) / 1e6
+	}
+	if c.workerS > 0 {
+		r.BytesPerS = float64(stats.BytesOut.Load()+stats.BytesIn.Load()) / c.workerS
+	}
+	return r
+}
+
+// WriteJSON writes a value to a file that appears whole.
+func WriteJSON(path string, v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path+".new", raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
--- /dev/null
+++ b/internal/scale/checker.go
@@ -0,0 +1,233 @@
+package scale
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"silvergate/internal/agent"
+	"silvergate/internal/hollow"
+	"silvergate/internal/protocol"
+)
+
+// Rules that the checker knows, by the protocol's names.
+const (
+	ruleRanTwice     = "ran_twice"
+	ruleQuota        = "quota"
+	ruleWrongPlace   = "wrong_place"
+	ruleRanCancelled = "ran_cancelled"
+	ruleNotDone      = "not_done"
+	ruleWentBack     = "went_back"
+	ruleForgotten    = "forgotten"
+	ruleInvented     = "invented"
+)
+
+// checker holds a cell's users and hollow workers to the protocol's rules. Tasks of
+// real agents are not seen by it. It may be called from many goroutines.
+//
+// A task counts as on its machine while it runs; the wait of a gang's task for the
+// others, with its image there, is not counted, which errs towards missing a broken quota.
+type checker struct {
+	cancelWithin time.Duration
+	limit        float64 // of each team, in accelerators; 0: none
+	now          func() time.Duration
+
+	mu     sync.Mutex
+	jobs   map[string]*judged
+	teams  map[string]float64 // accelerators in use
+	broken map[string]int
+	first  []string
+}
+
+// judged is what the checker knows of a job.
+type judged struct {
+	spec      *submission
+	accepted  bool
+	final     string // what a user was told last of a job that is over
+	cancelled bool   // its user was told so
+	toldAt    time.Duration
+	on        map[int]string // where each task runs
+	done      map[int]bool   // tasks that completed
+	starts    int
+}
+
+func newChecker(s *Scenario, now func() time.Duration) *checker {
+	return &checker{cancelWithin: time.Duration(s.Periods.Cancel * float64(time.Second)), limit: s.TeamLimit, now: now,
+		jobs: map[string]*judged{}, teams: map[string]float64{}, broken: map[string]int{}}
+}
+
+// mostNamed bounds how many breaks are described.
+const mostNamed = 20
+
+// breaks notes a broken rule; the lock is held.
+func (c *checker) breaks(rule, format string, args ...any) {
+	c.broken[rule]++
+	if len(c.first) < mostNamed {
+		c.first = append(c.first, fmt.Sprintf("%.3f s %s: ", c.now().Seconds(), rule)+fmt.Sprintf(format, args...))
+	}
+}
+
+// submitted notes a job before it is submitted for the first time.
+func (c *checker) submitted(s *submission) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[s.Ref] = &judged{spec: s, on: map[int]string{}, done: map[int]bool{}}
+}
+
+// started takes that a task runs on a machine; it returns how many of the job's
+// tasks have started so far.
+func (c *checker) started(m *hollow.Machine, k agent.Key) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[k.Job]
+	if j == nil {
+		c.breaks(ruleInvented, "%s starts, and nobody has submitted it", k)
+		return 0
+	}
+	if other, on := j.on[k.Index]; on {
+		c.breaks(ruleRanTwice, "%s starts on %s while it is on %s", k, m.Name, other)
+	}
+	if j.cancelled && c.now() > j.toldAt+c.cancelWithin {
+		c.breaks(ruleRanCancelled, "%s starts on %s, %s after its user was told", k, m.Name, c.now()-j.toldAt)
+	}
+	j.on[k.Index] = m.Name
+	j.starts++
+	c.judgePlace(j, m, k)
+	team := j.spec.Crew
+	c.teams[team] += j.spec.GPUs
+	if c.limit > 0 && c.teams[team] > c.limit+0.001 {
+		c.breaks(ruleQuota, "%s uses %.1f of %.1f accelerators", team, c.teams[team], c.limit)
+	}
+	return j.starts
+}
+
+// judgePlace judges a start by the job's own demands; the lock is held.
+func (c *checker) judgePlace(j *judged, m *hollow.Machine, k agent.Key) {
+	if j.spec.zones == nil {
+		j.spec.zones = map[int]string{}
+	}
+	if m.Type != j.spec.Rigs[0] || m.Spot && !j.spec.Casual {
+		c.breaks(ruleWrongPlace, "%s starts on %s of type %s", k, m.Name, m.Type)
+	}
+	if j.spec.OneZone {
+		for index := range j.on {
+			if zone, known := j.spec.zones[index]; known && index != k.Index && zone != m.Zone {
+				c.breaks(ruleWrongPlace, "%s starts in %s while task %d is in %s", k, m.Zone, index, zone)
+				break
+			}
+		}
+	}
+	j.spec.zones[k.Index] = m.Zone
+}
+
+// stopped takes that a task is gone from its machine.
+func (c *checker) stopped(m *hollow.Machine, k agent.Key, done bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[k.Job]
+	if j == nil || j.on[k.Index] != m.Name {
+		return
+	}
+	delete(j.on, k.Index)
+	c.teams[j.spec.Crew] -= j.spec.GPUs
+	if done {
+		j.done[k.Index] = true
+	}
+}
+
+// answered takes what a user was told of a job: the status of a 200, or "" for a 404.
+func (c *checker) answered(id, status string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	switch {
+	case j == nil && status != "":
+		c.breaks(ruleInvented, "%s is %s, and nobody has submitted it", id, status)
+		return
+	case j == nil:
+		return
+	case status == "" && j.accepted:
+		c.breaks(ruleForgotten, "%s was accepted, and is unknown", id)
+		return
+	case status == "":
+		return
+	}
+	j.accepted = true
+	if j.final != "" && status != j.final {
+		c.breaks(ruleWentBack, "%s was %s, and is %s", id, j.final, status)
+	}
+	switch status {
+	case statusDone:
+		// A task on a real agent is not seen; its completion can't be judged.
+		if missing := j.spec.Loads - len(j.done); missing > 0 && !j.spec.real {
+			c.breaks(ruleNotDone, "%s is called done, and %d of its tasks did not complete", id, missing)
+		}
+		j.final = status
+	case statusCancelled:
+		if !j.spec.calledOff {
+			c.breaks(ruleWentBack, "%s is called cancelled, and its user did not cancel it", id)
+		}
+		if !j.cancelled {
+			j.cancelled, j.toldAt = true, c.now()
+		}
+		j.final = status
+	}
+}
+
+// sweep looks for tasks of cancelled jobs that outlive the time that they may have.
+func (c *checker) sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, j := range c.jobs {
+		if j.cancelled && len(j.on) > 0 && c.now() > j.toldAt+c.cancelWithin && !j.spec.overdue {
+			j.spec.overdue = true
+			c.breaks(ruleRanCancelled, "%s has %d tasks, %s after its user was told", id, len(j.on), c.now()-j.toldAt)
+		}
+	}
+}
+
+// describe is the job's description, for workers.
+func (c *checker) describe(id string) (*protocol.Description, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[id]; j != nil {
+		return j.spec.description(), true
+	}
+	return nil, false
+}
+
+// runTime is how long a task runs.
+func (c *checker) runTime(id string, index int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[id]; j != nil {
+		return j.spec.runTime(index)
+	}
+	return 0
+}
+
+// callOff notes that a job's user asks to cancel it.
+func (c *checker) callOff(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[id]; j != nil {
+		j.spec.calledOff = true
+	}
+}
+
+// verdict lists the broken rules with their counts, and the first breaks in words.
+func (c *checker) verdict() (map[string]int, []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken, c.first
+}
+
+// submission is a job's, nil if nobody has submitted it.
+func (c *checker) submission(id string) *submission {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[id]; j != nil {
+		return j.spec
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/cloud.go
@@ -0,0 +1,171 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"silvergate/internal/protocol"
+	"silvergate/internal/provider"
+)
+
+// cloud is the stand-in for the cloud: the decisions are the local cloud's market, its
+// machines are hollow workers, or real agents of their own type.
+type cloud struct {
+	log     *slog.Logger
+	boot    func(m provider.Machine) (address string, err error)
+	remove  func(names []string)
+	startup time.Duration
+
+	mu       sync.Mutex
+	market   *provider.Market
+	requests int
+	refused  int
+	closed   bool
+	server   *http.Server
+}
+
+func newCloud(s *Scenario, seed uint64, log *slog.Logger) *cloud {
+	types := []provider.Type{{SKU: hollowType, CPUs: s.Machine.CPUs, GPUs: s.Machine.GPUs, RAM: s.Machine.RAM, LocalGB: 100, PullRate: s.Machine.PullGBPerS,
+		Hourly: 4, SpotPrice: 4, StartupS: s.Machine.StartupS, Depots: spread(s.Workers, s.Zones)}}
+	if s.RealAgents > 0 {
+		types = append(types, provider.Type{SKU: realType, CPUs: s.Machine.CPUs, GPUs: s.Machine.GPUs, RAM: s.Machine.RAM, LocalGB: 100, PullRate: s.Machine.PullGBPerS,
+			Hourly: 4, SpotPrice: 4, StartupS: s.Machine.StartupS, Depots: spread(s.RealAgents, s.Zones)})
+	}
+	return &cloud{log: log, startup: time.Duration(s.Machine.StartupS * float64(time.Second)),
+		market: provider.NewMarket(types, provider.Spot{}, s.Cloud.RPS, nil, nil, 0, rand.New(rand.NewPCG(seed, 1)))}
+}
+
+// spread shares machines out over zones, as evenly as it goes.
+func spread(count int, zones []string) map[string]int {
+	out := map[string]int{}
+	for i, zone := range zones {
+		out[zone] = (count + len(zones) - 1 - i) / len(zones)
+	}
+	return out
+}
+
+// serve answers at an address until close.
+func (c *cloud) serve(address string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	c.server = &http.Server{Handler: c, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = c.server.Serve(listener) }()
+	return nil
+}
+
+func (c *cloud) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	_ = c.server.Close()
+}
+
+// ServeHTTP answers the controllers.
+func (c *cloud) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody))
+	if err != nil {
+		http.Error(out, "the body can't be read", http.StatusBadRequest)
+		return
+	}
+	status, answer := c.answer(r, body)
+	out.Header().Set("Content-Type", "application/json")
+	out.WriteHeader(status)
+	_, _ = out.Write(protocol.Encode(answer))
+}
+
+func (c *cloud) answer(r *http.Request, body []byte) (int, any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests++
+	now := time.Now()
+	if !c.market.Admit(now) {
+		c.refused++
+		return http.StatusTooManyRequests, protocol.Problem{Error: "too many requests"}
+	}
+	switch {
+	case r.URL.Path == protocol.PathFlavors && r.Method == http.MethodGet:
+		return http.StatusOK, c.market.Flavors()
+	case r.URL.Path == protocol.PathRentals && r.Method == http.MethodPost:
+		return c.rent(now, body)
+	case r.URL.Path == protocol.PathRentals && r.Method == http.MethodGet:
+		page, err := strconv.Atoi(r.URL.Query().Get("page"))
+		if err != nil || page < 1 {
+			return http.StatusBadRequest, protocol.Problem{Error: "page: missing or not a number"}
+		}
+		return http.StatusOK, c.market.List(now, r.URL.Query().Get("from"), min(page, 500))
+	case r.URL.Path == protocol.PathDelete && r.Method == http.MethodPost:
+		return c.delete(now, body)
+	}
+	return http.StatusNotFound, protocol.Problem{Error: "no such path"}
+}
+
+// rent grants a request; the machines come up after their boot time.
+func (c *cloud) rent(now time.Time, body []byte) (int, any) {
+	var r protocol.Rental
+	if err := json.Unmarshal(body, &r); err != nil || r.Number < 1 || r.Number > 50 {
+		return http.StatusBadRequest, protocol.Problem{Error: "malformed"}
+	}
+	names, effects, err := c.market.Rent(now, r)
+	switch {
+	case errors.Is(err, provider.ErrNoCapacity):
+		c.refused++
+		return http.StatusServiceUnavailable, protocol.Problem{Error: err.Error()}
+	case err != nil:
+		return http.StatusBadRequest, protocol.Problem{Error: err.Error()}
+	}
+	for _, m := range effects.Store {
+		machine := *m
+		time.AfterFunc(c.startup, func() { c.bootOne(machine) })
+	}
+	return http.StatusOK, protocol.Names{Stokers: names}
+}
+
+// bootOne brings a machine up, unless it was deleted meanwhile.
+func (c *cloud) bootOne(m provider.Machine) {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return
+	}
+	address, err := c.boot(m)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.log.Error("a machine does not come up", "stoker", m.Name, "err", err)
+		return
+	}
+	c.market.Up(m.Name, address)
+}
+
+func (c *cloud) delete(now time.Time, body []byte) (int, any) {
+	var names protocol.Names
+	if err := json.Unmarshal(body, &names); err != nil || len(names.Stokers) > 100 {
+		return http.StatusBadRequest, protocol.Problem{Error: "malformed"}
+	}
+	_, effects := c.market.Delete(names.Stokers)
+	c.remove(effects.End)
+	for _, name := range effects.End {
+		c.market.Gone(now, name)
+	}
+	return http.StatusOK, struct{}{}
+}
+
+// died takes that machines are gone without anybody having asked for it.
+func (c *cloud) died(names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range names {
+		c.market.Gone(time.Now(), name)
+	}
+}
--- /dev/null
+++ b/internal/scale/layout.go
@@ -0,0 +1,142 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+
+	"silvergate/internal/agent"
+	"silvergate/internal/config"
+	"silvergate/internal/statestore"
+)
+
+// layout says where everything of a run listens.
+type layout struct {
+	scenario *Scenario
+	cells    []*cellLayout
+}
+
+// cellLayout is one cell's part of it.
+type cellLayout struct {
+	scenario    *Scenario
+	number      int
+	state       int // ports
+	cloud       int
+	controllers []int
+	back        []int
+}
+
+// Machine types of a run.
+const (
+	hollowType = "hollow"
+	realType   = "real"
+)
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// workerIP is where a cell's hollow workers listen.
+func (c *cellLayout) workerIP() string { return fmt.Sprintf("127.0.%d.1", 1+c.number) }
+
+func nodeName(i int) string { return fmt.Sprintf("stoker-%d", i) }
+
+// zone is where a controller of a cell stands.
+func (c *cellLayout) zone(i int) string { return c.scenario.Zones[i%len(c.scenario.Zones)] }
+
+// newLayout has take find a port for everything; take is called with the wish of
+// the scenario, 0 if there is none.
+func newLayout(s *Scenario, take func(wish int) (int, error)) (*layout, error) {
+	l := &layout{scenario: s}
+	next := s.BasePort
+	port := func() (int, error) {
+		wish := next
+		if next > 0 {
+			next++
+		}
+		return take(wish)
+	}
+	for number := range s.Cells {
+		c := &cellLayout{scenario: s, number: number, controllers: make([]int, s.Controllers), back: make([]int, s.Controllers)}
+		ports := []*int{&c.state, &c.cloud}
+		for i := range s.Controllers {
+			ports = append(ports, &c.controllers[i], &c.back[i])
+		}
+		for _, p := range ports {
+			var err error
+			if *p, err = port(); err != nil {
+				return nil, err
+			}
+		}
+		l.cells = append(l.cells, c)
+	}
+	return l, nil
+}
+
+// portTaker finds free ports; it holds them all until release, so that they differ.
+type portTaker struct{ held []net.Listener }
+
+func (t *portTaker) take(wish int) (int, error) {
+	listener, err := net.Listen("tcp4", loopback(wish))
+	if err != nil {
+		return 0, fmt.Errorf("base_port: port %d can't be had: %w", wish, err)
+	}
+	t.held = append(t.held, listener)
+	return listener.Addr().(*net.TCPAddr).Port, nil
+}
+
+func (t *portTaker) release() {
+	for _, listener := range t.held {
+		listener.Close()
+	}
+}
+
+// nodes lists a cell's controllers for workers.
+func (c *cellLayout) nodes() (out []agent.Node) {
+	for i, port := range c.controllers {
+		out = append(out, agent.Node{Name: nodeName(i), Address: loopback(port)})
+	}
+	return out
+}
+
+// periods are the workers' own.
+func (c *cellLayout) periods() agent.Periods {
+	p := &c.scenario.Periods
+	return agent.Periods{Report: p.Report, Lease: p.Lease, GangWait: p.GangWait, GangPeer: p.GangPeer}
+}
+
+// controllerSettings is what a controller of the cell is told, checked as it will check it.
+func (c *cellLayout) controllerSettings(i int) ([]byte, error) {
+	s := c.scenario
+	settings := &config.Settings{Node: nodeName(i), Zone: c.zone(i), Listen: loopback(c.controllers[i]), Back: loopback(c.back[i]),
+		Services: config.Outside{Cloud: loopback(c.cloud), State: loopback(c.state)},
+		Facts: config.Facts{Count: s.Controllers, Zones: s.Zones, Teams: s.teams(), Workers: s.Periods, State: s.State, Cloud: s.Cloud,
+			Limits: s.Controller, TimeBoundMS: 1}}
+	for k := range c.controllers {
+		if k != i {
+			settings.Peers = append(settings.Peers, config.Peer{Node: nodeName(k), Zone: c.zone(k), Addr: loopback(c.back[k])})
+		}
+	}
+	raw, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	_, err = config.Parse(raw)
+	return raw, err
+}
+
+// teams are the cell's teams.
+func (s *Scenario) teams() (out []config.Team) {
+	for i := range s.Teams {
+		out = append(out, config.Team{Name: teamName(i), GPUsMax: s.TeamLimit})
+	}
+	return out
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%d", i) }
+
+// stateSettings is what a cell's state service is told.
+func (c *cellLayout) stateSettings(dir string) statestore.Config {
+	s := statestore.DefaultConfig()
+	s.Listen, s.Dir, s.Metrics = loopback(c.state), dir, true
+	s.Limits = statestore.Limits{RPS: c.scenario.State.RPS, WriteRPS: c.scenario.State.WriteRPS, ValueKB: c.scenario.State.ValueKB, TxnOps: c.scenario.State.TxnOps}
+	return s
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,580 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"silvergate/internal/metrics"
+	"silvergate/internal/protocol"
+	"silvergate/internal/transport"
+)
+
+// Options are what a run is told.
+type Options struct {
+	Scenario *Scenario
+	Dir      string // an empty folder, or one that is not there
+	Self     string // the program to start parts with
+	Out      io.Writer
+	Log      *slog.Logger
+}
+
+// ProcessResult is what one process of a run has used.
+type ProcessResult struct {
+	Name   string  `json:"name"`
+	CPUS   float64 `json:"cpuS"`
+	CoreMs float64 `json:"coreMs"` // processor time for each second of its life, in ms
+	PeakMB float64 `json:"peakMb"`
+	Ended  int     `json:"ended"` // by itself
+	Killed int     `json:"killed"`
+	lifeS  float64
+}
+
+// StateResult is what a state service was asked.
+type StateResult struct {
+	Cell     int     `json:"cell"`
+	Requests float64 `json:"requests"`
+	Refused  float64 `json:"refused"`
+	Changes  float64 `json:"changes"`
+	PerS     []Rates `json:"perS"`
+}
+
+// Rates are a second's requests and changes of a state service.
+type Rates struct {
+	AtS      float64 `json:"atS"`
+	Requests float64 `json:"requests"`
+	Changes  float64 `json:"changes"`
+}
+
+// Result is what a run measured.
+type Result struct {
+	Scenario  *Scenario       `json:"scenario"`
+	Begun     time.Time       `json:"begun"`
+	TookS     float64         `json:"tookS"`
+	Whole     bool            `json:"whole"` // false: it was broken off
+	Cells     []*CellResult   `json:"cells"`
+	Processes []ProcessResult `json:"processes"`
+	States    []StateResult   `json:"states"`
+	PeakGB    float64         `json:"peakGb"` // of all processes together
+	Broken    int             `json:"broken"` // rules, over all cells
+}
+
+// Times of a run.
+const (
+	startPatience  = 60 * time.Second
+	endMargin      = 30 * time.Second
+	progressPeriod = 5 * time.Second
+	scrapePatience = 2 * time.Second
+)
+
+// files that a run needs beside its workers' sockets.
+const spareFiles = 512
+
+// process is a part of a run.
+type process struct {
+	name string
+	args []string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	result  ProcessResult
+	before  time.Duration // processor time of its earlier lives
+	last    usage
+	began   time.Time
+	wanted  bool
+	exited  chan struct{}
+	exitErr error
+}
+
+// run is a run under way.
+type run struct {
+	Options
+	layout    *layout
+	processes []*process
+	begun     time.Time
+	states    []StateResult
+	peak      uint64
+	mostBytes uint64
+}
+
+// Run plays a scenario. What it started is ended when it returns, also when ctx ends.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	r := &run{Options: o}
+	if err := r.check(); err != nil {
+		return nil, err
+	}
+	taker := &portTaker{}
+	var err error
+	r.layout, err = newLayout(o.Scenario, taker.take)
+	taker.release()
+	if err != nil {
+		return nil, err
+	}
+	defer r.endAll()
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	err = r.watch(ctx)
+	r.endAll()
+	result, readErr := r.collect()
+	result.Whole = err == nil
+	return result, errors.Join(err, readErr)
+}
+
+// check refuses beforehand what this machine can't carry.
+func (r *run) check() error {
+	s := r.Scenario
+	most := s.MemoryGB
+	half := float64(totalMemory()) * shareOfMemory / (1 << 30)
+	if most == 0 || half > 0 && most > half {
+		most = half
+	}
+	if need := s.ReckonedGB(); most > 0 && need > most {
+		return fmt.Errorf("memory_gb: the scenario is reckoned to take %.1f GB, and %.1f GB is the most (half of the machine's, or what it says)", need, most)
+	}
+	r.mostBytes = uint64(most * (1 << 30))
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil {
+		if need := uint64(s.Workers + reportConnections(s) + userConnections + spareFiles); files.Cur < need {
+			return fmt.Errorf("workers: a cell of %d takes %d open files, and this machine's limit is %d", s.Workers, need, files.Cur)
+		}
+	}
+	entries, err := os.ReadDir(r.Dir)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+	case err != nil:
+		return fmt.Errorf("dir: %w", err)
+	case len(entries) > 0:
+		return fmt.Errorf("dir: %s is not empty", r.Dir)
+	}
+	if err := os.MkdirAll(r.Dir, 0o700); err != nil {
+		return fmt.Errorf("dir: %w", err)
+	}
+	r.Dir, err = filepath.Abs(r.Dir)
+	return err
+}
+
+func (r *run) cellDir(c *cellLayout) string {
+	return filepath.Join(r.Dir, fmt.Sprintf("cell-%d", c.number))
+}
+
+func (r *run) resultFile(c *cellLayout) string { return filepath.Join(r.cellDir(c), "result.json") }
+
+func cellName(number int) string { return fmt.Sprintf("cell-%d", number) }
+
+// start writes what the parts are told and starts them: state services and
+// controllers first, then what talks to them.
+func (r *run) start(ctx context.Context) error {
+	for _, c := range r.layout.cells {
+		if err := r.startServices(c); err != nil {
+			return err
+		}
+	}
+	for _, c := range r.layout.cells {
+		settings := CellSettings{Scenario: r.Scenario, Number: c.number, State: c.state, Cloud: c.cloud, Controllers: c.controllers, Dir: r.cellDir(c)}
+		path, err := r.writeYAML(c, "cell.yaml", settings)
+		if err != nil {
+			return err
+		}
+		if err := r.add(c, cellName(c.number), "scale", "cell", "--settings", path, "--result", r.resultFile(c)); err != nil {
+			return err
+		}
+	}
+	limit, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	for _, c := range r.layout.cells {
+		for _, port := range c.controllers {
+			if err := awaitUp(limit, loopback(port)); err != nil {
+				return fmt.Errorf("cell %d: a controller is not up within %s; its log is in %s", c.number, startPatience, r.cellDir(c))
+			}
+		}
+	}
+	r.begun = time.Now()
+	return nil
+}
+
+func (r *run) writeYAML(c *cellLayout, name string, v any) (string, error) {
+	raw, err := yaml.Marshal(v)
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(r.cellDir(c), name)
+	return path, os.WriteFile(path, raw, 0o600)
+}
+
+// startServices starts a cell's state service and controllers.
+func (r *run) startServices(c *cellLayout) error {
+	if err := os.MkdirAll(r.cellDir(c), 0o700); err != nil {
+		return err
+	}
+	path, err := r.writeYAML(c, "state.yaml", c.stateSettings(filepath.Join(r.cellDir(c), "state")))
+	if err != nil {
+		return err
+	}
+	if err := r.add(c, fmt.Sprintf("state-%d", c.number), "state", "serve", "--settings", path); err != nil {
+		return err
+	}
+	for i := range c.controllers {
+		raw, err := c.controllerSettings(i)
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(r.cellDir(c), nodeName(i)+".json")
+		if err := os.WriteFile(path, raw, 0o600); err != nil {
+			return err
+		}
+		if err := r.add(c, fmt.Sprintf("controller-%d-%d", c.number, i), "--config", path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitUp waits until GET /up is answered with 200.
+func awaitUp(ctx context.Context, address string) error {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+protocol.PathUp, nil)
+		if err != nil {
+			return err
+		}
+		if answer, err := client.Do(request); err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// add starts a process; its output goes to a log in the cell's folder.
+func (r *run) add(c *cellLayout, name string, args ...string) error {
+	p := &process{name: name, args: args}
+	p.result.Name = name
+	r.processes = append(r.processes, p)
+	return r.launch(p, r.cellDir(c))
+}
+
+func (r *run) launch(p *process, dir string) error {
+	log, err := os.OpenFile(filepath.Join(dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(r.Self, p.args...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = dir, log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGTERM}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	p.cmd, p.began, p.wanted, p.exited = cmd, time.Now(), true, make(chan struct{})
+	exited := p.exited
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.exitErr = err
+		p.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+// alive tells whether a process runs.
+func (p *process) alive() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return p.cmd != nil
+	}
+}
+
+// measure notes what the process has used and returns its resident memory.
+func (p *process) measure() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	u, ok := readUsage(p.cmd.Process.Pid)
+	if !ok || u.rss == 0 {
+		return 0
+	}
+	p.last = u
+	p.result.PeakMB = max(p.result.PeakMB, float64(u.rss)/(1<<20))
+	return u.rss
+}
+
+// close sums up a life that has ended.
+func (p *process) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.before += p.last.cpu
+	p.result.lifeS += time.Since(p.began).Seconds()
+	p.last = usage{}
+	p.cmd = nil
+}
+
+// end ends a process by the signal and, if it takes too long, by force.
+func (p *process) end(signal syscall.Signal) {
+	p.mu.Lock()
+	cmd, exited := p.cmd, p.exited
+	p.wanted = false
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = syscall.Kill(cmd.Process.Pid, signal)
+	select {
+	case <-exited:
+	case <-time.After(endPatience):
+	}
+	_ = syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL)
+	<-exited
+	p.close()
+}
+
+// endAll ends everything: cells first, since their agents are theirs to end.
+func (r *run) endAll() {
+	var wait sync.WaitGroup
+	for _, first := range []bool{true, false} {
+		for _, p := range r.processes {
+			if strings.HasPrefix(p.name, "cell-") == first {
+				wait.Add(1)
+				go func() {
+					defer wait.Done()
+					p.end(syscall.SIGTERM)
+				}()
+			}
+		}
+		wait.Wait()
+	}
+}
+
+// watch samples, plays the controllers' faults and returns when all cells are done.
+func (r *run) watch(ctx context.Context) error {
+	s := r.Scenario
+	for range r.layout.cells {
+		r.states = append(r.states, StateResult{Cell: len(r.states)})
+	}
+	for i := range s.Faults {
+		if s.Faults[i].Kind == FaultControllerKill {
+			go r.killControllers(ctx, s.Faults[i])
+		}
+	}
+	limit := time.Duration((s.DurationS+s.DrainS)*float64(time.Second)) + endMargin
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	told := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.New("the run was broken off")
+		case <-ticker.C:
+		}
+		took := time.Since(r.begun)
+		if err := r.measure(); err != nil {
+			return err
+		}
+		r.scrape()
+		if r.cellsDone() {
+			return nil
+		}
+		if err := r.revive(); err != nil {
+			return err
+		}
+		if took > limit {
+			return fmt.Errorf("the run is not over after %s", limit)
+		}
+		if time.Since(told) > progressPeriod {
+			told = time.Now()
+			fmt.Fprintf(r.Out, "%s: %.0f s, at most %.0f s left; %.1f GB of memory\n", s.Name, took.Seconds(), (limit - endMargin - took).Seconds(), float64(r.peak)/(1<<30))
+		}
+	}
+}
+
+// measure notes what all processes use, and breaks off a run that takes too much.
+func (r *run) measure() error {
+	var sum uint64
+	for _, p := range r.processes {
+		sum += p.measure()
+	}
+	r.peak = max(r.peak, sum)
+	if r.mostBytes > 0 && sum > r.mostBytes {
+		return fmt.Errorf("memory_gb: the run takes %.1f GB, more than %.1f GB", float64(sum)/(1<<30), float64(r.mostBytes)/(1<<30))
+	}
+	return nil
+}
+
+// cellsDone tells whether all cell processes have ended.
+func (r *run) cellsDone() bool {
+	for _, p := range r.processes {
+		if strings.HasPrefix(p.name, "cell-") && p.alive() {
+			return false
+		}
+	}
+	return true
+}
+
+// revive starts controllers again that have ended by themselves; anything else that
+// ends early ends the run.
+func (r *run) revive() error {
+	for _, p := range r.processes {
+		p.mu.Lock()
+		wanted := p.wanted
+		p.mu.Unlock()
+		if !wanted || p.alive() || strings.HasPrefix(p.name, "cell-") {
+			continue
+		}
+		if !strings.HasPrefix(p.name, "controller-") {
+			return fmt.Errorf("%s ended by itself: %v", p.name, p.exitErr)
+		}
+		p.mu.Lock()
+		p.result.Ended++
+		p.mu.Unlock()
+		p.close()
+		if err := r.launch(p, r.dirOf(p)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// dirOf is the folder of a controller's cell.
+func (r *run) dirOf(p *process) string {
+	number, _, _ := strings.Cut(strings.TrimPrefix(p.name, "controller-"), "-")
+	return filepath.Join(r.Dir, "cell-"+number)
+}
+
+// killControllers kills some controllers of each cell and starts them again.
+func (r *run) killControllers(ctx context.Context, f Fault) {
+	select {
+	case <-time.After(time.Duration(f.AtS*float64(time.Second)) - time.Since(r.begun)):
+	case <-ctx.Done():
+		return
+	}
+	var killed []*process
+	for _, c := range r.layout.cells {
+		for i := range f.Count {
+			name := fmt.Sprintf("controller-%d-%d", c.number, i)
+			for _, p := range r.processes {
+				if p.name == name {
+					killed = append(killed, p)
+				}
+			}
+		}
+	}
+	for _, p := range killed {
+		p.mu.Lock()
+		p.result.Killed++
+		p.mu.Unlock()
+		p.end(syscall.SIGKILL)
+	}
+	r.Log.Info("fault", "kind", f.Kind, "controllers", len(killed))
+	select {
+	case <-time.After(time.Duration(r.Scenario.RestartS * float64(time.Second))):
+	case <-ctx.Done():
+		return
+	}
+	for _, p := range killed {
+		if err := r.launch(p, r.dirOf(p)); err != nil {
+			r.Log.Error("a controller can't be started again", "name", p.name, "err", err)
+		}
+	}
+}
+
+// scrape reads the state services' counters.
+func (r *run) scrape() {
+	pool := transport.NewPool(len(r.layout.cells))
+	late := time.AfterFunc(scrapePatience, func() { pool.Expire(time.Now().Add(time.Hour)) })
+	defer late.Stop()
+	for i, c := range r.layout.cells {
+		answer, _, err := pool.Do(loopback(c.state), http.MethodGet, metrics.Path, nil, scrapePatience)
+		if err != nil || answer.Status != http.StatusOK {
+			continue
+		}
+		figures := parseMetrics(answer.Body)
+		at := &r.states[i]
+		requests, changes := figures["state_requests"], figures["state_changes"]
+		at.PerS = append(at.PerS, Rates{AtS: time.Since(r.begun).Seconds(), Requests: requests - at.Requests, Changes: changes - at.Changes})
+		at.Requests, at.Changes, at.Refused = requests, changes, figures["state_refused"]
+	}
+	pool.Expire(time.Now().Add(time.Hour))
+}
+
+// parseMetrics reads counters by the end of their names, without the program's prefix
+// and the suffix of counters.
+func parseMetrics(body []byte) map[string]float64 {
+	out := map[string]float64{}
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	for lines.Scan() {
+		name, value, found := strings.Cut(lines.Text(), " ")
+		if !found || strings.HasPrefix(name, "#") {
+			continue
+		}
+		name, _, _ = strings.Cut(name, "{")
+		name = strings.TrimSuffix(strings.TrimPrefix(name, "silvergate_"), "_total")
+		if v, err := strconv.ParseFloat(strings.Fields(value)[0], 64); err == nil {
+			out[name] = v
+		}
+	}
+	return out
+}
+
+// collect reads the cells' results.
+func (r *run) collect() (*Result, error) {
+	out := &Result{Scenario: r.Scenario, Begun: r.begun, TookS: time.Since(r.begun).Seconds(), States: r.states, PeakGB: float64(r.peak) / (1 << 30)}
+	for _, p := range r.processes {
+		p.mu.Lock()
+		p.result.CPUS = (p.before + p.last.cpu).Seconds()
+		if p.result.lifeS > 0 {
+			p.result.CoreMs = 1000 * p.result.CPUS / p.result.lifeS
+		}
+		out.Processes = append(out.Processes, p.result)
+		p.mu.Unlock()
+	}
+	var errs []error
+	for _, c := range r.layout.cells {
+		raw, err := os.ReadFile(r.resultFile(c))
+		if err != nil {
+			errs = append(errs, fmt.Errorf("cell %d has no result: %w", c.number, err))
+			continue
+		}
+		cell := &CellResult{}
+		if err := json.Unmarshal(raw, cell); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		out.Cells = append(out.Cells, cell)
+		for _, n := range cell.Broken {
+			out.Broken += n
+		}
+	}
+	return out, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/scale/users.go
@@ -0,0 +1,290 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+	"silvergate/internal/transport"
+)
+
+// Statuses that users are told.
+const (
+	statusDone      = "done"
+	statusCancelled = "cancelled"
+)
+
+// Users' patience, from the protocol.
+const (
+	answerPatience = 5 * time.Second
+	pollPatience   = 2 * time.Second
+	pollPeriod     = 5 * time.Second
+	retryFor       = 60 * time.Second
+	leastRetry     = time.Second
+)
+
+// submission is a job as its user sends it, and what the run knows of it.
+type submission struct {
+	Ref      string   `json:"ref"`
+	Class    string   `json:"jobclass"`
+	Crew     string   `json:"crew"`
+	Shape    string   `json:"shape"`
+	Urgency  string   `json:"urgency"`
+	Loads    int      `json:"loads"`
+	CPUs     float64  `json:"cpus"`
+	GPUs     float64  `json:"accelerators"`
+	RAM      float64  `json:"ramGb"`
+	Kit      string   `json:"kit"`
+	Size     float64  `json:"sizeGb"`
+	Rigs     []string `json:"rigs"`
+	OneZone  bool     `json:"oneZone"`
+	Apart    bool     `json:"apart"`
+	Casual   bool     `json:"casual"`
+	Eta      float64  `json:"etaS"`
+	Waypoint float64  `json:"waypointS"`
+	Stow     float64  `json:"stowS"`
+
+	runS      float64
+	seed      uint64
+	real      bool           // its tasks run on real agents
+	calledOff bool           // its user has asked to cancel it
+	overdue   bool           // the checker has complained already
+	zones     map[int]string // where the tasks started last, for the checker
+	at        time.Duration  // of the first attempt
+	endsAt    time.Duration  // when its user calls it off; 0: never
+}
+
+// shapes maps wire names to the model's.
+var shapes = map[string]job.Shape{"batch": job.Array, "ensemble": job.Gang, "standing": job.Service}
+
+// description is what a worker fetches of the job.
+func (s *submission) description() *protocol.Description {
+	return &protocol.Description{Ref: s.Ref, JobClass: s.Class, Crew: s.Crew, Shape: shapes[s.Shape], Urgency: s.Urgency, Loads: s.Loads,
+		CPUs: s.CPUs, GPUs: s.GPUs, RAM: s.RAM, Kit: s.Kit, Size: s.Size}
+}
+
+// runTime is from half to one and a half of the mean, the same for every attempt of a
+// task, and the same for all tasks of a gang.
+func (s *submission) runTime(index int) time.Duration {
+	if s.Shape == "standing" {
+		return 0
+	}
+	if s.Shape == "ensemble" {
+		index = 0
+	}
+	draw := rand.New(rand.NewPCG(s.seed, uint64(index))).Float64()
+	return time.Duration(s.runS * (0.5 + draw) * float64(time.Second))
+}
+
+// users submit a cell's jobs, ask about them and cancel some.
+type users struct {
+	cell    *cell
+	pool    *transport.Pool
+	targets []string // the controllers' addresses
+	rnd     *rand.Rand
+
+	mu       sync.Mutex
+	next     int // job number
+	turn     int // controller
+	open     map[string]*submission
+	accepted int
+	given    int // up on
+	finished int
+	wait     sync.WaitGroup
+}
+
+// idDigits is how many digits a job's number has.
+const idDigits = 9
+
+func newUsers(c *cell) *users {
+	u := &users{cell: c, pool: transport.NewPool(userConnections), rnd: rand.New(rand.NewPCG(c.scenario.Seed, uint64(100+c.layout.number))), open: map[string]*submission{}}
+	for _, n := range c.layout.nodes() {
+		u.targets = append(u.targets, n.Address)
+	}
+	return u
+}
+
+// userConnections bounds the users' connections of a cell.
+const userConnections = 256
+
+// draw makes the next job of a class.
+func (u *users) draw(l *Load) *submission {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.next++
+	s := &submission{Ref: fmt.Sprintf("wk-%0*d", idDigits, u.cell.layout.number*10_000_000+u.next), Class: l.Class, Crew: teamName(u.rnd.IntN(u.cell.scenario.Teams)),
+		Shape: l.Shape, Urgency: l.Urgency, Loads: l.Tasks, CPUs: l.CPUs, GPUs: l.GPUs, RAM: l.RAM, Kit: fmt.Sprintf("%s-%d", l.Class, u.rnd.IntN(l.Images)),
+		Size: l.ImageGB, Rigs: []string{hollowType}, OneZone: l.OneZone, Eta: l.RunS, runS: l.RunS, seed: u.rnd.Uint64(), real: l.Real}
+	if l.Real {
+		s.Rigs, s.Kit = []string{realType}, realImage
+	}
+	if l.Cancelled > 0 && u.rnd.Float64() < l.Cancelled {
+		s.endsAt = u.cell.now() + time.Duration(u.rnd.Float64()*(l.RunS+10)*float64(time.Second))
+	}
+	return s
+}
+
+// run submits until the scenario's duration is over. What is under way then goes on
+// until stop is closed.
+func (u *users) run(stop <-chan struct{}) {
+	s := u.cell.scenario
+	var arrivals sync.WaitGroup
+	for i := range s.Load {
+		l := &s.Load[i]
+		for range l.Initial {
+			u.begin(l, stop)
+		}
+		if l.PerS > 0 {
+			arrivals.Add(1)
+			go func() {
+				defer arrivals.Done()
+				u.arrive(l, stop)
+			}()
+		}
+	}
+	arrivals.Wait()
+}
+
+// arrive submits jobs of a class at drawn times.
+func (u *users) arrive(l *Load, stop <-chan struct{}) {
+	end := time.Duration(u.cell.scenario.DurationS * float64(time.Second))
+	for {
+		u.mu.Lock()
+		wait := time.Duration(u.rnd.ExpFloat64() / l.PerS * float64(time.Second))
+		u.mu.Unlock()
+		if u.cell.now()+wait > end {
+			return
+		}
+		select {
+		case <-time.After(wait):
+			u.begin(l, stop)
+		case <-stop:
+			return
+		}
+	}
+}
+
+// begin has a user submit a job and follow it.
+func (u *users) begin(l *Load, stop <-chan struct{}) {
+	s := u.draw(l)
+	u.cell.checker.submitted(s)
+	u.wait.Add(1)
+	go func() {
+		defer u.wait.Done()
+		u.follow(s, stop)
+	}()
+}
+
+// follow is a user's life with a job.
+func (u *users) follow(s *submission, stop <-chan struct{}) {
+	s.at = u.cell.now()
+	if !u.submit(s, stop) {
+		return
+	}
+	u.mu.Lock()
+	u.open[s.Ref] = s
+	u.mu.Unlock()
+	for {
+		wait := pollPeriod
+		if s.endsAt > 0 {
+			wait = min(wait, max(s.endsAt-u.cell.now(), 10*time.Millisecond))
+		}
+		select {
+		case <-time.After(wait):
+		case <-stop:
+			return
+		}
+		var over bool
+		if s.endsAt > 0 && u.cell.now() >= s.endsAt {
+			over = u.cancel(s)
+		} else {
+			over = u.poll(s)
+		}
+		if over {
+			u.mu.Lock()
+			delete(u.open, s.Ref)
+			u.finished++
+			u.mu.Unlock()
+			return
+		}
+	}
+}
+
+// target is the next controller's address, in turn.
+func (u *users) target() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.turn++
+	return u.targets[u.turn%len(u.targets)]
+}
+
+// ask sends a request and reads the answer's status.
+func (u *users) ask(method, path string, body []byte, patience time.Duration) (code int, status string, retry time.Duration) {
+	r, _, err := u.pool.Do(u.target(), method, path, body, patience)
+	if err != nil {
+		return 0, "", leastRetry
+	}
+	var state protocol.RunState
+	_ = json.Unmarshal(r.Body, &state)
+	return r.Status, state.Status, max(leastRetry, time.Duration(r.RetryAfter)*time.Second)
+}
+
+func (u *users) submit(s *submission, stop <-chan struct{}) bool {
+	body := protocol.Encode(s)
+	for {
+		code, status, retry := u.ask(http.MethodPost, protocol.PathRuns, body, answerPatience)
+		switch {
+		case code == http.StatusCreated || code == http.StatusOK:
+			u.cell.checker.answered(s.Ref, status)
+			u.cell.submitted(u.cell.now() - s.at)
+			u.mu.Lock()
+			u.accepted++
+			u.mu.Unlock()
+			return true
+		case code == http.StatusBadRequest || code == http.StatusUnprocessableEntity || u.cell.now()-s.at > retryFor:
+			u.mu.Lock()
+			u.given++
+			u.mu.Unlock()
+			return false
+		}
+		select {
+		case <-time.After(retry):
+		case <-stop:
+			return false
+		}
+	}
+}
+
+// poll asks for a job's state and tells whether it is over.
+func (u *users) poll(s *submission) bool {
+	code, status, _ := u.ask(http.MethodGet, protocol.PathRuns+"/"+s.Ref, nil, pollPatience)
+	switch code {
+	case http.StatusOK:
+		u.cell.checker.answered(s.Ref, status)
+	case http.StatusNotFound:
+		u.cell.checker.answered(s.Ref, "")
+	}
+	return code == http.StatusOK && (status == statusDone || status == statusCancelled)
+}
+
+func (u *users) cancel(s *submission) bool {
+	u.cell.checker.callOff(s.Ref)
+	code, status, _ := u.ask(http.MethodPost, protocol.PathRuns+"/"+s.Ref+"/"+protocol.PathAbort, nil, answerPatience)
+	if code != http.StatusOK {
+		return false
+	}
+	u.cell.checker.answered(s.Ref, status)
+	return true
+}
+
+// counts tells how many jobs were accepted, given up on and seen to be over.
+func (u *users) counts() (accepted, given, finished int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.accepted, u.given, u.finished
+}
