--- a/cmd/silvergate/scale.go
+++ b/cmd/silvergate/scale.go
@@ -69,7 +69,7 @@
 func scaleCellCommand() *cobra.Command {
 	var settings, result string
 	cmd := &cobra.Command{
-		Use: "cell --settings FILE --result FILE", Hidden: true, Args: cobra.NoArgs,
+		Use: "cell-process --settings FILE --result FILE", Hidden: true, Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			cfg := scale.CellSettings{}
 			if err := readSettings(settings, &cfg); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,9 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -283,7 +286,7 @@
 	dec := yaml.NewDecoder(bytes.NewReader(raw))
 	dec.KnownFields(true)
 	if err := dec.Decode(v); err != nil && !errors.Is(err, io.EOF) {
-		return err
+		return quoteLines(raw, err)
 	}
 	if err := dec.Decode(new(any)); !errors.Is(err, io.EOF) {
 		return errors.New("more than one document")
@@ -291,6 +294,29 @@
 	return nil
 }
 
+// lineOfError is how yaml names the line that an error is about.
+var lineOfError = regexp.MustCompile(`^line (\d+): `)
+
+// quoteLines puts yaml's errors on one line, each with what the document says there:
+// by itself yaml names a line and a type, and not the key.
+func quoteLines(raw []byte, err error) error {
+	var many *yaml.TypeError
+	if !errors.As(err, &many) {
+		return err
+	}
+	lines := strings.Split(string(raw), "\n")
+	quoted := make([]string, 0, len(many.Errors))
+	for _, text := range many.Errors {
+		if found := lineOfError.FindStringSubmatch(text); found != nil {
+			if n, _ := strconv.Atoi(found[1]); n >= 1 && n <= len(lines) {
+				text = fmt.Sprintf("line %d (%.80s): %s", n, strings.TrimSpace(lines[n-1]), text[len(found[0]):])
+			}
+		}
+		quoted = append(quoted, text)
+	}
+	return errors.New(strings.Join(quoted, "; "))
+}
+
 // ParseOperator reads the operators' YAML and checks it.
 func ParseOperator(raw []byte) (Operator, error) {
 	o := DefaultOperator()
--- /dev/null
+++ b/internal/hollow/hollow_test.go
@@ -0,0 +1,133 @@
+package hollow
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"silvergate/internal/agent"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// scripted is a controller that answers with a token and the launches it is told, and an
+// observer that counts.
+type scripted struct {
+	mu      sync.Mutex
+	silent  bool
+	token   uint64
+	launch  []protocol.Order
+	reports []protocol.Report
+	started int
+	done    int
+	stopped int
+	killed  int
+}
+
+func (s *scripted) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var report protocol.Report
+	_ = json.Unmarshal(body, &report)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent {
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.reports = append(s.reports, report)
+	_ = json.NewEncoder(out).Encode(protocol.CheckinAnswer{Baton: s.token, Orders: s.launch})
+}
+
+func (s *scripted) Describe(id string) (*protocol.Description, bool) {
+	return &protocol.Description{Ref: id, Shape: job.Array, Loads: 3, CPUs: 1, Kit: "img", Size: 0.01}, id == "wk-000001"
+}
+
+func (s *scripted) RunTime(_ string, index int) time.Duration {
+	if index == 0 {
+		return 50 * time.Millisecond
+	}
+	return 0
+}
+
+func (s *scripted) Started(*Machine, agent.Key) { s.add(&s.started) }
+
+func (s *scripted) Stopped(_ *Machine, _ agent.Key, done bool) {
+	s.add(&s.stopped)
+	if done {
+		s.add(&s.done)
+	}
+}
+
+func (s *scripted) LeaseEnded(_ *Machine, tasks int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.killed += tasks
+}
+
+func (s *scripted) add(n *int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*n++
+}
+
+// eventually waits until a condition on the script holds.
+func (s *scripted) eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		ok := holds()
+		s.mu.Unlock()
+		if ok {
+			return
+		}
+	}
+	t.Fatalf("%s: not within 20 s", what)
+}
+
+// A hollow worker starts what it is told, reports its end, drops orders under a lower token, and
+// kills everything when its lease ends.
+func TestHollowWorker(t *testing.T) {
+	s := &scripted{token: 7, launch: []protocol.Order{{Verb: protocol.VerbLaunch, Load: "wk-000001/0", Try: 1}, {Verb: protocol.VerbLaunch, Load: "wk-000001/1", Try: 1}}}
+	controller := httptest.NewServer(s)
+	defer controller.Close()
+	f := NewFleet([]agent.Node{{Name: "stoker-0", Address: controller.Listener.Addr().String()}}, agent.Periods{Report: 0.2, Lease: 1.5, GangWait: 5, GangPeer: 1}, "127.0.0.1", 8, s)
+	defer f.Close()
+	if err := f.Add(Machine{Name: "i-1", Type: "hollow", Zone: "a", Room: agent.Room{CPUs: 4, RAM: 4}, PullGBPerS: 1}, 1); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually(t, "two started, one done", func() bool { return s.started == 2 && s.done == 1 })
+	s.eventually(t, "the ending is reported", func() bool {
+		last := s.reports[len(s.reports)-1]
+		return last.Baton == 7 && len(last.Loads) == 2 && last.Loads[0].Status == protocol.LoadEnded && last.Loads[1].Status == protocol.LoadRunning
+	})
+	if tasks, answered := f.Running(); tasks != 1 || answered != 1 {
+		t.Errorf("%d tasks, %d workers answered", tasks, answered)
+	}
+	body := protocol.Encode(protocol.DirectOrders{Baton: 6, Shift: 1, Orders: []protocol.Order{{Verb: protocol.VerbKill, Load: "wk-000001/1", Try: 1}}})
+	answer, err := http.Post("http://"+f.Address("i-1")+protocol.PathOrders, "application/json", bytes.NewReader(body))
+	if err != nil || answer.StatusCode != http.StatusConflict {
+		t.Errorf("a lower token: %v %v", answer, err)
+	}
+	s.mu.Lock()
+	s.silent = true
+	s.mu.Unlock()
+	s.eventually(t, "the lease kills the other", func() bool { return s.killed == 1 && s.stopped == 2 })
+	s.mu.Lock()
+	s.silent, s.launch = false, nil
+	s.mu.Unlock()
+	s.eventually(t, "the next session", func() bool {
+		last := s.reports[len(s.reports)-1]
+		return last.Shift == 2 && len(last.Loads) == 0
+	})
+	f.Restart("i-1")
+	s.eventually(t, "the session after a restart", func() bool { return s.reports[len(s.reports)-1].Shift == 3 })
+	f.Remove("i-1")
+	if len(f.Names("")) != 0 || f.Address("i-1") != "" {
+		t.Error("the worker is still there")
+	}
+}
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -192,6 +192,16 @@
 	return out
 }
 
+// CountMarked tells how many processes carry a mark, or one below it, and have not ended.
+func CountMarked(mark string) (n int) {
+	for _, pid := range marked(mark) {
+		if id, err := Identify(pid); err == nil && id.Alive() {
+			n++
+		}
+	}
+	return n
+}
+
 func pids() []int {
 	d, err := os.Open("/proc")
 	if err != nil {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -192,7 +192,7 @@
 		if err != nil {
 			return err
 		}
-		if err := r.add(c, cellName(c.number), "scale", "cell", "--settings", path, "--result", r.resultFile(c)); err != nil {
+		if err := r.add(c, cellName(c.number), "scale", "cell-process", "--settings", path, "--result", r.resultFile(c)); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,186 @@
+package scale
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"silvergate/internal/agent"
+	"silvergate/internal/hollow"
+)
+
+// Every shipped scenario can be read, and is within what it may take.
+func TestShippedScenarios(t *testing.T) {
+	names := Shipped()
+	if len(names) != 4 {
+		t.Errorf("%d scenarios: %v", len(names), names)
+	}
+	for _, name := range names {
+		s, err := LoadScenario(name)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if s.Name != name || s.Processes() > maxProcesses || s.ReckonedGB() > 12 {
+			t.Errorf("%s: named %s, %d processes, %.1f GB", name, s.Name, s.Processes(), s.ReckonedGB())
+		}
+	}
+}
+
+// What can't be is refused in one line that names the field.
+func TestBadScenarios(t *testing.T) {
+	raw, err := shipped.ReadFile("scenarios/small.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(raw)
+	for _, c := range []struct{ from, to, want string }{
+		{"workers: 40", "workers: -4", "workers"},
+		{"workers: 40", "workers: 40\nwokers: 3", "wokers"},
+		{"controllers: 2", "controllers: 0", "controllers"},
+		{"controllers: 2", "controllers: many", "controllers"},
+		{"cells: 1", "cells: 900", "cells"},
+		{"cells: 1", "cells: 16\nmemory_gb: -1", "memory_gb"},
+		{"real_agents: 2", "real_agents: 0", "real"},
+		{"real_agents: 2", "real_agents: 20\nbase_port: 70000", "base_port"},
+		{"zones: [a, b]", "zones: [a, a]", "zones"},
+		{"zones: [a, b]", "zones: []", "zones"},
+		{"duration_s: 16", "duration_s: 0", "duration_s"},
+		{"duration_s: 16", "duration_s: .nan", "duration_s"},
+		{"drain_s: 30", "drain_s: -1", "drain_s"},
+		{"cpus: 24", "cpus: 0", "machine.cpus"},
+		{"cpus: 12", "cpus: 25", "load[2].cpus"},
+		{"class: sweep", "class: serve", "load[1].class"},
+		{"shape: ensemble", "shape: gang", "load[2].shape"},
+		{"urgency: prod", "urgency: high", "load[0].urgency"},
+		{"tasks: 40", "tasks: 100001", "load[1].tasks"},
+		{"cancelled: 0.1", "cancelled: 1.1", "cancelled"},
+		{"kind: workers_gone", "kind: flood", "faults[1].kind"},
+		{"at_s: 6", "at_s: 60", "faults[0].at_s"},
+		{"count: 1", "count: 3", "faults[0].count"},
+		{"share: 0.1, zone: a", "share: 0.1, zone: z", "faults[1].zone"},
+		{"cancel_s: 14", "cancel_s: 7", "cancel_s"},
+		{"txn_ops: 12", "txn_ops: 1", "txn_ops"},
+	} {
+		if !strings.Contains(good, c.from) {
+			t.Fatalf("small.yaml has no %q", c.from)
+		}
+		_, err := ParseScenario([]byte(strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Count(err.Error(), "\n") > 1 {
+			t.Errorf("%s: %v, want an error that names %s", c.to, err, c.want)
+		}
+	}
+}
+
+// A run that the machine can't carry is refused before anything is started.
+func TestRunIsRefusedBeforehand(t *testing.T) {
+	s, err := LoadScenario("small")
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := t.TempDir()
+	if err := WriteJSON(full+"/x", 1); err != nil {
+		t.Fatal(err)
+	}
+	busy := &portTaker{}
+	port, err := busy.take(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer busy.release()
+	for name, change := range map[string]func(*Options){
+		"memory_gb": func(o *Options) { o.Scenario.MemoryGB = 0.01 },
+		"workers":   func(o *Options) { o.Scenario.Workers = 10_000_000; o.Scenario.MemoryGB = 0 },
+		"dir":       func(o *Options) { o.Dir = full },
+		"base_port": func(o *Options) { o.Scenario.BasePort = port },
+	} {
+		scenario := *s
+		o := Options{Scenario: &scenario, Dir: t.TempDir(), Self: "/nonexistent"}
+		change(&o)
+		if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), name) && name != "workers" {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Each checker sees a break that is seeded.
+func TestCheckerSeesBreaks(t *testing.T) {
+	here, there := &hollow.Machine{Name: "i-1", Type: hollowType, Zone: "a"}, &hollow.Machine{Name: "i-2", Type: hollowType, Zone: "b"}
+	key := func(index int) agent.Key { return agent.Key{Job: "wk-000001", Index: index, Try: 1} }
+	for rule, seed := range map[string]func(c *checker, s *submission){
+		ruleRanTwice: func(c *checker, _ *submission) {
+			c.started(here, key(0))
+			c.started(there, key(0))
+		},
+		ruleQuota: func(c *checker, s *submission) {
+			s.GPUs = 3
+			c.started(here, key(0))
+			c.started(here, key(1))
+		},
+		ruleWrongPlace: func(c *checker, s *submission) {
+			s.OneZone = true
+			c.started(here, key(0))
+			c.started(there, key(1))
+		},
+		ruleRanCancelled: func(c *checker, s *submission) {
+			s.calledOff = true
+			c.started(here, key(0))
+			c.answered(s.Ref, statusCancelled)
+			c.now = func() time.Duration { return time.Hour }
+			c.sweep()
+		},
+		ruleNotDone: func(c *checker, s *submission) {
+			c.started(here, key(0))
+			c.stopped(here, key(0), true)
+			c.answered(s.Ref, statusDone)
+		},
+		ruleWentBack: func(c *checker, s *submission) {
+			s.calledOff = true
+			c.answered(s.Ref, statusCancelled)
+			c.answered(s.Ref, "queued")
+		},
+		ruleForgotten: func(c *checker, s *submission) {
+			c.answered(s.Ref, "queued")
+			c.answered(s.Ref, "")
+		},
+		ruleInvented: func(c *checker, _ *submission) { c.answered("wk-000009", "queued") },
+	} {
+		c := newChecker(&Scenario{TeamLimit: 5}, func() time.Duration { return 0 })
+		c.cancelWithin = time.Minute
+		s := &submission{Ref: "wk-000001", Crew: "team-0", Loads: 2, Rigs: []string{hollowType}, GPUs: 1}
+		c.submitted(s)
+		seed(c, s)
+		if broken, first := c.verdict(); broken[rule] == 0 || len(broken) != 1 {
+			t.Errorf("%s: %v %v", rule, broken, first)
+		}
+	}
+}
+
+// A day without a break is not called one.
+func TestCheckerPassesAGoodDay(t *testing.T) {
+	c := newChecker(&Scenario{TeamLimit: 5}, func() time.Duration { return 0 })
+	m := &hollow.Machine{Name: "i-1", Type: hollowType, Zone: "a"}
+	s := &submission{Ref: "wk-000001", Crew: "team-0", Loads: 2, Rigs: []string{hollowType}, GPUs: 2, OneZone: true}
+	c.submitted(s)
+	c.answered(s.Ref, "")
+	c.answered(s.Ref, "queued")
+	for try := 1; try <= 2; try++ { // the first attempt fails, the second one completes
+		for index := range 2 {
+			k := agent.Key{Job: s.Ref, Index: index, Try: try}
+			c.started(m, k)
+			c.stopped(m, k, try == 2)
+		}
+	}
+	c.answered(s.Ref, statusDone)
+	c.answered(s.Ref, statusDone)
+	if broken, first := c.verdict(); len(broken) > 0 {
+		t.Errorf("%v %v", broken, first)
+	}
+}
+
+func TestParseMetrics(t *testing.T) {
+	got := parseMetrics([]byte("# HELP x\nsilvergate_state_requests_total{part=\"state\"} 12\nsilvergate_state_keys 3\nodd\n"))
+	if got["state_requests"] != 12 || got["state_keys"] != 3 {
+		t.Errorf("%v", got)
+	}
+}
--- /dev/null
+++ b/tools/scalereport/main_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"silvergate/internal/scale"
+)
+
+func TestReport(t *testing.T) {
+	dir := t.TempDir()
+	r := &scale.Result{Scenario: &scale.Scenario{Name: "tiny<b>"}, Whole: true, Cells: []*scale.CellResult{{Samples: []scale.Sample{{AtS: 1, Starts: 2}, {AtS: 2, Starts: 5}}}},
+		States: []scale.StateResult{{PerS: []scale.Rates{{AtS: 1, Requests: 3, Changes: 1}}}}}
+	if err := scale.WriteResult(dir, r); err != nil {
+		t.Fatal(err)
+	}
+	if err := write([]string{dir}); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(filepath.Join(dir, reportFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(string(page), "<svg"); n != 4 || strings.Contains(string(page), "tiny<b>") {
+		t.Errorf("%d plots, want 4; the name must be escaped", n)
+	}
+	if write(nil) == nil || write([]string{t.TempDir()}) == nil {
+		t.Error("no error without a result")
+	}
+}
