--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -127,6 +127,10 @@
 	// BeginWithin is after how long a job that has not begun goes ahead of others of its priority with
 	// its first task, or as a whole if it is a gang.
 	BeginWithin time.Duration `yaml:"begin_within"`
+	// GroupTakeover has the workers of a controller that is gone, or does not hear them any more,
+	// pass to others by the group, by a change of the state service for each group in place of one
+	// for each worker.
+	GroupTakeover bool `yaml:"group_takeover"`
 	// LogLevel is used when LOG_LEVEL is not set.
 	LogLevel string `yaml:"log_level"`
 	// Metrics switches GET /metrics on.
@@ -224,7 +228,7 @@
 
 // DefaultOperator returns the design's starting values.
 func DefaultOperator() Operator {
-	return Operator{Probes: 3, PublishInterval: 2 * time.Second, EntryAge: 3, BeginWithin: 150 * time.Second, LogLevel: "info"}
+	return Operator{Probes: 3, PublishInterval: 2 * time.Second, EntryAge: 3, BeginWithin: 150 * time.Second, GroupTakeover: true, LogLevel: "info"}
 }
 
 // Load reads and checks the settings file at path and the operators' file.
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -233,7 +233,7 @@
 				spoilt = multi(r)
 				continue
 			}
-			if !under(protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}, protocol.Cond{Key: keyDrain + m.id}) {
+			if !under(append(c.holding(m), protocol.Cond{Key: keyDrain + m.id})...) {
 				rest = append(rest, ch)
 				continue
 			}
@@ -260,7 +260,7 @@
 				"found", ch.token, "token", m.stamp)
 			continue
 		}
-		if onClaim && !under(protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}) {
+		if onClaim && !under(c.holding(m)...) {
 			rest = append(rest, ch)
 			continue
 		}
--- a/internal/coordination/conclude_test.go
+++ b/internal/coordination/conclude_test.go
@@ -28,7 +28,7 @@
 		s.pass(100 * time.Millisecond)
 		p := protocol.EntryPage{Ledger: 100, Entries: []protocol.Entry{
 			{Key: keyJob + sp.ID, Data: encode(storedJob{sp, job.Open, 1, home}), Stamp: 90},
-			{Key: keyMember + "n0", Data: encode(member{1, 0, 0, pageFormat}), Stamp: 91}}}
+			{Key: keyMember + "n0", Data: encode(member{1, 0, 0, latestFormat}), Stamp: 91}}}
 		for num := range 2 {
 			w := page(num, n-1, 92+uint64(num))
 			p.Entries = append(p.Entries, protocol.Entry{Key: w.Write, Data: w.Data, Stamp: w.Stamp})
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -77,8 +77,8 @@
 	capacity usage              // of all machines, and when it was last summed
 	summedAt time.Duration
 	machines map[string]*machine
-	ours     []*machine     // machines that we hold, by name
-	held     map[string]int // how many each controller holds
+	ours     []*machine // machines that we hold, by name
+	holders  holders    // who holds which machines
 	teams    map[string]*team
 	members  map[string]*member
 	formats  map[string]int   // what each controller reads, as last published
@@ -137,6 +137,7 @@
 	Cancelled   uint64 `json:"cancelled"`
 	Checkins    uint64 `json:"checkins"`
 	Claims      uint64 `json:"claims"`
+	Takeovers   uint64 `json:"takeovers"` // groups of workers
 	Adopted     uint64 `json:"adopted"`
 	Placements  uint64 `json:"placements"`
 	Endings     uint64 `json:"endings"`
@@ -163,7 +164,7 @@
 		cfg: cfg, log: log, rnd: rnd, life: life,
 		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
 		teams: map[string]*team{}, members: map[string]*member{}, formats: map[string]int{}, listed: map[taskKey]bool{}, drains: map[string]drain{}, dirty: map[*page]bool{},
-		orphans: map[string]orphan{}, early: map[string][]early{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, held: map[string]int{}, latency: map[string]*hdrhistogram.Histogram{},
+		orphans: map[string]orphan{}, early: map[string][]early{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, holders: newHolders(), latency: map[string]*hdrhistogram.Histogram{},
 	}
 	for i := range cfg.Facts.Teams {
 		t := &cfg.Facts.Teams[i]
@@ -206,6 +207,7 @@
 }
 
 func (c *Core) end() Effects {
+	c.heedTakeovers()
 	c.flush()
 	c.store.Tick(c.now)
 	c.sendPolls()
@@ -268,6 +270,7 @@
 		if c.readyAt == 0 {
 			c.readyAt = c.now
 		}
+		c.expireTakeovers()
 		c.watchMachines()
 		for id, e := range c.early {
 			if c.now-e[0].at > c.cfg.Operator.PublishInterval {
@@ -400,17 +403,18 @@
 
 // Keys of the records.
 const (
-	keyJob     = bookkeeping.Root + "j/"
-	keyPage    = bookkeeping.Root + "p/"
-	keyClaim   = bookkeeping.Root + "c/"
-	keyTeam    = bookkeeping.Root + "q/"
-	keyMember  = bookkeeping.Root + "m/"
-	keyDrain   = bookkeeping.Root + "x/"
-	keyRental  = bookkeeping.Root + "h/"
-	keyFleet   = bookkeeping.Root + "fleet"
-	keyGang    = bookkeeping.Root + "gang"
-	keyFlavors = bookkeeping.Root + "flavors"
-	keyExtra   = bookkeeping.Aside + "d/"
+	keyJob      = bookkeeping.Root + "j/"
+	keyPage     = bookkeeping.Root + "p/"
+	keyClaim    = bookkeeping.Root + "c/"
+	keyTeam     = bookkeeping.Root + "q/"
+	keyMember   = bookkeeping.Root + "m/"
+	keyDrain    = bookkeeping.Root + "x/"
+	keyRental   = bookkeeping.Root + "h/"
+	keyTakeover = bookkeeping.Root + "t/"
+	keyFleet    = bookkeeping.Root + "fleet"
+	keyGang     = bookkeeping.Root + "gang"
+	keyFlavors  = bookkeeping.Root + "flavors"
+	keyExtra    = bookkeeping.Aside + "d/"
 )
 
 // apply takes a change of the mirror.
@@ -427,6 +431,8 @@
 		c.applyPage(name, data, stamp)
 	case keyClaim:
 		c.applyClaim(name, data, stamp)
+	case keyTakeover:
+		c.applyTakeover(name, data, stamp)
 	case keyTeam:
 		c.applyTeam(name, data, stamp)
 	case keyMember:
--- a/internal/coordination/data.go
+++ b/internal/coordination/data.go
@@ -436,7 +436,7 @@
 			continue
 		}
 		all := 0
-		for _, n := range c.held {
+		for _, n := range c.holders.count {
 			all += n
 		}
 		share := a.Machines
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -93,7 +93,7 @@
 	for _, p := range c.cfg.Peers {
 		if p.Zone == zone {
 			locals++
-			if !c.alive(p.Node) && c.held[p.Node] > 0 {
+			if !c.alive(p.Node) && c.holders.count[p.Node] > 0 {
 				gone++
 			}
 		}
@@ -250,6 +250,7 @@
 	c.deletions()
 	c.sendRentals()
 	if c.now >= f.planAt {
+		c.dropTakeovers()
 		f.planAt = c.now + seconds(c.cfg.Facts.Workers.Report/6)
 		c.plan()
 	}
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -33,8 +33,10 @@
 
 // loadGrown submits services at the start, and arrays and gangs until the
 // time given.
-func (s *sim) loadGrown(until time.Duration) {
-	n := 0
+func (s *sim) loadGrown(until time.Duration) { s.loadGrownFrom(0, until) }
+
+// loadGrownFrom is loadGrown with job numbers above n.
+func (s *sim) loadGrownFrom(n int, until time.Duration) {
 	spec := func(shape job.Shape, class string, p job.Priority, tasks int) *job.Spec {
 		n++
 		return &job.Spec{ID: fmt.Sprintf("wk-%06d", n), Class: class, Team: []string{"red", "blue"}[s.rnd.IntN(2)], Shape: shape, Priority: p,
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -64,7 +64,7 @@
 		// Another controller claims it and the worker does not hear of it; it comes back here.
 		s.pass(time.Second)
 		s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Ledger: 140, News: []protocol.News{{Write: keyClaim + "i-000001",
-			Data: encode(claim{"n0", 3, "10.1.0.1:9000", "small", "a", false}), Stamp: 140}}})
+			Data: encode(claim{"n0", 3, "10.1.0.1:9000", "small", "a", false, 1}), Stamp: 140}}})
 		s.next++
 		s.ans = nil
 		s.take(s.c.Request(s.clock(), s.next, "POST", protocol.PathCheckin, encode(protocol.Report{Stoker: "i-000001", Address: "10.1.0.1:9000",
@@ -112,7 +112,7 @@
 		s := newScript(t)
 		s.pass(100 * time.Millisecond)
 		s.reply(protocol.PathKeys+"?", "", 200, protocol.EntryPage{Ledger: 120, Entries: []protocol.Entry{{Key: keyClaim + "i-000001",
-			Data: encode(claim{"n0", 3, "10.1.0.1:9000", "small", "b", false}), Stamp: 110}}})
+			Data: encode(claim{"n0", 3, "10.1.0.1:9000", "small", "b", false, 1}), Stamp: 110}}})
 		for end := s.at + v.after; s.at < end; {
 			s.pass(200 * time.Millisecond)
 			if !v.outage {
@@ -167,7 +167,7 @@
 	s := newSim(41_000, 0)
 	s.run(30 * time.Second)
 	n := s.nodes[0]
-	old := encode(member{n.core.life - 1, 99, 0, pageFormat})
+	old := encode(member{n.core.life - 1, 99, 0, latestFormat})
 	s.kv.rev++
 	s.kv.change(keyMember+n.name, old, n.core.permit, s.kv.rev)
 	s.run(40 * time.Second)
--- a/internal/coordination/late_test.go
+++ b/internal/coordination/late_test.go
@@ -129,7 +129,7 @@
 			s.report(50, 1)
 			s.reply(protocol.PathTxn, keyClaim, 409, protocol.TxnResult{Failed: []string{keyClaim + "i-000001"}, Ledger: 119})
 			s.reply(protocol.PathKeys+"/", "", 200, protocol.Entry{Key: keyClaim + "i-000001", Stamp: 101,
-				Data: encode(claim{"n0", 3, "10.1.0.1:9000", "small", "a", false})})
+				Data: encode(claim{"n0", 3, "10.1.0.1:9000", "small", "a", false, 1})})
 			s.reply(protocol.PathTxn, keyClaim, 200, protocol.TxnResult{Ledger: 120})
 			if a := s.answer(); a.Baton != 120 {
 				t.Fatalf("the claim was answered with token %d", a.Baton)
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -18,7 +18,7 @@
 	Life     int64 `json:"l"`
 	Idle     int   `json:"i"`
 	Machines int   `json:"m"`
-	Format   int   `json:"f,omitempty"` // of pages that it reads
+	Format   int   `json:"f,omitempty"` // the highest that it reads
 }
 
 // Message is what controllers tell each other. It only saves time.
@@ -142,7 +142,7 @@
 			}
 		})
 	}
-	data := encode(member{c.life, len(c.idle), len(c.ours), pageFormat})
+	data := encode(member{c.life, len(c.idle), len(c.ours), latestFormat})
 	if string(data) != c.published && c.now >= c.publishAt {
 		c.publishAt = c.now + c.cfg.Operator.PublishInterval
 		c.published = string(data)
--- a/internal/coordination/page.go
+++ b/internal/coordination/page.go
@@ -21,8 +21,13 @@
 // that did not change. Earlier versions wrote a list of objects, which is still
 // read, and written as long as a peer of such a version may be about.
 
-// pageFormat is what this version reads, published with the member record.
-const pageFormat = 1
+// Formats of records, each of which includes those before it. A controller publishes the
+// highest that it reads with its member record.
+const (
+	wordsFormat    = 1 // pages of words
+	takeoverFormat = 2 // take-overs by the group
+	latestFormat   = takeoverFormat
+)
 
 var errPage = errors.New("not a page of tasks")
 
@@ -177,11 +182,11 @@
 	return untried(n, old, buf), nil
 }
 
-// compact tells whether all peers are known to read the present format: each
-// has published so, in this life of ours.
-func (c *Core) compact() bool {
+// allRead tells whether all peers are known to read a format: each has published so, in
+// this life of ours.
+func (c *Core) allRead(format int) bool {
 	for _, p := range c.cfg.Peers {
-		if c.formats[p.Node] < pageFormat {
+		if c.formats[p.Node] < format {
 			return false
 		}
 	}
@@ -190,7 +195,7 @@
 
 // encodePage encodes a page so that every controller can read it.
 func (c *Core) encodePage(tasks []job.Task) json.RawMessage {
-	if c.compact() {
+	if c.allRead(wordsFormat) {
 		return writePage(tasks)
 	}
 	return encode(tasks)
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -167,10 +168,15 @@
 	conds := []protocol.Cond{{Key: keyFleet, Stamp: f.stamp}}
 	var ops []protocol.Op
 	for _, id := range sortedKeys(f.condemned) {
-		if len(ops) == c.cfg.Facts.State.TxnOps || len(conds)+2 > 4*c.cfg.Facts.State.TxnOps {
+		held := []protocol.Cond{{Key: keyDrain + id}, {Key: keyClaim + id}}
+		if m := c.machines[id]; m != nil {
+			held = append(c.holding(m), held[0])
+		}
+		held = slices.DeleteFunc(held, func(k protocol.Cond) bool { return slices.Contains(conds, k) })
+		if len(ops) == c.cfg.Facts.State.TxnOps || len(conds)+len(held) > 4*c.cfg.Facts.State.TxnOps {
 			break
 		}
-		conds = append(conds, protocol.Cond{Key: keyClaim + id, Stamp: c.store.Stamp(keyClaim + id)}, protocol.Cond{Key: keyDrain + id})
+		conds = append(conds, held...)
 		ops = append(ops, protocol.Op{Write: keyDrain + id, Data: encode(drain{f.condemned[id]})})
 	}
 	f.condemning = true
--- a/internal/coordination/returns_test.go
+++ b/internal/coordination/returns_test.go
@@ -95,7 +95,7 @@
 				s.run(s.now + time.Millisecond)
 				if c.store.Reading() {
 					claimed = true
-					write(keyClaim+"i-900000", encode(claim{"n9", 1, "w:i-900000", "small", "a", false}))
+					write(keyClaim+"i-900000", encode(claim{"n9", 1, "w:i-900000", "small", "a", false, 1}))
 					write(keyJob+"wk-700000", spec)
 					write(pageKey("wk-700000", 0), page)
 					s.kv.change(keyClaim+"i-900000", nil, 0, s.kv.rev) // as the reader saw it
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -37,7 +37,7 @@
 		z.newest = max(z.newest, m.heard)
 		// Guards against work that waits for room on a machine that hears nobody: its reports come, so it is not silent,
 		// and it never shows the token under which it could be given any.
-		if !m.shown && c.now-m.claimedAt > seconds(2*w.Report) && c.now-m.heard < silent && len(deaf) < mostDeaf {
+		if !m.shown && m.tally > 0 && c.now-m.claimedAt > seconds(2*w.Report) && c.now-m.heard < silent && len(deaf) < mostDeaf {
 			deaf = append(deaf, m.id)
 		}
 	}
@@ -46,7 +46,7 @@
 	for name, z := range zones {
 		held[name] = z.held
 	}
-	if c.held[c.cfg.Node] > len(c.ours) {
+	if c.holders.count[c.cfg.Node] > len(c.ours) {
 		for _, m := range c.machines {
 			if c.earlier(m) {
 				awaited[m.claim.Zone]++
@@ -84,7 +84,7 @@
 			c.drain(m, drainSilent)
 		}
 	}
-	if c.held[c.cfg.Node] > len(c.ours) && !blind {
+	if c.holders.count[c.cfg.Node] > len(c.ours) && !blind {
 		c.watchEarlier(recent*4 >= mine)
 	}
 }
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -74,6 +74,7 @@
 	cold      int
 	tapes     []*simTape
 	met       meetings
+	alone     bool // workers are taken over one by one, not by the group
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -119,6 +120,7 @@
 	cut     map[string]time.Duration // "state", "workers", "peers", "users", "cloud", "zone:Z" (its workers), "to:N" (messages to a peer): cut off until
 	reset   map[string]bool          // cut off so that connections fail at once
 	old     bool                     // runs the version before rows and carried calls
+	legacy  bool                     // runs the version before take-overs by the group
 	refused time.Duration            // by the state service alone
 	frozen  time.Duration            // until then it stands still, and its clock does not
 	drift   float64                  // of its steady clock
@@ -139,6 +141,7 @@
 	n.reqs, n.askers, n.waits = map[uint64]func(int, []byte){}, map[uint64]string{}, map[waitIn]time.Duration{}
 	cfg := &config.Settings{Node: n.name, Zone: n.zone, Facts: s.told, Operator: config.DefaultOperator()}
 	cfg.Operator.Archive = n.archive
+	cfg.Operator.GroupTakeover = !s.alone
 	if s.sets != nil {
 		cfg.Operator.Staging = &config.Staging{ServerStreams: 6, PeerStreams: 2, MachineStreams: 1, RateMBPerS: 100}
 	}
@@ -521,6 +524,9 @@
 	if u.Path == protocol.PathTxn {
 		_ = json.Unmarshal(c.Body, &t)
 	}
+	if n.legacy {
+		t, reply = withoutTakeovers(t), unseenTakeovers(reply)
+	}
 	if k.over(len(t.Then)) {
 		reply(429, nil)
 		return
--- a/internal/coordination/start_test.go
+++ b/internal/coordination/start_test.go
@@ -23,7 +23,7 @@
 func fleetRecords(machines int, owner string) (keys []string, data map[string][]byte) {
 	data = map[string][]byte{keyFlavors: encode(protocol.Flavors{Rigs: []protocol.Flavor{{SKU: "large", CPUs: 64, GPUs: 8, RAM: 256, PullRate: 1, Hourly: 12, SpotPrice: 4, StartupS: 40, Depots: []string{"a", "b"}}}})}
 	for i := range machines {
-		data[fmt.Sprintf("%si-%06d", keyClaim, i)] = encode(claim{owner, 1, fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), "large", []string{"a", "b"}[i%2], i%2 == 0})
+		data[fmt.Sprintf("%si-%06d", keyClaim, i)] = encode(claim{owner, 1, fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), "large", []string{"a", "b"}[i%2], i%2 == 0, 1})
 	}
 	const each = 25
 	for j := range machines * 8 / each * 2 {
--- /dev/null
+++ b/internal/coordination/takeovers_test.go
@@ -0,0 +1,292 @@
+package coordination
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"silvergate/internal/config"
+	"silvergate/internal/protocol"
+)
+
+// takeoverDay is what came of a day on which one controller ends for good, or all end.
+type takeoverDay struct {
+	workers   int           // that were held by those that ended
+	changes   int           // claims and take-overs written within a minute of it
+	takeovers int           // of them
+	half      time.Duration // until half, nine tenths and 99% of the workers were answered
+	most      time.Duration
+	nearly    time.Duration
+	ended     int // sessions with tasks that ended by their leases
+}
+
+func (d takeoverDay) String() string {
+	return fmt.Sprintf("%d workers, %d changes (%d take-overs), answered after %.1f, %.1f, %.1f s (half, 90%%, 99%%), %d leases ended with tasks",
+		d.workers, d.changes, d.takeovers, d.half.Seconds(), d.most.Seconds(), d.nearly.Seconds(), d.ended)
+}
+
+// playTakeover plays a grown deployment with times as many machines and as much work.
+func playTakeover(t *testing.T, seed uint64, times int, grouped, all bool) takeoverDay {
+	s := grownSim(seed)
+	s.alone = !grouped
+	for k := range s.cloud.free {
+		s.cloud.free[k] *= times
+	}
+	for i := range s.facts.Teams {
+		s.facts.Teams[i].GPUsMax *= float64(times)
+	}
+	s.told = s.facts
+	for i := range times {
+		s.loadGrownFrom(10_000*i, 100*time.Second)
+	}
+	s.run(120 * time.Second)
+	ending := s.nodes[:1]
+	if all {
+		ending = s.nodes
+	}
+	lost := map[*simWorker]bool{}
+	for _, n := range ending {
+		for _, m := range n.core.ours {
+			if w := s.cloud.all[m.id]; w != nil && w.up {
+				lost[w] = true
+			}
+		}
+	}
+	d := takeoverDay{workers: len(lost)}
+	ended, takeovers, reclaimed, begun := s.met.ended, s.met.takeovers, s.met.reclaimed, s.now
+	for _, n := range ending {
+		down := time.Hour
+		if all {
+			down = 3 * time.Second
+		}
+		n.crash(down)
+	}
+	var answered []time.Duration
+	var look func()
+	look = func() {
+		for w := range lost {
+			switch {
+			case !w.up:
+				delete(lost, w)
+			case w.answered > begun:
+				answered = append(answered, s.now-begun)
+				delete(lost, w)
+			}
+		}
+		if s.now < begun+time.Minute {
+			s.after(100*time.Millisecond, look)
+		}
+	}
+	look()
+	s.run(begun + time.Minute)
+	d.takeovers = s.met.takeovers - takeovers
+	d.changes = d.takeovers + s.met.reclaimed - reclaimed
+	slices.Sort(answered)
+	d.workers = len(answered) + len(lost) // without those that were returned meanwhile
+	at := func(share float64) time.Duration {
+		i := int(share*float64(d.workers)+0.5) - 1
+		if i < 0 || i >= len(answered) {
+			return time.Minute
+		}
+		return answered[i]
+	}
+	d.half, d.most, d.nearly = at(0.5), at(0.9), at(0.99)
+	d.ended = s.met.ended - ended
+	s.report(t)
+	return d
+}
+
+// TestGroupTakeover has a controller with a fifth of some 850 machines end for good: its
+// workers pass to the others by some records, where each took a claim of its own, and are
+// answered within half a lease.
+//
+// SIM_TIMES plays it at that many times the machines, and all controllers' end, too.
+func TestGroupTakeover(t *testing.T) {
+	times := []int{3}
+	if list := os.Getenv("SIM_TIMES"); list != "" {
+		times = nil
+		for _, word := range strings.Split(list, ",") {
+			n, err := strconv.Atoi(word)
+			if err != nil {
+				t.Fatal(err)
+			}
+			times = append(times, n)
+		}
+	}
+	for _, n := range times {
+		grouped, alone := playTakeover(t, 71, n, true, false), playTakeover(t, 71, n, false, false)
+		t.Logf("%d times, one ends, by the group: %s", n, grouped)
+		t.Logf("%d times, one ends, one by one:   %s", n, alone)
+		if grouped.takeovers == 0 || alone.takeovers > 0 || grouped.changes*3 > alone.changes {
+			t.Errorf("%d times: %d changes by the group, %d one by one", n, grouped.changes, alone.changes)
+		}
+		if lease := seconds(grownSim(1).facts.Workers.Lease); grouped.most > 3*lease/4 {
+			t.Errorf("%d times: nine tenths are answered after %s, and a lease is %s", n, grouped.most, lease)
+		}
+		if os.Getenv("SIM_TIMES") == "" {
+			continue
+		}
+		t.Logf("%d times, all end, by the group: %s", n, playTakeover(t, 72, n, true, true))
+		t.Logf("%d times, all end, one by one:   %s", n, playTakeover(t, 72, n, false, true))
+	}
+}
+
+// TestTakeoverSwitch: the operators' setting turns it off, and it is on by default.
+func TestTakeoverSwitch(t *testing.T) {
+	if !config.DefaultOperator().GroupTakeover {
+		t.Error("take-overs by the group are off by default")
+	}
+	o, err := config.ParseOperator([]byte("group_takeover: false\n"))
+	if err != nil || o.GroupTakeover {
+		t.Errorf("%v %v", o.GroupTakeover, err)
+	}
+}
+
+// withoutTakeovers is a transaction as the version before take-overs writes it: its claims and
+// member records know of none, and nothing is conditional on any.
+func withoutTakeovers(t protocol.Txn) protocol.Txn {
+	t.If = slices.DeleteFunc(slices.Clone(t.If), func(k protocol.Cond) bool { return strings.HasPrefix(k.Key, keyTakeover) })
+	t.Then = slices.Clone(t.Then)
+	for i, o := range t.Then {
+		switch {
+		case strings.HasPrefix(o.Write, keyClaim):
+			var k claim
+			_ = json.Unmarshal(o.Data, &k)
+			k.Epoch = 0
+			t.Then[i].Data = encode(k)
+		case strings.HasPrefix(o.Write, keyMember):
+			var m member
+			_ = json.Unmarshal(o.Data, &m)
+			m.Format = wordsFormat
+			t.Then[i].Data = encode(m)
+		}
+	}
+	return t
+}
+
+// unseenTakeovers has that version see no record of take-overs, nor an epoch in a claim.
+func unseenTakeovers(reply func(int, []byte)) func(int, []byte) {
+	return func(status int, body []byte) {
+		var watch protocol.WatchResult
+		var page protocol.EntryPage
+		switch {
+		case status != 200:
+		case json.Unmarshal(body, &watch) == nil && len(watch.News) > 0:
+			watch.News = slices.DeleteFunc(watch.News, func(n protocol.News) bool { return strings.HasPrefix(n.Write+n.Drop, keyTakeover) })
+			for i := range watch.News {
+				watch.News[i].Data = withoutEpoch(watch.News[i].Write, watch.News[i].Data)
+			}
+			body = encode(watch)
+		case json.Unmarshal(body, &page) == nil && len(page.Entries) > 0:
+			if page.Entries = slices.DeleteFunc(page.Entries, func(e protocol.Entry) bool { return strings.HasPrefix(e.Key, keyTakeover) }); len(page.Entries) == 0 {
+				page.Truncated = false
+			}
+			for i := range page.Entries {
+				page.Entries[i].Data = withoutEpoch(page.Entries[i].Key, page.Entries[i].Data)
+			}
+			body = encode(page)
+		}
+		reply(status, body)
+	}
+}
+
+func withoutEpoch(key string, data json.RawMessage) json.RawMessage {
+	if !strings.HasPrefix(key, keyClaim) || data == nil {
+		return data
+	}
+	var k claim
+	_ = json.Unmarshal(data, &k)
+	k.Epoch = 0
+	return encode(k)
+}
+
+// TestVersionsWithAndWithoutTakeovers rolls a site from the version before take-overs to this one
+// and back, while controllers end and lose their workers. As long as a controller of the earlier
+// version is there none takes a group over, and what had passed by groups is claimed one by one.
+func TestVersionsWithAndWithoutTakeovers(t *testing.T) {
+	for _, seed := range []uint64{81, 82, 83} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			s := grownSim(seed)
+			s.unordered = true
+			for _, n := range s.nodes {
+				n.legacy = true
+			}
+			s.loadGrown(330 * time.Second)
+			roll := func(at time.Duration, legacy bool) {
+				for i, n := range s.nodes {
+					s.after(at+time.Duration(8*i)*time.Second, func() { n.legacy = legacy; n.crash(2 * time.Second) })
+				}
+			}
+			end := func(at time.Duration, i int) { s.after(at, func() { s.nodes[i].crash(25 * time.Second) }) }
+			cut := func(at time.Duration, i int) {
+				s.after(at, func() { s.cutLink(s.nodes[i], "workers", 25*time.Second) })
+			}
+			end(40*time.Second, 0)
+			roll(70*time.Second, false)
+			cut(80*time.Second, 4)
+			end(95*time.Second, 1)
+			written := 0 // take-overs while all run this version
+			s.after(112*time.Second, func() { written = s.countTakeovers() })
+			end(125*time.Second, 0)
+			cut(165*time.Second, 3)
+			s.after(215*time.Second, func() { written = s.countTakeovers() - written })
+			roll(220*time.Second, true)
+			end(235*time.Second, 2)
+			s.run(260 * time.Second)
+			before := s.countTakeovers()
+			end(270*time.Second-s.now, 3)
+			s.run(300 * time.Second)
+			if after := s.countTakeovers(); after != before || written == 0 {
+				t.Errorf("%d take-overs among this version; %d among the earlier one", written, after-before)
+			}
+			s.finish(t, 350*time.Second)
+			s.report(t)
+		})
+	}
+}
+
+// countTakeovers counts the records of take-overs that were ever written.
+func (s *sim) countTakeovers() int { return s.met.takeovers }
+
+// TestAGroupThatPassesOnTwice: the claims of a life whose workers were taken over are of a new
+// epoch, so that a second loss is taken over by the group, too; and records that nothing stands on
+// are dropped.
+func TestAGroupThatPassesOnTwice(t *testing.T) {
+	s := grownSim(84)
+	s.loadGrown(260 * time.Second)
+	for _, at := range []time.Duration{60, 150} {
+		s.after(at*time.Second, func() { s.cutLink(s.nodes[0], "workers", 30*time.Second) })
+	}
+	s.run(145 * time.Second)
+	first := s.countTakeovers()
+	s.run(220 * time.Second)
+	if second := s.countTakeovers() - first; first == 0 || second == 0 {
+		t.Errorf("%d take-overs after the first loss, %d after the second", first, second)
+	}
+	s.finish(t, 320*time.Second)
+	s.run(500 * time.Second)
+	s.report(t)
+	left := 0
+	for key := range s.kv.keys {
+		if strings.HasPrefix(key, keyTakeover) {
+			left++
+		}
+	}
+	used := map[string]bool{}
+	for _, m := range s.nodes[0].core.machines {
+		for _, l := range m.links {
+			if l.Stamp > 0 {
+				used[l.Group.Key()] = true
+			}
+		}
+	}
+	if left != len(used) {
+		t.Errorf("%d records of take-overs are left, %d are in use", left, len(used))
+	}
+}
--- a/internal/coordination/troublemakers_test.go
+++ b/internal/coordination/troublemakers_test.go
@@ -9,6 +9,7 @@
 
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
+	"silvergate/internal/takeover"
 )
 
 // Troubles that users and machines make, with the meaning that the operators' page gives them, and the
@@ -50,6 +51,8 @@
 	early      int // machines up before the rental's record named them
 	unopened   int // reports that found no controller, as their machine is mute
 	answers    int // of transactions, lost
+	takeovers  int // of groups of workers, written
+	reclaimed  int // claims of machines that had one, written
 	delivered  int // reports, held back or kept, to a new leader
 	asked      int // questions within milliseconds
 	atEnd      int // jobs called off at their end
@@ -123,23 +126,52 @@
 // claimed sees a claim being written: where the machine changes hands, reports that were held back or kept
 // arrive, and users may call jobs off.
 func (s *sim) claimed(key string, data json.RawMessage) {
+	if data == nil {
+		return
+	}
+	if group, is := strings.CutPrefix(key, keyTakeover); is {
+		s.takenOver(group, data)
+		return
+	}
 	name, is := strings.CutPrefix(key, keyClaim)
-	if !is || data == nil {
+	if !is {
 		return
 	}
 	var now, was claim
 	_ = json.Unmarshal(data, &now)
 	if old, ok := s.kv.keys[key]; ok {
 		_ = json.Unmarshal(old.data, &was)
+		s.met.reclaimed++
 	}
-	if now.Owner == was.Owner && now.Life == was.Life {
-		return
+	if now.Owner != was.Owner || now.Life != was.Life {
+		s.changesHands(name, now.Owner)
 	}
+}
+
+// takenOver sees the take-over of a group being written: what happens to a worker that changes hands
+// happens to all of it.
+func (s *sim) takenOver(key string, data json.RawMessage) {
+	s.met.takeovers++
+	var heir takeover.Holder
+	_ = json.Unmarshal(data, &heir)
+	g, _ := takeover.ParseKey(key)
+	for _, id := range sortedKeys(s.cloud.all) {
+		var own claim
+		_ = json.Unmarshal(s.kv.keys[keyClaim+id].data, &own)
+		holder := takeover.Holder{Node: own.Owner, Life: own.Life, Epoch: own.Epoch}
+		if takeover.Of(holder, id, own.Zone) == g {
+			s.changesHands(id, heir.Node)
+		}
+	}
+}
+
+// changesHands has reports of a machine that were held back or kept arrive as it gets another holder.
+func (s *sim) changesHands(name, owner string) {
 	s.met.owners++
 	if body, ok := s.met.heldBack[name]; ok {
 		delete(s.met.heldBack, name)
 		for _, n := range s.nodes {
-			if n.name == now.Owner {
+			if n.name == owner {
 				s.met.delivered++
 				s.after(s.ms(1, 4000), func() { n.hearsLate(name, body) })
 			}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -13,6 +13,7 @@
 	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
 	"silvergate/internal/reach"
+	"silvergate/internal/takeover"
 )
 
 // claim is the record that makes a worker ours; its stamp is the worker's
@@ -24,6 +25,9 @@
 	Type    string `json:"t"`
 	Zone    string `json:"z"`
 	Spot    bool   `json:"s,omitempty"`
+	// Epoch is that of the holder's claims, see internal/takeover; 0 from versions that
+	// know of no take-overs by the group.
+	Epoch int `json:"e,omitempty"`
 }
 
 // drain bars a machine from new work; placements are conditioned on its
@@ -48,8 +52,10 @@
 
 type machine struct {
 	id       string
-	claim    claim
-	stamp    uint64
+	claim    claim            // with who holds it by all records
+	stamp    uint64           // the token by which it is held; 0: it has no claim
+	own      takeover.Claim   // by its own record alone
+	links    []takeover.Link  // the groups that its holder stands on
 	kind     *protocol.Flavor // of its type, nil while that is not known
 	bound    map[taskKey]*record
 	services int                     // bound tasks of services
@@ -177,30 +183,33 @@
 
 func (c *Core) applyClaim(id string, data json.RawMessage, stamp uint64) {
 	m := c.machine(id)
-	if m.stamp != 0 {
-		c.held[m.claim.Owner]--
-	}
-	defer c.hold(m)
 	if data == nil {
-		m.stamp = 0
-		m.shown = false
-		m.reoccupy()
-		c.unlist(m)
-		c.forgetGone(m)
+		c.unclaim(m)
 		return
 	}
 	var k claim
 	if !decode(c.log, id, data, &k) {
 		return
 	}
-	m.claim, m.stamp, m.claimedAt = k, stamp, c.now
-	m.shown, m.proved, m.released, m.adopted, m.homeAt = false, false, false, false, 0
-	m.soon, m.owed = nil, nil
-	m.reoccupy()
-	if !c.mine(m) {
-		c.unlist(m)
-		clear(m.stops)
+	if m.stamp != 0 {
+		c.holders.count[m.claim.Owner]--
+		m.stamp = 0
 	}
+	m.claim, m.own = k, takeover.Claim{Holder: takeover.Holder{Node: k.Owner, Life: k.Life, Epoch: k.Epoch}, Token: stamp}
+	c.resolve(m)
+}
+
+// unclaim takes that a machine's claim is gone.
+func (c *Core) unclaim(m *machine) {
+	if m.stamp != 0 {
+		c.holders.count[m.claim.Owner]--
+	}
+	m.stamp, m.own, m.links = 0, takeover.Claim{}, nil
+	m.shown = false
+	m.reoccupy()
+	c.unlist(m)
+	c.forgetGone(m)
+	c.hold(m)
 }
 
 // forgetGone drops what is known of a machine without a claim. Guards against room
@@ -217,7 +226,7 @@
 // with a changed claim.
 func (c *Core) hold(m *machine) {
 	if m.stamp != 0 {
-		c.held[m.claim.Owner]++
+		c.holders.count[m.claim.Owner]++
 	}
 	c.own(m)
 }
@@ -261,6 +270,12 @@
 		return
 	}
 	c.reach.WorkerHeard(r.Depot)
+	c.hear(id, r, false)
+}
+
+// hear answers a report, at once or after a claim or the take-over of its worker's group.
+// alone has the worker claimed alone where it needs a claim.
+func (c *Core) hear(id uint64, r *protocol.Report, alone bool) {
 	if peer := c.betterPlaced(r); peer != "" {
 		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
 		return
@@ -277,7 +292,7 @@
 	}
 	c.adopt(m, r)
 	c.voidLaunches(m, r)
-	if c.standing(m).Hear(head(r)) != evidence.Claim {
+	if c.standing(m).Hear(head(r)) != evidence.Claim && !(m.passed() && c.earlierVersion()) {
 		c.accept(id, m, r)
 		return
 	}
@@ -299,6 +314,9 @@
 		c.refuse(id, 503, "cut off from the state service")
 		return
 	}
+	if !alone && c.takeGroup(id, m, r) {
+		return
+	}
 	c.take(m, r, 0, func(m *machine, ok bool) {
 		if !ok {
 			c.refuse(id, 503, "the claim failed")
@@ -342,9 +360,9 @@
 		if c.members[name] == nil || p.Word > now.Report || !reach.Serves(&now, p, zone, now.Report) || sure && p.Carries && !home(name) && !reach.Proven(&now, p, zone) {
 			continue
 		}
-		all, allHeld = append(all, name), allHeld+c.held[name]
+		all, allHeld = append(all, name), allHeld+c.holders.count[name]
 		if p.Zone == zone {
-			near, nearHeld = append(near, name), nearHeld+c.held[name]
+			near, nearHeld = append(near, name), nearHeld+c.holders.count[name]
 		}
 	}
 	group, held, size := near, nearHeld, len(near)
@@ -379,7 +397,7 @@
 	}
 	to, least := "", 0
 	for _, i := range c.rnd.Perm(len(group)) {
-		if n := c.held[group[i]]; to == "" || n < least {
+		if n := c.holders.count[group[i]]; to == "" || n < least {
 			to, least = group[i], n
 		}
 	}
@@ -486,7 +504,8 @@
 		return false
 	}
 	// With work on it a claim is worth its try here: its holder may be the one that can't be heard.
-	unheard := len(r.Loads) == 0 && r.Baton < m.stamp && c.now-m.claimedAt < seconds(c.cfg.Facts.Workers.Lease/3)
+	// A whole group that has just been taken over is told by those that come to its holder: elsewhere each would need a claim.
+	unheard := (len(r.Loads) == 0 || m.passed()) && r.Baton < m.stamp && c.now-m.claimedAt < seconds(c.cfg.Facts.Workers.Lease/3)
 	if !c.cutOff() && !unheard || m.sentHome > 0 && c.now-m.sentHome < c.leaseOver() {
 		return false
 	}
@@ -513,9 +532,9 @@
 	m.claiming = true
 	c.claims++
 	again := c.mine(m) && c.proved(m) // nobody else can have held it since
-	k := claim{c.cfg.Node, c.life, r.Address, r.Rig, r.Depot, r.Casual}
+	k := claim{c.cfg.Node, c.life, r.Address, r.Rig, r.Depot, r.Casual, c.ownEpoch()}
 	class := m.class()
-	c.store.Txn(class, []protocol.Cond{{Key: keyClaim + m.id, Stamp: m.stamp}},
+	c.store.Txn(class, c.holding(m),
 		[]protocol.Op{{Write: keyClaim + m.id, Data: encode(k)}}, func(o bookkeeping.Outcome, _ []string, _ uint64) {
 			m.claiming = false
 			c.claims--
@@ -523,13 +542,9 @@
 			m = c.machine(m.id)
 			switch {
 			case o == bookkeeping.OK:
-				// Whatever was sent under the old token is void once this
-				// one is seen, and nothing is believed before that.
-				m.tainted = false
-				clear(m.direct)
+				m.renewed(c.now)
 				m.proved = again && tries == 0
 				c.Stats.Claims++
-				m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
 				done(m, true)
 			case (o == bookkeeping.Conflict || o == bookkeeping.Unknown) && tries < 1:
 				m.claiming = true
@@ -804,7 +819,8 @@
 	c.log.Debug("draining", "stoker", m.id, "why", why)
 	// The claim is a condition too: a controller that was cut off must not
 	// judge machines that have long reported to another.
-	c.store.Txn(m.class(), append(conds, protocol.Cond{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)}, protocol.Cond{Key: keyClaim + m.id, Stamp: m.stamp}),
+	conds = append(conds, protocol.Cond{Key: keyDrain + m.id, Stamp: c.store.Stamp(keyDrain + m.id)})
+	c.store.Txn(m.class(), append(conds, c.holding(m)...),
 		[]protocol.Op{{Write: keyDrain + m.id, Data: encode(drain{why})}}, func(bookkeeping.Outcome, []string, uint64) {
 			m.draining = false
 		})
--- a/internal/evidence/model_test.go
+++ b/internal/evidence/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"silvergate/internal/explore"
+	"silvergate/internal/takeover"
 )
 
 // The model: two controllers, two machines and one task, a state service that keeps
@@ -26,12 +27,15 @@
 	machines    = 2
 	revisions   = 12
 	attempts    = 3
-	taskKey     = machines // keys: the machines' claims, then the task
-	keys        = machines + 1
+	lives       = 2
+	taskKey     = machines     // keys: the machines' claims, then the task,
+	groupKey    = machines + 1 // then the take-overs of the group of each life of each controller
+	keys        = groupKey + controllers*lives
+	chain       = 3 // groups that a holder stands on, at the most
 )
 
-// change is one revision: a claim (owner, life) or the task (bound, try, machine,
-// session).
+// change is one revision: a claim or a take-over (owner, life) or the task (bound, try,
+// machine, session).
 type change struct{ key, a, b, c, d uint8 }
 
 // Kinds of transactions.
@@ -39,14 +43,20 @@
 	claiming = iota + 1
 	releasing
 	placing
+	grouping // the take-over of a whole group
 )
 
 type txn struct {
 	kind, m, try, session, ifTask, ifClaim uint8
-	again                                  bool // the claim renews one of ours
+	ifGroups                               [chain]stamped // beside ifClaim
+	group                                  uint8          // the key that a take-over writes
+	again                                  bool           // the claim renews one of ours
 	done                                   uint8
 }
 
+// stamped is a key and its stamp; the zero value is none.
+type stamped struct{ key, stamp uint8 }
+
 const unconditional = 255
 
 // launch is a direct order under way; late: its sender has given up on it.
@@ -112,6 +122,7 @@
 	c                         [controllers]controller
 	w                         [machines]worker
 	crashes, deletions, holds uint8
+	takeovers                 uint8
 	// The job's cancellation: committed, confirmed to its user; then the horizon passes, and then cancel_s.
 	cancelled, told, over, due bool
 }
@@ -119,6 +130,7 @@
 // bounds keep a walk finite.
 type bounds struct {
 	machines, revs, tries, sessions, tallies, crashes, deletions, holds uint8
+	takeovers                                                           uint8
 	cancels                                                             bool
 }
 
@@ -129,6 +141,7 @@
 	noDirect, oneSlot, overtaken, adoptAll, adoptBlind       bool
 	leaseUnshown, unheard                                    bool
 	noUnlisted, noVoid, noKill, noHorizon                    bool
+	heedAtOnce, noGroups, noClaimGroups                      bool
 }
 
 // truth is a key's present value and stamp.
@@ -162,10 +175,58 @@
 	d defect
 }
 
+// holder is who holds a machine, as a controller knows it.
+type holder struct {
+	owner, life, token uint8 // owner counts from 1; 0: nobody
+	groups             [chain]stamped
+	next               uint8 // the key of the group by which it may pass on; 0: it can't
+}
+
+// groupOf is the group of a life's machines; all of them are in one.
+func groupOf(key uint8) takeover.Group {
+	at := key - groupKey
+	h := takeover.Holder{Node: string('0' + rune(at/lives)), Life: int64(at%lives) + 1, Epoch: 1}
+	return takeover.Of(h, "w", "z")
+}
+
+// held finds a machine's holder with the product's own book of take-overs.
+func (md *model) held(s *world, c, m uint8) holder {
+	n, own := &s.c[c], s.of(c, m)
+	h := holder{owner: own.a, life: own.b, token: n.known[m]}
+	if md.b.takeovers == 0 || h.token == 0 {
+		return h
+	}
+	book := takeover.NewBook()
+	if book.Advance(uint64(n.ledger)); md.d.heedAtOnce {
+		book.Advance(revisions)
+	}
+	keyOf := map[takeover.Group]uint8{}
+	for key := uint8(groupKey); key < keys; key++ {
+		g := groupOf(key)
+		keyOf[g] = key
+		if stamp := n.known[key]; stamp > 0 {
+			heir := s.hist[stamp]
+			book.Set(g, takeover.Holder{Node: string('0' + rune(heir.a-1)), Life: int64(heir.b), Epoch: 1}, uint64(stamp))
+		}
+	}
+	got := book.Resolve("w", "z", takeover.Claim{Holder: takeover.Holder{Node: string('0' + rune(own.a-1)), Life: int64(own.b), Epoch: 1}, Token: uint64(h.token)})
+	h.owner, h.life, h.token = got.Node[0]-'0'+1, uint8(got.Life), uint8(got.Token)
+	for i, l := range got.Links {
+		h.groups[i] = stamped{keyOf[l.Group], uint8(l.Stamp)}
+	}
+	if g, ok := got.Next(); ok {
+		h.next = keyOf[g]
+	}
+	return h
+}
+
+// token is that by which a controller knows a machine to be held.
+func (md *model) token(s *world, c, m uint8) uint8 { return md.held(s, c, m).token }
+
 func (md *model) standing(s *world, c, m uint8) Standing {
 	n, v := &s.c[c], &s.c[c].v[m]
-	k := s.of(c, m)
-	st := Standing{Ours: k.a == c+1 && (k.b == n.life || v.adopted), Adopted: v.adopted, Token: uint64(n.known[m]), Ledger: uint64(n.ledger),
+	k := md.held(s, c, m)
+	st := Standing{Ours: k.owner == c+1 && (k.life == n.life || v.adopted), Adopted: v.adopted, Token: uint64(k.token), Ledger: uint64(n.ledger),
 		Shown: v.shown, Proved: v.proved, Tainted: v.tainted, Session: uint64(v.session), Tally: uint64(v.tally),
 		Newest: Mark{uint64(v.directIn), uint64(v.directAt)}}
 	if md.d.overtaken {
@@ -189,20 +250,41 @@
 	return Attempt{Try: int(t.b), Session: uint64(t.d), Since: uint64(s.c[c].since)}, t.a == 1 && t.c == m
 }
 
-// learn brings a key's revision into a controller's mirror.
-func (md *model) learn(s *world, c, key, stamp uint8) {
+// learn brings a key's revision into a controller's mirror. reached is whether the mirror is
+// complete up to it with that.
+func (md *model) learn(s *world, c, key, stamp uint8, reached bool) {
 	n := &s.c[c]
-	if stamp <= n.known[key] {
-		return
+	var before [machines]uint8
+	for m := range before {
+		before[m] = md.token(s, c, uint8(m))
+	}
+	if reached {
+		n.ledger = stamp
 	}
-	n.known[key] = stamp
-	if key < machines {
-		v := &n.v[key]
-		v.shown, v.proved, v.adopted, v.before = false, false, false, false
+	if news := stamp > n.known[key]; news {
+		n.known[key] = stamp
+		if key == taskKey {
+			n.since, n.unwanted = stamp, false
+			md.launchSoon(s, c)
+			return
+		}
+	}
+	for m := range before {
+		md.reheld(s, c, uint8(m), before[m])
+	}
+}
+
+// reheld takes that a machine's holder may have changed.
+func (md *model) reheld(s *world, c, m, before uint8) {
+	n, h := &s.c[c], md.held(s, c, m)
+	if h.token == before {
 		return
 	}
-	n.since, n.unwanted = stamp, false
-	md.launchSoon(s, c)
+	v := &n.v[m]
+	v.shown, v.proved, v.adopted, v.before = false, false, false, false
+	if h.owner == c+1 && h.life == n.life && h.token != n.known[m] {
+		*v = view{} // it has come to us with its group
+	}
 }
 
 // launchSoon sends a direct launch of what is newly bound to a machine of ours.
@@ -222,7 +304,7 @@
 		}
 		st := md.standing(s, c, m)
 		if md.d.anyDirect && st.Ours && st.Shown && !st.Tainted && a.Session == st.Session || st.Direct(a) {
-			n.direct[slot] = launch{on: true, m: m, token: n.known[m], session: n.v[m].session, try: uint8(a.Try)}
+			n.direct[slot] = launch{on: true, m: m, token: md.token(s, c, m), session: n.v[m].session, try: uint8(a.Try)}
 			if md.d.oneSlot {
 				n.v[m].direct = 0
 			}
@@ -239,7 +321,7 @@
 	}
 	head := Report{Baton: uint64(r.baton), Shift: uint64(r.shift), Tally: uint64(r.tally)}
 	a, isBound := md.bound(s, c, m)
-	if k := s.of(c, m); k.a == c+1 && k.b < n.life && !v.adopted && r.baton == n.known[m] && n.claim.kind == 0 &&
+	if k := md.held(s, c, m); k.owner == c+1 && k.life < n.life && !v.adopted && r.baton == k.token && n.claim.kind == 0 &&
 		(!isBound || md.d.adoptAll || Adoptable(head, a, r.loads[a.Try] != nothing)) {
 		*v = view{adopted: true, proved: true}
 		for t, l := range r.loads {
@@ -258,17 +340,18 @@
 	switch hearing {
 	case Claim:
 		if n.claim.kind == 0 {
-			n.claim = txn{kind: claiming, m: m, ifClaim: n.known[m], again: st.Ours && v.proved}
+			n.claim = txn{kind: claiming, m: m, ifClaim: n.known[m], ifGroups: md.held(s, c, m).groups, again: st.Ours && v.proved}
 		}
 		return x
 	case Stale:
 		return x
 	}
 	v.session, v.tally = r.shift, r.tally
-	if r.baton == n.known[m] && !v.shown {
+	token := md.token(s, c, m)
+	if r.baton == token && !v.shown {
 		v.shown = true
 	}
-	x = exchange{r: r, answered: true, token: n.known[m]}
+	x = exchange{r: r, answered: true, token: token}
 	// Our clock starts with the report's arrival: what the worker has sent and begun by
 	// now is covered by it, however old this report is.
 	v.answered, v.answeredIn = s.w[m].tally, s.w[m].session
@@ -283,12 +366,12 @@
 	if hearing != Believe {
 		if !isBound || md.d.unheard {
 			if md.d.unheard && isBound && r.loads[a.Try] == nothing { // what an unbelieved list lacks
-				n.p = proposal{uint8(Session), m, uint8(a.Session), uint8(a.Try), n.known[m]}
+				n.p = proposal{uint8(Session), m, uint8(a.Session), uint8(a.Try), token}
 			}
 			return x
 		}
 		if act, kind := Outlived(head, a); act == Release {
-			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), n.known[m]}
+			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), token}
 		}
 		return x
 	}
@@ -308,7 +391,7 @@
 		case Renew:
 			v.tainted = true
 		case Release:
-			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), n.known[m]}
+			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), token}
 		case Keep:
 			if n.unwanted || n.knows && !md.d.noKill {
 				x.kill |= 1 << t
@@ -318,7 +401,7 @@
 	if isBound && !listed {
 		switch act, kind := st.Lacking(head, a, v.direct>>a.Try&1 == 1 && !md.d.noDirect, !n.unwanted && !n.knows, n.p.kind != 0 || n.page.kind != 0); act {
 		case Release:
-			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), n.known[m]}
+			n.p = proposal{uint8(kind), m, uint8(a.Session), uint8(a.Try), token}
 		case Renew:
 			v.tainted = true
 		case Launch:
@@ -348,7 +431,14 @@
 	if t.kind == placing && s.cancelled {
 		return 2
 	}
-	if t.kind != claiming && task != t.ifTask && !md.d.noStamp || t.ifClaim != unconditional && claim != t.ifClaim {
+	if t.kind == grouping {
+		if _, stamp := s.truth(t.group); stamp > 0 {
+			return 2
+		}
+		s.write(change{t.group + 1, c + 1, s.c[c].life, 0, 0})
+		return 1
+	}
+	if t.kind != claiming && task != t.ifTask && !md.d.noStamp || t.ifClaim != unconditional && (claim != t.ifClaim || md.passed(s, t)) {
 		return 2
 	}
 	switch t.kind {
@@ -362,6 +452,22 @@
 	return 1
 }
 
+// passed tells whether a machine has changed hands by its group since a transaction was built.
+func (md *model) passed(s *world, t *txn) bool {
+	if md.d.noGroups && t.kind != claiming || md.d.noClaimGroups && t.kind == claiming {
+		return false
+	}
+	for _, g := range t.ifGroups {
+		if g.key == 0 {
+			continue
+		}
+		if _, stamp := s.truth(g.key); stamp != g.stamp {
+			return true
+		}
+	}
+	return false
+}
+
 func (md *model) next(s *world, emit func(world)) {
 	var t world
 	try := func(do func()) {
@@ -422,12 +528,11 @@
 		try(func() {
 			n := &t.c[c]
 			for rev := n.ledger + 1; rev <= l; rev++ {
-				n.ledger = rev
 				if t.hist[rev].key == 0 {
-					n.knows = true
+					n.ledger, n.knows = rev, true
 					continue
 				}
-				md.learn(t, c, t.hist[rev].key-1, rev)
+				md.learn(t, c, t.hist[rev].key-1, rev, true)
 			}
 			for m := range n.v {
 				n.v[m].proved = n.v[m].proved || n.v[m].before && n.v[m].shown
@@ -450,7 +555,7 @@
 			a, ok := md.bound(t, c, p.m)
 			found := Found{Kind(p.kind), uint64(p.token)}
 			if md.d.noToken {
-				found.Token = uint64(n.known[p.m])
+				found.Token = uint64(md.token(t, c, p.m))
 			}
 			may, onClaim := md.standing(t, c, p.m).Commit(found)
 			if !ok || a.Session != uint64(p.session) || a.Try != int(p.try) || !may {
@@ -459,7 +564,7 @@
 			}
 			n.page = txn{kind: releasing, m: p.m, try: p.try, ifTask: n.known[taskKey], ifClaim: unconditional}
 			if onClaim && !md.d.noClaim {
-				n.page.ifClaim = n.known[p.m]
+				n.page.ifClaim, n.page.ifGroups = n.known[p.m], md.held(t, c, p.m).groups
 			}
 		})
 	}
@@ -469,7 +574,8 @@
 		_, bound := md.bound(s, c, m)
 		if task.a == 0 && task.b < md.b.tries && n.page.kind == 0 && st.Ours && v.shown && (n.claim.kind == 0 || n.claim.m != m) {
 			try(func() {
-				t.c[c].page = txn{kind: placing, m: m, try: task.b + 1, session: v.session, ifTask: n.known[taskKey], ifClaim: n.known[m]}
+				t.c[c].page = txn{kind: placing, m: m, try: task.b + 1, session: v.session, ifTask: n.known[taskKey], ifClaim: n.known[m],
+					ifGroups: md.held(t, c, m).groups}
 			})
 		}
 		if bound && st.Ours && !n.unwanted {
@@ -480,10 +586,16 @@
 		w := &s.w[m]
 		if bound && task.d <= v.session && n.p.kind == 0 && n.page.kind == 0 && (w.gone || w.session > v.answeredIn || w.renewed > v.answered) &&
 			st.LeaseOver(time.Hour, time.Duration(v.answered), time.Minute) {
-			try(func() { t.c[c].p = proposal{uint8(Lease), m, task.d, task.b, n.known[m]} })
+			try(func() { t.c[c].p = proposal{uint8(Lease), m, task.d, task.b, md.token(t, c, m)} })
+		}
+		if h := md.held(s, c, m); h.next > 0 && h.owner != c+1 && n.claim.kind == 0 && s.takeovers < md.b.takeovers {
+			try(func() {
+				t.c[c].claim = txn{kind: grouping, m: m, group: h.next}
+				t.takeovers++
+			})
 		}
 		if bound && w.gone && n.p.kind == 0 && n.page.kind == 0 {
-			try(func() { t.c[c].p = proposal{uint8(Cloud), m, task.d, task.b, n.known[m]} })
+			try(func() { t.c[c].p = proposal{uint8(Cloud), m, task.d, task.b, md.token(t, c, m)} })
 		}
 	}
 	for i, d := range n.direct {
@@ -500,7 +612,7 @@
 			deliver(t)
 			n, w := &t.c[c], &t.w[d.m]
 			w.tally++
-			if v := &n.v[d.m]; !d.late && n.known[d.m] == d.token {
+			if v := &n.v[d.m]; !d.late && md.token(t, c, d.m) == d.token {
 				v.direct &^= 1 << d.try
 				v.directIn, v.directAt = w.session, w.tally
 			}
@@ -510,11 +622,11 @@
 			try(func() {
 				deliver(t)
 				t.w[d.m].tally++
-				t.c[c].taint(d)
+				md.taint(t, c, d)
 				t.c[c].direct[i] = launch{}
 			})
 			try(func() {
-				t.c[c].taint(d)
+				md.taint(t, c, d)
 				t.c[c].direct[i].late = true
 			})
 		}
@@ -540,9 +652,9 @@
 }
 
 // taint notes that a direct launch was not answered.
-func (n *controller) taint(d launch) {
-	if n.known[d.m] == d.token {
-		n.v[d.m].tainted = true
+func (md *model) taint(s *world, c uint8, d launch) {
+	if md.token(s, c, d.m) == d.token {
+		s.c[c].v[d.m].tainted = true
 	}
 }
 
@@ -567,13 +679,16 @@
 			n := &t.c[c]
 			*which(n) = txn{}
 			key := uint8(taskKey)
-			if x.kind == claiming {
+			switch x.kind {
+			case claiming:
 				key = x.m
+			case grouping:
+				key = x.group
 			}
 			_, stamp := t.truth(key)
 			if x.done == 2 {
 				if x.kind == claiming {
-					md.learn(t, c, key, stamp) // it is read
+					md.learn(t, c, key, stamp, false) // it is read
 				}
 				return
 			}
@@ -586,7 +701,7 @@
 			if x.kind == releasing {
 				n.p = proposal{}
 			}
-			md.learn(t, c, key, stamp)
+			md.learn(t, c, key, stamp, false)
 			if x.kind == claiming && n.known[key] == stamp {
 				n.v[x.m] = view{proved: x.again}
 			}
@@ -597,7 +712,7 @@
 // made tells whether a revision is what a transaction wrote.
 func (md *model) made(h change, c uint8, n *controller, x txn) bool {
 	switch x.kind {
-	case claiming:
+	case claiming, grouping:
 		return h.a == c+1 && h.b == n.life
 	case releasing:
 		return h.a == 0 && h.b == x.try
@@ -697,6 +812,9 @@
 			out += fmt.Sprintf("revision %d: the job is cancelled; ", rev)
 		} else if h.key == taskKey+1 {
 			out += fmt.Sprintf("revision %d: the task is %s; ", rev, h.task())
+		} else if h.key > groupKey {
+			out += fmt.Sprintf("revision %d: controller %d, life %d, takes over what controller %d, life %d, holds; ", rev, h.a-1, h.b,
+				(h.key-1-groupKey)/lives, (h.key-1-groupKey)%lives+1)
 		} else {
 			out += fmt.Sprintf("revision %d: machine %d is claimed by controller %d, life %d; ", rev, h.key-1, h.a-1, h.b)
 		}
@@ -727,7 +845,7 @@
 			out += fmt.Sprintf("controller %d finds %v of attempt %d on machine %d under token %d; ", c, Kind(y.p.kind), y.p.try, y.p.m, y.p.token)
 		}
 		for i, kind := range [][2]txn{{x.claim, y.claim}, {x.page, y.page}, {x.late, y.late}} {
-			what := [...]string{"", "a claim", "a release", "a placement"}
+			what := [...]string{"", "a claim", "a release", "a placement", "a take-over of the group"}
 			switch u, v := kind[0], kind[1]; {
 			case u.kind == 0 && v.kind != 0 && i < 2:
 				out += fmt.Sprintf("controller %d sends %s of machine %d; ", c, what[v.kind], v.m)
@@ -790,7 +908,7 @@
 	s.write(change{taskKey + 1, 1, 1, 0, 1})
 	for c := range s.c {
 		s.c[c].life, s.c[c].ledger, s.c[c].opened, s.c[c].since = 1, 2, 2, 2
-		s.c[c].known = [keys]uint8{1, 0, 2}
+		s.c[c].known = [keys]uint8{0: 1, taskKey: 2}
 	}
 	s.c[0].v[0] = view{shown: true, proved: true, before: true, session: 1, tally: 1, answered: 1, answeredIn: 1}
 	for m := range s.w {
@@ -853,6 +971,36 @@
 	return s
 }
 
+// claimedAside is a world in which controller 0 has restarted and claimed machine 0 alone,
+// out of the group of its earlier life, and controller 1 does not know it yet.
+func claimedAside() world {
+	s := begun()
+	s.write(change{1, 1, 2, 0, 0})
+	s.c[0].life, s.c[0].ledger, s.c[0].opened, s.c[0].known[0] = 2, 3, 3, 3
+	s.c[0].v[0] = view{shown: true, proved: true, before: true, session: 1, tally: 2, answered: 2, answeredIn: 1}
+	s.w[0].baton, s.w[0].tally, s.w[0].renewed = 3, 2, 2
+	return s
+}
+
+// takenOver is a world in which controller 1 has taken controller 0's group over, the task has
+// ended, and its release is under way; controller 0 knows of none of it, and is about to renew
+// its token, as the worker has shown it a higher one.
+func takenOver() world {
+	s := begun()
+	s.write(change{groupKey + 1, 2, 1, 0, 0})
+	s.takeovers = 1
+	s.c[1].ledger, s.c[1].opened, s.c[1].known[groupKey] = 3, 3, 3
+	s.c[1].v[0] = view{shown: true, proved: true, before: true, session: 1, tally: 2, answered: 2, answeredIn: 1}
+	s.c[1].page = txn{kind: releasing, try: 1, ifTask: 2, ifClaim: unconditional}
+	s.c[1].p = proposal{uint8(Ended), 0, 1, 1, 3}
+	s.c[0].claim = txn{kind: claiming, ifClaim: 1, ifGroups: [chain]stamped{{key: groupKey}}, again: true}
+	s.w[0].baton, s.w[0].tally, s.w[0].renewed = 3, 2, 2
+	s.w[0].loads[1] = ended
+	s.w[0].tally = 3
+	s.w[0].x.r = report{on: true, c: 1, shift: 1, tally: 3, baton: 3, loads: s.w[0].loads}
+	return s
+}
+
 func (md *model) walk(start func() world, limit int) explore.Result {
 	return explore.Run(explore.Model[world]{Start: start(), Next: md.next, Broken: md.broken, Label: label}, limit)
 }
@@ -883,6 +1031,13 @@
 	{"a cancellation", begun, bounds{machines: 1, revs: 5, tries: 1, sessions: 2, tallies: 4, crashes: 1, holds: 1, cancels: true}},
 	{"a cancellation and a launch that may come", launchingNow, bounds{machines: 1, revs: 5, tries: 1, sessions: 2, tallies: 4, cancels: true}},
 	{"a cancellation and a launch that was given up", launchedThere(nothing), bounds{machines: 1, revs: 5, tries: 1, sessions: 2, tallies: 4, crashes: 1, cancels: true}},
+	{"a take-over", begun, bounds{machines: 1, revs: 6, tries: 2, sessions: 2, tallies: 4, holds: 1, takeovers: 1}},
+	{"a take-over beside a claim", claimedAside, bounds{machines: 1, revs: 5, tries: 1, sessions: 1, tallies: 5, takeovers: 1}},
+	{"a claim beside a take-over", takenOver, bounds{machines: 1, revs: 5, tries: 1, sessions: 1, tallies: 5, takeovers: 1}},
+	{"a take-over and one back", begun, bounds{machines: 1, revs: 7, tries: 1, sessions: 2, tallies: 4, takeovers: 2}},
+	{"a take-over of two", begun, bounds{machines: 2, revs: 5, tries: 2, sessions: 2, tallies: 3, takeovers: 1}},
+	{"a take-over after an ending, far behind", endedBefore, bounds{machines: 1, revs: 6, tries: 1, sessions: 1, tallies: 5, takeovers: 1}},
+	{"a take-over during a launch", launchingThere, bounds{machines: 1, revs: 5, tries: 1, sessions: 1, tallies: 4, takeovers: 1}},
 	{"during a launch", launchingThere, bounds{machines: 1, revs: 6, tries: 2, sessions: 1, tallies: 5}},
 }
 
@@ -919,6 +1074,9 @@
 	{name: "answers that do not stop what is cancelled", in: "a cancellation", noKill: true},
 	{name: "answers on a proof that is older than the horizon", in: "a cancellation", noHorizon: true},
 	{name: "a lease that ends although the token was never shown", in: "one session", leaseUnshown: true},
+	{name: "a take-over that is heeded before the mirror is complete up to it", in: "a take-over beside a claim", heedAtOnce: true},
+	{name: "a release without the condition that the group has not passed on", in: "a take-over", noGroups: true},
+	{name: "a claim without that condition", in: "a claim beside a take-over", noClaimGroups: true},
 }
 
 // TestTheWalkFindsDefects breaks one condition at a time.
@@ -930,7 +1088,7 @@
 				if w.name != d.in {
 					continue
 				}
-				r := (&model{b: w.b, d: d}).walk(w.start, limitOf(600_000))
+				r := (&model{b: w.b, d: d}).walk(w.start, limitOf(1_000_000))
 				t.Logf("%+v: %v", w.b, r)
 				if r.Broken != "" {
 					return
--- a/internal/reach/decide.go
+++ b/internal/reach/decide.go
@@ -185,6 +185,18 @@
 	return q != nil && q.Word < p.Report && !q.Deaf
 }
 
+// Lost tells whether a peer says, a moment ago, that it has lost a zone's workers or all: it
+// heard none for too long, and none since for long enough.
+//
+// The rule that this must not break: none. Who takes its workers over does so by a record.
+func Lost(p *Picture, owner, zone string) bool {
+	q := p.Find(owner)
+	if q == nil || q.Age >= p.Report {
+		return false
+	}
+	return q.Deaf || slices.ContainsFunc(q.Zones, func(z ZoneWord) bool { return z.Zone == zone && z.Lost })
+}
+
 // Third names a peer by way of which another can be asked that we can't ask ourselves:
 // both hear one another. "" if there is none, or if none is needed.
 //
