--- /dev/null
+++ b/internal/coordination/slopes_test.go
@@ -0,0 +1,152 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+	"silvergate/internal/takeover"
+)
+
+// The benchmarks whose names begin with Slope are the steps of a controller that docs/CAPACITY.md
+// multiplies by their numbers a second:
+//
+//	go test -run XXX -bench Slope -count 5 ./internal/coordination
+
+// reportOf is a report as the holder of a machine expects it, with so many running tasks.
+func reportOf(c *Core, m *machine, extra int) protocol.Report {
+	r := protocol.Report{Stoker: m.id, Address: m.claim.Address, Rig: m.claim.Type, Depot: m.claim.Zone, Casual: m.claim.Spot,
+		Shift: m.session, Tally: m.tally, Baton: m.stamp}
+	for _, k := range m.tasks() {
+		r.Loads = append(r.Loads, protocol.Load{Load: job.TaskName(k.id, k.index), Try: m.bound[k].task(c, k.index).Try, Status: protocol.LoadRunning})
+	}
+	for i := range extra {
+		r.Loads = append(r.Loads, protocol.Load{Load: fmt.Sprintf("wk-999999/%d", i), Try: 1, Status: protocol.LoadEnded, Cause: protocol.CauseDone})
+	}
+	return r
+}
+
+// benchReports has a machine report again and again, with extra attempts that have ended and are
+// not bound there: each is forgotten with every answer.
+func benchReports(b *testing.B, extra int) {
+	s, c, m := grownCore(b)
+	r := reportOf(c, m, extra)
+	clock, id := s.nodes[0].clock(), uint64(1e9)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Tally++
+		id++
+		if e := c.Request(clock, id, "POST", protocol.PathCheckin, encode(r)); len(e.Answers) != 1 || e.Answers[0].Status != 200 {
+			b.Fatalf("%+v", e.Answers)
+		}
+	}
+	b.ReportMetric(float64(len(r.Loads)), "tasks")
+}
+
+// BenchmarkSlopeReport is a report in which nothing has changed.
+func BenchmarkSlopeReport(b *testing.B) { benchReports(b, 0) }
+
+// BenchmarkSlopeReportOfTwelve is a report with twelve tasks more, to be forgotten.
+func BenchmarkSlopeReportOfTwelve(b *testing.B) { benchReports(b, 12) }
+
+// BenchmarkSlopeWatchedPage is a page of 128 tasks in which one has changed.
+func BenchmarkSlopeWatchedPage(b *testing.B) {
+	_, c, _ := grownCore(b)
+	spec := &job.Spec{ID: "wk-888888", Class: "arr", Team: "blue", Shape: job.Array, Priority: job.Low, Tasks: 128, CPUs: 1}
+	c.applyJob(spec.ID, encode(storedJob{spec, job.Open, 1, "n0"}), 1)
+	tasks := make([]job.Task, 128)
+	for i := range tasks {
+		tasks[i] = job.Task{Phase: job.Bound, Try: 1, Machine: c.ours[i%len(c.ours)].id, Session: 1}
+	}
+	var pages [2][]byte
+	for i := range pages {
+		tasks[7].Try = 1 + i
+		pages[i] = writePage(tasks)
+	}
+	stamp := uint64(1 << 40)
+	b.ReportAllocs()
+	for b.Loop() {
+		stamp++
+		c.applyPage(spec.ID+"/0", pages[stamp%2], stamp)
+	}
+}
+
+// BenchmarkSlopeWatchedClaim is the claim of a machine by another controller, and back.
+func BenchmarkSlopeWatchedClaim(b *testing.B) {
+	_, c, m := grownCore(b)
+	k := m.claim
+	stamp := uint64(1 << 40)
+	b.ReportAllocs()
+	for b.Loop() {
+		stamp++
+		k.Owner = fmt.Sprintf("n%d", 1+stamp%2)
+		c.applyClaim(m.id, encode(k), stamp)
+	}
+}
+
+// BenchmarkSlopePoll is a question about a job that is over, BenchmarkSlopeSubmission a job's
+// acceptance up to its transaction.
+func BenchmarkSlopePoll(b *testing.B) {
+	s, c, _ := grownCore(b)
+	over := ""
+	for _, id := range sortedKeys(c.jobs) {
+		if c.jobs[id].final() {
+			over = id
+		}
+	}
+	if over == "" {
+		b.Fatal("no job is over")
+	}
+	clock, id := s.nodes[0].clock(), uint64(1e9)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		if e := c.Request(clock, id, "GET", protocol.PathRuns+"/"+over, nil); len(e.Answers) != 1 {
+			b.Fatalf("%+v", e.Answers)
+		}
+	}
+}
+
+// BenchmarkSlopeSubmission reads and checks a submission and hands its transaction to the budget.
+func BenchmarkSlopeSubmission(b *testing.B) {
+	s, c, _ := grownCore(b)
+	clock, id := s.nodes[0].clock(), uint64(1e9)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		body := fmt.Sprintf(`{"ref":"wk-%09d","jobclass":"arr","crew":"blue","shape":"batch","urgency":"standard","loads":100,"cpus":1,"accelerators":0,"ramGb":1,"kit":"img","sizeGb":1,"rigs":null,"depot":null,"oneZone":false,"apart":false,"casual":true,"etaS":10,"waypointS":0,"stowS":0,"dueS":null}`, id)
+		c.Request(clock, id, "POST", protocol.PathRuns, []byte(body))
+		clock.Steady += time.Second // the budget fills up, and what waits is given up on
+	}
+}
+
+// BenchmarkSlopeTakeover is a group's passing to another controller, as every controller sees it,
+// for each machine of the group.
+func BenchmarkSlopeTakeover(b *testing.B) {
+	const workers = 1000
+	newBook := func() (*Core, takeover.Group) {
+		_, c, m := grownCore(b)
+		k := m.claim
+		k.Owner, k.Life, k.Epoch = "n9", 1, 1
+		var g takeover.Group
+		for i, n := 0, 0; n < workers; i++ {
+			name := fmt.Sprintf("i-9%06d", i)
+			if of := takeover.Of(takeover.Holder{Node: "n9", Life: 1, Epoch: 1}, name, k.Zone); of.Number == 0 {
+				g, n = of, n+1
+				c.applyClaim(name, encode(k), 1<<30)
+			}
+		}
+		return c, g
+	}
+	c, g := newBook()
+	stamp := uint64(1 << 40)
+	c.holders.book.Advance(1 << 50)
+	b.ReportAllocs()
+	for b.Loop() {
+		stamp++
+		c.applyTakeover(g.Key(), encode(takeover.Holder{Node: "n1", Life: 1, Epoch: 1}), stamp)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/workers, "ns/worker")
+}
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -19,7 +19,6 @@
 	"strings"
 
 	"silvergate/internal/config"
-	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 )
 
@@ -330,6 +329,3 @@
 	cell := mbByCell + float64(s.Workers)*mbByWorker + float64(s.Controllers)*s.Controller.RAMMB + float64(s.RealAgents)*mbByAgent
 	return float64(s.Cells) * cell / mbByGigabyte
 }
-
-// urgencies maps wire names to priorities, for reports.
-var urgencies = map[string]job.Priority{"prod": job.Production, "urgent": job.High, "standard": job.Normal, "idle": job.Low}
