--- a/cmd/silvergate/serve.go
+++ b/cmd/silvergate/serve.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"silvergate/internal/config"
+	"silvergate/internal/connlimit"
 	"silvergate/internal/coordination"
-	"silvergate/internal/doors"
 	"silvergate/internal/metrics"
 	"silvergate/internal/protocol"
 	"silvergate/internal/recorder"
@@ -23,19 +23,19 @@
 // node wires the core to the transport. One lock orders everything that goes
 // into the core.
 type node struct {
-	mu     sync.Mutex
-	cfg    *config.Settings
-	log    *slog.Logger
-	core   *coordination.Core
-	in     inputs           // the core, or a recorder in front of it
-	tape   *recorder.Writer // nil: off
-	start  time.Time
-	server *transport.Server
-	page   *metrics.Page // nil: off
-	state  *transport.Pool
-	cloud  *transport.Pool
-	work   *transport.Pool
-	peers  map[string]*transport.OutLink
+	mu        sync.Mutex
+	cfg       *config.Settings
+	log       *slog.Logger
+	core      *coordination.Core
+	in        inputs           // the core, or a recorder in front of it
+	recording *recorder.Writer // nil: off
+	start     time.Time
+	server    *transport.Server
+	page      *metrics.Page // nil: off
+	state     *transport.Pool
+	cloud     *transport.Pool
+	work      *transport.Pool
+	peers     map[string]*transport.OutLink
 
 	now     time.Duration // when the step under way began
 	longest time.Duration
@@ -66,11 +66,11 @@
 		return fmt.Errorf("recorder: %w", err)
 	}
 	const mb = 1 << 20
-	n.tape, err = recorder.NewWriter(recorder.Options{Dir: r.Dir, Max: int64(r.MaxMB * mb), Segment: int64(r.SegmentMB * mb), Flush: r.Flush}, h)
+	n.recording, err = recorder.NewWriter(recorder.Options{Dir: r.Dir, Max: int64(r.MaxMB * mb), Segment: int64(r.SegmentMB * mb), Flush: r.Flush}, h)
 	if err != nil {
 		return err
 	}
-	n.in = coordination.NewTape(n.core, n.tape)
+	n.in = coordination.NewRecorded(n.core, n.recording)
 	n.log.Info("recording", "dir", r.Dir, "max_mb", r.MaxMB)
 	return nil
 }
@@ -125,10 +125,10 @@
 		n.page = metrics.New(cfg.Node, n.figures)
 	}
 	n.server = transport.NewServer(&n.mu, n, 10*time.Second, 8*tenth)
-	n.server.Doors, n.server.Classify = doors.New(doors.Share(8*tenth)), class
+	n.server.ConnLimiter, n.server.Classify = connlimit.New(connlimit.Share(8*tenth)), class
 	// After its lease a worker has no use for a connection it says nothing on;
 	// it may be gone without a word.
-	n.server.Idle[doors.Worker] = time.Duration(cfg.Facts.Workers.Lease * float64(time.Second))
+	n.server.Idle[connlimit.Worker] = time.Duration(cfg.Facts.Workers.Lease * float64(time.Second))
 	n.mu.Lock()
 	n.tick = time.AfterFunc(0, n.onTick)
 	n.mu.Unlock()
@@ -154,7 +154,7 @@
 		}
 		n.log.Error("metrics can't be shown", "err", err)
 	case path == coordination.PathStats:
-		n.core.Stats.Doors = n.server.Doors.Stats()
+		n.core.Stats.Connections = n.server.ConnLimiter.Stats()
 	case r.Query != "" && (path == protocol.PathJobs || path == protocol.PathNodes || path == protocol.PathDataSets):
 		path += "?" + r.Query
 	}
@@ -162,21 +162,21 @@
 }
 
 // class tells what a request's connection is used for.
-func class(r *transport.Request) doors.Class {
+func class(r *transport.Request) connlimit.Class {
 	switch {
 	case r.Path == protocol.PathCheckin:
-		return doors.Worker
+		return connlimit.Worker
 	case r.Path == protocol.PathRuns, strings.HasPrefix(r.Path, protocol.PathRuns+"/"):
-		return doors.User
+		return connlimit.User
 	}
-	return doors.Operator
+	return connlimit.Operator
 }
 
-// watchDoors tells operators, once a minute at the most, that the site has
+// watchConnections tells operators, once a minute at the most, that the site has
 // outgrown its controllers' sockets.
-func (n *node) watchDoors(now time.Duration) {
-	s := n.server.Doors.Stats()
-	if (s.Refused == n.refused && !n.server.Doors.Tight()) || n.warnedAt > 0 && now-n.warnedAt < time.Minute {
+func (n *node) watchConnections(now time.Duration) {
+	s := n.server.ConnLimiter.Stats()
+	if (s.Refused == n.refused && !n.server.ConnLimiter.Tight()) || n.warnedAt > 0 && now-n.warnedAt < time.Minute {
 		return
 	}
 	n.log.Warn("more workers than sockets to keep for them: they connect anew for each report; give the controllers more sockets or add one",
@@ -184,12 +184,12 @@
 	n.refused, n.warnedAt = s.Refused, now
 }
 
-// watchTape tells operators once that their recording has ended.
-func (n *node) watchTape() {
-	if n.tape == nil || n.in == inputs(n.core) {
+// watchRecording tells operators once that their recording has ended.
+func (n *node) watchRecording() {
+	if n.recording == nil || n.in == inputs(n.core) {
 		return
 	}
-	if err := n.tape.Err(); err != nil {
+	if err := n.recording.Err(); err != nil {
 		n.in = n.core
 		n.log.Error("the recording has ended; it can be replayed up to here", "err", err)
 	}
@@ -211,7 +211,7 @@
 	}
 	out := []metrics.Figure{{Name: "controller_longest_step_seconds", Help: "The longest step so far.", Value: s.LongestStepMS / 1000},
 		{Name: "controller_uptime_seconds", Help: "Time since the start.", Value: time.Since(n.start).Seconds()}}
-	d := n.server.Doors.Stats()
+	d := n.server.ConnLimiter.Stats()
 	out = append(out, metrics.Figure{Name: "controller_connections", Help: "Connections open for requests.", Value: float64(d.Open)},
 		metrics.Figure{Name: "controller_connections_workers", Help: "Those of workers.", Value: float64(d.Workers)},
 		metrics.Figure{Name: "controller_connections_limit", Help: "How many may be open.", Value: float64(d.Limit)},
@@ -245,8 +245,8 @@
 	if t.Steady-n.sweptAt > time.Second {
 		n.sweptAt = t.Steady
 		n.server.Sweep(t.Wall)
-		n.watchDoors(t.Steady)
-		n.watchTape()
+		n.watchConnections(t.Steady)
+		n.watchRecording()
 	}
 	var late time.Time
 	for _, p := range []*transport.Pool{n.state, n.cloud, n.work} {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -373,7 +373,7 @@
 		a.server.Sweep(now)
 		a.stats.Usage = a.run.watch()
 		a.data.refresh(false)
-		a.w.Unkept(a.keeper.left())
+		a.w.SetUnshipped(a.keeper.left())
 		if at, ok := a.recall(); ok {
 			a.do(a.w.Recall(a.clock(), at))
 		}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -165,8 +165,8 @@
 	changed   bool
 	tokenTold time.Duration // when a higher token last counted as a change
 
-	store  *protocol.StoreReport
-	unkept int
+	store     *protocol.StoreReport
+	unshipped int
 
 	loads map[Key]*load
 	specs map[string]*protocol.Description
@@ -411,7 +411,7 @@
 func (w *Worker) current() protocol.Report {
 	w.tally++
 	r := w.me
-	r.Store, r.Unkept = w.store, w.unkept
+	r.Store, r.Unshipped = w.store, w.unshipped
 	r.Shift, r.Tally, r.Baton = w.shift, w.tally, w.baton
 	if w.recalled {
 		left := max(0, (w.recall - w.now).Seconds())
@@ -654,8 +654,8 @@
 	return ""
 }
 
-// Unkept takes how many attempts that are over have output which is not shipped.
-func (w *Worker) Unkept(n int) { w.unkept = n }
+// SetUnshipped takes how many attempts that are over have output which is not shipped.
+func (w *Worker) SetUnshipped(n int) { w.unshipped = n }
 
 // Live tells whether an attempt is here and not over.
 func (w *Worker) Live(k Key) bool {
--- a/internal/doors/doors.go
+++ b/internal/connlimit/connlimit.go
@@ -1,4 +1,4 @@
-// Package doors decides who may hold a connection to a controller. Sockets are
+// Package connlimit decides who may hold a connection to a controller. Sockets are
 // a budget like the requests of the state service: what is spent on a worker
 // that waits for its next report is missing to a user, to the load balancer's
 // health checks and to operators, who come as they like.
@@ -17,7 +17,7 @@
 //
 // There is no I/O, clock or lock in it: the caller tells of each connection that
 // opens, asks and closes.
-package doors
+package connlimit
 
 // Class is what a connection is used for, by its last request.
 type Class uint8
@@ -54,8 +54,8 @@
 	Released uint64 `json:"released"` // closed with an answer, to make room
 }
 
-// Doors keeps the count.
-type Doors struct {
+// Limiter keeps the count.
+type Limiter struct {
 	limits Limits
 	count  [Classes]int
 	open   int
@@ -63,11 +63,11 @@
 }
 
 // New makes an empty count.
-func New(l Limits) *Doors { return &Doors{limits: l} }
+func New(l Limits) *Limiter { return &Limiter{limits: l} }
 
 // Enter takes a connection that was just opened, or refuses it. One that is
 // refused is not counted and must not be told of again.
-func (d *Doors) Enter() bool {
+func (d *Limiter) Enter() bool {
 	if d.open >= d.limits.Total {
 		d.stats.Refused++
 		return false
@@ -79,7 +79,7 @@
 }
 
 // Ask tells that a connection of class was is now used for something of class is.
-func (d *Doors) Ask(was, is Class) {
+func (d *Limiter) Ask(was, is Class) {
 	d.count[was]--
 	d.count[is]++
 }
@@ -89,7 +89,7 @@
 // connection is closed in any case; urgent says that its machine has work that
 // goes first. Without room the connection is closed with the answer, and Leave
 // has yet to be called.
-func (d *Doors) Stay(c Class, served, urgent bool) bool {
+func (d *Limiter) Stay(c Class, served, urgent bool) bool {
 	stay := true
 	switch {
 	case c == Worker && !served:
@@ -110,19 +110,19 @@
 }
 
 // Leave tells that a connection was closed, by whichever end.
-func (d *Doors) Leave(c Class) {
+func (d *Limiter) Leave(c Class) {
 	d.open--
 	d.count[c]--
 }
 
 // Tight tells whether workers hold what they may: the site has more of them
 // than its controllers have sockets to keep.
-func (d *Doors) Tight() bool {
+func (d *Limiter) Tight() bool {
 	return d.limits.Workers > 0 && d.count[Worker] >= d.limits.Workers-d.limits.Workers/8
 }
 
 // Stats reads the counters.
-func (d *Doors) Stats() Stats {
+func (d *Limiter) Stats() Stats {
 	s := d.stats
 	s.Open, s.Workers, s.Limit = d.open, d.count[Worker], d.limits.Total
 	return s
--- a/internal/doors/main_test.go
+++ b/internal/connlimit/main_test.go
@@ -1,4 +1,4 @@
-package doors
+package connlimit
 
 import (
 	"testing"
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -182,129 +182,171 @@
 func (c *Core) addPage(b *batch, p *page) {
 	r := p.rec
 	if p.tasks == nil { // nothing of it is bound or can be placed
-		for _, ch := range p.queue {
-			if ch.place {
-				c.unreserve(r, p.num*c.pageTasks()+ch.index)
-			}
-		}
-		p.queue = nil
-		delete(c.dirty, p)
+		c.dropQueue(p)
 		return
 	}
-	tasks := append([]job.Task(nil), p.tasks...)
-	base := p.num * c.pageTasks()
-	conds := []protocol.Cond{{Key: keyJob + p.id, Stamp: r.stamp}, {Key: pageKey(p.id, p.num), Stamp: p.stamp}}
-	room := 4*c.cfg.Facts.State.TxnOps - 4 - len(b.conds)
-	use := b.use
-	var fresh []string // keys that the batch did not name before
-	// Guards against a placement that was not conditional on the absence of a
-	// drain, since an ending on the same machine had named its claim before.
-	under := func(conditions ...protocol.Cond) bool {
-		conditions = slices.DeleteFunc(conditions, func(k protocol.Cond) bool { return b.named[k.Key] })
-		if len(conds)+len(conditions) > room {
-			return false
-		}
-		for _, k := range conditions {
-			b.named[k.Key] = true
-			fresh = append(fresh, k.Key)
-			conds = append(conds, k)
+	d := &draft{c: c, b: b, p: p, tasks: append([]job.Task(nil), p.tasks...), base: p.num * c.pageTasks(), use: b.use,
+		conds: []protocol.Cond{{Key: keyJob + p.id, Stamp: r.stamp}, {Key: pageKey(p.id, p.num), Stamp: p.stamp}},
+		room:  4*c.cfg.Facts.State.TxnOps - 4 - len(b.conds)}
+	for _, ch := range p.queue {
+		if ch.place {
+			d.place(ch)
+		} else {
+			d.end(ch)
 		}
-		return true
 	}
-	var taken, rest []change
-	spoilt := false // a gang starts whole or not at all
+	if d.spoilt {
+		d.withoutGang()
+		return
+	}
+	p.queue, p.since = d.rest, c.now
+	if len(d.rest) == 0 {
+		delete(c.dirty, p)
+	}
+	if len(d.taken) == 0 {
+		d.forget()
+		return
+	}
+	d.write()
+}
+
+// dropQueue gives up the changes of a page of a job that is over.
+func (c *Core) dropQueue(p *page) {
 	for _, ch := range p.queue {
-		t := &tasks[ch.index]
-		k := taskKey{p.id, base + ch.index}
 		if ch.place {
-			m := c.machines[ch.machine]
-			u := use.plus(r.spec, 1)
-			ok := t.Phase == job.Pending && !r.final() && m != nil && c.usable(r, m, ch.session) && (!b.charge || b.team.leaves(r, u))
-			// Guards against a peer's placement that came into the mirror
-			// after this one was proposed: zones are judged again with what
-			// the transaction is conditional on.
-			ok = ok && c.zoneStillOK(r, p, tasks, m.claim.Zone)
-			if ok && c.yields(r, m) {
-				b.yielded = append(b.yielded, m.id)
-				ok = false
-			}
-			if !ok {
-				c.unreserve(r, k.index)
-				spoilt = multi(r)
-				continue
-			}
-			if !under(append(c.holding(m), protocol.Cond{Key: keyDrain + m.id})...) {
-				rest = append(rest, ch)
-				continue
-			}
-			use = u
-			*t = job.Task{Phase: job.Bound, Try: t.Try + 1, Machine: m.id, Session: ch.session, Fails: t.Fails}
-			if r.spec.Shape == job.Gang {
-				t.Try = max(t.Try, ch.try)
-			}
-			taken = append(taken, ch)
-			continue
-		}
-		if t.Phase != job.Bound || t.Machine != ch.machine || t.Session != ch.session || t.Try != ch.try {
-			continue // overtaken
-		}
-		m := c.machine(ch.machine)
-		// Guards against evidence that outlives its claim: a controller
-		// cut off from the state service held the end of a lease to be
-		// over, while a peer answered the worker. When the worker came
-		// back, the release was committed under the new claim, and the
-		// task ran twice.
-		ok, onClaim := c.standing(m).Commit(evidence.Found{Kind: ch.kind, Token: ch.token})
-		if !ok {
-			c.log.Debug("release refused: the evidence is void", "load", job.TaskName(k.id, k.index), "try", ch.try, "stoker", m.id, "kind", ch.kind.String(),
-				"found", ch.token, "token", m.stamp)
-			continue
-		}
-		if onClaim && !under(c.holding(m)...) {
-			rest = append(rest, ch)
-			continue
-		}
-		use = use.plus(r.spec, -1)
-		nt := job.Task{Try: t.Try, Fails: t.Fails}
-		if ch.done {
-			nt.Phase = job.Finished
-		} else if ch.failed {
-			nt.Fails++
+			c.unreserve(p.rec, p.num*c.pageTasks()+ch.index)
 		}
-		*t = nt
-		taken = append(taken, ch)
 	}
-	drop := func() {
-		for _, key := range fresh {
-			delete(b.named, key)
-		}
+	p.queue = nil
+	delete(c.dirty, p)
+}
+
+// draft is what a page adds to a batch.
+type draft struct {
+	c      *Core
+	b      *batch
+	p      *page
+	tasks  []job.Task // as they will be
+	base   int        // number of the page's first task
+	use    usage      // of the team
+	conds  []protocol.Cond
+	room   int      // for conditions
+	fresh  []string // keys that the batch did not name before
+	taken  []change
+	rest   []change // for another transaction
+	spoilt bool     // a gang starts whole or not at all
+}
+
+// under adds conditions; false: there is no room for them.
+//
+// Guards against a placement that was not conditional on the absence of a
+// drain, since an ending on the same machine had named its claim before.
+func (d *draft) under(conditions ...protocol.Cond) bool {
+	conditions = slices.DeleteFunc(conditions, func(k protocol.Cond) bool { return d.b.named[k.Key] })
+	if len(d.conds)+len(conditions) > d.room {
+		return false
 	}
-	if spoilt {
-		for _, ch := range append(taken, rest...) {
-			if ch.place {
-				c.unreserve(r, base+ch.index)
-			}
-		}
-		// Only endings remain; the next flush takes them.
-		p.queue = withoutPlaces(append(taken, rest...))
-		if len(p.queue) == 0 {
-			delete(c.dirty, p)
-		}
-		drop()
+	for _, k := range conditions {
+		d.b.named[k.Key] = true
+		d.fresh = append(d.fresh, k.Key)
+		d.conds = append(d.conds, k)
+	}
+	return true
+}
+
+// forget has the batch not know of the draft's conditions.
+func (d *draft) forget() {
+	for _, key := range d.fresh {
+		delete(d.b.named, key)
+	}
+}
+
+// place takes a placement in, if it still holds.
+func (d *draft) place(ch change) {
+	c, r, t := d.c, d.p.rec, &d.tasks[ch.index]
+	m := c.machines[ch.machine]
+	u := d.use.plus(r.spec, 1)
+	ok := t.Phase == job.Pending && !r.final() && m != nil && c.usable(r, m, ch.session) && (!d.b.charge || d.b.team.leaves(r, u))
+	// Guards against a peer's placement that came into the mirror
+	// after this one was proposed: zones are judged again with what
+	// the transaction is conditional on.
+	ok = ok && c.zoneStillOK(r, d.p, d.tasks, m.claim.Zone)
+	if ok && c.yields(r, m) {
+		d.b.yielded = append(d.b.yielded, m.id)
+		ok = false
+	}
+	if !ok {
+		c.unreserve(r, d.base+ch.index)
+		d.spoilt = multi(r)
 		return
 	}
-	p.queue, p.since = rest, c.now
-	if len(rest) == 0 {
-		delete(c.dirty, p)
+	if !d.under(append(c.holding(m), protocol.Cond{Key: keyDrain + m.id})...) {
+		d.rest = append(d.rest, ch)
+		return
 	}
-	if len(taken) == 0 {
-		drop()
+	d.use = u
+	*t = job.Task{Phase: job.Bound, Try: t.Try + 1, Machine: m.id, Session: ch.session, Fails: t.Fails}
+	if r.spec.Shape == job.Gang {
+		t.Try = max(t.Try, ch.try)
+	}
+	d.taken = append(d.taken, ch)
+}
+
+// end takes an ending in, unless another change was ahead of it or its evidence is void.
+func (d *draft) end(ch change) {
+	c, t := d.c, &d.tasks[ch.index]
+	if t.Phase != job.Bound || t.Machine != ch.machine || t.Session != ch.session || t.Try != ch.try {
+		return // overtaken
+	}
+	m := c.machine(ch.machine)
+	// Guards against evidence that outlives its claim: a controller
+	// cut off from the state service held the end of a lease to be
+	// over, while a peer answered the worker. When the worker came
+	// back, the release was committed under the new claim, and the
+	// task ran twice.
+	ok, onClaim := c.standing(m).Commit(evidence.Found{Kind: ch.kind, Token: ch.token})
+	if !ok {
+		c.log.Debug("release refused: the evidence is void", "load", job.TaskName(d.p.id, d.base+ch.index), "try", ch.try, "stoker", m.id, "kind", ch.kind.String(),
+			"found", ch.token, "token", m.stamp)
 		return
 	}
-	b.ops = append(b.ops, protocol.Op{Write: pageKey(p.id, p.num), Data: c.encodePage(tasks)})
+	if onClaim && !d.under(c.holding(m)...) {
+		d.rest = append(d.rest, ch)
+		return
+	}
+	d.use = d.use.plus(d.p.rec.spec, -1)
+	next := job.Task{Try: t.Try, Fails: t.Fails}
+	if ch.done {
+		next.Phase = job.Finished
+	} else if ch.failed {
+		next.Fails++
+	}
+	*t = next
+	d.taken = append(d.taken, ch)
+}
+
+// withoutGang leaves the page's endings for the next flush, and gives its placements up.
+func (d *draft) withoutGang() {
+	all := append(d.taken, d.rest...)
+	for _, ch := range all {
+		if ch.place {
+			d.c.unreserve(d.p.rec, d.base+ch.index)
+		}
+	}
+	d.p.queue = withoutPlaces(all)
+	if len(d.p.queue) == 0 {
+		delete(d.c.dirty, d.p)
+	}
+	d.forget()
+}
+
+// write adds the page, and its job where that changes, to the batch.
+func (d *draft) write() {
+	c, b, p, r := d.c, d.b, d.p, d.p.rec
+	b.ops = append(b.ops, protocol.Op{Write: pageKey(p.id, p.num), Data: c.encodePage(d.tasks)})
 	finished := r.finished
-	for i := range tasks {
-		if tasks[i].Phase == job.Finished && p.tasks[i].Phase != job.Finished {
+	for i := range d.tasks {
+		if d.tasks[i].Phase == job.Finished && p.tasks[i].Phase != job.Finished {
 			finished++
 		}
 	}
@@ -318,10 +360,10 @@
 		// placements of different pages exclude one another.
 		b.ops = append(b.ops, protocol.Op{Write: keyJob + p.id, Data: encode(r.stored(r.status))})
 	}
-	b.conds = append(b.conds, conds...)
-	b.size += len(tasks)*taskBytes + jobBytes + len(conds)*condBytes
-	b.use = use
-	b.parts = append(b.parts, part{p, taken})
+	b.conds = append(b.conds, d.conds...)
+	b.size += len(d.tasks)*taskBytes + jobBytes + len(d.conds)*condBytes
+	b.use = d.use
+	b.parts = append(b.parts, part{p, d.taken})
 }
 
 // commit sends a batch.
--- a/internal/coordination/gather.go
+++ b/internal/coordination/consolidate.go
@@ -6,17 +6,17 @@
 	"silvergate/internal/job"
 )
 
-// gatherShare is the share of our services that may be moved in a report
+// consolidationShare is the share of our services that may be moved in a report
 // period. A moved one is away for about a second.
-const gatherShare = 0.025
+const consolidationShare = 0.025
 
 // Exception "gathering": the thesis's tasks end by themselves, services do
 // not. Left alone, a few of them keep many machines half empty. When nothing
 // waits, the services of our sparsest machines move to machines of ours that
 // hold more of them, have their images and have room, in the same zone where
-// zones matter. A few at a time: one a report period, or gatherShare of them
+// zones matter. A few at a time: one a report period, or consolidationShare of them
 // where there are many.
-func (c *Core) gather() {
+func (c *Core) consolidate() {
 	if c.lined > 0 {
 		for _, m := range c.ours {
 			m.emptying = false // the room is wanted
@@ -28,14 +28,14 @@
 	for _, m := range c.ours {
 		services += m.services
 	}
-	most := max(1, gatherShare*float64(services))
+	most := max(1, consolidationShare*float64(services))
 	c.moves = min(max(1, most/4), c.moves+most*(c.now-c.movedAt).Seconds()/c.cfg.Facts.Workers.Report)
 	c.movedAt = c.now
 	var from []*machine
 	for _, m := range c.ours {
 		if m.emptying {
 			switch {
-			case len(m.bound) == 0 && c.fleet.unkept.holds(m.id):
+			case len(m.bound) == 0 && c.fleet.unshipped.holds(m.id):
 				emptying++
 			case len(m.bound) == 0:
 				// Guards against a machine that is out of use here while the
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -19,7 +19,7 @@
 
 	"silvergate/internal/bookkeeping"
 	"silvergate/internal/config"
-	"silvergate/internal/doors"
+	"silvergate/internal/connlimit"
 	"silvergate/internal/evidence"
 	"silvergate/internal/protocol"
 	"silvergate/internal/reach"
@@ -109,7 +109,7 @@
 	restarting time.Duration
 	claims     int     // being written
 	asks       int     // for a status, under way
-	moves      float64 // services that may be moved now, see gather
+	moves      float64 // services that may be moved now, see consolidate
 	movedAt    time.Duration
 	launching  []*machine
 	latency    map[string]*hdrhistogram.Histogram
@@ -148,7 +148,7 @@
 	Deleted     uint64 `json:"deleted"`
 	Unavailable uint64 `json:"unavailable"`
 
-	Doors doors.Stats `json:"doors"` // connections, as the program tells
+	Connections connlimit.Stats `json:"doors"` // connections, as the program tells
 
 	LongestStepMS float64 `json:"longestStepMs"` // how long an answer had to wait for another step, at the most
 }
@@ -173,7 +173,7 @@
 	c.verbose = log.Enabled(context.Background(), slog.LevelDebug)
 	c.ttl = seconds(cfg.Facts.Workers.Lease / 3)
 	c.fleet.init()
-	c.fleet.unkept = newUnkept(c)
+	c.fleet.unshipped = newUnshipped(c)
 	c.view = newView(c)
 	c.data = newData(c)
 	c.store = bookkeeping.NewStore(&cfg.Facts, 1+len(cfg.Peers))
@@ -280,7 +280,7 @@
 		c.updateTurns()
 		c.schedule()
 		c.preempt()
-		c.gather()
+		c.consolidate()
 		c.restart()
 		c.fleetTick()
 		c.data.tick()
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -236,7 +236,7 @@
 	// Guards against judgements that take turns on a machine: inc-41e3 spent
 	// the state service's whole rate on them.
 	grades := map[int]bool{} // each replaces the ones before once
-	for _, g := range gravity {
+	for _, g := range drainSeverity {
 		grades[g] = true
 	}
 	for _, key := range sortedKeys(s.kv.drains) {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -48,7 +48,7 @@
 	inherited int
 	planAt    time.Duration
 	seen      map[string]sight // by controller
-	unkept    *unkept
+	unshipped *unshipped
 }
 
 // sight is in which zones a controller hears machines of its own, and in which
--- a/internal/coordination/launches.go
+++ b/internal/coordination/launches.go
@@ -9,17 +9,17 @@
 	"silvergate/internal/protocol"
 )
 
-// launchSoon sends a committed launch straight to its worker with the step's
+// queueLaunch sends a committed launch straight to its worker with the step's
 // other launches, which saves the wait for the next report.
-func (c *Core) launchSoon(id string, k taskKey, try int) {
+func (c *Core) queueLaunch(id string, k taskKey, try int) {
 	m := c.machines[id]
 	if m == nil || !c.mine(m) || !m.shown || m.tainted || m.claim.Address == "" {
 		return // the answer to its next report launches it
 	}
-	if len(m.soon) == 0 {
+	if len(m.queuedLaunches) == 0 {
 		c.launching = append(c.launching, m)
 	}
-	m.soon = append(m.soon, attempt{k, try})
+	m.queuedLaunches = append(m.queuedLaunches, attempt{k, try})
 }
 
 // sendLaunches makes one direct call for every machine with launches.
@@ -33,11 +33,11 @@
 // answer the machine is tainted, and its next report gets a new token.
 func (c *Core) sendLaunches() {
 	for _, m := range c.launching {
-		soon, st := m.soon, c.standing(m)
-		m.soon = nil
+		queued, st := m.queuedLaunches, c.standing(m)
+		m.queuedLaunches = nil
 		var orders []protocol.Order
 		var sent []attempt
-		for _, a := range soon {
+		for _, a := range queued {
 			b, ok := c.boundHere(m, a.taskKey)
 			if !ok || b.Try != a.try || m.bound[a.taskKey].final() {
 				c.log.Debug("launch withheld: the attempt is over", "load", job.TaskName(a.id, a.index), "try", a.try, "stoker", m.id)
@@ -47,7 +47,7 @@
 				if b.Session == m.session {
 					c.log.Debug("launch withheld: the records are behind", "load", job.TaskName(a.id, a.index), "try", a.try, "stoker", m.id,
 						"ledger", c.store.Ledger(), "token", m.stamp, "since", b.Since)
-					m.owe(a)
+					m.deferLaunch(a)
 				}
 				continue
 			}
@@ -83,28 +83,28 @@
 	c.launching = c.launching[:0]
 }
 
-// owe notes a launch that has to wait until the records are known to be complete.
-func (m *machine) owe(a attempt) {
-	if !slices.Contains(m.owed, a) {
-		m.owed = append(m.owed, a)
+// deferLaunch notes a launch that has to wait until the records are known to be complete.
+func (m *machine) deferLaunch(a attempt) {
+	if !slices.Contains(m.deferredLaunches, a) {
+		m.deferredLaunches = append(m.deferredLaunches, a)
 	}
 }
 
-// launchOwed sends launches that had to wait, once they need not any more. Without
+// sendDeferred sends launches that had to wait, once they need not any more. Without
 // it they would wait for the worker's next report.
-func (c *Core) launchOwed(m *machine) {
-	if len(m.owed) == 0 || !c.proved(m) {
+func (c *Core) sendDeferred(m *machine) {
+	if len(m.deferredLaunches) == 0 || !c.proved(m) {
 		return
 	}
-	owed := m.owed
-	m.owed = nil
-	for _, a := range owed {
+	deferred := m.deferredLaunches
+	m.deferredLaunches = nil
+	for _, a := range deferred {
 		_, stopping := m.stops[a.taskKey]
 		b, ok := c.boundHere(m, a.taskKey)
 		if !ok || b.Try != a.try || stopping || m.recalled || m.direct[a] || c.ending(m.bound[a.taskKey], a.index) {
 			continue
 		}
-		c.launchSoon(m.id, a.taskKey, a.try)
+		c.queueLaunch(m.id, a.taskKey, a.try)
 	}
 }
 
--- a/internal/coordination/members.go
+++ b/internal/coordination/members.go
@@ -102,7 +102,7 @@
 func (c *Core) membership() {
 	if c.reach.BeatDue() {
 		c.shareOut()
-		own, told := c.fleet.seen[c.cfg.Node], c.fleet.unkept.told()
+		own, told := c.fleet.seen[c.cfg.Node], c.fleet.unshipped.told()
 		age := c.recordsAge()
 		rows := c.reach.Rows(age, c.store.Hungry())
 		blind := c.store.Ready() && c.now-c.store.Fresh() > seconds(c.cfg.Facts.Workers.Report)
@@ -163,7 +163,7 @@
 	case m.Beat != nil:
 		c.reach.Beat(from, time.Duration(m.Beat.FreshMS)*time.Millisecond, m.Beat.Hungry, m.Beat.Rows)
 		c.fleet.seen[from] = sight{c.now, m.Beat.Lit, m.Beat.Dark, m.Beat.Deaf}
-		c.fleet.unkept.beat(m.Beat.Unkept)
+		c.fleet.unshipped.beat(m.Beat.Unkept)
 		c.shareOut()
 	case m.Carry != nil:
 		c.carry(from, m.Carry)
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"strconv"
 
@@ -39,57 +40,102 @@
 // that are booting. What does not fit is rented for; what is not used is
 // returned after a while.
 func (c *Core) plan() {
-	f := &c.fleet
-	var slots []*slot
-	boot := 0
-	add := func(id string, where place, m *machine) {
-		t, ok := c.catalogue[where.rig]
-		if !ok {
-			return
-		}
-		s := &slot{id: id, where: where, cpus: t.CPUs, gpus: t.GPUs, ram: t.RAM}
-		if m != nil {
-			s.cpus, s.gpus, s.ram, s.bound = t.CPUs-m.cpus, t.GPUs-m.gpus, t.RAM-m.ram, len(m.bound) > 0
-		}
-		slots = append(slots, s)
+	p := c.newPacking()
+	p.addMachines()
+	p.addListed()
+	p.addRentals()
+	p.sortSlots()
+	p.putJobs()
+	c.rent(p.want, p.urgent)
+	c.returnIdle(p.slots)
+	if c.verbose {
+		c.log.Debug("plan", "machines", len(p.slots), "booting", p.booting, "renting", len(p.want), "unmet", p.unmet, "kinds", c.kinds())
 	}
-	known := map[string]bool{}
-	deaf := map[string]bool{}
-	for _, v := range f.seen {
+}
+
+// packing is one plan: the machines that there are, that boot and that are to be rented,
+// with what waits put onto them.
+type packing struct {
+	c       *Core
+	slots   []*slot
+	known   map[string]bool // machines that have a slot, or a claim
+	zones   map[string]int  // machines in each
+	dark    map[string]bool // zones that nobody hears
+	deaf    map[string]bool // machines to which no work can be given
+	booting int
+	want    map[place]int // machines to be rented
+	urgent  map[place]bool
+	unmet   int // tasks for which nothing can be rented
+	full    int // slots before this one have nothing left for any open job
+}
+
+func (c *Core) newPacking() *packing {
+	p := &packing{c: c, known: map[string]bool{}, zones: map[string]int{}, dark: map[string]bool{}, deaf: map[string]bool{}, want: map[place]int{}, urgent: map[place]bool{}}
+	for _, v := range c.fleet.seen {
 		for _, id := range v.deaf {
-			deaf[id] = c.now-v.at < seconds(c.cfg.Facts.Workers.Report)
+			p.deaf[id] = c.now-v.at < seconds(c.cfg.Facts.Workers.Report)
 		}
 	}
-	zones := map[string]int{} // machines in each
-	dark := map[string]bool{}
 	for _, z := range c.cfg.Facts.Zones {
-		if dark[z] = c.zoneDark(z); dark[z] {
-			zones[z] = 1 << 20 // nothing is rented there while there is another way
+		if p.dark[z] = c.zoneDark(z); p.dark[z] {
+			p.zones[z] = avoidedZone
 		}
 	}
+	return p
+}
+
+// avoidedZone is counted as the machines of a dark zone: nothing is rented there while there
+// is another way.
+const avoidedZone = 1 << 20
+
+// add makes a slot of a machine; m is nil while it has no claim.
+func (p *packing) add(id string, where place, m *machine) {
+	t, ok := p.c.catalogue[where.rig]
+	if !ok {
+		return
+	}
+	s := &slot{id: id, where: where, cpus: t.CPUs, gpus: t.GPUs, ram: t.RAM}
+	if m != nil {
+		s.cpus, s.gpus, s.ram, s.bound = t.CPUs-m.cpus, t.GPUs-m.gpus, t.RAM-m.ram, len(m.bound) > 0
+	}
+	p.slots = append(p.slots, s)
+}
+
+// addMachines adds the machines that are claimed and can be used.
+func (p *packing) addMachines() {
+	c := p.c
 	for id, m := range c.machines {
-		known[id] = m.stamp != 0
+		p.known[id] = m.stamp != 0
 		if m.stamp != 0 {
-			zones[m.claim.Zone]++
+			p.zones[m.claim.Zone]++
 		}
 		if _, drained := c.drains[id]; drained || m.stamp == 0 || m.draining {
 			continue
 		}
-		if dark[m.claim.Zone] || deaf[id] || c.mine(m) && m.released {
+		if p.dark[m.claim.Zone] || p.deaf[id] || c.mine(m) && m.released {
 			m.idleAt = c.now // nobody can use it now; it is not idle by choice
 			continue
 		}
-		add(id, place{m.claim.Type, m.claim.Zone, m.claim.Spot}, m)
+		p.add(id, place{m.claim.Type, m.claim.Zone, m.claim.Spot}, m)
 	}
+}
+
+// addListed adds the machines that the cloud lists and nobody has claimed yet.
+func (p *packing) addListed() {
+	f := &p.c.fleet
 	for id, l := range f.listed {
-		if _, gone := f.gone[id]; gone || known[id] || l.Status == protocol.StatusFailed {
+		if _, gone := f.gone[id]; gone || p.known[id] || l.Status == protocol.StatusFailed {
 			continue
 		}
-		known[id] = true
-		boot++
-		add(id, place{l.Rig, l.Depot, l.Casual}, nil)
+		p.known[id] = true
+		p.booting++
+		p.add(id, place{l.Rig, l.Depot, l.Casual}, nil)
 	}
-	for name, r := range f.rentals {
+}
+
+// addRentals adds the machines of rentals that are asked for, or answered and not listed yet.
+func (p *packing) addRentals() {
+	for name, r := range p.c.fleet.rentals {
 		for i := 0; i < r.Number; i++ {
 			id := name + "#" + strconv.Itoa(i)
 			if r.Names != nil {
@@ -97,18 +143,21 @@
 					break
 				}
 				id = r.Names[i]
-				if known[id] || !c.expected(id) {
+				if p.known[id] || !p.c.expected(id) {
 					continue
 				}
-				known[id] = true
+				p.known[id] = true
 			}
-			boot++
-			add(id, place{r.Rig, r.Depot, r.Spot}, nil)
+			p.booting++
+			p.add(id, place{r.Rig, r.Depot, r.Spot}, nil)
 		}
 	}
-	// Fuller machines first, so that empty ones can be returned.
-	sort.Slice(slots, func(i, j int) bool {
-		a, b := slots[i], slots[j]
+}
+
+// sortSlots puts fuller machines first, so that empty ones can be returned.
+func (p *packing) sortSlots() {
+	sort.Slice(p.slots, func(i, j int) bool {
+		a, b := p.slots[i], p.slots[j]
 		if a.bound != b.bound {
 			return a.bound
 		}
@@ -117,81 +166,112 @@
 		}
 		return a.id < b.id
 	})
-	want, urgent := map[place]int{}, map[place]bool{}
-	unmet := 0
-	full := 0 // slots before this one have nothing left for any open job
-	put := func(sp *job.Spec, n int, avoid map[string]int) {
-		for full < len(slots) && (slots[full].cpus < tolerance || slots[full].ram < tolerance || c.plain == 0 && slots[full].gpus < tolerance) {
-			full++
-		}
-		at := full // a job's tasks are alike: what can't take one takes none
-		for ; n > 0; n-- {
-			for at < len(slots) && !(slots[at].takes(sp) && (avoid == nil || avoid[slots[at].where.depot] < sp.SpreadLimit())) {
-				at++
-			}
-			if at < len(slots) {
-				slots[at].put(sp)
-				if avoid != nil {
-					avoid[slots[at].where.depot]++
-				}
-				continue
-			}
-			w, found := c.bestPlace(sp, want, avoid, zones)
-			if !found {
-				unmet += n
-				return
-			}
-			t := c.catalogue[w.rig]
-			s := &slot{where: w, cpus: t.CPUs, gpus: t.GPUs, ram: t.RAM, fresh: true}
-			s.put(sp)
-			slots = append(slots, s)
-			want[w]++
-			urgent[w] = urgent[w] || sp.Priority == job.Production
-			if avoid != nil {
-				avoid[w.depot]++
-			}
-		}
-	}
+}
+
+// putJobs packs the open jobs, in the order of their turns.
+func (p *packing) putJobs() {
+	c := p.c
 	uses := map[string]usage{}
 	for _, r := range c.turns {
 		if r.final() {
 			continue
 		}
-		tm := c.teams[r.spec.Team]
-		if tm == nil || c.paused(r) { // nothing is rented for what is not tried now
+		n := p.waiting(r, uses)
+		if n == 0 {
 			continue
 		}
-		u, ok := uses[r.spec.Team]
-		if !ok {
-			u = tm.use
-		}
-		n := 0
-		// More than a page's worth at a time need not be planned for.
-		pending := min(r.spec.Tasks-r.bound-r.finished, 2*c.pageTasks())
-		if !multi(r) {
-			pending = c.blame(r).AtOnce(pending)
-		}
-		for ; n < pending && tm.within(u.plus(r.spec, 1)); n++ {
-			u = u.plus(r.spec, 1)
+		sp := r.spec
+		if sp.OneZone && sp.Zone == "" && n > 1 {
+			sp = c.pinZone(r, n, p.slots, p.want, p.zones)
 		}
-		uses[r.spec.Team] = u
-		if n == 0 {
+		p.put(sp, n, spreadOf(r))
+	}
+}
+
+// waiting is how many tasks of a job are to be packed within its team's limit; uses is what the
+// teams use with what has been packed already.
+func (p *packing) waiting(r *record, uses map[string]usage) (n int) {
+	c := p.c
+	tm := c.teams[r.spec.Team]
+	if tm == nil || c.paused(r) { // nothing is rented for what is not tried now
+		return 0
+	}
+	u, ok := uses[r.spec.Team]
+	if !ok {
+		u = tm.use
+	}
+	// More than a page's worth at a time need not be planned for.
+	pending := min(r.spec.Tasks-r.bound-r.finished, 2*c.pageTasks())
+	if !multi(r) {
+		pending = c.blame(r).AtOnce(pending)
+	}
+	for ; n < pending && tm.within(u.plus(r.spec, 1)); n++ {
+		u = u.plus(r.spec, 1)
+	}
+	uses[r.spec.Team] = u
+	return n
+}
+
+// spreadOf counts the bound tasks in each zone of a job that must be spread, nil for any other.
+func spreadOf(r *record) map[string]int {
+	if !r.spec.Spread {
+		return nil
+	}
+	counts := map[string]int{}
+	maps.Copy(counts, r.zones)
+	return counts
+}
+
+// put packs n tasks of a job; avoid counts its tasks in each zone if it must be spread.
+func (p *packing) put(sp *job.Spec, n int, avoid map[string]int) {
+	p.skipFull()
+	at := p.full // a job's tasks are alike: what can't take one takes none
+	for ; n > 0; n-- {
+		for at < len(p.slots) && !(p.slots[at].takes(sp) && (avoid == nil || avoid[p.slots[at].where.depot] < sp.SpreadLimit())) {
+			at++
+		}
+		if at < len(p.slots) {
+			p.slots[at].put(sp)
+			if avoid != nil {
+				avoid[p.slots[at].where.depot]++
+			}
 			continue
 		}
-		var avoid map[string]int
-		if r.spec.Spread {
-			avoid = map[string]int{}
-			for z, k := range r.zones {
-				avoid[z] = k
-			}
+		where, found := p.c.bestPlace(sp, p.want, avoid, p.zones)
+		if !found {
+			p.unmet += n
+			return
 		}
-		sp := r.spec
-		if sp.OneZone && sp.Zone == "" && n > 1 {
-			sp = c.pinZone(r, n, slots, want, zones)
+		p.wish(where, sp)
+		if avoid != nil {
+			avoid[where.depot]++
 		}
-		put(sp, n, avoid)
 	}
-	c.rent(want, urgent)
+}
+
+// skipFull passes over slots that have nothing left.
+func (p *packing) skipFull() {
+	for p.full < len(p.slots) {
+		s := p.slots[p.full]
+		if s.cpus >= tolerance && s.ram >= tolerance && (p.c.plain > 0 || s.gpus >= tolerance) {
+			return
+		}
+		p.full++
+	}
+}
+
+// wish has a machine rented, with a task of a job on it.
+func (p *packing) wish(where place, sp *job.Spec) {
+	t := p.c.catalogue[where.rig]
+	s := &slot{where: where, cpus: t.CPUs, gpus: t.GPUs, ram: t.RAM, fresh: true}
+	s.put(sp)
+	p.slots = append(p.slots, s)
+	p.want[where]++
+	p.urgent[where] = p.urgent[where] || sp.Priority == job.Production
+}
+
+// returnIdle drains the machines that have stood idle for long enough.
+func (c *Core) returnIdle(slots []*slot) {
 	for _, s := range slots {
 		m := c.machines[s.id]
 		if m == nil || s.fresh {
@@ -201,13 +281,10 @@
 			m.idleAt = c.now
 			continue
 		}
-		if c.now-m.idleAt > seconds(idleShare*c.kind(m).StartupS) && !c.fleet.unkept.holds(m.id) {
-			c.drain(m, drainIdle, protocol.Cond{Key: keyFleet, Stamp: f.stamp}) // one that was replaced returns nothing
+		if c.now-m.idleAt > seconds(idleShare*c.kind(m).StartupS) && !c.fleet.unshipped.holds(m.id) {
+			c.drain(m, drainIdle, protocol.Cond{Key: keyFleet, Stamp: c.fleet.stamp}) // one that was replaced returns nothing
 		}
 	}
-	if c.verbose {
-		c.log.Debug("plan", "machines", len(slots), "booting", boot, "renting", len(want), "unmet", unmet, "kinds", c.kinds())
-	}
 }
 
 // kinds tells how many machines of each type there are, how many of their
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -154,7 +154,7 @@
 	left := c.horizon() - (c.now - c.proof())
 	// Guards against a controller that takes an outage for a cut of its own and sends
 	// its workers round: one that comes back stays while it can be answered.
-	if left > 0 && m.sentAway > 0 && c.now-m.sentAway < 2*c.leaseOver() {
+	if left > 0 && m.redirectedAt > 0 && c.now-m.redirectedAt < 2*c.leaseOver() {
 		return ""
 	}
 	level := reach.Empty
@@ -169,7 +169,7 @@
 	}
 	to := reach.Receiver(&now, r.Depot, r.Stoker, from, c.leaseOver())
 	if to != "" {
-		m.sentAway = c.now
+		m.redirectedAt = c.now
 		c.reach.Stats.HandedOn++
 	}
 	return to
--- a/internal/coordination/tape.go
+++ b/internal/coordination/recorded.go
@@ -17,14 +17,14 @@
 	"silvergate/internal/recorder"
 )
 
-// Tape is a core whose inputs are recorded. It takes what a core takes.
-type Tape struct {
+// Recorded is a core whose inputs are recorded. It takes what a core takes.
+type Recorded struct {
 	core *Core
 	w    *recorder.Writer
 }
 
-// NewTape records what goes into a core from now on, which must be from its beginning.
-func NewTape(c *Core, w *recorder.Writer) *Tape { return &Tape{c, w} }
+// NewRecorded records what goes into a core from now on, which must be from its beginning.
+func NewRecorded(c *Core, w *recorder.Writer) *Recorded { return &Recorded{c, w} }
 
 // RecordingHeader is what a recording of such a core begins with. Secrets are not in
 // it: the archive's key is named, not kept.
@@ -54,29 +54,29 @@
 }
 
 // Request is Core.Request, recorded.
-func (t *Tape) Request(at Clock, id uint64, method, path string, body []byte) Effects {
+func (t *Recorded) Request(at Clock, id uint64, method, path string, body []byte) Effects {
 	return t.step(&recorder.Input{Kind: recorder.Request, ID: id, Method: method, Path: path, Body: body}, at,
 		func() Effects { return t.core.Request(at, id, method, path, body) })
 }
 
 // Reply is Core.Reply, recorded.
-func (t *Tape) Reply(at Clock, r protocol.Reply) Effects {
+func (t *Recorded) Reply(at Clock, r protocol.Reply) Effects {
 	return t.step(&recorder.Input{Kind: recorder.Reply, ID: r.ID, Status: r.Status, Sent: r.Sent, Retry: r.RetryAfter, Body: r.Body}, at,
 		func() Effects { return t.core.Reply(at, r) })
 }
 
 // Peer is Core.Peer, recorded.
-func (t *Tape) Peer(at Clock, from string, m Message) Effects {
+func (t *Recorded) Peer(at Clock, from string, m Message) Effects {
 	body, _ := cbor.Marshal(&m) // a message of values: it always can be
 	return t.step(&recorder.Input{Kind: recorder.Peer, From: from, Body: body}, at, func() Effects { return t.core.Peer(at, from, m) })
 }
 
 // Tick is Core.Tick, recorded.
-func (t *Tape) Tick(at Clock) Effects {
+func (t *Recorded) Tick(at Clock) Effects {
 	return t.step(&recorder.Input{Kind: recorder.Tick}, at, func() Effects { return t.core.Tick(at) })
 }
 
-func (t *Tape) step(in *recorder.Input, at Clock, do func() Effects) Effects {
+func (t *Recorded) step(in *recorder.Input, at Clock, do func() Effects) Effects {
 	in.Steady, in.Wall = at.Steady, at.Wall.UnixNano()
 	whole := false
 	defer func() {
--- a/internal/coordination/tape_test.go
+++ b/internal/coordination/recorded_test.go
@@ -204,7 +204,7 @@
 					b.Fatal(err)
 				}
 				w := recorder.NewMemory(io.Discard, r.Header)
-				tape := NewTape(c, w)
+				tape := NewRecorded(c, w)
 				for i := range inputs {
 					in := &inputs[i]
 					if !recorded {
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -342,7 +342,7 @@
 			c.traceStart(losses.Bound, k.id, k.index, t.Try, m.id)
 		}
 		if t.Session == m.session {
-			c.launchSoon(m.id, k, t.Try) // also when a peer's gang was bound to our machine
+			c.queueLaunch(m.id, k, t.Try) // also when a peer's gang was bound to our machine
 		}
 	case job.Finished:
 		r.finished++
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -64,7 +64,7 @@
 	f := &c.fleet
 	for id, d := range c.drains {
 		m := c.machines[id]
-		if m == nil || m.stamp == 0 || len(m.bound) == 0 && c.fencedOff(id) || gravity[d.Why] >= gravity[drainSilent] {
+		if m == nil || m.stamp == 0 || len(m.bound) == 0 && c.fencedOff(id) || drainSeverity[d.Why] >= drainSeverity[drainSilent] {
 			f.deleting[id] = true
 		}
 	}
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -58,7 +58,7 @@
 		if c.now-m.heard > entryAge {
 			c.unlist(m)
 		}
-		c.launchOwed(m)
+		c.sendDeferred(m)
 		if c.standing(m).LeaseOver(c.now, m.answered, c.leaseOver()) {
 			m.released = true
 			for _, k := range m.tasks() {
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -112,7 +112,7 @@
 	name    string
 	zone    string
 	core    *Core
-	tape    *Tape // what the world goes through
+	tape    *Recorded // what the world goes through
 	started time.Duration
 	life    int64
 	tickAt  time.Duration
@@ -156,7 +156,7 @@
 	}
 	seed, life := s.rnd.Uint64(), n.life*1000+s.now.Milliseconds()+1
 	n.core = New(cfg, log, rand.New(rand.NewPCG(seed, 1)), life)
-	n.tape = NewTape(n.core, s.record(cfg, life, seed))
+	n.tape = NewRecorded(n.core, s.record(cfg, life, seed))
 	n.tick(n.life)
 }
 
@@ -841,7 +841,7 @@
 	w.tally++
 	r := protocol.Report{Stoker: w.name, Address: w.addr, Rig: w.rig, Depot: w.tellsZone(), Casual: w.spot, Shift: w.shift, Tally: w.tally, Baton: w.baton, Loads: []protocol.Load{}}
 	if w.unkept > w.s.now {
-		r.Unkept = 1
+		r.Unshipped = 1
 	}
 	if w.s.met.emptyLists {
 		return r
--- a/internal/coordination/takeovers.go
+++ b/internal/coordination/takeovers.go
@@ -64,8 +64,8 @@
 		c.holders.count[m.claim.Owner]--
 	}
 	m.claim.Owner, m.claim.Life, m.stamp, m.claimedAt = held.Node, held.Life, held.Token, c.now
-	m.shown, m.proved, m.released, m.adopted, m.homeAt = false, false, false, false, 0
-	m.soon, m.owed = nil, nil
+	m.shown, m.proved, m.released, m.adopted, m.awaitingHolderSince = false, false, false, false, 0
+	m.queuedLaunches, m.deferredLaunches = nil, nil
 	m.reoccupy()
 	switch {
 	case !c.mine(m):
--- a/internal/coordination/unkept.go
+++ b/internal/coordination/unshipped.go
@@ -7,7 +7,7 @@
 	"silvergate/internal/protocol"
 )
 
-// unkept knows of machines with output of tasks that are over and that the archive
+// unshipped knows of machines with output of tasks that are over and that the archive
 // has not acknowledged. Such a machine is not returned for want of work until its
 // deadline. Room is free as soon as the records say so, and nothing else waits: the
 // machine takes new work meanwhile.
@@ -15,7 +15,7 @@
 // A machine tells its own controller in its reports; that one tells the leader, who
 // returns machines, with its beats. A beat that is lost costs at most output that
 // its agent could not ship in the seconds that it has when it is switched off.
-type unkept struct {
+type unshipped struct {
 	c *Core
 	// ours is what machines of this controller said last, known what is known of
 	// all machines: since when, and when it was last said.
@@ -29,13 +29,13 @@
 // done.
 const toldAtMost = 100
 
-func newUnkept(c *Core) *unkept {
-	return &unkept{c: c, ours: map[string]bool{}, known: map[string]wait{}}
+func newUnshipped(c *Core) *unshipped {
+	return &unshipped{c: c, ours: map[string]bool{}, known: map[string]wait{}}
 }
 
 // report takes a machine's report in.
-func (u *unkept) report(m *machine, r *protocol.Report) {
-	if r.Unkept == 0 {
+func (u *unshipped) report(m *machine, r *protocol.Report) {
+	if r.Unshipped == 0 {
 		delete(u.ours, m.id)
 		delete(u.known, m.id)
 		return
@@ -44,7 +44,7 @@
 	u.heard(m.id)
 }
 
-func (u *unkept) heard(id string) {
+func (u *unshipped) heard(id string) {
 	w, ok := u.known[id]
 	if !ok || u.c.now-w.said > u.fresh() {
 		w.since = u.c.now
@@ -54,10 +54,10 @@
 }
 
 // fresh is how long a word holds: what is silent for longer is done, or lost.
-func (u *unkept) fresh() time.Duration { return seconds(3 * u.c.cfg.Facts.Workers.Report) }
+func (u *unshipped) fresh() time.Duration { return seconds(3 * u.c.cfg.Facts.Workers.Report) }
 
 // told lists this controller's own, for a beat.
-func (u *unkept) told() (out []string) {
+func (u *unshipped) told() (out []string) {
 	for id := range u.ours {
 		if m := u.c.machines[id]; m == nil || !u.c.mine(m) {
 			delete(u.ours, id)
@@ -70,7 +70,7 @@
 }
 
 // beat takes a peer's list in.
-func (u *unkept) beat(ids []string) {
+func (u *unshipped) beat(ids []string) {
 	for _, id := range ids {
 		u.heard(id)
 	}
@@ -78,7 +78,7 @@
 
 // holds tells whether a machine without work is to be kept for its output. What is
 // given up at the deadline is on the controller's log.
-func (u *unkept) holds(id string) bool {
+func (u *unshipped) holds(id string) bool {
 	a := u.c.cfg.Operator.Archive
 	w, ok := u.known[id]
 	if a == nil || !ok {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -47,8 +47,8 @@
 	drainLost   = "lost"  // with its controller
 )
 
-// gravity orders them: the graver ones do not wait until nothing is bound.
-var gravity = map[string]int{drainIdle: 0, drainRecall: 1, drainFaulty: 2, drainSilent: 3, drainStray: 3, drainLost: 3, drainFailed: 4}
+// drainSeverity orders them: the graver ones do not wait until nothing is bound.
+var drainSeverity = map[string]int{drainIdle: 0, drainRecall: 1, drainFaulty: 2, drainSilent: 3, drainStray: 3, drainLost: 3, drainFailed: 4}
 
 type machine struct {
 	id       string
@@ -67,46 +67,46 @@
 	images   map[string]time.Duration // when each will be there, as far as is known
 
 	// What the holder knows.
-	session    uint64
-	tally      uint64
-	launchedAt evidence.Mark // of the newest answer to a direct launch
-	shown      bool          // a report carried our token
-	heard      time.Duration
-	answered   time.Duration // arrival of the last report answered with 200
-	asking     bool          // asked for its status
-	askAt      time.Duration // not again before
-	mute       int           // and did not answer, so many times in a row
-	released   bool          // its lease is over and its tasks were given up
-	recalled   bool
-	claiming   bool
-	claimedAt  time.Duration             // when its claim came to be known
-	sentHome   time.Duration             // to its holder, see hasHolder
-	adopted    bool                      // claimed by an earlier life of ours, whose token we go on with
-	homeAt     time.Duration             // when it first came here while its own controller was down
-	sentAway   time.Duration             // to another controller, when it reported last
-	direct     map[attempt]bool          // launches sent to /orders and not answered yet
-	tainted    bool                      // such a launch got no answer: it may be executed until a new token is seen
-	shownAt    time.Duration             // when a report first carried our token
-	proved     bool                      // the mirror was complete after that
-	owed       []attempt                 // launches that wait for that
-	soon       []attempt                 // launches for the next direct call
-	begun      map[taskKey]time.Duration // first seen running
-	boundAt    map[taskKey]binding       // when it was bound
-	pulling    map[taskKey]bool          // last reported as waiting for the image
-	stops      map[taskKey]stop
-	reserved   int                 // tasks for which room is reserved
-	gone       map[taskKey]*record // bound by the records, but known to have left: their room is free
-	errors     map[string]bool     // jobs whose tasks failed here
-	listed     int                 // place in the idle list, counted from 1; 0: not listed
-	joined     time.Duration
-	idleAt     time.Duration // since when nothing is bound, for the fleet
-	holdFor    string        // the job for which others were stopped here
-	holdTill   time.Duration // and how long nothing else may take the room
-	holdBy     string        // the controller whose gang it is kept for
-	draining   bool          // a drain is being written
-	forgetting time.Duration // its records are being dropped: not again before
-	emptying   bool          // its services are being gathered elsewhere
-	sparseAt   time.Duration // since when it holds few services and nothing else; 0: not
+	session             uint64
+	tally               uint64
+	launchedAt          evidence.Mark // of the newest answer to a direct launch
+	shown               bool          // a report carried our token
+	heard               time.Duration
+	answered            time.Duration // arrival of the last report answered with 200
+	asking              bool          // asked for its status
+	askAt               time.Duration // not again before
+	mute                int           // and did not answer, so many times in a row
+	released            bool          // its lease is over and its tasks were given up
+	recalled            bool
+	claiming            bool
+	claimedAt           time.Duration             // when its claim came to be known
+	redirectedToHolder  time.Duration             // to its holder, see hasHolder
+	adopted             bool                      // claimed by an earlier life of ours, whose token we go on with
+	awaitingHolderSince time.Duration             // when it first came here while its own controller was down
+	redirectedAt        time.Duration             // to another controller, when it reported last
+	direct              map[attempt]bool          // launches sent to /orders and not answered yet
+	tainted             bool                      // such a launch got no answer: it may be executed until a new token is seen
+	shownAt             time.Duration             // when a report first carried our token
+	proved              bool                      // the mirror was complete after that
+	deferredLaunches    []attempt                 // launches that wait for that
+	queuedLaunches      []attempt                 // launches for the next direct call
+	begun               map[taskKey]time.Duration // first seen running
+	boundAt             map[taskKey]binding       // when it was bound
+	pulling             map[taskKey]bool          // last reported as waiting for the image
+	stops               map[taskKey]stop
+	reserved            int                 // tasks for which room is reserved
+	gone                map[taskKey]*record // bound by the records, but known to have left: their room is free
+	errors              map[string]bool     // jobs whose tasks failed here
+	listed              int                 // place in the idle list, counted from 1; 0: not listed
+	joined              time.Duration
+	idleAt              time.Duration // since when nothing is bound, for the fleet
+	holdFor             string        // the job for which others were stopped here
+	holdTill            time.Duration // and how long nothing else may take the room
+	holdBy              string        // the controller whose gang it is kept for
+	draining            bool          // a drain is being written
+	forgetting          time.Duration // its records are being dropped: not again before
+	emptying            bool          // its services are being gathered elsewhere
+	sparseAt            time.Duration // since when it holds few services and nothing else; 0: not
 }
 
 // attempt is one attempt of a task.
@@ -300,7 +300,7 @@
 		c.refuse(id, 503, "being claimed")
 		return
 	}
-	if c.homeward(m, r) {
+	if c.awaitsHolder(m, r) {
 		c.refuse(id, 503, "its own controller may be back soon")
 		return
 	}
@@ -336,7 +336,7 @@
 func (c *Core) better(m *machine, zone string) string {
 	// Guards against a peer that only its peers can reach: a worker that comes
 	// back after it was sent away stays.
-	if m.sentAway > 0 && c.now-m.sentAway < 2*c.leaseOver() {
+	if m.redirectedAt > 0 && c.now-m.redirectedAt < 2*c.leaseOver() {
 		return ""
 	}
 	in := c.cfg.Zone == zone
@@ -352,7 +352,7 @@
 	// Or to its own controller that has restarted since, and goes on without a new claim;
 	// unless we have had it look for that one already.
 	home := func(name string) bool {
-		return m.stamp != 0 && m.claim.Owner == name && m.claim.Life != c.members[name].Life && m.homeAt == 0
+		return m.stamp != 0 && m.claim.Owner == name && m.claim.Life != c.members[name].Life && m.awaitingHolderSince == 0
 	}
 	for i := range now.Peers {
 		p := &now.Peers[i]
@@ -375,7 +375,7 @@
 		return ""
 	}
 	if !c.mine(m) && m.stamp != 0 && slices.Contains(near, m.claim.Owner) {
-		m.sentAway = c.now
+		m.redirectedAt = c.now
 		return m.claim.Owner // may go on without a new claim
 	}
 	fair := float64(held) / float64(size)
@@ -401,7 +401,7 @@
 			to, least = group[i], n
 		}
 	}
-	m.sentAway = c.now
+	m.redirectedAt = c.now
 	return to
 }
 
@@ -439,11 +439,11 @@
 	c.Stats.Adopted++
 }
 
-// homeward tells whether a worker should look for its own controller a little
+// awaitsHolder tells whether a worker should look for its own controller a little
 // longer: one in its zone that was there a moment ago and, if it comes back,
 // goes on without a new claim. A quarter of the lease leaves time to take the
 // worker over.
-func (c *Core) homeward(m *machine, r *protocol.Report) bool {
+func (c *Core) awaitsHolder(m *machine, r *protocol.Report) bool {
 	if m.stamp == 0 || r.Baton != m.stamp {
 		return false
 	}
@@ -458,13 +458,13 @@
 	// Guards against workers of a controller that is cut off: they come
 	// after a report period and a wait for its answer, with little left of
 	// their lease. One that was restarted is back before that.
-	if !reach.Homeward(&now, p, seconds(c.cfg.Facts.Workers.Lease/3)) {
+	if !reach.MayReturn(&now, p, seconds(c.cfg.Facts.Workers.Lease/3)) {
 		return false
 	}
-	if m.homeAt == 0 {
-		m.homeAt = c.now
+	if m.awaitingHolderSince == 0 {
+		m.awaitingHolderSince = c.now
 	}
-	return c.now-m.homeAt < seconds(c.cfg.Facts.Workers.Lease/4)
+	return c.now-m.awaitingHolderSince < seconds(c.cfg.Facts.Workers.Lease/4)
 }
 
 // voidLaunches has the worker answered with a new token alone while a direct launch for a job
@@ -500,16 +500,16 @@
 // it was not answered there: sent home each time, it spent its whole lease between a controller whose
 // link to the state service flapped and one that could not hear its zone.
 func (c *Core) hasHolder(m *machine, r *protocol.Report) bool {
-	if m.stamp == 0 || c.mine(m) || !c.reach.Home(m.claim.Owner) {
+	if m.stamp == 0 || c.mine(m) || !c.reach.HolderHeard(m.claim.Owner) {
 		return false
 	}
 	// With work on it a claim is worth its try here: its holder may be the one that can't be heard.
 	// A whole group that has just been taken over is told by those that come to its holder: elsewhere each would need a claim.
 	unheard := (len(r.Loads) == 0 || m.passed()) && r.Baton < m.stamp && c.now-m.claimedAt < seconds(c.cfg.Facts.Workers.Lease/3)
-	if !c.cutOff() && !unheard || m.sentHome > 0 && c.now-m.sentHome < c.leaseOver() {
+	if !c.cutOff() && !unheard || m.redirectedToHolder > 0 && c.now-m.redirectedToHolder < c.leaseOver() {
 		return false
 	}
-	m.sentHome = c.now
+	m.redirectedToHolder = c.now
 	return true
 }
 
@@ -592,7 +592,7 @@
 		}
 		c.join(m)
 	}
-	c.fleet.unkept.report(m, r)
+	c.fleet.unshipped.report(m, r)
 	ans.Store = c.data.report(m, r.Store)
 	m.answered = c.now
 	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: 200, Body: encode(ans), Urgent: m.urgent()})
@@ -665,83 +665,14 @@
 func (c *Core) orders(m *machine, r *protocol.Report) []protocol.Order {
 	orders := []protocol.Order{}
 	st := c.standing(m)
-	m.owed = nil // what it lacks is judged again
+	m.deferredLaunches = nil // what it lacks is judged again
 	listed := c.listed
 	clear(listed)
 	for i := range r.Loads {
-		l := &r.Loads[i]
-		id, index, err := job.SplitTaskName(l.Load)
-		if err != nil {
-			continue
-		}
-		k := taskKey{id, index}
-		a, bound := c.boundHere(m, k)
-		act, _ := st.Listed(head(r), evidence.Load{Try: l.Try, Ended: l.Status == protocol.LoadEnded}, a, bound, m.direct[attempt{k, l.Try}])
-		switch act {
-		case evidence.Renew:
-			m.tainted = true
-			continue
-		case evidence.Forget:
-			orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Load: l.Load, Try: l.Try})
-			continue
-		case evidence.Kill:
-			orders = append(orders, kill(l, 0))
-			continue
-		case evidence.Hold:
-			continue // to be forgotten later
-		}
-		rec := c.jobs[id]
-		listed[k] = true
-		if c.verbose {
-			c.log.Debug("reported", "load", l.Load, "try", l.Try, "status", l.Status, "cause", l.Cause, "stoker", m.id)
-		}
-		if act == evidence.Release {
-			c.ended(m, rec, k, rec.task(c, index), l)
-			continue
-		}
-		switch l.Status {
-		case protocol.LoadRunning:
-			if m.began(k, c.now) {
-				c.traceStart(losses.Began, k.id, k.index, l.Try, m.id)
-			}
-			m.images[rec.spec.Image] = min(m.images[rec.spec.Image], c.now)
-			delete(m.pulling, k)
-		case protocol.LoadPulling:
-			m.pulling[k] = true
-			if at := c.now + seconds(c.cfg.Facts.Workers.Report); m.images[rec.spec.Image] < at {
-				m.images[rec.spec.Image] = at // it takes longer than expected
-			}
-		}
-		if rec.final() {
-			orders = append(orders, kill(l, 0))
-		} else if s, ok := m.stops[k]; ok && l.Status != protocol.LoadSaving {
-			orders = append(orders, kill(l, s.grace))
-		}
+		orders = c.judgeListed(orders, m, st, r, &r.Loads[i], listed)
 	}
 	for _, k := range m.unlisted(listed) {
-		rec := m.bound[k]
-		t := rec.task(c, k.index)
-		_, stopping := m.stops[k]
-		wanted := !rec.final() && !stopping && !m.recalled
-		a := attempt{k, t.Try}
-		b, _ := c.boundHere(m, k)
-		act, kind := st.Lacking(head(r), b, m.direct[a], wanted, c.ending(rec, k.index))
-		switch act {
-		case evidence.Renew:
-			m.tainted = true
-		case evidence.Release:
-			m.vacate(k, rec)
-			c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: kind})
-			if kind == evidence.Absent {
-				delete(m.stops, k)
-			}
-		case evidence.Launch:
-			orders = append(orders, c.launch(m, a))
-		case evidence.Keep:
-			if wanted && t.Session == r.Shift {
-				m.owe(a)
-			}
-		}
+		orders = c.judgeLacking(orders, m, st, r, k)
 	}
 	for k := range m.stops {
 		if m.bound[k] == nil {
@@ -751,6 +682,91 @@
 	return orders
 }
 
+// judgeListed judges an attempt that a believed report lists, and adds what the worker is to be told.
+// What is bound here as it is listed is noted in listed.
+func (c *Core) judgeListed(orders []protocol.Order, m *machine, st evidence.Standing, r *protocol.Report, l *protocol.Load, listed map[taskKey]bool) []protocol.Order {
+	id, index, err := job.SplitTaskName(l.Load)
+	if err != nil {
+		return orders
+	}
+	k := taskKey{id, index}
+	a, bound := c.boundHere(m, k)
+	act, _ := st.Listed(head(r), evidence.Load{Try: l.Try, Ended: l.Status == protocol.LoadEnded}, a, bound, m.direct[attempt{k, l.Try}])
+	switch act {
+	case evidence.Renew:
+		m.tainted = true
+		return orders
+	case evidence.Forget:
+		return append(orders, protocol.Order{Verb: protocol.VerbForget, Load: l.Load, Try: l.Try})
+	case evidence.Kill:
+		return append(orders, kill(l, 0))
+	case evidence.Hold:
+		return orders // to be forgotten later
+	}
+	rec := c.jobs[id]
+	listed[k] = true
+	if c.verbose {
+		c.log.Debug("reported", "load", l.Load, "try", l.Try, "status", l.Status, "cause", l.Cause, "stoker", m.id)
+	}
+	if act == evidence.Release {
+		c.ended(m, rec, k, rec.task(c, index), l)
+		return orders
+	}
+	c.noteProgress(m, rec, k, l)
+	if rec.final() {
+		return append(orders, kill(l, 0))
+	}
+	if s, ok := m.stops[k]; ok && l.Status != protocol.LoadSaving {
+		return append(orders, kill(l, s.grace))
+	}
+	return orders
+}
+
+// noteProgress takes from a report how far an attempt is: running, or waiting for its image.
+func (c *Core) noteProgress(m *machine, rec *record, k taskKey, l *protocol.Load) {
+	switch l.Status {
+	case protocol.LoadRunning:
+		if m.began(k, c.now) {
+			c.traceStart(losses.Began, k.id, k.index, l.Try, m.id)
+		}
+		m.images[rec.spec.Image] = min(m.images[rec.spec.Image], c.now)
+		delete(m.pulling, k)
+	case protocol.LoadPulling:
+		m.pulling[k] = true
+		if at := c.now + seconds(c.cfg.Facts.Workers.Report); m.images[rec.spec.Image] < at {
+			m.images[rec.spec.Image] = at // it takes longer than expected
+		}
+	}
+}
+
+// judgeLacking judges what is bound to the machine and not on a believed report's list.
+func (c *Core) judgeLacking(orders []protocol.Order, m *machine, st evidence.Standing, r *protocol.Report, k taskKey) []protocol.Order {
+	rec := m.bound[k]
+	t := rec.task(c, k.index)
+	_, stopping := m.stops[k]
+	wanted := !rec.final() && !stopping && !m.recalled
+	a := attempt{k, t.Try}
+	b, _ := c.boundHere(m, k)
+	act, kind := st.Lacking(head(r), b, m.direct[a], wanted, c.ending(rec, k.index))
+	switch act {
+	case evidence.Renew:
+		m.tainted = true
+	case evidence.Release:
+		m.vacate(k, rec)
+		c.propose(rec, k.index, change{machine: m.id, session: t.Session, try: t.Try, kind: kind})
+		if kind == evidence.Absent {
+			delete(m.stops, k)
+		}
+	case evidence.Launch:
+		return append(orders, c.launch(m, a))
+	case evidence.Keep:
+		if wanted && t.Session == r.Shift {
+			m.deferLaunch(a)
+		}
+	}
+	return orders
+}
+
 // unlisted is what is bound to the machine and not listed, in order.
 func (m *machine) unlisted(listed map[taskKey]bool) []taskKey {
 	if len(listed) == len(m.bound) { // what is listed is bound
@@ -811,7 +827,7 @@
 	// Guards against two judgements that take turns on one machine and eat up
 	// the state service's rate: only a graver one replaces an earlier one, and
 	// only while it makes a difference to what is on the machine.
-	if old, ok := c.drains[m.id]; m.draining || ok && (gravity[old.Why] >= gravity[why] || len(m.bound) == 0) {
+	if old, ok := c.drains[m.id]; m.draining || ok && (drainSeverity[old.Why] >= drainSeverity[why] || len(m.bound) == 0) {
 		return
 	}
 	m.draining = true
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -246,9 +246,9 @@
 	Loads   []Load   `json:"loads"`
 	// Store is an extension: what the machine's store of data sets holds.
 	Store *StoreReport `json:"store,omitempty"`
-	// Unkept is an extension: how many attempts that are over have output which the
+	// Unshipped is an extension: how many attempts that are over have output which the
 	// archive has not acknowledged.
-	Unkept int `json:"unkept,omitempty"`
+	Unshipped int `json:"unkept,omitempty"`
 }
 
 // ParseReport reads and checks a worker's report.
--- a/internal/reach/decide.go
+++ b/internal/reach/decide.go
@@ -169,17 +169,17 @@
 	return 3*alone >= time.Duration(l)*(alone+left)
 }
 
-// Homeward tells whether a worker's own controller may be back soon and go on without a
+// MayReturn tells whether a worker's own controller may be back soon and go on without a
 // new claim. Not one that is silent after it said that it reaches the state service
 // through others alone, or hears no workers: what it lacked it still lacks.
-func Homeward(p *Picture, owner *Peer, within time.Duration) bool {
+func MayReturn(p *Picture, owner *Peer, within time.Duration) bool {
 	return owner.Word <= within && !owner.Deaf && ms(owner.StateMS) <= p.Late
 }
 
-// Home tells whether a worker's own controller is there and hears workers, as far as its beats tell.
+// HolderHeard tells whether a worker's own controller is there and hears workers, as far as its beats tell.
 //
 // The rule that this must not break: the cancel horizon, which the holder judges itself.
-func (r *Reach) Home(owner string) bool {
+func (r *Reach) HolderHeard(owner string) bool {
 	p := r.Picture()
 	q := p.Find(owner)
 	return q != nil && q.Word < p.Report && !q.Deaf
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -90,7 +90,7 @@
 			if by := Third(&p, q.Name.Node); by != "" && (by == q.Name.Node || p.Near(q) || !slices.Contains(find(by).Hears, q.Name.Node) || !p.Near(find(by))) {
 				t.Fatalf("%s can't be asked by way of %s", q.Name.Node, by)
 			}
-			if Homeward(&p, q, within) && (q.Deaf || q.StateMS > 2500 || q.Word > within) {
+			if MayReturn(&p, q, within) && (q.Deaf || q.StateMS > 2500 || q.Word > within) {
 				t.Fatalf("a worker waits for %+v", q)
 			}
 		}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tape := coordination.NewTape(core, w)
+	tape := coordination.NewRecorded(core, w)
 	rnd := rand.New(rand.NewPCG(3, 4))
 	at, rev := time.Duration(0), uint64(100)
 	clock := func() coordination.Clock { return coordination.Clock{Steady: at, Wall: time.Unix(1000, 0).Add(at)} }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -10,7 +10,7 @@
 
 	"github.com/tidwall/evio"
 
-	"silvergate/internal/doors"
+	"silvergate/internal/connlimit"
 )
 
 // Handler is what the server calls, always with the server's lock held.
@@ -41,12 +41,12 @@
 	next     uint64
 	stopping bool
 	addrs    []net.Addr
-	// Doors decides which HTTP connections may be open. It may be replaced before
+	// ConnLimiter decides which HTTP connections may be open. It may be replaced before
 	// Run, as may what tells it the use of a connection from a request, and how
 	// long one of a class may stay open without any.
-	Doors    *doors.Doors
-	Classify func(*Request) doors.Class
-	Idle     [doors.Classes]time.Duration
+	ConnLimiter *connlimit.Limiter
+	Classify    func(*Request) connlimit.Class
+	Idle        [connlimit.Classes]time.Duration
 	// Ready, if set before Run, is called once with the addresses that the
 	// server listens at; a port of 0 in them was chosen by the system.
 	Ready func(addrs []net.Addr)
@@ -62,8 +62,8 @@
 	busy    bool
 	last    bool // close after the answer
 	closing bool
-	entered bool // the doors count it
-	class   doors.Class
+	entered bool // the limiter counts it
+	class   connlimit.Class
 	started time.Time // when the pending or the last request began to arrive
 }
 
@@ -75,8 +75,8 @@
 // connections beyond maxConns are closed on arrival.
 func NewServer(mu *sync.Mutex, h Handler, patience time.Duration, maxConns int) *Server {
 	peers, _ := h.(PeerHandler)
-	s := &Server{mu: mu, handler: h, peers: peers, patience: patience, Doors: doors.New(doors.Limits{Total: maxConns}),
-		Classify: func(*Request) doors.Class { return doors.User }, open: map[*conn]bool{}, conns: map[uint64]*conn{}}
+	s := &Server{mu: mu, handler: h, peers: peers, patience: patience, ConnLimiter: connlimit.New(connlimit.Limits{Total: maxConns}),
+		Classify: func(*Request) connlimit.Class { return connlimit.User }, open: map[*conn]bool{}, conns: map[uint64]*conn{}}
 	for c := range s.Idle {
 		s.Idle[c] = idlePatience * patience
 	}
@@ -110,7 +110,7 @@
 		s.open[k] = true
 		if c.AddrIndex() == 1 {
 			k.peer = newInLink()
-		} else if k.entered = s.Doors.Enter(); !k.entered {
+		} else if k.entered = s.ConnLimiter.Enter(); !k.entered {
 			return AppendResponse(nil, http.StatusServiceUnavailable, []byte(`{"error":"too many connections"}`), 1, true), evio.Options{}, evio.Close
 		}
 		return nil, evio.Options{ReuseInputBuffer: true}, evio.None
@@ -120,7 +120,7 @@
 		defer s.mu.Unlock()
 		if k, ok := c.Context().(*conn); ok {
 			if k.entered {
-				s.Doors.Leave(k.class)
+				s.ConnLimiter.Leave(k.class)
 			}
 			delete(s.conns, k.id)
 			delete(s.open, k)
@@ -212,7 +212,7 @@
 		s.conns[k.id] = k
 		k.last = r.Close
 		if is := s.Classify(r); is != k.class {
-			s.Doors.Ask(k.class, is)
+			s.ConnLimiter.Ask(k.class, is)
 			k.class = is
 		}
 		s.handler.Serve(k.id, r)
@@ -261,7 +261,7 @@
 	}
 	delete(s.conns, id)
 	k.busy = false
-	k.last = k.last || !s.Doors.Stay(k.class, served, urgent)
+	k.last = k.last || !s.ConnLimiter.Stay(k.class, served, urgent)
 	k.out = write(k.out, k.last)
 	k.closing = k.closing || k.last
 	if !k.inside {
--- a/tools/regress/regress.go
+++ b/tools/regress/regress.go
@@ -98,7 +98,7 @@
 
 // sensitive lists what holds storage, membership, timers and what machines say
 // to each other.
-var sensitive = []string{"cmd/silvergate/serve.go", "internal/bookkeeping/", "internal/budget/", "internal/protocol/", "internal/transport/", "internal/doors/",
+var sensitive = []string{"cmd/silvergate/serve.go", "internal/bookkeeping/", "internal/budget/", "internal/protocol/", "internal/transport/", "internal/connlimit/",
 	"internal/config/", "internal/coordination/", "go.mod"}
 
 // owed tells which runs changed paths call for.
