--- /dev/null
+++ b/tools/capacity/main.go
@@ -0,0 +1,104 @@
+// Command capacity works docs/CAPACITY.md's tables out of the slopes in docs/capacity.yaml,
+// so that page and measurements can't drift apart.
+//
+//	go run ./tools/capacity           says whether the page is as the slopes have it
+//	go run ./tools/capacity --write   writes the tables into the page
+//
+// Exit status: 0, the page is right, or was written; 1, it is not.
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"silvergate/internal/config"
+)
+
+// Files that the command reads, in the folder of documents.
+const (
+	slopesFile = "capacity.yaml"
+	pageFile   = "CAPACITY.md"
+)
+
+// Marks between which the page's tables stand.
+const (
+	beginMark = "<!-- tables: written by tools/capacity -->\n"
+	endMark   = "<!-- end of tables -->\n"
+)
+
+func main() {
+	var dir string
+	var write bool
+	cmd := &cobra.Command{
+		Use: "capacity [--write]", Short: "Work the tables of docs/CAPACITY.md out of the measured slopes", Args: cobra.NoArgs,
+		SilenceUsage: true, SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error { return run(dir, write) },
+	}
+	cmd.Flags().StringVar(&dir, "docs", "docs", "the folder of both files")
+	cmd.Flags().BoolVar(&write, "write", false, "write the tables into the page")
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run(dir string, write bool) error {
+	raw, err := os.ReadFile(filepath.Join(dir, slopesFile))
+	if err != nil {
+		return err
+	}
+	model, err := parse(raw)
+	if err != nil {
+		return fmt.Errorf("%s: %w", slopesFile, err)
+	}
+	path := filepath.Join(dir, pageFile)
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	want, err := replaceTables(page, model.tables())
+	if err != nil {
+		return fmt.Errorf("%s: %w", pageFile, err)
+	}
+	if bytes.Equal(page, want) {
+		return nil
+	}
+	if !write {
+		return errors.New(pageFile + " is not as the slopes have it: run tools/capacity --write")
+	}
+	return os.WriteFile(path, want, 0o644)
+}
+
+// replaceTables puts tables between the page's marks.
+func replaceTables(page []byte, tables string) ([]byte, error) {
+	before, rest, begun := bytes.Cut(page, []byte(beginMark))
+	_, after, ended := bytes.Cut(rest, []byte(endMark))
+	if !begun || !ended {
+		return nil, errors.New("the marks of the tables are missing")
+	}
+	return bytes.Join([][]byte{before, []byte(beginMark), []byte(tables), []byte(endMark), after}, nil), nil
+}
+
+// parse reads the slopes and names the first that can't be.
+func parse(raw []byte) (*model, error) {
+	m := &model{}
+	if err := config.DecodeYAML(raw, m); err != nil {
+		return nil, err
+	}
+	for name, s := range m.Slopes {
+		if !(s.Median > 0 && s.Least <= s.Median && s.Median <= s.Most) || s.Points < 1 || s.Command == "" {
+			return nil, fmt.Errorf("slopes.%s: a median between least and most, points and a command are wanted", name)
+		}
+	}
+	for _, name := range needed {
+		if _, ok := m.Slopes[name]; !ok {
+			return nil, fmt.Errorf("slopes.%s: missing", name)
+		}
+	}
+	return m, nil
+}
