--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -280,7 +280,7 @@
 		d.spoilt = multi(r)
 		return
 	}
-	if !d.under(append(c.holding(m), protocol.Cond{Key: keyDrain + m.id})...) {
+	if !d.under(append(m.holding(), protocol.Cond{Key: keyDrain + m.id})...) {
 		d.rest = append(d.rest, ch)
 		return
 	}
@@ -310,7 +310,7 @@
 			"found", ch.token, "token", m.stamp)
 		return
 	}
-	if onClaim && !d.under(c.holding(m)...) {
+	if onClaim && !d.under(m.holding()...) {
 		d.rest = append(d.rest, ch)
 		return
 	}
--- /dev/null
+++ b/internal/coordination/checkin.go
@@ -0,0 +1,212 @@
+package coordination
+
+import (
+	"silvergate/internal/bookkeeping"
+	"silvergate/internal/evidence"
+	"silvergate/internal/job"
+	"silvergate/internal/losses"
+	"silvergate/internal/protocol"
+)
+
+// This file answers the reports of workers: at once, or after a claim.
+
+// checkin takes a worker's report.
+func (c *Core) checkin(id uint64, body []byte) {
+	c.Stats.Checkins++
+	r, err := protocol.ParseReport(body)
+	if err != nil {
+		c.refuse(id, 400, err.Error())
+		return
+	}
+	if !c.store.Ready() {
+		c.refuse(id, 503, "starting")
+		return
+	}
+	c.reach.WorkerHeard(r.Depot)
+	c.hear(id, r, false)
+}
+
+// hear answers a report, at once or after a claim or the take-over of its worker's group.
+// alone has the worker claimed alone where it needs a claim.
+func (c *Core) hear(id uint64, r *protocol.Report, alone bool) {
+	if peer := c.betterPlaced(r); peer != "" {
+		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
+		return
+	}
+	if c.now-c.proof() > c.horizon() {
+		// A cancellation may have been acknowledged that we can't see.
+		c.refuse(id, 503, "cut off from the state service")
+		return
+	}
+	m := c.machine(r.Stoker)
+	if peer := c.better(m, r.Depot); peer != "" {
+		c.answer(id, 421, protocol.Redirect{Dispatcher: peer}, 0)
+		return
+	}
+	c.adopt(m, r)
+	c.voidLaunches(m, r)
+	if c.standing(m).Hear(head(r)) != evidence.Claim && !(m.passed() && c.earlierVersion()) {
+		c.accept(id, m, r)
+		return
+	}
+	if m.claiming {
+		c.refuse(id, 503, "being claimed")
+		return
+	}
+	if c.awaitsHolder(m, r) {
+		c.refuse(id, 503, "its own controller may be back soon")
+		return
+	}
+	if c.hasHolder(m, r) {
+		c.answer(id, 421, protocol.Redirect{Dispatcher: m.claim.Owner}, 0)
+		return
+	}
+	if c.cutOff() && c.isolated() {
+		// Others may serve it: it must not wait here for a claim that can't be written. (In an outage
+		// that all see the wait costs nothing, and keeps workers from going round in haste.)
+		c.refuse(id, 503, "cut off from the state service")
+		return
+	}
+	if !alone && c.takeGroup(id, m, r) {
+		return
+	}
+	c.take(m, r, 0, func(m *machine, ok bool) {
+		if !ok {
+			c.refuse(id, 503, "the claim failed")
+			return
+		}
+		c.accept(id, m, r)
+	})
+}
+
+// take writes the claim for a new token.
+func (c *Core) take(m *machine, r *protocol.Report, tries int, done func(*machine, bool)) {
+	m.claiming = true
+	c.claims++
+	again := c.mine(m) && c.proved(m) // nobody else can have held it since
+	k := claim{c.cfg.Node, c.life, r.Address, r.Rig, r.Depot, r.Casual, c.ownEpoch()}
+	class := m.class()
+	c.store.Txn(class, m.holding(),
+		[]protocol.Op{{Write: keyClaim + m.id, Data: encode(k)}}, func(o bookkeeping.Outcome, _ []string, _ uint64) {
+			m.claiming = false
+			c.claims--
+			// The machine may have been forgotten and met again meanwhile.
+			m = c.machine(m.id)
+			switch {
+			case o == bookkeeping.OK:
+				m.renewed(c.now)
+				m.proved = again && tries == 0
+				c.Stats.Claims++
+				done(m, true)
+			case (o == bookkeeping.Conflict || o == bookkeeping.Unknown) && tries < 1:
+				m.claiming = true
+				c.store.Get(class, keyClaim+m.id, func(ok bool) {
+					m.claiming = false
+					switch {
+					case !ok:
+						done(m, false)
+					default:
+						c.take(m, r, tries+1, done)
+					}
+				})
+			default:
+				done(m, false)
+			}
+		})
+}
+
+// accept answers a report under our claim.
+func (c *Core) accept(id uint64, m *machine, r *protocol.Report) {
+	if !c.mine(m) {
+		c.refuse(id, 503, "the claim was lost")
+		return
+	}
+	hearing := c.standing(m).Hear(head(r))
+	if hearing == evidence.Stale {
+		// Its list is old and its sender has given up on it.
+		c.refuse(id, 503, "an older report")
+		return
+	}
+	m.session, m.tally, m.heard, m.mute = r.Shift, r.Tally, c.now, 0
+	m.recalled = r.RecallS != nil
+	if r.Baton == m.stamp && !m.shown {
+		m.shown, m.shownAt = true, c.now
+	}
+	ans := protocol.CheckinAnswer{Baton: m.stamp, Orders: []protocol.Order{}}
+	if hearing != evidence.Believe {
+		ans.Orders = c.killFinal(m, r)
+		c.outlived(m, r)
+	} else {
+		ans.Orders = c.orders(m, r)
+		m.released = false
+		if m.recalled {
+			c.drain(m, drainRecall)
+		}
+		c.join(m)
+	}
+	c.fleet.unshipped.report(m, r)
+	ans.Store = c.data.report(m, r.Store)
+	m.answered = c.now
+	c.out.Answers = append(c.out.Answers, Answer{ID: id, Status: 200, Body: encode(ans), Urgent: m.urgent()})
+}
+
+// outlived releases what a report that is not believed shows to be of an earlier session.
+func (c *Core) outlived(m *machine, r *protocol.Report) {
+	for _, k := range m.tasks() {
+		rec := m.bound[k]
+		a, ok := c.boundHere(m, k)
+		if !ok || c.ending(rec, k.index) {
+			continue
+		}
+		if act, kind := evidence.Outlived(head(r), a); act == evidence.Release {
+			c.propose(rec, k.index, change{machine: m.id, session: a.Session, try: a.Try, kind: kind})
+		}
+	}
+}
+
+// killFinal stops what belongs to jobs that are over. It is safe whatever the records
+// lack, as final states never change.
+//
+// Guards against cancelled tasks that lived on: the answer to a report that is not
+// believed renews the lease, and the horizon stands on every cancellation that we know
+// of being told with the answer. A controller whose watch was late answered so for
+// twenty seconds, and the next one after it.
+//
+// Also what is bound to the machine and not listed: a report that a direct launch has overtaken lacks what
+// runs by now, and its answer renews the lease. (The model found it; a stop of what is not there does nothing.)
+func (c *Core) killFinal(m *machine, r *protocol.Report) []protocol.Order {
+	orders := []protocol.Order{}
+	listed := map[string]bool{}
+	for i := range r.Loads {
+		l := &r.Loads[i]
+		listed[l.Load] = true
+		id, _, err := job.SplitTaskName(l.Load)
+		if err == nil && l.Status != protocol.LoadEnded && c.over(id) {
+			orders = append(orders, kill(l, 0))
+		}
+	}
+	for _, k := range m.tasks() {
+		name := job.TaskName(k.id, k.index)
+		if a, ok := c.boundHere(m, k); ok && m.bound[k].final() && a.Session == r.Shift && !listed[name] {
+			orders = append(orders, kill(&protocol.Load{Load: name, Try: a.Try}, 0))
+		}
+	}
+	return orders
+}
+
+// over tells whether a job is known to be over, by its record or by a peer's word.
+func (c *Core) over(id string) bool {
+	rec := c.jobs[id]
+	return rec != nil && rec.final() || c.reach.Named(id)
+}
+
+// kill stops what a worker lists, within a time in seconds.
+func kill(l *protocol.Load, grace float64) protocol.Order {
+	return protocol.Order{Verb: protocol.VerbKill, Load: l.Load, Try: l.Try, WindDownS: &grace}
+}
+
+// launch starts an attempt that evidence has let pass.
+func (c *Core) launch(m *machine, a attempt) protocol.Order {
+	c.traceStart(losses.Launch, a.id, a.index, a.try, m.id)
+	return protocol.Order{Verb: protocol.VerbLaunch, Load: job.TaskName(a.id, a.index), Try: a.try, Seal: c.view.sealLaunch(m, a.taskKey, a.try)}
+}
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -170,7 +170,7 @@
 	for _, id := range sortedKeys(f.condemned) {
 		held := []protocol.Cond{{Key: keyDrain + id}, {Key: keyClaim + id}}
 		if m := c.machines[id]; m != nil {
-			held = append(c.holding(m), held[0])
+			held = append(m.holding(), held[0])
 		}
 		held = slices.DeleteFunc(held, func(k protocol.Cond) bool { return slices.Contains(conds, k) })
 		if len(ops) == c.cfg.Facts.State.TxnOps || len(conds)+len(held) > 4*c.cfg.Facts.State.TxnOps {
--- /dev/null
+++ b/internal/coordination/routing.go
@@ -0,0 +1,198 @@
+package coordination
+
+import (
+	"silvergate/internal/evidence"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+	"silvergate/internal/reach"
+	"slices"
+)
+
+// This file decides which controller a worker is to report to.
+
+// better names a peer that a reporting worker is sent to. A controller in the
+// worker's own zone comes first, so that a zone that is cut off keeps its
+// tasks: inside it, they are answered on. Among those of the zone, or among all
+// where it has none, the controllers hold about as many workers each, since
+// reports and takeovers cost processor time. Workers that need a claim in any
+// case are sent on at once, others at a slow pace. Two reports a second is
+// what a controller is left alone with.
+func (c *Core) better(m *machine, zone string) string {
+	// Guards against a peer that only its peers can reach: a worker that comes
+	// back after it was sent away stays.
+	if m.redirectedAt > 0 && c.now-m.redirectedAt < 2*c.leaseOver() {
+		return ""
+	}
+	in := c.cfg.Zone == zone
+	var near, all []string
+	nearHeld, allHeld := 0, len(c.ours)+c.claims
+	if in {
+		nearHeld = allHeld
+	}
+	now := c.reach.Picture()
+	// One that comes because its controller did not answer, or that runs urgent work, goes
+	// only where its zone is known to be heard.
+	sure := m.stamp != 0 && !c.mine(m) || m.urgent()
+	// Or to its own controller that has restarted since, and goes on without a new claim;
+	// unless we have had it look for that one already.
+	home := func(name string) bool {
+		return m.stamp != 0 && m.claim.Owner == name && m.claim.Life != c.members[name].Life && m.awaitingHolderSince == 0
+	}
+	for i := range now.Peers {
+		p := &now.Peers[i]
+		name := p.Name.Node
+		if c.members[name] == nil || p.Word > now.Report || !reach.Serves(&now, p, zone, now.Report) || sure && p.Carries && !home(name) && !reach.Proven(&now, p, zone) {
+			continue
+		}
+		all, allHeld = append(all, name), allHeld+c.holders.count[name]
+		if p.Zone == zone {
+			near, nearHeld = append(near, name), nearHeld+c.holders.count[name]
+		}
+	}
+	group, held, size := near, nearHeld, len(near)
+	if in {
+		size++
+	} else if len(near) == 0 {
+		group, held, size = all, allHeld, 1+len(all)
+	}
+	if len(group) == 0 || size == 0 {
+		return ""
+	}
+	if !c.mine(m) && m.stamp != 0 && slices.Contains(near, m.claim.Owner) {
+		m.redirectedAt = c.now
+		return m.claim.Owner // may go on without a new claim
+	}
+	fair := float64(held) / float64(size)
+	if in || len(near) == 0 {
+		spare := 2 * c.cfg.Facts.Workers.Report
+		most := 1.125*fair + spare
+		if c.mine(m) {
+			most = 1.5*fair + spare
+		}
+		if float64(len(c.ours)+c.claims) < most {
+			return ""
+		}
+	}
+	if c.mine(m) {
+		// A tenth of the share of changes goes into evening out.
+		if len(m.direct) > 0 || len(m.stops) > 0 || !c.reach.Shed(seconds(10*float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.WriteRPS)) {
+			return ""
+		}
+	}
+	to, least := "", 0
+	for _, i := range c.rnd.Perm(len(group)) {
+		if n := c.holders.count[group[i]]; to == "" || n < least {
+			to, least = group[i], n
+		}
+	}
+	m.redirectedAt = c.now
+	return to
+}
+
+// adopt takes up a worker that an earlier life of ours has claimed, with the
+// token that the worker knows, so that a restart costs no changes: the claims
+// of a whole fleet would take the state service's rate for half a minute.
+//
+// Guards against direct launches of the earlier life that may be carried out
+// minutes late. That life forgot or released nothing while a launch of it was
+// unanswered, so what can still come are launches of attempts that are bound.
+// The worker must list those of its session, as a launch of what it has does nothing; and
+// all that it lists is treated as launches under way: none is forgotten or
+// released for being absent before a new token is seen, which is taken when one
+// of them ends.
+func (c *Core) adopt(m *machine, r *protocol.Report) {
+	if c.mine(m) || m.claiming || m.stamp == 0 || m.claim.Owner != c.cfg.Node || m.claim.Life == c.life || r.Baton != m.stamp {
+		return
+	}
+	listed := map[attempt]bool{}
+	for _, l := range r.Loads {
+		if id, i, err := job.SplitTaskName(l.Load); err == nil {
+			listed[attempt{taskKey{id, i}, l.Try}] = true
+		}
+	}
+	for k := range m.bound {
+		if a, ok := c.boundHere(m, k); ok && !evidence.Adoptable(head(r), a, listed[attempt{k, a.Try}]) {
+			return
+		}
+	}
+	// Our records were read after that life had ended, with all that it did.
+	m.adopted, m.tainted, m.proved = true, false, true
+	m.session, m.tally, m.heard, m.answered = 0, 0, c.now, 0
+	m.direct = listed // also what has ended: it may not be forgotten yet
+	c.own(m)
+	c.Stats.Adopted++
+}
+
+// awaitsHolder tells whether a worker should look for its own controller a little
+// longer: one in its zone that was there a moment ago and, if it comes back,
+// goes on without a new claim. A quarter of the lease leaves time to take the
+// worker over.
+func (c *Core) awaitsHolder(m *machine, r *protocol.Report) bool {
+	if m.stamp == 0 || r.Baton != m.stamp {
+		return false
+	}
+	now := c.reach.Picture()
+	p := now.Find(m.claim.Owner)
+	if p == nil || p.Zone != r.Depot {
+		return false
+	}
+	if p.Word < now.Report && p.FreshMS < starting.Milliseconds() {
+		return false // it is there, and has sent the worker on
+	}
+	// Guards against workers of a controller that is cut off: they come
+	// after a report period and a wait for its answer, with little left of
+	// their lease. One that was restarted is back before that.
+	if !reach.MayReturn(&now, p, seconds(c.cfg.Facts.Workers.Lease/3)) {
+		return false
+	}
+	if m.awaitingHolderSince == 0 {
+		m.awaitingHolderSince = c.now
+	}
+	return c.now-m.awaitingHolderSince < seconds(c.cfg.Facts.Workers.Lease/4)
+}
+
+// voidLaunches has the worker answered with a new token alone while a direct launch for a job
+// that is over may still be carried out on it: until the call is given up nothing else
+// shows that it is late, and an answer under the old token would let it start what was cancelled
+// for a lease longer. What the worker lists has come; a launch of that does nothing.
+func (c *Core) voidLaunches(m *machine, r *protocol.Report) {
+	if !c.mine(m) || m.tainted || len(m.direct) == 0 {
+		return
+	}
+	for a := range m.direct {
+		if !c.over(a.id) {
+			continue
+		}
+		name := job.TaskName(a.id, a.index)
+		if !slices.ContainsFunc(r.Loads, func(l protocol.Load) bool { return l.Load == name && l.Try == a.try }) {
+			m.tainted = true
+			return
+		}
+	}
+}
+
+// hasHolder tells whether a worker is better sent to the living controller that holds it than
+// claimed: in an outage nobody else can answer it, and one that has just been claimed and has not
+// heard so yet is heard there, not here.
+//
+// Guards against a worker whose one answer was lost in an outage and whose lease ran out
+// on its way round, 3 s for each claim that was refused in the end; and against machines that hear
+// nobody for so long that their leases end: each went round the controllers, and each of those wrote a claim.
+//
+// Once in a lease: a holder that may not answer any more refuses it at once, and what
+// waits for the claim's refusal here keeps a whole site's workers from going to and fro. One that comes back within
+// it was not answered there: sent home each time, it spent its whole lease between a controller whose
+// link to the state service flapped and one that could not hear its zone.
+func (c *Core) hasHolder(m *machine, r *protocol.Report) bool {
+	if m.stamp == 0 || c.mine(m) || !c.reach.HolderHeard(m.claim.Owner) {
+		return false
+	}
+	// With work on it a claim is worth its try here: its holder may be the one that can't be heard.
+	// A whole group that has just been taken over is told by those that come to its holder: elsewhere each would need a claim.
+	unheard := (len(r.Loads) == 0 || m.passed()) && r.Baton < m.stamp && c.now-m.claimedAt < seconds(c.cfg.Facts.Workers.Lease/3)
+	if !c.cutOff() && !unheard || m.redirectedToHolder > 0 && c.now-m.redirectedToHolder < c.leaseOver() {
+		return false
+	}
+	m.redirectedToHolder = c.now
+	return true
+}
--- a/internal/coordination/takeovers.go
+++ b/internal/coordination/takeovers.go
@@ -77,9 +77,6 @@
 	c.hold(m)
 }
 
-// passed tells whether the machine has come to its holder by its group.
-func (m *machine) passed() bool { return len(m.links) > 1 }
-
 // renewed takes that a machine is held under a new token: whatever was sent under an earlier
 // one is void once the new one is seen, and nothing is believed before that.
 func (m *machine) renewed(now time.Duration) {
@@ -88,17 +85,6 @@
 	m.session, m.tally, m.heard, m.answered = 0, 0, now, 0
 }
 
-// holding is what a transaction is conditional on for a machine to be held as it is: its
-// claim, the groups by which it has passed, and that it has not passed by the next one.
-func (c *Core) holding(m *machine) []protocol.Cond {
-	conds := make([]protocol.Cond, 0, 2+len(m.links))
-	conds = append(conds, protocol.Cond{Key: keyClaim + m.id, Stamp: m.own.Token})
-	for _, l := range m.links {
-		conds = append(conds, protocol.Cond{Key: keyTakeover + l.Group.Key(), Stamp: l.Stamp})
-	}
-	return conds
-}
-
 // applyTakeover takes a record of a group that has passed to another controller.
 func (c *Core) applyTakeover(name string, data json.RawMessage, stamp uint64) {
 	g, ok := takeover.ParseKey(name)
@@ -172,7 +158,7 @@
 // takeGroup has a report wait for the take-over of its worker's whole group, if that is the
 // way; false: the worker is to be claimed alone.
 func (c *Core) takeGroup(id uint64, m *machine, r *protocol.Report) bool {
-	g, ok := takeover.Held{Links: m.links}.Next()
+	g, ok := m.nextGroup()
 	if !ok || !c.cfg.Operator.GroupTakeover || m.own.Token == 0 || !c.readTakeovers() {
 		return false
 	}
--- /dev/null
+++ b/internal/coordination/tenure.go
@@ -0,0 +1,54 @@
+package coordination
+
+import (
+	"time"
+
+	"silvergate/internal/protocol"
+	"silvergate/internal/takeover"
+)
+
+// claim is the record that makes a worker ours; its stamp is the worker's
+// token. It is rewritten only to take a new token.
+type claim struct {
+	Owner   string `json:"o"`
+	Life    int64  `json:"l"`
+	Address string `json:"a"`
+	Type    string `json:"t"`
+	Zone    string `json:"z"`
+	Spot    bool   `json:"s,omitempty"`
+	// Epoch is that of the holder's claims, see internal/takeover; 0 from versions that
+	// know of no take-overs by the group.
+	Epoch int `json:"e,omitempty"`
+}
+
+// tenure is who holds a machine, by its own claim and by the groups that have passed from one
+// controller to another.
+type tenure struct {
+	claim     claim           // with who holds it by all records
+	stamp     uint64          // the token by which it is held; 0: it has no claim
+	own       takeover.Claim  // by its own record alone
+	links     []takeover.Link // the groups that its holder stands on
+	claimedAt time.Duration   // when its holder came to be known
+	claiming  bool            // a claim is being written
+	adopted   bool            // claimed by an earlier life of ours, whose token we go on with
+}
+
+// passed tells whether the machine has come to its holder by its group.
+func (t *tenure) passed() bool { return len(t.links) > 1 }
+
+// nextGroup is the group by which the machine would pass to another controller; ok is false if it
+// can't.
+func (t *tenure) nextGroup() (g takeover.Group, ok bool) {
+	return takeover.Held{Links: t.links}.Next()
+}
+
+// holding is what a transaction is conditional on for a machine to be held as it is: its
+// claim, the groups by which it has passed, and that it has not passed by the next one.
+func (m *machine) holding() []protocol.Cond {
+	conds := make([]protocol.Cond, 0, 2+len(m.links))
+	conds = append(conds, protocol.Cond{Key: keyClaim + m.id, Stamp: m.own.Token})
+	for _, l := range m.links {
+		conds = append(conds, protocol.Cond{Key: keyTakeover + l.Group.Key(), Stamp: l.Stamp})
+	}
+	return conds
+}
