--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -131,6 +131,9 @@
 	// pass to others by the group, by a change of the state service for each group in place of one
 	// for each worker.
 	GroupTakeover bool `yaml:"group_takeover"`
+	// EndingLog has tasks of arrays that completed, of teams without limits, written to a log, many with one
+	// change of the state service, in place of their jobs' pages.
+	EndingLog bool `yaml:"ending_log"`
 	// LogLevel is used when LOG_LEVEL is not set.
 	LogLevel string `yaml:"log_level"`
 	// Metrics switches GET /metrics on.
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -50,25 +50,26 @@
 // before: what comes up meanwhile goes with it, and it is conditional on the
 // latest mirror. A team's record is in one transaction of ours at a time.
 func (c *Core) flush() {
-	c.delayed = len(c.dirty) > 0 && c.now < c.flushAt
-	if c.delayed {
+	c.flushEndings()
+	c.writes.delayed = len(c.writes.queued) > 0 || len(c.writes.dirty) > 0 && c.now < c.writes.flushAt
+	if len(c.writes.dirty) > 0 && c.now < c.writes.flushAt {
 		return
 	}
 	c.store.Forgo()
-	if len(c.dirty) == 0 || !c.store.Ready() {
+	if len(c.writes.dirty) == 0 || !c.store.Ready() {
 		return
 	}
 	var denied [budget.Classes]bool
 	ripe := c.ripe()
 	for i, p := range ripe {
 		class := p.class()
-		if denied[class] || p.busy || !c.dirty[p] { // it went with another
+		if denied[class] || p.busy || !c.writes.dirty[p] { // it went with another
 			continue
 		}
 		if !c.store.CanSend(class, opsOfPage) {
-			denied[class], c.delayed = true, true
+			denied[class], c.writes.delayed = true, true
 			// About when the share of the rate allows the next request.
-			c.flushAt = c.now + seconds(float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.RPS)
+			c.writes.flushAt = c.now + seconds(float64(1+len(c.cfg.Peers))/c.cfg.Facts.State.RPS)
 			continue
 		}
 		c.flushPages(p, ripe[i+1:])
@@ -92,11 +93,11 @@
 // many changes as any.
 func (c *Core) ripe() []*page {
 	var out []*page
-	for p := range c.dirty {
+	for p := range c.writes.dirty {
 		switch {
 		case p.busy: // its answer is awaited
 		case c.now < p.retry:
-			c.delayed = true
+			c.writes.delayed = true
 		default:
 			out = append(out, p)
 		}
@@ -201,9 +202,9 @@
 	}
 	p.queue, p.since = d.rest, c.now
 	if len(d.rest) == 0 {
-		delete(c.dirty, p)
+		delete(c.writes.dirty, p)
 	}
-	if len(d.taken) == 0 {
+	if len(d.taken) == 0 && !p.fold {
 		d.forget()
 		return
 	}
@@ -218,7 +219,7 @@
 		}
 	}
 	p.queue = nil
-	delete(c.dirty, p)
+	delete(c.writes.dirty, p)
 }
 
 // draft is what a page adds to a batch.
@@ -335,7 +336,7 @@
 	}
 	d.p.queue = withoutPlaces(all)
 	if len(d.p.queue) == 0 {
-		delete(d.c.dirty, d.p)
+		delete(d.c.writes.dirty, d.p)
 	}
 	d.forget()
 }
@@ -364,6 +365,7 @@
 	b.size += len(d.tasks)*taskBytes + jobBytes + len(d.conds)*condBytes
 	b.use = d.use
 	b.parts = append(b.parts, part{p, d.taken})
+	p.fold = false
 }
 
 // commit sends a batch.
@@ -443,6 +445,6 @@
 	}
 	if len(again) > 0 {
 		p.queue = append(again, p.queue...)
-		c.dirty[p] = true
+		c.writes.dirty[p] = true
 	}
 }
--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -45,7 +45,8 @@
 	}
 	c.adopt(m, r)
 	c.voidLaunches(m, r)
-	if c.standing(m).Hear(head(r)) != evidence.Claim && !(m.passed() && c.earlierVersion()) {
+	// What has passed by a group is claimed alone where a peer could not see who holds it.
+	if c.standing(m).Hear(head(r)) != evidence.Claim && !(m.passed() && c.earlierVersion(takeoverFormat)) {
 		c.accept(id, m, r)
 		return
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -85,9 +85,7 @@
 	changes  []taskChange     // for applyPage alone
 	listed   map[taskKey]bool // for orders alone
 	drains   map[string]drain
-	dirty    map[*page]bool
-	flushAt  time.Duration // dirty pages are not looked at before
-	delayed  bool          // the last flush left pages to the clock
+	writes   pageWrites // what is to be written of tasks
 	orphans  map[string]orphan
 	early    map[string][]early // handed over before their jobs' records came
 
@@ -163,7 +161,7 @@
 	c := &Core{
 		cfg: cfg, log: log, rnd: rnd, life: life,
 		calls: map[uint64]func(protocol.Reply){}, jobs: map[string]*record{}, machines: map[string]*machine{},
-		teams: map[string]*team{}, members: map[string]*member{}, formats: map[string]int{}, listed: map[taskKey]bool{}, drains: map[string]drain{}, dirty: map[*page]bool{},
+		teams: map[string]*team{}, members: map[string]*member{}, formats: map[string]int{}, listed: map[taskKey]bool{}, drains: map[string]drain{}, writes: newPageWrites(),
 		orphans: map[string]orphan{}, early: map[string][]early{}, catalogue: map[string]*protocol.Flavor{}, open: map[string]*record{}, holders: newHolders(), latency: map[string]*hdrhistogram.Histogram{},
 	}
 	for i := range cfg.Facts.Teams {
@@ -253,7 +251,7 @@
 // controller is thus woken as seldom as its sweeps need, since each waking
 // costs more than what it does.
 func (c *Core) Due() time.Duration {
-	if !c.store.Ready() || c.store.Waits() || c.delayed || (len(c.polls) > 0 && !c.polling) {
+	if !c.store.Ready() || c.store.Waits() || c.writes.delayed || (len(c.polls) > 0 && !c.polling) {
 		return Pace
 	}
 	return max(Pace, c.sweepAt-c.now)
@@ -271,6 +269,7 @@
 			c.readyAt = c.now
 		}
 		c.expireTakeovers()
+		c.foldEndings()
 		c.watchMachines()
 		for id, e := range c.early {
 			if c.now-e[0].at > c.cfg.Operator.PublishInterval {
@@ -411,6 +410,7 @@
 	keyDrain    = bookkeeping.Root + "x/"
 	keyRental   = bookkeeping.Root + "h/"
 	keyTakeover = bookkeeping.Root + "t/"
+	keyEndings  = bookkeeping.Root + "e/"
 	keyFleet    = bookkeeping.Root + "fleet"
 	keyGang     = bookkeeping.Root + "gang"
 	keyFlavors  = bookkeeping.Root + "flavors"
@@ -433,6 +433,8 @@
 		c.applyClaim(name, data, stamp)
 	case keyTakeover:
 		c.applyTakeover(name, data, stamp)
+	case keyEndings:
+		c.applyEndings(name, data)
 	case keyTeam:
 		c.applyTeam(name, data, stamp)
 	case keyMember:
--- a/internal/coordination/page.go
+++ b/internal/coordination/page.go
@@ -26,7 +26,8 @@
 const (
 	wordsFormat    = 1 // pages of words
 	takeoverFormat = 2 // take-overs by the group
-	latestFormat   = takeoverFormat
+	endingFormat   = 3 // the log of endings
+	latestFormat   = endingFormat
 )
 
 var errPage = errors.New("not a page of tasks")
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -77,6 +77,7 @@
 	since   time.Duration // when the first change of the queue was proposed
 	busy    bool
 	retry   time.Duration
+	fold    bool // to be written to take in what the log of endings holds
 }
 
 type orphan struct {
@@ -170,6 +171,13 @@
 // memory must not grow with all the tasks there ever were. What users are told
 // needs the counts alone.
 func (c *Core) shed(p *page) {
+	switch {
+	case c.concluded(p.rec):
+		c.completeAll(p)
+		c.writes.log.SettleJob(p.id)
+	case c.unfolded(p):
+		return
+	}
 	done := 0
 	for i := range p.tasks {
 		switch p.tasks[i].Phase {
@@ -287,9 +295,10 @@
 		c.log.Error("unreadable record", "key", name, "err", err)
 		return
 	}
+	base := k * c.pageTasks()
+	changes = c.withEndings(p, base, changes)
 	c.changes = changes
 	p.stamp = stamp
-	base := k * c.pageTasks()
 	since := stamp // each change of a page comes, but while the records are read anew
 	if c.store.Reading() {
 		since = 0
@@ -442,6 +451,10 @@
 
 // propose queues a change of a task; the page's next transaction carries it.
 func (c *Core) propose(r *record, index int, ch change) {
+	if c.logs(r, ch) {
+		c.logEnding(r, index, ch)
+		return
+	}
 	n := c.pageTasks()
 	p := r.pages[index/n]
 	ch.index = index % n
@@ -451,7 +464,7 @@
 	for i := range p.queue {
 		if p.queue[i].index == ch.index && p.queue[i].place == ch.place {
 			p.queue[i] = ch
-			c.dirty[p] = true
+			c.writes.dirty[p] = true
 			return
 		}
 	}
@@ -460,7 +473,7 @@
 	}
 	ch.at = c.now
 	p.queue = append(p.queue, ch)
-	c.dirty[p] = true
+	c.writes.dirty[p] = true
 	if c.verbose && !ch.place {
 		c.traceEnding(losses.Evidence, r, index, ch)
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -135,6 +135,9 @@
 
 // ending tells whether an ending of the task is queued or under way.
 func (c *Core) ending(r *record, index int) bool {
+	if c.writes.queued[taskKey{r.spec.ID, index}] {
+		return true
+	}
 	n := c.pageTasks()
 	p := r.pages[index/n]
 	for i := range p.queue {
--- a/internal/coordination/takeovers.go
+++ b/internal/coordination/takeovers.go
@@ -144,11 +144,10 @@
 // readTakeovers tells whether all peers are known to read records of take-overs.
 func (c *Core) readTakeovers() bool { return c.allRead(takeoverFormat) }
 
-// earlierVersion tells whether a peer is there that does not read records of take-overs.
-// What has passed by them is then claimed one by one, so that such a peer sees who holds it.
-func (c *Core) earlierVersion() bool {
+// earlierVersion tells whether a peer is there that does not read a format.
+func (c *Core) earlierVersion(format int) bool {
 	for _, p := range c.cfg.Peers {
-		if m := c.members[p.Node]; m != nil && m.Format < takeoverFormat {
+		if m := c.members[p.Node]; m != nil && m.Format < format {
 			return true
 		}
 	}
--- a/internal/scale/cell.go
+++ b/internal/scale/cell.go
@@ -74,6 +74,21 @@
 	BytesPerS   float64            `json:"bytesPerS"`     // of a worker, both ways, mean
 	CloudCalls  int                `json:"cloudRequests"` // and how many of them were refused
 	CloudRefuse int                `json:"cloudRefused"`
+	// Agents is what the real agents have used.
+	Agents AgentsResult `json:"agents"`
+}
+
+// AgentsResult is what a cell's real agents have used, themselves and without their tasks.
+type AgentsResult struct {
+	Count  int     `json:"count"`
+	CoreMs float64 `json:"coreMs"` // processor time for each second of the busiest one's life, in ms
+	PeakMB float64 `json:"peakMb"` // of the largest
+}
+
+// agentProcess is a real agent.
+type agentProcess struct {
+	cmd   *exec.Cmd
+	began time.Time
 }
 
 // cell is what a cell process holds.
@@ -97,7 +112,8 @@
 	first     map[string]*hdrhistogram.Histogram
 	tasks     map[string]*hdrhistogram.Histogram
 	startedBy map[string]map[int]bool // tasks that have started, by job
-	agents    map[string]*exec.Cmd
+	agents    map[string]*agentProcess
+	agentsUse AgentsResult
 	workerS   float64 // seconds of workers that were up
 }
 
@@ -119,7 +135,7 @@
 	}
 	c := &cell{scenario: s, dir: settings.Dir, self: self, log: log, begun: time.Now(), submit: histogram(),
 		layout: &cellLayout{scenario: s, number: settings.Number, state: settings.State, cloud: settings.Cloud, controllers: settings.Controllers},
-		first:  map[string]*hdrhistogram.Histogram{}, tasks: map[string]*hdrhistogram.Histogram{}, startedBy: map[string]map[int]bool{}, agents: map[string]*exec.Cmd{}}
+		first:  map[string]*hdrhistogram.Histogram{}, tasks: map[string]*hdrhistogram.Histogram{}, startedBy: map[string]map[int]bool{}, agents: map[string]*agentProcess{}}
 	c.checker = newChecker(s, c.now)
 	c.fleet = hollow.NewFleet(c.layout.nodes(), c.layout.periods(), c.layout.workerIP(), reportConnections(s), c)
 	defer c.fleet.Close()
@@ -229,6 +245,7 @@
 			c.samples = append(c.samples, Sample{AtS: c.now().Seconds(), Starts: c.starts, Running: tasks, Workers: workers, Answered: answered,
 				Reports: c.fleet.Stats.Reports.Load(), LeaseKill: c.killed})
 			c.workerS += float64(workers) * samplePeriod.Seconds()
+			c.measureAgents()
 			c.mu.Unlock()
 		case <-over:
 			return
@@ -236,6 +253,23 @@
 	}
 }
 
+// agentStart is how long an agent's start is left out of what it uses a second.
+const agentStart = 10 * time.Second
+
+// measureAgents notes what the real agents have used so far; the lock is held.
+func (c *cell) measureAgents() {
+	for _, a := range c.agents {
+		u, ok := readUsage(a.cmd.Process.Pid)
+		if !ok {
+			continue
+		}
+		c.agentsUse.PeakMB = max(c.agentsUse.PeakMB, float64(u.rss)/(1<<20))
+		if life := time.Since(a.began); life > agentStart {
+			c.agentsUse.CoreMs = max(c.agentsUse.CoreMs, 1000*u.cpu.Seconds()/life.Seconds())
+		}
+	}
+}
+
 // faults plays those of the workers; the caller of the run plays those of the controllers.
 func (c *cell) faults(over <-chan struct{}) {
 	for i := range c.scenario.Faults {
@@ -324,7 +358,8 @@
 	}
 	log.Close()
 	c.mu.Lock()
-	c.agents[m.Name] = cmd
+	c.agents[m.Name] = &agentProcess{cmd, time.Now()}
+	c.agentsUse.Count++
 	c.mu.Unlock()
 	return cfg.Listen, nil
 }
@@ -344,11 +379,11 @@
 	c.fleet.Remove(names...)
 	for _, name := range names {
 		c.mu.Lock()
-		cmd := c.agents[name]
+		a := c.agents[name]
 		delete(c.agents, name)
 		c.mu.Unlock()
-		if cmd != nil {
-			endProcess(cmd)
+		if a != nil {
+			endProcess(a.cmd)
 		}
 	}
 }
@@ -449,7 +484,7 @@
 	defer c.mu.Unlock()
 	r := &CellResult{Number: c.layout.number, Samples: c.samples, Broken: broken, FirstBroken: first, Accepted: accepted, GivenUp: given, Finished: finished,
 		Starts: c.starts, LeaseKilled: c.killed, Sessions: stats.Sessions.Load(), Submit: latency(c.submit), FirstStart: latencies(c.first), TaskStart: latencies(c.tasks),
-		Reports: stats.Reports.Load(), CloudCalls: c.cloud.requests, CloudRefuse: c.cloud.refused,
+		Reports: stats.Reports.Load(), CloudCalls: c.cloud.requests, CloudRefuse: c.cloud.refused, Agents: c.agentsUse,
 		Answers: map[string]int64{"answered": stats.Answered.Load(), "redirected": stats.Redirected.Load(), "refused": stats.Refused.Load(), "unanswered": stats.Unanswered.Load()}}
 	if n := stats.Answered.Load(); n > 0 {
 		r.AnswerMs = float64(stats.AnswerNanos.Load()) / float64(n) / 1e6
--- a/internal/scale/layout.go
+++ b/internal/scale/layout.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 
+	"go.yaml.in/yaml/v3"
+
 	"silvergate/internal/agent"
 	"silvergate/internal/config"
 	"silvergate/internal/statestore"
@@ -123,6 +125,18 @@
 	return raw, err
 }
 
+// operatorSettings is what operators tell the controllers, checked as they will check it.
+func (s *Scenario) operatorSettings() ([]byte, error) {
+	raw, err := yaml.Marshal(s.Operator)
+	if err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
+	}
+	if _, err := config.ParseOperator(raw); err != nil {
+		return nil, fmt.Errorf("operator.%w", err)
+	}
+	return raw, nil
+}
+
 // teams are the cell's teams.
 func (s *Scenario) teams() (out []config.Team) {
 	for i := range s.Teams {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -218,6 +218,16 @@
 	return path, os.WriteFile(path, raw, 0o600)
 }
 
+// writeOperator writes the operators' settings of a cell's controllers.
+func (r *run) writeOperator(c *cellLayout) (string, error) {
+	raw, err := r.Scenario.operatorSettings()
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(r.cellDir(c), "silvergate.yaml")
+	return path, os.WriteFile(path, raw, 0o600)
+}
+
 // startServices starts a cell's state service and controllers.
 func (r *run) startServices(c *cellLayout) error {
 	if err := os.MkdirAll(r.cellDir(c), 0o700); err != nil {
@@ -230,6 +240,10 @@
 	if err := r.add(c, fmt.Sprintf("state-%d", c.number), "state", "serve", "--settings", path); err != nil {
 		return err
 	}
+	operator, err := r.writeOperator(c)
+	if err != nil {
+		return err
+	}
 	for i := range c.controllers {
 		raw, err := c.controllerSettings(i)
 		if err != nil {
@@ -239,7 +253,7 @@
 		if err := os.WriteFile(path, raw, 0o600); err != nil {
 			return err
 		}
-		if err := r.add(c, fmt.Sprintf("controller-%d-%d", c.number, i), "--config", path); err != nil {
+		if err := r.add(c, fmt.Sprintf("controller-%d-%d", c.number, i), "--config", path, "--operator", operator); err != nil {
 			return err
 		}
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -61,6 +61,8 @@
 		{"share: 0.1, zone: a", "share: 0.1, zone: z", "faults[1].zone"},
 		{"cancel_s: 14", "cancel_s: 7", "cancel_s"},
 		{"txn_ops: 12", "txn_ops: 1", "txn_ops"},
+		{"cells: 1", "cells: 1\noperator: {group_takover: true}", "group_takover"},
+		{"cells: 1", "cells: 1\noperator: {probes: 0}", "operator.probes"},
 	} {
 		if !strings.Contains(good, c.from) {
 			t.Fatalf("small.yaml has no %q", c.from)
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -50,6 +50,8 @@
 	Faults   []Fault `yaml:"faults"`
 	// MemoryGB is the most that all processes may take; 0: half of the machine's.
 	MemoryGB float64 `yaml:"memory_gb"`
+	// Operator holds operators' settings of the controllers, as in silvergate.yaml.
+	Operator map[string]any `yaml:"operator,omitempty"`
 	// BasePort is the first of the ports for controllers and state services; 0: the
 	// system chooses them.
 	BasePort int `yaml:"base_port"`
@@ -247,7 +249,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = l.cells[0].controllerSettings(0)
+	if _, err = l.cells[0].controllerSettings(0); err != nil {
+		return err
+	}
+	_, err = s.operatorSettings()
 	return err
 }
 
