--- a/internal/coordination/takeovers.go
+++ b/internal/coordination/takeovers.go
@@ -111,7 +111,7 @@
 	sortGroups(heeded)
 	for _, g := range heeded {
 		c.regroup(g)
-		c.rehear(g)
+		c.rehear(g, false)
 	}
 }
 
@@ -129,21 +129,19 @@
 	}
 }
 
-// rehear takes the reports up again that have waited for a group.
-func (c *Core) rehear(g takeover.Group) {
+// rehear takes the reports up again that have waited for a group; alone has their workers
+// claimed one by one.
+func (c *Core) rehear(g takeover.Group, alone bool) {
 	w := c.holders.awaited[g]
 	if w == nil {
 		return
 	}
 	delete(c.holders.awaited, g)
 	for _, r := range w.reports {
-		c.hear(r.id, r.report, false)
+		c.hear(r.id, r.report, alone)
 	}
 }
 
-// readTakeovers tells whether all peers are known to read records of take-overs.
-func (c *Core) readTakeovers() bool { return c.allRead(takeoverFormat) }
-
 // earlierVersion tells whether a peer is there that does not read a format.
 func (c *Core) earlierVersion(format int) bool {
 	for _, p := range c.cfg.Peers {
@@ -158,7 +156,7 @@
 // way; false: the worker is to be claimed alone.
 func (c *Core) takeGroup(id uint64, m *machine, r *protocol.Report) bool {
 	g, ok := m.nextGroup()
-	if !ok || !c.cfg.Operator.GroupTakeover || m.own.Token == 0 || !c.readTakeovers() {
+	if !ok || !c.cfg.Operator.GroupTakeover || m.own.Token == 0 || !c.allRead(takeoverFormat) {
 		return false
 	}
 	w := c.holders.awaited[g]
@@ -219,23 +217,11 @@
 		case o == bookkeeping.Conflict && !slices.Contains(failed, keyMember+g.Node), o == bookkeeping.Unknown:
 			// Another was first, or it may have been written: the mirror tells.
 		default:
-			c.claimAlone(g)
+			c.rehear(g, true)
 		}
 	})
 }
 
-// claimAlone gives a take-over up; the workers that wait for it are claimed one by one.
-func (c *Core) claimAlone(g takeover.Group) {
-	w := c.holders.awaited[g]
-	if w == nil {
-		return
-	}
-	delete(c.holders.awaited, g)
-	for _, r := range w.reports {
-		c.hear(r.id, r.report, true)
-	}
-}
-
 // expireTakeovers refuses reports that have waited for too long.
 func (c *Core) expireTakeovers() {
 	var late []takeover.Group
