--- a/internal/scale/cell.go
+++ b/internal/scale/cell.go
@@ -333,7 +333,11 @@
 	cfg.Dir = filepath.Join(c.dir, "agents", m.Name)
 	cfg.Controllers, cfg.Workers = c.layout.nodes(), c.layout.periods()
 	cfg.Room = agent.Room{CPUs: s.Machine.CPUs, GPUs: s.Machine.GPUs, RAM: s.Machine.RAM}
-	cfg.Images = []agent.Image{{Name: realImage, Path: "/bin", Command: []string{"sleep", fmt.Sprint(c.realSeconds())}}}
+	image := filepath.Join(c.dir, "image") // empty: the program is the system's own
+	if err := os.MkdirAll(image, 0o700); err != nil {
+		return "", err
+	}
+	cfg.Images = []agent.Image{{Name: realImage, Path: image, Command: []string{"sleep", fmt.Sprint(c.realSeconds())}}}
 	raw, err := yaml.Marshal(cfg)
 	if err != nil {
 		return "", err
