--- a/internal/scale/cell.go
+++ b/internal/scale/cell.go
@@ -81,14 +81,16 @@
 // AgentsResult is what a cell's real agents have used, themselves and without their tasks.
 type AgentsResult struct {
 	Count  int     `json:"count"`
-	CoreMs float64 `json:"coreMs"` // processor time for each second of the busiest one's life, in ms
+	CoreMs float64 `json:"coreMs"` // processor time for each second of their lives, in ms, of all together
 	PeakMB float64 `json:"peakMb"` // of the largest
 }
 
-// agentProcess is a real agent.
+// agentProcess is a real agent, with what it was last seen to have used.
 type agentProcess struct {
 	cmd   *exec.Cmd
 	began time.Time
+	life  time.Duration
+	used  time.Duration
 }
 
 // cell is what a cell process holds.
@@ -114,7 +116,8 @@
 	startedBy map[string]map[int]bool // tasks that have started, by job
 	agents    map[string]*agentProcess
 	agentsUse AgentsResult
-	workerS   float64 // seconds of workers that were up
+	agentsAll []*agentProcess // also those that were ended
+	workerS   float64         // seconds of workers that were up
 }
 
 // Intervals of a cell process.
@@ -253,23 +256,28 @@
 	}
 }
 
-// agentStart is how long an agent's start is left out of what it uses a second.
-const agentStart = 10 * time.Second
-
 // measureAgents notes what the real agents have used so far; the lock is held.
 func (c *cell) measureAgents() {
 	for _, a := range c.agents {
-		u, ok := readUsage(a.cmd.Process.Pid)
-		if !ok {
-			continue
-		}
-		c.agentsUse.PeakMB = max(c.agentsUse.PeakMB, float64(u.rss)/(1<<20))
-		if life := time.Since(a.began); life > agentStart {
-			c.agentsUse.CoreMs = max(c.agentsUse.CoreMs, 1000*u.cpu.Seconds()/life.Seconds())
+		if u, ok := readUsage(a.cmd.Process.Pid); ok {
+			c.agentsUse.PeakMB = max(c.agentsUse.PeakMB, float64(u.rss)/(1<<20))
+			a.life, a.used = time.Since(a.began), u.cpu
 		}
 	}
 }
 
+// agentsResult sums up what the real agents have used; the lock is held.
+func (c *cell) agentsResult() AgentsResult {
+	var life, used time.Duration
+	for _, a := range c.agentsAll {
+		life, used = life+a.life, used+a.used
+	}
+	if life > 0 {
+		c.agentsUse.CoreMs = 1000 * used.Seconds() / life.Seconds()
+	}
+	return c.agentsUse
+}
+
 // faults plays those of the workers; the caller of the run plays those of the controllers.
 func (c *cell) faults(over <-chan struct{}) {
 	for i := range c.scenario.Faults {
@@ -362,7 +370,8 @@
 	}
 	log.Close()
 	c.mu.Lock()
-	c.agents[m.Name] = &agentProcess{cmd, time.Now()}
+	a := &agentProcess{cmd: cmd, began: time.Now()}
+	c.agents[m.Name], c.agentsAll = a, append(c.agentsAll, a)
 	c.agentsUse.Count++
 	c.mu.Unlock()
 	return cfg.Listen, nil
@@ -488,7 +497,7 @@
 	defer c.mu.Unlock()
 	r := &CellResult{Number: c.layout.number, Samples: c.samples, Broken: broken, FirstBroken: first, Accepted: accepted, GivenUp: given, Finished: finished,
 		Starts: c.starts, LeaseKilled: c.killed, Sessions: stats.Sessions.Load(), Submit: latency(c.submit), FirstStart: latencies(c.first), TaskStart: latencies(c.tasks),
-		Reports: stats.Reports.Load(), CloudCalls: c.cloud.requests, CloudRefuse: c.cloud.refused, Agents: c.agentsUse,
+		Reports: stats.Reports.Load(), CloudCalls: c.cloud.requests, CloudRefuse: c.cloud.refused, Agents: c.agentsResult(),
 		Answers: map[string]int64{"answered": stats.Answered.Load(), "redirected": stats.Redirected.Load(), "refused": stats.Refused.Load(), "unanswered": stats.Unanswered.Load()}}
 	if n := stats.Answered.Load(); n > 0 {
 		r.AnswerMs = float64(stats.AnswerNanos.Load()) / float64(n) / 1e6
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -81,7 +81,7 @@
 			first.P50/1000, first.P95/1000, first.P99/1000, first.Count, all.P50/1000, all.P95/1000, all.P99/1000, all.Count)
 	}
 	if c.Agents.Count > 0 {
-		fmt.Fprintf(b, "  %d real agents: at the most %.1f ms of a core each second, %.0f MB\n", c.Agents.Count, c.Agents.CoreMs, c.Agents.PeakMB)
+		fmt.Fprintf(b, "  %d real agents: %.1f ms of a core each second on average, %.0f MB at the most\n", c.Agents.Count, c.Agents.CoreMs, c.Agents.PeakMB)
 	}
 	for _, line := range c.FirstBroken {
 		fmt.Fprintf(b, "  BROKEN %s\n", line)
