--- a/internal/coordination/routing.go
+++ b/internal/coordination/routing.go
@@ -189,7 +189,10 @@
 	}
 	// With work on it a claim is worth its try here: its holder may be the one that can't be heard.
 	// A whole group that has just been taken over is told by those that come to its holder: elsewhere each would need a claim.
-	unheard := (len(r.Loads) == 0 || m.passed()) && r.Baton < m.stamp && c.now-m.claimedAt < seconds(c.cfg.Facts.Workers.Lease/3)
+	// But not if it says that it does not hear the zone.
+	now := c.reach.Picture()
+	passed := m.passed() && !reach.Lost(&now, m.claim.Owner, m.claim.Zone)
+	unheard := (len(r.Loads) == 0 || passed) && r.Baton < m.stamp && c.now-m.claimedAt < seconds(c.cfg.Facts.Workers.Lease/3)
 	if !c.cutOff() && !unheard || m.redirectedToHolder > 0 && c.now-m.redirectedToHolder < c.leaseOver() {
 		return false
 	}
--- a/internal/coordination/takeovers.go
+++ b/internal/coordination/takeovers.go
@@ -154,6 +154,9 @@
 
 // takeGroup has a report wait for the take-over of its worker's whole group, if that is the
 // way; false: the worker is to be claimed alone.
+//
+// Guards against a controller that has lost the zone itself, and takes a group over by a report that
+// was held back on its way: all the group's workers were sent to where nobody heard them.
 func (c *Core) takeGroup(id uint64, m *machine, r *protocol.Report) bool {
 	g, ok := m.nextGroup()
 	if !ok || !c.cfg.Operator.GroupTakeover || m.own.Token == 0 || !c.allRead(takeoverFormat) {
@@ -161,7 +164,7 @@
 	}
 	w := c.holders.awaited[g]
 	if w == nil {
-		if !c.holders.book.Waiting(g) && (!c.abandoned(m) || c.groupSize(g) < leastGroup) {
+		if !c.holders.book.Waiting(g) && (c.reach.LostZone(r.Depot) || !c.abandoned(m) || c.groupSize(g) < leastGroup) {
 			return false
 		}
 		w = &awaitedTakeover{since: c.now}
--- a/internal/coordination/takeovers_test.go
+++ b/internal/coordination/takeovers_test.go
@@ -290,3 +290,14 @@
 		t.Errorf("%d records of take-overs are left, %d are in use", left, len(used))
 	}
 }
+
+// TestADeafControllerTakesNoGroupOver plays the drawn day on which one did: cut off from all workers,
+// it took a group over by a report that was held back on its way, and the others sent the group's
+// workers to it until their leases ended, two urgent tasks among theirs.
+func TestADeafControllerTakesNoGroupOver(t *testing.T) {
+	s := drawnCuts(t, 9698)
+	s.report(t)
+	if s.saved.urgent > 0 || s.saved.other > 0 {
+		t.Errorf("%d urgent tasks and %d others were killed that had a way", s.saved.urgent, s.saved.other)
+	}
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -386,6 +386,12 @@
 // controller that has lost all its workers to others stays deaf until it hears one.
 func (r *Reach) Deaf() bool { return r.ears.deaf }
 
+// LostZone tells whether we have lost a zone's workers, or all, as our row says to others.
+func (r *Reach) LostZone(zone string) bool {
+	z := r.ears.zones[zone]
+	return r.ears.deaf || z != nil && z.lost
+}
+
 // words is what our row says of zones, in their order.
 func (r *Reach) words() []ZoneWord {
 	var out []ZoneWord
