--- a/internal/coordination/tenure.go
+++ b/internal/coordination/tenure.go
@@ -34,7 +34,7 @@
 }
 
 // passed tells whether the machine has come to its holder by its group.
-func (t *tenure) passed() bool { return len(t.links) > 1 }
+func (t *tenure) passed() bool { return takeover.Held{Links: t.links}.Passed() }
 
 // nextGroup is the group by which the machine would pass to another controller; ok is false if it
 // can't.
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -8,7 +8,6 @@
 package hollow
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -528,19 +527,3 @@
 	w.do(e)
 	return status, answer
 }
-
-// Wait returns when the context ends or so many workers have been answered.
-func (f *Fleet) Wait(ctx context.Context, workers int) error {
-	ticker := time.NewTicker(statusPeriod)
-	defer ticker.Stop()
-	for {
-		if _, answered := f.Running(); answered >= workers {
-			return nil
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
