--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,12 +21,10 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -57,14 +55,16 @@
 
 // Agent is a running worker.
 type Agent struct {
-	cfg          Config
-	log          *slog.Logger
-	taskCommand  []string // starts this program for a task; see ExecTask
-	server       *transport.Server
-	pool         *transport.Pool
-	runner       *runner
-	images       *imageStore
-	outsideStore outsideStore
+	cfg         Config
+	log         *slog.Logger
+	taskCommand []string // starts this program for a task; see ExecTask
+	// watchdogCommand starts this program as a watchdog; see Watchdog.
+	watchdogCommand []string
+	server          *transport.Server
+	pool            *transport.Pool
+	runner          *runner
+	images          *imageStore
+	outsideStore    outsideStore
 
 	mu        sync.Mutex // guards what follows; the server's lock too
 	worker    *Worker
@@ -73,7 +73,7 @@
 	inputs    *inputStore   // nil: no data sets
 	keeper    *outputKeeper // nil: no archive
 	attempts  attemptRecords
-	watchdog  watchdogProcess
+	watchdog  *watchdogProcess // nil while none runs
 	stats     Stats
 	shutdown  shutdownState
 	// Extra answers paths that are not the protocol's, such as /metrics.
@@ -94,13 +94,6 @@
 	lastCheckpoints map[TaskAttempt]int // the newest checkpoint when the task was asked to stop
 }
 
-// watchdogProcess is the process that ends all tasks when the agent can't.
-type watchdogProcess struct {
-	command  []string      // starts this program as a watchdog; see Watchdog
-	pipe     *os.File      // carries the deadlines to it
-	leaseEnd time.Duration // the end of the lease, as the watchdog knows it
-}
-
 // shutdownState is whether the agent has stopped, and the error that stopped it.
 type shutdownState struct {
 	begun bool
@@ -118,10 +111,10 @@
 	}
 	a := &Agent{
 		cfg: cfg, log: log, pool: transport.NewPool(maxConnections), outsideStore: outsideStore{cfg.OutsideDir},
-		taskCommand: []string{self, "task-exec"},
-		watchdog:    watchdogProcess{command: []string{self, "agent-watchdog", cfg.Dir}},
-		schedule:    schedule{startedAt: bootClock()},
-		attempts:    attemptRecords{gangMembers: map[TaskAttempt][]protocol.GangMember{}, lastCheckpoints: map[TaskAttempt]int{}},
+		taskCommand:     []string{self, "task-exec"},
+		watchdogCommand: []string{self, "agent-watchdog", cfg.Dir},
+		schedule:        schedule{startedAt: bootClock()},
+		attempts:        attemptRecords{gangMembers: map[TaskAttempt][]protocol.GangMember{}, lastCheckpoints: map[TaskAttempt]int{}},
 	}
 	a.stats.TaskEnds = map[string]uint64{}
 	raw, err := os.ReadFile(filepath.Join(cfg.Dir, stateFile))
@@ -189,6 +182,9 @@
 // Run serves until Stop is called or the machine fails.
 func (a *Agent) Run() error {
 	a.runner.clear() // whatever an earlier agent left
+	if err := endEarlierWatchdog(a.cfg.Dir); err != nil {
+		return fmt.Errorf("watchdog: %w", err)
+	}
 	a.keeper.open()
 	if err := a.startWatchdog(); err != nil {
 		return fmt.Errorf("watchdog: %w", err)
@@ -209,7 +205,7 @@
 	a.inputs.close()
 	a.runner.clear()
 	a.keeper.close()
-	a.watchdog.pipe.Close()
+	a.endWatchdog()
 	return errors.Join(failed, err)
 }
 
@@ -235,48 +231,13 @@
 	a.schedule.timer = time.AfterFunc(0, a.tick)
 }
 
-func (a *Agent) startWatchdog() error {
-	r, w, err := os.Pipe()
-	if err != nil {
-		return err
-	}
-	cmd := exec.Command(a.watchdog.command[0], a.watchdog.command[1:]...)
-	cmd.Stdin, cmd.Stderr = r, os.Stderr
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	err = cmd.Start()
-	r.Close()
-	if err != nil {
-		w.Close()
-		return err
-	}
-	a.mu.Lock()
-	a.watchdog.pipe, a.watchdog.leaseEnd = w, 0
-	a.mu.Unlock()
-	go func() {
-		_ = cmd.Wait()
-		a.mu.Lock()
-		stopped := a.shutdown.begun
-		a.mu.Unlock()
-		if !stopped {
-			// Guards against tasks that nobody would end if the agent hung.
-			a.log.Error("the watchdog is gone; another is started")
-			time.Sleep(100 * time.Millisecond)
-			if err := a.startWatchdog(); err != nil {
-				a.mu.Lock()
-				a.fail(fmt.Errorf("watchdog: %w", err))
-				a.mu.Unlock()
-			}
-		}
-	}()
-	return nil
-}
-
 func (a *Agent) tick() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.shutdown.begun {
 		return
 	}
+	a.checkWatchdog()
 	now := time.Now()
 	a.pool.Expire(now)
 	if now.Sub(a.schedule.lastSweepAt) > a.sweepPeriod() {
@@ -335,9 +296,15 @@
 // endAllTasks ends the epoch's tasks and begins the next agent epoch.
 func (a *Agent) endAllTasks() {
 	a.runner.clear()
+	err := a.replaceWatchdog()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.shutdown.begun {
+		go a.endWatchdog() // Run may have looked before it was started
+		return
+	}
+	if err != nil {
+		a.fail(fmt.Errorf("watchdog: %w", err))
 		return
 	}
 	a.persisted.Epoch = a.worker.Epoch() + 1
@@ -358,6 +325,7 @@
 		}
 		a.server.Answer(id, status, protocol.Encode(protocol.ErrorResponse{Error: why}), retry)
 	}
+	a.checkWatchdog()
 	switch {
 	case r.Path == protocol.PathCommands && r.Method == http.MethodPost:
 		status, body, e := a.worker.Direct(a.clock(), r.Body)
--- a/internal/agent/agent_effects.go
+++ b/internal/agent/agent_effects.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"fmt"
 	"syscall"
 	"time"
 )
@@ -28,20 +27,6 @@
 	a.rescheduleTick()
 }
 
-// extendWatchdog tells the watchdog a new end of the lease; the lock is held.
-func (a *Agent) extendWatchdog(leaseEnd time.Duration) {
-	if a.watchdog.pipe == nil || leaseEnd == a.watchdog.leaseEnd {
-		return
-	}
-	// The worker itself ends tasks at this moment; the watchdog is for
-	// when it can't, a little later. It must not hold the agent up: one
-	// that hears nothing ends the tasks too early, not too late.
-	a.watchdog.leaseEnd = leaseEnd
-	late := a.schedule.startedAt + leaseEnd + seconds(a.cfg.Workers.Lease/100)
-	_ = a.watchdog.pipe.SetWriteDeadline(time.Now().Add(soonest))
-	_, _ = fmt.Fprintf(a.watchdog.pipe, "%d\n", int64(late))
-}
-
 // signalTasks kills, stops and checkpoints attempts; the lock is held.
 func (a *Agent) signalTasks(e Effects) {
 	for _, k := range e.Kill {
@@ -130,6 +115,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.shutdown.begun {
+		a.checkWatchdog()
 		a.perform(event())
 	}
 }
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/renameio/v2"
 	"golang.org/x/sys/unix"
 
 	"silvergate/internal/proc"
@@ -87,8 +88,9 @@
 
 	mu       sync.Mutex
 	tasks    map[TaskAttempt]*task
-	epoch    uint64 // whose tasks may be started
-	starting int    // being started
+	epoch    uint64     // whose tasks may be started
+	starting int        // being started
+	fewer    *sync.Cond // tells that there are fewer of tasks or starting; nil before anyone waits
 }
 
 var errWrongEpoch = errors.New("its session is over")
@@ -126,6 +128,7 @@
 	if err == nil {
 		r.tasks[k] = t
 	}
+	r.tellFewer()
 	r.mu.Unlock()
 	if err != nil {
 		return err
@@ -164,42 +167,39 @@
 		if err != nil {
 			return err
 		}
-		return os.WriteFile(filepath.Join(dir, procFile), raw, 0o600)
+		// A reader finds all of it or nothing.
+		return renameio.WriteFile(filepath.Join(dir, procFile), raw, 0o600)
 	})
 	return t, cmd, err
 }
 
 // wait waits until a program has ended, and ends what it left behind.
 func (r *runner) wait(k TaskAttempt, t *task, cmd *exec.Cmd) {
-	code := 0
-	_ = proc.AwaitEnd(t.id.PID)
-	_ = proc.KillGroup(t.id, syscall.SIGKILL)
-	if err := cmd.Wait(); err != nil {
-		code = -1
-		var x *exec.ExitError
-		if errors.As(err, &x) && x.ExitCode() > 0 {
-			code = x.ExitCode()
-		}
+	if err := proc.AwaitEnd(t.id.PID); err != nil {
+		r.log.Error("a program's end can't be waited for", "task", k.String(), "error", err)
 	}
-	r.sweep(k)
+	// The program is not waited for before all is gone: until then its group's number
+	// means its group.
+	endUntilGone(proc.Owner{Mark: r.processMarker(k), Leaders: []proc.ID{t.id}, Since: t.id.Start}, r.log.With("task", k.String()))
+	code := exitCode(cmd.Wait())
 	r.mu.Lock()
 	delete(r.tasks, k)
 	memory := t.memory
+	r.tellFewer()
 	r.mu.Unlock()
 	r.exited(k, code, memory)
 }
 
-// sweep ends what a program left behind outside its group, and returns when that is gone.
-func (r *runner) sweep(k TaskAttempt) {
-	for {
-		left := proc.KillMarked(r.processMarker(k), 5*time.Second)
-		if left == 0 {
-			return
-		}
-		// A process that does not die hangs in the kernel. The task is on its
-		// machine as long as it does.
-		r.log.Error("processes can't be ended", "task", k.String(), "left", left)
+// exitCode is how a program ended; -1 if it was ended by a signal.
+func exitCode(err error) int {
+	var exit *exec.ExitError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &exit) && exit.ExitCode() > 0:
+		return exit.ExitCode()
 	}
+	return -1
 }
 
 // signal sends a signal to an attempt's process group.
@@ -240,27 +240,27 @@
 // Nothing is started from then on, until open allows it.
 func (r *runner) clear() {
 	r.open(0)
-	for {
-		r.mu.Lock()
-		n := r.starting
-		r.mu.Unlock()
-		if n == 0 {
-			break
-		}
-		time.Sleep(5 * time.Millisecond)
+	r.awaitFewer(func() bool { return r.starting == 0 })
+	endUntilGone(ownerOf(r.dir, r.log), r.log)
+	r.awaitFewer(func() bool { return len(r.tasks) == 0 })
+}
+
+// awaitFewer waits until a condition on tasks or starting holds.
+func (r *runner) awaitFewer(holds func() bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fewer == nil {
+		r.fewer = sync.NewCond(&r.mu)
 	}
-	killGroups(r.dir)
-	for proc.KillMarked(r.dir, 5*time.Second) > 0 {
-		r.log.Error("processes of the last agent epoch can't be ended")
+	for !holds() {
+		r.fewer.Wait()
 	}
-	for {
-		r.mu.Lock()
-		n := len(r.tasks)
-		r.mu.Unlock()
-		if n == 0 {
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
+}
+
+// tellFewer wakes who waits in awaitFewer; the lock is held.
+func (r *runner) tellFewer() {
+	if r.fewer != nil {
+		r.fewer.Broadcast()
 	}
 }
 
@@ -302,89 +302,8 @@
 	return TaskAttempt{f[0], index, attempt}, err1 == nil && err2 == nil
 }
 
-// Watchdog ends all tasks of a machine when its agent's lease is over or the
-// agent is gone: an agent that hangs can't do that itself. deadlines carries
-// times of the boot clock, in nanoseconds, a line each.
-func Watchdog(dir string, deadlines *os.File) error {
-	if err := os.Chdir("/"); err != nil {
-		return err
-	}
-	lines := make(chan time.Duration)
-	go func() {
-		defer close(lines)
-		buf := make([]byte, 0, 256)
-		for {
-			chunk := make([]byte, 64)
-			n, err := deadlines.Read(chunk)
-			buf = append(buf, chunk[:n]...)
-			for {
-				i := strings.IndexByte(string(buf), '\n')
-				if i < 0 {
-					break
-				}
-				if v, err := strconv.ParseInt(string(buf[:i]), 10, 64); err == nil {
-					lines <- time.Duration(v)
-				}
-				buf = buf[i+1:]
-			}
-			if err != nil || len(buf) > 128 {
-				return
-			}
-		}
-	}()
-	var until time.Duration
-	for {
-		wait := time.Hour
-		if until > 0 {
-			wait = max(until-bootClock(), 0)
-		}
-		select {
-		case d, ok := <-lines:
-			if !ok {
-				for EndTasks(dir) > 0 {
-				}
-				return nil
-			}
-			until = d
-		case <-time.After(min(wait, time.Second)):
-			if until > 0 && bootClock() >= until {
-				EndTasks(dir)
-			}
-		}
-	}
-}
-
-// bootClock is a steady clock that goes on while the machine sleeps: others
-// take a lease to be over then, too.
-func bootClock() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic(err) // the kernel has had it since 2011
-	}
-	return time.Duration(t.Nano())
-}
-
 // exists tells whether there is a file.
 func exists(path string) bool {
 	_, err := os.Lstat(path)
 	return !errors.Is(err, fs.ErrNotExist)
 }
-
-// EndTasks ends all tasks of a machine whose agent is gone. It returns how many
-// processes are left.
-func EndTasks(dir string) int {
-	killGroups(dir)
-	return proc.KillMarked(dir, 5*time.Second)
-}
-
-// killGroups ends the process groups that are on record in a machine's folder.
-func killGroups(dir string) {
-	dirs, _ := os.ReadDir(filepath.Join(dir, tasksDir))
-	for _, d := range dirs {
-		raw, err := os.ReadFile(filepath.Join(dir, tasksDir, d.Name(), procFile))
-		var id proc.ID
-		if err == nil && json.Unmarshal(raw, &id) == nil {
-			_ = proc.KillGroup(id, syscall.SIGKILL)
-		}
-	}
-}
--- /dev/null
+++ b/internal/agent/sweep.go
@@ -0,0 +1,80 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"silvergate/internal/proc"
+)
+
+// sweepPatience is how long a sweep may take before it says what it can't end.
+const sweepPatience = 5 * time.Second
+
+// EndTasks ends all tasks of a machine whose agent is gone. Without an error, all of
+// their processes are known to be gone.
+func EndTasks(dir string) error {
+	_, err := ownerOf(dir, slog.Default()).End(sweepPatience)
+	return err
+}
+
+// endUntilGone ends all processes of an owner and returns when they are known to be gone.
+// One that does not die hangs in the kernel: it is on its machine as long as it does.
+func endUntilGone(owner proc.Owner, log *slog.Logger) {
+	for {
+		again := time.Now().Add(sweepPatience)
+		report, err := owner.End(sweepPatience)
+		if err == nil {
+			log.Debug("swept", "sweep", report)
+			return
+		}
+		log.Error("processes can't be ended", "error", err, "sweep", report)
+		time.Sleep(time.Until(again))
+	}
+}
+
+// ownerOf names all processes of a machine's tasks. A damaged record is logged and passed
+// over: what it was about is still found by its mark.
+func ownerOf(dir string, log *slog.Logger) proc.Owner {
+	owner := proc.Owner{Mark: dir}
+	tasks, err := os.ReadDir(filepath.Join(dir, tasksDir))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		log.Error("the records of tasks can't be read", "error", err)
+	}
+	for _, task := range tasks {
+		id, err := readProcess(filepath.Join(dir, tasksDir, task.Name(), procFile))
+		switch {
+		case err == nil:
+			owner.Leaders = append(owner.Leaders, id)
+		case !errors.Is(err, fs.ErrNotExist): // there is none of a task that was never let go on
+			log.Error("the record of a task's process is passed over", "error", err)
+		}
+	}
+	return owner
+}
+
+// errNoProcess says that a record names no process that can be.
+var errNoProcess = errors.New("names no process")
+
+// readProcess reads the record of a process.
+func readProcess(path string) (proc.ID, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return proc.ID{}, err
+	}
+	var id proc.ID
+	if err := json.Unmarshal(raw, &id); err != nil {
+		return proc.ID{}, fmt.Errorf("%s: damaged: %w", path, err)
+	}
+	for field, missing := range map[string]bool{"pid": id.PID <= 1, "start": id.Start == 0, "boot": id.Boot == ""} {
+		if missing {
+			return proc.ID{}, fmt.Errorf("%s: %s: %w", path, field, errNoProcess)
+		}
+	}
+	return id, nil
+}
--- a/internal/agent/worker_events.go
+++ b/internal/agent/worker_events.go
@@ -144,6 +144,16 @@
 	return w.takeEffects()
 }
 
+// Lapse ends the agent epoch as if its lease were over, and tells whether it went on until
+// now. All tasks have to be ended then; EpochEnded follows.
+func (w *Worker) Lapse() bool {
+	if w.epoch.ending {
+		return false
+	}
+	w.epoch.ending = true
+	return true
+}
+
 // EpochEnded takes that nothing of the last agent epoch runs any more. The
 // caller has made the new epoch's number durable.
 func (w *Worker) EpochEnded(now time.Duration) Effects {
--- a/internal/proc/proc_test.go
+++ b/internal/proc/proc_test.go
@@ -103,15 +103,8 @@
 
 // endOwner ends all processes of an owner, or says why they are not gone.
 func endOwner(mark string, leaders ...ID) error {
-	for _, leader := range leaders {
-		if err := KillGroup(leader, syscall.SIGKILL); err != nil {
-			return err
-		}
-	}
-	if left := KillMarked(mark, patience); left > 0 {
-		return fmt.Errorf("%d left", left)
-	}
-	return nil
+	_, err := Owner{Mark: mark, Leaders: leaders}.End(patience)
+	return err
 }
 
 // A process that was sent SIGKILL is still there, and holds its files and devices, for as
--- /dev/null
+++ b/internal/proc/stat.go
@@ -0,0 +1,126 @@
+package proc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Flags of a process in /proc/PID/stat (include/linux/sched.h).
+const (
+	flagExiting      = 0x00000004 // PF_EXITING
+	flagKernelThread = 0x00200000 // PF_KTHREAD
+)
+
+// Fields of /proc/PID/stat after the name in brackets, counted from zero (proc(5)
+// counts from the number, which is 1; the state is 3).
+const (
+	fieldState    = 0
+	fieldGroup    = 2
+	fieldFlags    = 6
+	fieldUser     = 11
+	fieldSystem   = 12
+	fieldThreads  = 17
+	fieldStart    = 19
+	fieldResident = 21
+	fieldEnvStart = 47
+	fieldEnvEnd   = 48
+)
+
+var errStat = errors.New("unreadable state")
+
+// stat is what /proc says of a process, or of one of its threads.
+type stat struct {
+	state    byte
+	group    int
+	flags    uint64
+	threads  int
+	start    uint64        // ticks since the boot
+	cpu      time.Duration // processor time
+	resident uint64        // pages
+	// Where the environment is in memory; 0 while there is none, and where we may not know.
+	envStart, envEnd uint64
+}
+
+// over tells whether all threads of the process have ended. One whose main thread
+// alone has ended shows the state of a zombie, too.
+func (s stat) over() bool {
+	return s.state == 'X' || s.state == 'Z' && s.threads <= 1
+}
+
+func readStat(pid int) (stat, error) {
+	raw, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return stat{}, err
+	}
+	s, err := parseStat(raw)
+	if err != nil {
+		return stat{}, fmt.Errorf("process %d: %w", pid, err)
+	}
+	return s, nil
+}
+
+func parseStat(raw []byte) (stat, error) {
+	// The name is in brackets and may hold anything, brackets too.
+	name := bytes.LastIndexByte(raw, ')')
+	fields := strings.Fields(string(raw[name+1:]))
+	if name < 0 || len(fields) <= fieldEnvEnd {
+		return stat{}, errStat
+	}
+	var errs []error
+	number := func(field int) uint64 {
+		n, err := strconv.ParseUint(fields[field], 10, 64)
+		errs = append(errs, err)
+		return n
+	}
+	const tick = time.Second / 100
+	s := stat{
+		state:    fields[fieldState][0],
+		group:    int(number(fieldGroup)),
+		flags:    number(fieldFlags),
+		threads:  int(number(fieldThreads)),
+		start:    number(fieldStart),
+		cpu:      time.Duration(number(fieldUser)+number(fieldSystem)) * tick,
+		resident: number(fieldResident),
+		envStart: number(fieldEnvStart),
+		envEnd:   number(fieldEnvEnd),
+	}
+	return s, errors.Join(errs...)
+}
+
+// processes lists the numbers of all processes but this one.
+func processes() ([]int, error) {
+	dir, err := os.Open("/proc")
+	if err != nil {
+		return nil, err
+	}
+	defer dir.Close()
+	names, err := dir.Readdirnames(-1)
+	if err != nil {
+		return nil, err
+	}
+	var out []int
+	for _, name := range names {
+		if pid, err := strconv.Atoi(name); err == nil && pid != os.Getpid() {
+			out = append(out, pid)
+		}
+	}
+	return out, nil
+}
+
+// newestNumber is the number that a process or thread was given last.
+func newestNumber() (int, error) {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(raw))
+	if len(fields) < 5 {
+		return 0, errors.New("/proc/loadavg: does not name the newest process")
+	}
+	return strconv.Atoi(fields[4])
+}
--- a/internal/provider/agents.go
+++ b/internal/provider/agents.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,12 +19,54 @@
 	"silvergate/internal/proc"
 )
 
+// endPatience is how long an agent that was ended may take to be gone.
+const endPatience = 5 * time.Second
+
 // endAgent ends an agent and returns when it is gone.
 func endAgent(id proc.ID) {
-	for id.Alive() {
+	for {
 		_ = id.Signal(syscall.SIGKILL)
-		time.Sleep(2 * time.Millisecond)
+		if id.Await(time.Now().Add(endPatience)) {
+			return
+		}
+	}
+}
+
+// readAgent reads who a machine's agent is. A machine that has none yet has no record.
+func (p *Provider) readAgent(name string) (proc.ID, error) {
+	path := filepath.Join(p.dir(name), agentFile)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return proc.ID{}, err
 	}
+	var id proc.ID
+	if err := json.Unmarshal(raw, &id); err != nil {
+		return proc.ID{}, fmt.Errorf("%s: damaged: %w", path, err)
+	}
+	return id, nil
+}
+
+// endRecordedAgent ends a machine's agent, and tells whether it is known to be gone.
+func (p *Provider) endRecordedAgent(name string) bool {
+	id, err := p.readAgent(name)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil:
+		p.log.Error("an agent can't be ended; remove its record once it is gone", "machine", name, "error", err)
+		return false
+	default:
+		endAgent(id)
+	}
+	return true
+}
+
+// endTasks ends what an agent that is gone has left on its machine.
+func (p *Provider) endTasks(name string) error {
+	err := agent.EndTasks(p.dir(name))
+	if err != nil {
+		p.log.Error("processes of a machine can't be ended", "machine", name, "error", err)
+	}
+	return err
 }
 
 func (p *Provider) address(name string) string {
@@ -179,14 +223,12 @@
 // the tasks are gone when the record is, and not later.
 func (p *Provider) end(name string) {
 	dir := p.dir(name)
-	raw, err := os.ReadFile(filepath.Join(dir, agentFile))
-	var id proc.ID
-	if err == nil && json.Unmarshal(raw, &id) == nil {
-		endAgent(id)
+	for !p.endRecordedAgent(name) {
+		time.Sleep(endPatience)
 	}
 	// The watchdog does the same; whoever is first.
-	for left := agent.EndTasks(dir); left > 0; left = agent.EndTasks(dir) {
-		p.log.Error("processes of a machine can't be ended", "machine", name, "left", left)
+	for p.endTasks(name) != nil {
+		time.Sleep(lookPeriod)
 	}
 	if exists(dir) {
 		p.keepFolder(name, dir)
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -10,9 +10,9 @@
 package provider
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"maps"
 	"net"
@@ -183,9 +183,11 @@
 	p.mu.Lock()
 	for _, n := range p.market.names() {
 		x := p.market.machines[n]
-		raw, err := os.ReadFile(filepath.Join(p.dir(n), agentFile))
-		var id proc.ID
-		if err == nil && json.Unmarshal(raw, &id) == nil && id.Alive() {
+		id, err := p.readAgent(n)
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			p.log.Error("a machine's agent is not known", "machine", n, "error", err)
+		}
+		if err == nil && id.Alive() {
 			p.agents[n] = id
 			p.market.Up(n, p.address(n))
 			p.log.Info("agent found again", "machine", n, "pid", id.PID)
@@ -224,7 +226,7 @@
 			go func() {
 				defer wait.Done()
 				endAgent(id)
-				agent.EndTasks(p.dir(n))
+				_ = p.endTasks(n) // what is left is in the log; the next start ends it
 			}()
 		}
 		wait.Wait()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -195,7 +195,9 @@
 		if raw, err := os.ReadFile(filepath.Join(m, "agent.json")); err == nil && json.Unmarshal(raw, &id) == nil {
 			_ = id.Signal(syscall.SIGKILL)
 		}
-		agent.EndTasks(m)
+		if err := agent.EndTasks(m); err != nil {
+			s.broke("tasks of %s outlive the site: %v", filepath.Base(m), err)
+		}
 	}
 }
 
