--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -181,6 +181,9 @@
 
 // Run serves until Stop is called or the machine fails.
 func (a *Agent) Run() error {
+	if err := proc.KeepOrphans(); err != nil {
+		return fmt.Errorf("orphans of tasks: %w", err)
+	}
 	a.runner.clear() // whatever an earlier agent left
 	if err := endEarlierWatchdog(a.cfg.Dir); err != nil {
 		return fmt.Errorf("watchdog: %w", err)
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -72,6 +72,9 @@
 	if err := os.Chdir(p.Dir); err != nil {
 		return err
 	}
+	if err := proc.KeepOrphans(); err != nil {
+		return fmt.Errorf("descendants: %w", err)
+	}
 	return fmt.Errorf("%s: %w", p.Argv[0], syscall.Exec(p.Argv[0], p.Argv, p.Env))
 }
 
@@ -180,7 +183,11 @@
 	}
 	// The program is not waited for before all is gone: until then its group's number
 	// means its group.
-	endUntilGone(proc.Owner{Mark: r.processMarker(k), Leaders: []proc.ID{t.id}, Since: t.id.Start}, r.log.With("task", k.String()))
+	log := r.log.With("task", k.String())
+	endUntilGone(proc.Owner{Mark: r.processMarker(k), Leaders: []proc.ID{t.id}, Since: t.id.Start}, log)
+	// A program keeps its orphans while it runs, so those that the agent was handed are of
+	// programs that have ended, this one or another.
+	retryUntilGone(log, proc.EndOrphans)
 	code := exitCode(cmd.Wait())
 	r.mu.Lock()
 	delete(r.tasks, k)
--- a/internal/agent/sweep.go
+++ b/internal/agent/sweep.go
@@ -24,16 +24,24 @@
 }
 
 // endUntilGone ends all processes of an owner and returns when they are known to be gone.
-// One that does not die hangs in the kernel: it is on its machine as long as it does.
 func endUntilGone(owner proc.Owner, log *slog.Logger) {
+	retryUntilGone(log, func(patience time.Duration) error {
+		report, err := owner.End(patience)
+		log.Debug("swept", "sweep", report)
+		return err
+	})
+}
+
+// retryUntilGone has processes ended until they are known to be gone. One that does not die
+// hangs in the kernel: it is on its machine as long as it does.
+func retryUntilGone(log *slog.Logger, end func(patience time.Duration) error) {
 	for {
 		again := time.Now().Add(sweepPatience)
-		report, err := owner.End(sweepPatience)
+		err := end(sweepPatience)
 		if err == nil {
-			log.Debug("swept", "sweep", report)
 			return
 		}
-		log.Error("processes can't be ended", "error", err, "sweep", report)
+		log.Error("processes can't be ended", "error", err)
 		time.Sleep(time.Until(again))
 	}
 }
--- a/internal/agent/sweep_test.go
+++ b/internal/agent/sweep_test.go
@@ -330,3 +330,54 @@
 		t.Fatalf("the next epoch was told, and it runs on: %s", state)
 	}
 }
+
+// The same program is started twice removed: its parent has ended, so that its agent's
+// next life can't tell from its parents either, unless the task's program was handed it.
+func TestAnOrphanThatDropsGroupAndEnvironmentEnds(t *testing.T) {
+	c := newController(t)
+	c.job("wk-000001", `(setsid env -i sleep 1000 & echo $! > pid.new; mv pid.new pid); exec sleep 1000`, nil)
+	p := newAgentProcess(t, c, testConfig(t, c))
+	c.order(launch("wk-000001", 0))
+	id := p.awaitProcess(p.taskFile("wk-000001.0.1", workDir+"/pid"))
+	defer func() { _ = id.Signal(syscall.SIGKILL) }()
+	c.await("the running task", func() bool { return len(c.last.Tasks) == 1 && c.last.Tasks[0].Status == protocol.TaskRunning })
+	c.mu.Lock()
+	epoch := c.last.AgentEpoch
+	c.mu.Unlock()
+	p.kill()
+	p.start()
+	c.await("the next epoch", func() bool { return c.last.AgentEpoch > epoch })
+	if state := processState(id.PID); state != "" {
+		t.Fatalf("the next epoch was told, and it runs on: %s", state)
+	}
+}
+
+// A task's program ends by itself and leaves such a process, beside another task that runs
+// and has one, too. The first is gone when its task's ending is told; the other lives.
+func TestWhatAnEndedProgramLeavesEnds(t *testing.T) {
+	c := newController(t)
+	const leaves = `(setsid env -i sleep 1000 & echo $! > pid.new; mv pid.new pid)`
+	c.job("wk-000001", leaves, nil)
+	c.job("wk-000002", leaves+`; exec sleep 1000`, nil)
+	p := newAgentProcess(t, c, testConfig(t, c))
+	c.order(launch("wk-000002", 0))
+	other := p.awaitProcess(p.taskFile("wk-000002.0.1", workDir+"/pid"))
+	defer func() { _ = other.Signal(syscall.SIGKILL) }()
+	c.order(launch("wk-000001", 0))
+	c.await("the ending", func() bool { return c.causes["wk-000001/0#1"] != "" })
+	raw, err := os.ReadFile(p.taskFile("wk-000001.0.1", workDir+"/pid"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(raw)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if state := processState(pid); state != "" {
+		t.Errorf("the ending was told, and it runs on: %s", state)
+		_ = syscall.Kill(pid, syscall.SIGKILL)
+	}
+	if cause := c.causes["wk-000001/0#1"]; cause != protocol.CauseDone || !other.Alive() {
+		t.Errorf("ended with %q; the other task's process lives: %v", cause, other.Alive())
+	}
+}
--- a/internal/proc/owner.go
+++ b/internal/proc/owner.go
@@ -21,7 +21,7 @@
 // SweepReport is what a sweep of an owner's processes saw and did.
 type SweepReport struct {
 	Leaders   int           // that were on record and alive
-	Members   int           // found by their group
+	Members   int           // found by their group or their parents
 	Marked    int           // found by their mark
 	Undecided int           // could not be told at the first look
 	Signalled int           // were sent SIGKILL, each as often as it was found
@@ -80,7 +80,7 @@
 
 // Count tells how many processes of the owner there are, threads apart, and signals none.
 func (o Owner) Count(patience time.Duration) (int, error) {
-	s := sweep{owner: o, until: time.Now().Add(patience), spares: true}
+	s := sweep{owner: o, look: o.look, until: time.Now().Add(patience), spares: true}
 	err := s.pass()
 	return len(s.found), err
 }
@@ -110,6 +110,7 @@
 // sweep is one run of Owner.End.
 type sweep struct {
 	owner  Owner
+	look   func(pid int) sighting
 	until  time.Time
 	spares bool // signals nobody
 	report SweepReport
@@ -119,7 +120,16 @@
 }
 
 func (s *sweep) run() error {
+	if err := s.endDescendants(); err != nil {
+		return err
+	}
 	s.killGroups()
+	s.look = s.owner.look
+	return s.endFound()
+}
+
+// endFound ends what passes find, until one finds nothing.
+func (s *sweep) endFound() error {
 	for {
 		err := s.pass()
 		switch {
@@ -142,9 +152,6 @@
 // killGroups ends the process groups on record whose leaders are there, each as a whole.
 func (s *sweep) killGroups() {
 	for _, leader := range s.owner.Leaders {
-		if leader.Alive() {
-			s.report.Leaders++
-		}
 		_ = KillGroup(leader, syscall.SIGKILL) // what it could not end is found by the passes
 	}
 }
@@ -215,13 +222,13 @@
 // visit looks at a process that /proc lists, and ends it if it is the owner's.
 func (s *sweep) visit(pid int) {
 	s.report.Looks++
-	s.take(s.owner.look(pid))
+	s.take(s.look(pid))
 }
 
 // visitNew looks at the process or thread of a number that was given just now.
 func (s *sweep) visitNew(number int) {
 	s.report.Looks++
-	seen := s.owner.look(number)
+	seen := s.look(number)
 	if seen.verdict != gone && seen.verdict != foreign && isThread(number) {
 		return
 	}
@@ -277,7 +284,7 @@
 	const first, longest = time.Millisecond, 16 * time.Millisecond
 	for pause := first; seen.verdict == undecided && time.Now().Before(s.until); pause = min(2*pause, longest) {
 		s.report.Looks++
-		if seen = s.owner.look(seen.id.PID); seen.verdict == undecided {
+		if seen = s.look(seen.id.PID); seen.verdict == undecided {
 			seen.id.Await(time.Now().Add(pause))
 		}
 	}
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -6,25 +6,28 @@
 // starter has written down who it is, and ends by itself if the starter dies
 // before.
 //
-// What a process starts in turn belongs to the same Owner, and is found by its process
-// group, as long as the group's leader is there, or by a mark in its environment.
+// What a process starts in turn belongs to the same Owner. It is found by its process
+// group, as long as the group's leader is there; by its parents, as long as the leader runs
+// and keeps its orphans (KeepOrphans); or by a mark in its environment. What outlives its
+// leader is handed to whoever started that, if it keeps orphans, too (EndOrphans).
 // Owner.End ends all of it and answers one question: is everything of this owner gone? Its
 // yes rests on what it saw, and on nothing that it did not see:
 //
 //   - What was found is awaited until the kernel says that the process is over, with all
 //     of its threads. That a signal was sent is no evidence.
+//   - A leader that runs is stopped, and ended only after all that descends from it.
 //   - A process that shows neither a mark nor an environment without one is undecided: it is
 //     replacing its program, or ending with its memory already gone. It is looked at again
 //     until it is decided or over.
 //   - The last pass found nothing, and it looked at every process: first at all that /proc
 //     lists, then at each number given since, until it reached the last one. At
 //     that moment every living process was looked at after it got its number. Whoever
-//     was still in fork then has a parent that was looked at as well, and that carried the
-//     mark. So one pass that finds nothing is enough.
+//     was still in fork then has a parent that was looked at as well, and that was
+//     the owner's. So one pass that finds nothing is enough.
 //
-// That rests on three things: a program does not drop its environment and leave its group
-// or outlive its leader; other users' processes are not the owner's; and the kernel gives
-// a number again only after it has given all others.
+// That rests on three things: a program that leaves its group and drops its environment does
+// not outlive, unseen, both its leader and the leader's starter; other users' processes are not the
+// owner's; and the kernel gives a number again only after it has given all others.
 package proc
 
 import (
--- a/internal/proc/sighting.go
+++ b/internal/proc/sighting.go
@@ -167,7 +167,7 @@
 func (o Owner) hasMark(environment []byte) bool {
 	for variable := range bytes.SplitSeq(environment, []byte{0}) {
 		mark, ok := strings.CutPrefix(string(variable), MarkEnv+"=")
-		if ok && (mark == o.Mark || strings.HasPrefix(mark, o.Mark+"/")) {
+		if ok && o.Mark != "" && (mark == o.Mark || strings.HasPrefix(mark, o.Mark+"/")) {
 			return true
 		}
 	}
--- a/internal/proc/start.go
+++ b/internal/proc/start.go
@@ -29,12 +29,11 @@
 	}
 	cmd.Env = append(cmd.Env, holdEnv+"=1")
 	cmd.ExtraFiles = append([]*os.File{r}, cmd.ExtraFiles...)
-	err = cmd.Start()
+	id, err := startNoted(cmd)
 	r.Close()
-	if err != nil {
+	if cmd.Process == nil {
 		return ID{}, err
 	}
-	id, err := Identify(cmd.Process.Pid)
 	if err == nil && keep != nil {
 		err = keep(id)
 	}
@@ -50,6 +49,18 @@
 	return id, nil
 }
 
+// startNoted starts a command so that it is not taken for an orphan.
+func startNoted(cmd *exec.Cmd) (ID, error) {
+	started.Lock()
+	defer started.Unlock()
+	if err := cmd.Start(); err != nil {
+		return ID{}, err
+	}
+	id, err := Identify(cmd.Process.Pid)
+	noteStarted(id)
+	return id, err
+}
+
 // Hold waits for the word of a starter, in a process that was started held; in
 // any other it returns at once. It returns an error when the starter is gone.
 func Hold() error {
--- a/internal/proc/stat.go
+++ b/internal/proc/stat.go
@@ -20,6 +20,7 @@
 // counts from the number, which is 1; the state is 3).
 const (
 	fieldState    = 0
+	fieldParent   = 1
 	fieldGroup    = 2
 	fieldFlags    = 6
 	fieldUser     = 11
@@ -37,6 +38,7 @@
 // stat is what /proc says of a process, or of one of its threads.
 type stat struct {
 	state    byte
+	parent   int
 	group    int
 	flags    uint64
 	threads  int
@@ -88,6 +90,7 @@
 	const tick = time.Second / 100
 	s := stat{
 		state:    fields[fieldState][0],
+		parent:   int(number(fieldParent)),
 		group:    int(number(fieldGroup)),
 		flags:    number(fieldFlags),
 		threads:  int(number(fieldThreads)),
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -200,6 +200,7 @@
 	start := func() string {
 		cmd = exec.Command(os.Args[0])
 		cmd.Env = append(os.Environ(), "PROVIDER_DIR="+dir)
+		cmd.Stderr = os.Stderr // why it did not start
 		out, err := cmd.StdoutPipe()
 		if err != nil {
 			t.Fatal(err)
