--- /dev/null
+++ b/internal/proc/benchmark_test.go
@@ -0,0 +1,57 @@
+package proc
+
+import (
+	"os"
+	"os/exec"
+	"strconv"
+	"testing"
+)
+
+// BenchmarkEnd measures sweeps of which nothing is left to end, beside as many foreign
+// processes as there are, and more: one over a machine, and those after a task's end.
+func BenchmarkEnd(b *testing.B) {
+	for _, more := range []int{0, 300} {
+		b.Run(strconv.Itoa(more), func(b *testing.B) {
+			for range more {
+				cmd := exec.Command("/bin/sleep", "1000")
+				if err := cmd.Start(); err != nil {
+					b.Fatal(err)
+				}
+				defer func() {
+					_ = cmd.Process.Kill()
+					_ = cmd.Wait()
+				}()
+			}
+			self, err := Identify(os.Getpid())
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Run("machine", func(b *testing.B) {
+				for b.Loop() {
+					if _, err := (Owner{Mark: "nobody's mark"}).End(patience); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(countProcesses(b)), "processes")
+			})
+			b.Run("task", func(b *testing.B) {
+				for b.Loop() {
+					if _, err := (Owner{Mark: "nobody's mark", Since: self.Start + 1<<30}).End(patience); err != nil {
+						b.Fatal(err)
+					}
+					if err := EndOrphans(patience); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		})
+	}
+}
+
+func countProcesses(b *testing.B) int {
+	pids, err := processes()
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(pids)
+}
