--- a/internal/agent/sweep_test.go
+++ b/internal/agent/sweep_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -373,3 +374,30 @@
 		t.Errorf("ended with %q; the other task's process lives: %v", cause, other.Alive())
 	}
 }
+
+// An agent that is started again listens where it did before, so that controllers reach it
+// there. While it was away another process may have got that port, for a connection
+// of its own. The agent ended then, each time it was started, and the machine was lost: once in 320 runs of
+// TestNoTaskOutlivesItsAgentOrLease beside load, "a new session without tasks: never; causes
+// map[]", no heartbeat after the agent's end, as here each time.
+func TestAnAgentWhosePortIsTakenListensElsewhere(t *testing.T) {
+	c := newController(t)
+	p := newAgentProcess(t, c, testConfig(t, c))
+	c.await("a heartbeat", func() bool { return c.last.AgentEpoch > 0 })
+	c.mu.Lock()
+	epoch, address := c.last.AgentEpoch, c.last.Address
+	c.mu.Unlock()
+	p.kill()
+	taken, err := net.Listen("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	p.start()
+	c.await("the next epoch", func() bool { return c.last.AgentEpoch > epoch })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last.Address == address {
+		t.Errorf("listens at %s, which is taken", address)
+	}
+}
