Agent: waits for the port that it had before

Symptom: a restarted agent ended at once, 'a new session without tasks: never; causes map[]'. Cause: a connection of another process had got its port. It waits for a lease now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -192,12 +192,8 @@
 	if err := a.startWatchdog(); err != nil {
 		return fmt.Errorf("watchdog: %w", err)
 	}
-	listen := a.cfg.Listen
-	if host, port, err := net.SplitHostPort(listen); err == nil && port == "0" && a.persisted.Port != 0 {
-		listen = net.JoinHostPort(host, strconv.Itoa(a.persisted.Port))
-	}
 	a.server.Ready = func(addrs []net.Addr) { a.begin(addrs[0].String()) }
-	err := a.server.Run(listen, "")
+	err := a.server.Run(a.listenAddress(), "")
 	a.mu.Lock()
 	a.shutdown.begun = true
 	if a.schedule.timer != nil {
@@ -212,6 +208,27 @@
 	return errors.Join(failed, err)
 }
 
+// listenAddress is where the agent listens: where any port will do, at the one that it had
+// before. Controllers send commands there until they claim the machine anew, so another one
+// would be wrong; a process that has got it meanwhile is waited for, for a lease.
+func (a *Agent) listenAddress() string {
+	host, port, err := net.SplitHostPort(a.cfg.Listen)
+	if err != nil || port != "0" || a.persisted.Port == 0 {
+		return a.cfg.Listen
+	}
+	const period = 100 * time.Millisecond
+	address := net.JoinHostPort(host, strconv.Itoa(a.persisted.Port))
+	for until := time.Now().Add(seconds(a.cfg.Workers.Lease)); time.Now().Before(until); time.Sleep(period) {
+		probe, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = probe.Close()
+			break
+		}
+		a.log.Debug("the port of before is taken", "listen", address, "error", err)
+	}
+	return address
+}
+
 // Stop ends the agent and its tasks, as a machine that is switched off.
 func (a *Agent) Stop() { a.server.Stop() }
 
