--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -61,6 +62,9 @@
 		c.Fail("SILVERGATE does not name the program")
 	}
 	c.Log("case", "trouble=%v", c.Trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { c.Fail("ended by signal: %v", <-signals) }()
 	time.AfterFunc(limit, func() { c.Fail("the case has taken longer than %s", limit) })
 	return c
 }
