--- a/internal/datastore/disk.go
+++ b/internal/datastore/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"syscall"
 
@@ -9,10 +10,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// disk writes a store's chunks and manifests, so that tests can simulate a full disk.
+// disk writes a store's files, so that tests can simulate a full disk.
 type disk interface {
 	// WriteAt writes a part of a file of a copy.
 	WriteAt(f *os.File, b []byte, off int64) error
+	// Clone makes an empty file share the blocks of another until one of the two is
+	// written to. Not all file systems can.
+	Clone(to, from *os.File) error
 	// Replace writes a small file atomically and durably.
 	Replace(path string, b []byte) error
 	// Sync makes all data durable that was written to the file system of a folder.
@@ -27,6 +31,10 @@
 	return err
 }
 
+func (osDisk) Clone(to, from *os.File) error {
+	return unix.IoctlFileClone(int(to.Fd()), int(from.Fd()))
+}
+
 func (osDisk) Replace(path string, b []byte) error { return renameio.WriteFile(path, b, 0o600) }
 
 func (osDisk) Sync(dir *os.File) error { return unix.Syncfs(int(dir.Fd())) }
@@ -35,3 +43,31 @@
 func isDiskFull(err error) bool {
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
 }
+
+// writeAt writes a part of a file. If the disk is full, because other programs fill it although
+// the store is within its capacity, it evicts one copy that is not in use and tries once more.
+func (s *Store) writeAt(f *os.File, data []byte, offset int64) error {
+	err := s.disk.WriteAt(f, data, offset)
+	if !isDiskFull(err) {
+		return err
+	}
+	s.mu.Lock()
+	err = s.makeRoom(s.cfg.Capacity - s.used() + 1)
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return s.wrapDiskFull(s.disk.WriteAt(f, data, offset))
+}
+
+// wrapDiskFull wraps an error of a full disk in ErrFull and counts it as a refused copy;
+// it returns other errors unchanged.
+func (s *Store) wrapDiskFull(err error) error {
+	if !isDiskFull(err) {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Refused++
+	return fmt.Errorf("%w: %w", ErrFull, err)
+}
--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -166,7 +166,7 @@
 	}
 	t := &target{store: s, fetch: f, manifest: m}
 	if err := s.disk.Replace(s.manifestPath(id), raw); err != nil {
-		return t.wrapDiskFull(err)
+		return s.wrapDiskFull(err)
 	}
 	missing, err := t.prepare()
 	if err != nil {
--- a/internal/datastore/held.go
+++ b/internal/datastore/held.go
@@ -10,17 +10,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sys/unix"
 
 	"silvergate/internal/dataset"
 )
 
 // heldCopy is a whole copy in the store.
 type heldCopy struct {
-	manifest     *dataset.Manifest
-	bytes        int64
-	lastUse      uint64
-	fileModTimes []time.Time // modification times of the files when they were verified
+	manifest *dataset.Manifest
+	bytes    int64
+	lastUse  uint64
 }
 
 // chunkLocation says where a chunk is stored: the copy, the file's index in its manifest
@@ -85,26 +83,26 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &heldCopy{manifest: m, bytes: m.Bytes()}
-	h.fileModTimes, err = s.modTimes(copiesDir, id, m)
-	return h, err
+	if err := s.checkSizes(id, m); err != nil {
+		return nil, err
+	}
+	return &heldCopy{manifest: m, bytes: m.Bytes()}, nil
 }
 
-// modTimes returns the modification times of a copy's files. folder is copiesDir or
-// partialDir. It returns an error unless all files exist and have the sizes of the manifest.
-func (s *Store) modTimes(folder string, id dataset.ID, m *dataset.Manifest) ([]time.Time, error) {
-	var out []time.Time
+// checkSizes returns an error unless all files of a copy exist and have the sizes of the
+// manifest. It doesn't read them: Place verifies what it gives to a task, and Chunk what it
+// serves.
+func (s *Store) checkSizes(id dataset.ID, m *dataset.Manifest) error {
 	for i := range m.Files {
-		info, err := os.Stat(s.filePath(folder, id, &m.Files[i]))
+		info, err := os.Stat(s.filePath(copiesDir, id, &m.Files[i]))
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if info.Size() != m.Files[i].Size {
-			return nil, fmt.Errorf("%s has %d bytes instead of %d", m.Files[i].Path, info.Size(), m.Files[i].Size)
+			return fmt.Errorf("%s has %d bytes instead of %d", m.Files[i].Path, info.Size(), m.Files[i].Size)
 		}
-		out = append(out, info.ModTime())
 	}
-	return out, nil
+	return nil
 }
 
 // Held returns the IDs of the copies in the store, the most recently used first.
@@ -164,77 +162,3 @@
 	slices.SortFunc(out, func(a, b Progress) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
-
-// Place puts a copy's files into a folder, which must not exist and which Place creates.
-// Files are cloned where the file system supports it, so that a task that writes to its
-// inputs changes only its own files. Elsewhere files are hard-linked, and Place checks
-// before each use whether a task has written to the copy's files; it then removes the
-// copy. In this case, and if the store does not have the copy, the error wraps
-// ErrNotHeld. The folder belongs to the caller, who also removes it after an error.
-func (s *Store) Place(id dataset.ID, dir string) error {
-	s.mu.Lock()
-	h := s.copies[id]
-	if h == nil {
-		s.mu.Unlock()
-		return ErrNotHeld
-	}
-	s.useCounter++
-	h.lastUse = s.useCounter
-	s.pins[id]++
-	s.mu.Unlock()
-	defer s.Unpin(id)
-	now := time.Now()
-	_ = os.Chtimes(filepath.Join(s.cfg.Dir, copiesDir, string(id)), now, now)
-	times, err := s.modTimes(copiesDir, id, h.manifest)
-	if err == nil && !slices.EqualFunc(times, h.fileModTimes, time.Time.Equal) {
-		err = errors.New("a task has written to its files")
-	}
-	if err != nil {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.log.Error("a copy has changed on disk and is removed", "copy", id, "error", err)
-		return errors.Join(ErrNotHeld, s.evict(id))
-	}
-	if err := os.MkdirAll(filepath.Dir(dir), 0o700); err != nil {
-		return err
-	}
-	if err := os.Mkdir(dir, 0o700); err != nil {
-		return err
-	}
-	for i := range h.manifest.Files {
-		f := &h.manifest.Files[i]
-		to := filepath.Join(dir, filepath.FromSlash(f.Path))
-		if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
-			return err
-		}
-		if err := cloneOrLink(s.filePath(copiesDir, id, f), to); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// cloneOrLink clones a file, or hard-links it if the file system can't clone.
-func cloneOrLink(from, to string) error {
-	src, err := os.Open(from)
-	if err != nil {
-		return err
-	}
-	defer src.Close()
-	info, err := src.Stat()
-	if err != nil {
-		return err
-	}
-	dst, err := os.OpenFile(to, os.O_CREATE|os.O_EXCL|os.O_WRONLY, info.Mode().Perm()|0o200)
-	if err != nil {
-		return err
-	}
-	err = unix.IoctlFileClone(int(dst.Fd()), int(src.Fd()))
-	if err == nil {
-		return dst.Close()
-	}
-	if err := errors.Join(dst.Close(), os.Remove(to)); err != nil {
-		return err
-	}
-	return os.Link(from, to)
-}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -8,9 +8,9 @@
 // use are pinned; the others are evicted to make room, the least recently used first.
 //
 // plan.go decides which chunk is requested from which source, fetch.go sends the
-// requests, and target.go writes the chunks. held.go loads, lists and places copies,
-// evict.go makes room, serve.go answers other machines, and store.go opens the store and
-// reads chunks.
+// requests, and target.go writes the chunks. held.go loads and lists copies, place.go gives
+// tasks files of their own, evict.go makes room, serve.go answers other machines, and store.go
+// opens the store and reads chunks.
 package datastore
 
 import (
@@ -280,7 +280,7 @@
 }
 
 // readChunk reads a chunk of a file. It returns nil if the chunk can't be read or does not
-// have the hash want: a task may have written to a file that was linked into its folder.
+// have the hash want, for example because the disk has damaged it.
 func readChunk(path string, f *dataset.File, chunk int, want dataset.Hash) []byte {
 	src, err := os.Open(path)
 	if err != nil {
@@ -288,12 +288,27 @@
 	}
 	defer src.Close()
 	buf := make([]byte, chunkLen(f, chunk))
-	if _, err := src.ReadAt(buf, int64(chunk)*dataset.ChunkSize); err != nil || dataset.Sum(buf) != want {
+	if readVerified(src, buf, int64(chunk)*dataset.ChunkSize, want) != nil {
 		return nil
 	}
 	return buf
 }
 
+// errChunkDiffers means that a chunk on disk does not have the hash of its manifest.
+var errChunkDiffers = errors.New("a chunk differs from the manifest")
+
+// readVerified fills buf from a file at an offset and returns an error unless the bytes read
+// have the hash want.
+func readVerified(file *os.File, buf []byte, offset int64, want dataset.Hash) error {
+	if _, err := file.ReadAt(buf, offset); err != nil {
+		return err
+	}
+	if dataset.Sum(buf) != want {
+		return errChunkDiffers
+	}
+	return nil
+}
+
 // Stats returns the current counters.
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -297,7 +297,7 @@
 }
 
 // TestRoomPinsAndSharing fills a small store. It guards against evicting copies in use,
-// fetching chunks that another copy has, and using a copy that a task has written to.
+// fetching chunks that another copy has, and tasks that read what another task wrote.
 func TestRoomPinsAndSharing(t *testing.T) {
 	root := t.TempDir()
 	srv := startServer(t, root, fakeserver.Faults{})
@@ -332,8 +332,7 @@
 	if !s.Drop(ws[0].ID) || s.Has(ws[0].ID) {
 		t.Error("a copy that is not in use was not dropped")
 	}
-	// A task that writes to a file that was linked into its folder must not change the
-	// inputs of other tasks.
+	// A task that writes to its inputs must not change the inputs of other tasks.
 	place := filepath.Join(t.TempDir(), "in")
 	if err := s.Place(ws[2].ID, place); err != nil {
 		t.Fatal(err)
@@ -344,13 +343,12 @@
 	}
 	s.Unpin(ws[2].ID)
 	again := filepath.Join(t.TempDir(), "in")
-	if err := s.Place(ws[2].ID, again); err == nil { // the file system clones
-		m, _ := dataset.Build(again, "set", "2", nil)
-		if raw, _ := m.Encode(); dataset.Sum(raw) != ws[2].Digest {
-			t.Error("a changed copy was placed")
-		}
-	} else if !errors.Is(err, ErrNotHeld) || s.Has(ws[2].ID) {
-		t.Errorf("placing a changed copy: %v", err)
+	if err := s.Place(ws[2].ID, again); err != nil {
+		t.Fatalf("placing a copy whose earlier task has written to its inputs: %v", err)
+	}
+	m, _ := dataset.Build(again, "set", "2", nil)
+	if raw, _ := m.Encode(); dataset.Sum(raw) != ws[2].Digest {
+		t.Error("a changed copy was placed")
 	}
 }
 
--- a/internal/datastore/target.go
+++ b/internal/datastore/target.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"silvergate/internal/dataset"
 )
@@ -47,92 +47,105 @@
 func (t *target) prepare() (missing []int, err error) {
 	n := 0
 	for i := range t.manifest.Files {
-		f := &t.manifest.Files[i]
 		t.firstChunks = append(t.firstChunks, n)
-		path := t.filePath(i)
-		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-			return nil, t.wrapDiskFull(err)
-		}
-		if t.linkShared(i) {
-			n += len(f.Chunks)
-			continue
-		}
-		mode := os.FileMode(0o600)
-		if f.Exec {
-			mode = 0o700
-		}
-		file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, mode)
+		missing, err = t.prepareFile(i, missing)
 		if err != nil {
-			return nil, t.wrapDiskFull(err)
+			return nil, t.store.wrapDiskFull(err)
 		}
-		old, err := file.Stat()
-		if err == nil && old.Size() != f.Size {
-			err = file.Truncate(f.Size)
+		n += len(t.manifest.Files[i].Chunks)
+	}
+	return missing, nil
+}
+
+// prepareFile creates file i and appends the numbers of its missing chunks to missing.
+func (t *target) prepareFile(i int, missing []int) ([]int, error) {
+	f := &t.manifest.Files[i]
+	path := t.filePath(i)
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return nil, err
+	}
+	t.cloneShared(i)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode(f))
+	if err != nil {
+		return nil, err
+	}
+	missing, err = t.fillFromDisk(file, i, missing)
+	return missing, errors.Join(err, file.Close())
+}
+
+// fillFromDisk keeps the correct chunks of file i, writes those that other copies have, and
+// appends the numbers of the others to missing.
+func (t *target) fillFromDisk(file *os.File, i int, missing []int) ([]int, error) {
+	f := &t.manifest.Files[i]
+	old, err := file.Stat()
+	if err != nil {
+		return nil, err
+	}
+	if old.Size() != f.Size {
+		if err := file.Truncate(f.Size); err != nil {
+			return nil, err
 		}
-		if err != nil {
-			file.Close()
-			return nil, t.wrapDiskFull(err)
+	}
+	buf := make([]byte, dataset.ChunkSize)
+	for k, want := range f.Chunks {
+		at := int64(k) * dataset.ChunkSize
+		// A part that was never written is a hole and reads as zeros.
+		if old.Size() > at && readVerified(file, buf[:chunkLen(f, k)], at, want) == nil {
+			continue
 		}
-		for k, want := range f.Chunks {
-			buf := make([]byte, chunkLen(f, k))
-			at := int64(k) * dataset.ChunkSize
-			// A part that was never written is a hole and reads as zeros.
-			if old.Size() > at {
-				if _, err := file.ReadAt(buf, at); err == nil && dataset.Sum(buf) == want {
-					n++
-					continue
-				}
-			}
-			if data := t.localChunk(want); data != nil {
-				if err := t.store.disk.WriteAt(file, data, at); err != nil {
-					file.Close()
-					return nil, t.wrapDiskFull(err)
-				}
-			} else {
-				missing = append(missing, n)
-			}
-			n++
+		data := t.localChunk(want)
+		if data == nil {
+			missing = append(missing, t.firstChunks[i]+k)
+			continue
 		}
-		if err := file.Close(); err != nil {
+		if err := t.store.disk.WriteAt(file, data, at); err != nil {
 			return nil, err
 		}
 	}
 	return missing, nil
 }
 
-// linkShared clones or links file i from another copy that has the same file. It
-// reports whether it did.
-func (t *target) linkShared(i int) bool {
+// fileMode returns the permissions of a copy's file.
+func fileMode(f *dataset.File) os.FileMode {
+	if f.Exec {
+		return 0o700
+	}
+	return 0o600
+}
+
+// cloneShared clones file i from another copy that has the same file, if the file system can
+// clone files. Without a clone, the chunks are copied one by one. The caller verifies what the
+// file holds.
+func (t *target) cloneShared(i int) {
 	f := &t.manifest.Files[i]
 	if len(f.Chunks) == 0 || exists(t.filePath(i)) {
-		return false
+		return
 	}
 	t.store.mu.Lock()
 	p, h := t.store.findChunk(f.Chunks[0])
-	ok := h != nil && p.chunk == 0
-	if ok {
-		o := &h.manifest.Files[p.file]
-		ok = o.Size == f.Size && o.Exec == f.Exec && len(o.Chunks) == len(f.Chunks)
-		for k := range f.Chunks {
-			ok = ok && o.Chunks[k] == f.Chunks[k]
-		}
-	}
-	if ok {
-		t.store.pins[p.id]++
-		t.store.stats.Shared += f.Size
+	if h == nil || p.chunk != 0 || !slices.Equal(h.manifest.Files[p.file].Chunks, f.Chunks) {
+		t.store.mu.Unlock()
+		return
 	}
+	t.store.pins[p.id]++
 	t.store.mu.Unlock()
-	if !ok {
-		return false
-	}
 	defer t.store.Unpin(p.id)
-	from := t.store.filePath(copiesDir, p.id, &h.manifest.Files[p.file])
-	for k, want := range f.Chunks {
-		if readChunk(from, f, k, want) == nil {
-			return false
-		}
+	from, err := os.Open(t.store.filePath(copiesDir, p.id, &h.manifest.Files[p.file]))
+	if err != nil {
+		return
+	}
+	defer from.Close()
+	to, err := os.OpenFile(t.filePath(i), os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode(f))
+	if err != nil {
+		return
 	}
-	return cloneOrLink(from, t.filePath(i)) == nil
+	defer to.Close()
+	if t.store.disk.Clone(to, from) != nil {
+		return
+	}
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	t.store.stats.Shared += f.Size
 }
 
 // exists reports whether there is anything at a path.
@@ -159,44 +172,15 @@
 	return data
 }
 
-// wrapDiskFull wraps an error of a full disk in ErrFull and counts it as a refused copy;
-// it returns other errors unchanged. Other programs can fill the disk although the store
-// is within its capacity.
-func (t *target) wrapDiskFull(err error) error {
-	if !isDiskFull(err) {
-		return err
-	}
-	t.store.mu.Lock()
-	defer t.store.mu.Unlock()
-	t.store.stats.Refused++
-	return fmt.Errorf("%w: %w", ErrFull, err)
-}
-
-// writeChunk writes verified chunk n. If the disk is full, it evicts one copy and tries
-// once more.
+// writeChunk writes verified chunk n.
 func (t *target) writeChunk(n int, data []byte) error {
 	file, chunk, _ := t.locate(n)
-	for try := 0; ; try++ {
-		f, err := os.OpenFile(t.filePath(file), os.O_WRONLY, 0)
-		if err != nil {
-			return err
-		}
-		err = t.store.disk.WriteAt(f, data, int64(chunk)*dataset.ChunkSize)
-		if err = errors.Join(err, f.Close()); err == nil {
-			return nil
-		}
-		if !isDiskFull(err) || try > 0 {
-			return t.wrapDiskFull(err)
-		}
-		// Another program fills the disk: evict one copy that is not in use, and
-		// try once more.
-		t.store.mu.Lock()
-		err = t.store.makeRoom(t.store.cfg.Capacity - t.store.used() + 1)
-		t.store.mu.Unlock()
-		if err != nil {
-			return err
-		}
+	f, err := os.OpenFile(t.filePath(file), os.O_WRONLY, 0)
+	if err != nil {
+		return err
 	}
+	err = t.store.writeAt(f, data, int64(chunk)*dataset.ChunkSize)
+	return errors.Join(err, f.Close())
 }
 
 // publish makes the copy durable and then visible to the store's users.
@@ -209,11 +193,7 @@
 	}
 	err = errors.Join(t.store.disk.Sync(d), d.Close())
 	if err != nil {
-		return t.wrapDiskFull(err)
-	}
-	times, err := t.store.modTimes(partialDir, id, t.manifest)
-	if err != nil {
-		return err
+		return t.store.wrapDiskFull(err)
 	}
 	t.store.mu.Lock()
 	defer t.store.mu.Unlock()
@@ -222,7 +202,7 @@
 	}
 	t.fetch.reservedBytes = 0
 	t.store.useCounter++
-	t.store.addCopy(id, &heldCopy{manifest: t.manifest, bytes: t.manifest.Bytes(), lastUse: t.store.useCounter, fileModTimes: times})
+	t.store.addCopy(id, &heldCopy{manifest: t.manifest, bytes: t.manifest.Bytes(), lastUse: t.store.useCounter})
 	t.store.emit(Event{Kind: "visible", ID: id, Urgent: t.fetch.want.Urgent})
 	return nil
 }
