agent: inputs are placed before a task counts as running

Callers saw, since tasks get files of their own: while a task's inputs are copied, the task is reported as running, and a stop or a cancellation waits for the copy to be whole. Longer known: a copy that the disk has damaged failed the attempt, as an error of the job's own program.

Cause: startTask placed the inputs as part of the start, in the phase running, as it took no time with links.

Change: fetching and placing are one preparation (internal/agent/input_preparation.go) in a goroutine of its own, in the phase fetching, which is reported as pulling. An end of the attempt cancels it between two chunks, and nothing is left of the folder. Heartbeats wait for none of it. A damaged copy is fetched again, up to three times; then the task goes to another machine (no_room), as with a full disk, and no failure is counted. Urgent placements go first: others stop between two chunks until they are done. Copies are pinned until they are placed, no longer until the attempt ends, as its files are its own. The tasks of a gang wait for one another once all their inputs are there. Store.Stats counts placements and their time, events.jsonl has them as "place" and "placed".

New tests of the store: a full disk at any write, a cancellation at any write, urgent before others, damage with (stand-in) clones.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -169,6 +169,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	startAgent(t, a)
+	return a
+}
+
+// startAgent runs an agent until the test ends.
+func startAgent(t *testing.T, a *Agent) {
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run() }()
 	t.Cleanup(func() {
@@ -177,7 +183,6 @@
 			t.Error(err)
 		}
 	})
-	return a
 }
 
 // TestTasksRunAndEndWhole runs real programs: one that succeeds, one that
--- a/internal/agent/inputs.go
+++ b/internal/agent/inputs.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"path/filepath"
 	"strings"
-	"time"
 
 	"silvergate/internal/dataset"
 	"silvergate/internal/datastore"
@@ -44,19 +43,19 @@
 	return nil
 }
 
-// inputStore connects the agent to its store of data sets: it fetches and
-// pins the inputs of attempts, carries out staging commands, and reports what the
-// store holds. A nil inputStore stands for a machine without a store. The agent's
+// inputStore connects the agent to its store of data sets: it fetches the inputs of
+// attempts and places them in their folders, carries out staging commands, and reports
+// what the store holds. A nil inputStore stands for a machine without a store. The agent's
 // lock guards it.
 type inputStore struct {
-	agent      *Agent
-	store      *datastore.Store
-	pinned     map[TaskAttempt][]dataset.ID
-	staged     map[dataset.ID]bool
-	failed     map[dataset.ID]bool // fetches that failed since the last heartbeat
-	sentDigest string              // the store's digest at the last heartbeat
-	listCopies bool                // the next heartbeat lists all copies
-	trace      *tracer             // nil: off
+	agent        *Agent
+	store        *datastore.Store
+	preparations map[TaskAttempt]*inputPreparation // under way
+	staged       map[dataset.ID]bool
+	failed       map[dataset.ID]bool // fetches that failed since the last heartbeat
+	sentDigest   string              // the store's digest at the last heartbeat
+	listCopies   bool                // the next heartbeat lists all copies
+	trace        *tracer             // nil: off
 }
 
 var errNoStore = errors.New("this machine has no store of data sets (staging is off)")
@@ -76,7 +75,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("store of data sets: %w", err)
 	}
-	d := &inputStore{agent: a, store: s, pinned: map[TaskAttempt][]dataset.ID{}, staged: map[dataset.ID]bool{}, failed: map[dataset.ID]bool{}, listCopies: true}
+	d := &inputStore{agent: a, store: s, preparations: map[TaskAttempt]*inputPreparation{}, staged: map[dataset.ID]bool{}, failed: map[dataset.ID]bool{}, listCopies: true}
 	if c.Trace {
 		if d.trace, err = newTracer(filepath.Join(a.cfg.Dir, "data", EventsFile), a.cfg.Worker); err != nil {
 			return nil, err
@@ -88,10 +87,17 @@
 	return d, nil
 }
 
+// close cancels all preparations and fetches.
 func (d *inputStore) close() {
-	if d != nil {
-		d.store.Close()
+	if d == nil {
+		return
+	}
+	d.agent.mu.Lock()
+	for _, p := range d.preparations {
+		p.cancel()
 	}
+	d.agent.mu.Unlock()
+	d.store.Close()
 }
 
 // parseWant checks the record of a data set's version and returns the request to the store for it.
@@ -112,79 +118,20 @@
 	if d == nil {
 		return
 	}
-	for k, ids := range d.pinned {
+	for k, p := range d.preparations {
 		if !d.agent.worker.Live(k) {
-			delete(d.pinned, k)
-			for _, id := range ids {
-				d.store.Unpin(id)
-			}
+			p.cancel()
+			p.unpin(d.store)
 		}
 	}
 	for _, k := range e.FetchInputs {
-		d.fetchInputs(k, d.agent.worker.Description(k.Job))
+		d.prepareInputs(k, d.agent.worker.Description(k.Job))
 	}
 	if e.StagingCommands != nil {
 		d.stage(e.StagingCommands)
 	}
 }
 
-// fetchInputs pins an attempt's inputs and starts fetching them.
-func (d *inputStore) fetchInputs(k TaskAttempt, desc *protocol.JobDescription) {
-	if desc == nil {
-		return
-	}
-	urgent := protocol.IsUrgent(desc.Priority)
-	var wants []datastore.Want
-	var invalid error
-	for i := range desc.Inputs {
-		w, err := parseWant(&desc.Inputs[i].DataSet, urgent)
-		invalid = errors.Join(invalid, err)
-		wants = append(wants, w)
-	}
-	if invalid != nil {
-		go d.reportInputs(k, invalid)
-		return
-	}
-	remaining := len(wants)
-	for _, w := range wants {
-		d.pinned[k] = append(d.pinned[k], w.ID)
-		d.store.Pin(w.ID)
-		d.trace.write(Event{At: time.Now(), Kind: "needed", Load: k.String(), Copy: string(w.ID), Urgent: urgent})
-	}
-	for _, w := range wants {
-		var fetch func(pause time.Duration)
-		fetch = func(pause time.Duration) {
-			d.store.Fetch(w, func(err error) {
-				d.agent.mu.Lock()
-				live := d.agent.worker.Live(k) && !d.agent.shutdown.begun
-				if err == nil {
-					remaining--
-				}
-				last := remaining == 0
-				d.agent.mu.Unlock()
-				switch {
-				case !live:
-				case err == nil && last, errors.Is(err, datastore.ErrFull):
-					d.reportInputs(k, err)
-				case err != nil:
-					// Sources may become available again, so the fetch is retried until the attempt ends.
-					time.AfterFunc(pause, func() { fetch(min(2*pause, seconds(d.agent.cfg.Workers.Lease))) })
-				}
-			})
-		}
-		fetch(seconds(d.agent.cfg.Workers.Heartbeat / 4))
-	}
-}
-
-func (d *inputStore) reportInputs(k TaskAttempt, err error) {
-	d.agent.step(func() Effects {
-		if err != nil {
-			d.agent.log.Error("inputs can't be fetched", "task", k.TaskName(), "error", err)
-		}
-		return d.agent.worker.InputsFetched(d.agent.clock(), k, err, errors.Is(err, datastore.ErrFull))
-	})
-}
-
 // stage carries out a controller's staging commands. They list all data sets to be staged: fetches
 // that they don't list any more are cancelled.
 func (d *inputStore) stage(o *protocol.StoreOrders) {
@@ -267,27 +214,6 @@
 	}
 }
 
-// place puts an attempt's complete inputs into its working directory, before its
-// program starts.
-func (d *inputStore) place(dir string, list []protocol.InputCopy, wanted int) error {
-	if wanted != len(list) || d == nil && wanted > 0 {
-		return errNoStore
-	}
-	for i := range list {
-		w, err := parseWant(&list[i].DataSet, false)
-		if err == nil && !protocol.ValidRelativePath(list[i].Path) {
-			err = errors.New("not a path inside the working directory")
-		}
-		if err == nil {
-			err = d.store.Place(w.ID, filepath.Join(dir, filepath.FromSlash(list[i].Path)))
-		}
-		if err != nil {
-			return fmt.Errorf("inputs[%d] (%s/%s): %w", i, list[i].Set, list[i].Version, err)
-		}
-	}
-	return nil
-}
-
 // serve answers another machine's request for a chunk. It returns false if the request is not for
 // a chunk.
 func (d *inputStore) serve(id uint64, method, path string) bool {
--- /dev/null
+++ b/internal/agent/inputs_test.go
@@ -0,0 +1,164 @@
+package agent
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"silvergate/internal/dataset"
+	"silvergate/internal/datastore"
+	"silvergate/internal/fakeserver"
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// stagingSite is a controller, a file server with one data set, and the configuration of an
+// agent whose tasks read it.
+type stagingSite struct {
+	controller *fakeController
+	server     *fakeserver.FileServer
+	cfg        Config
+	data       []byte
+	input      protocol.InputCopy
+	copyID     dataset.ID
+}
+
+// newStagingSite publishes a data set whose one file, roster.txt, has some bytes.
+func newStagingSite(t *testing.T, size int) *stagingSite {
+	t.Helper()
+	folder, root := t.TempDir(), t.TempDir()
+	s := &stagingSite{controller: newFakeController(t), data: bytes.Repeat([]byte("truck 0001\n"), size/11+1)[:size]}
+	err := os.WriteFile(filepath.Join(folder, "roster.txt"), s.data, 0o600)
+	m, buildErr := dataset.Build(folder, "roster", "1", nil)
+	if err := errors.Join(err, buildErr); err != nil {
+		t.Fatal(err)
+	}
+	digest, err := dataset.Publish(folder, root, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.server, err = fakeserver.Serve("127.0.0.1:0", root, 1); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.server.Close)
+	s.copyID = dataset.IDOf(digest)
+	s.input = protocol.InputCopy{Path: "in", DataSet: protocol.DataSet{Set: "roster", Version: "1", Digest: digest.String(),
+		Bytes: int64(size), Sources: []string{s.server.Address()}}}
+	s.cfg = testConfig(t, s.controller)
+	s.cfg.Staging = &Staging{CapacityGB: 0.1}
+	return s
+}
+
+// addReader adds a job whose tasks read the data set.
+func (s *stagingSite) addReader(id, script string, change func(*protocol.JobDescription)) {
+	s.controller.add(id, script, func(d *protocol.JobDescription) {
+		d.Inputs = []protocol.InputCopy{s.input}
+		d.Extra.Inputs = []job.Input{{Set: "roster", Version: "1", Path: "in"}}
+		if change != nil {
+			change(d)
+		}
+	})
+}
+
+// storePath returns the path of the data set's file in the store.
+func (s *stagingSite) storePath() string {
+	return filepath.Join(s.cfg.Dir, "data", "copies", string(s.copyID), "roster.txt")
+}
+
+// taskPath returns a path below an attempt's folder.
+func (s *stagingSite) taskPath(k TaskAttempt, name string) string {
+	return filepath.Join(s.cfg.Dir, tasksDir, k.String(), name)
+}
+
+// status returns a task's status in the last heartbeat; the controller's lock is held.
+func (s *stagingSite) status(task string) protocol.TaskState {
+	for _, status := range s.controller.last.Tasks {
+		if status.Task == task {
+			return status.Status
+		}
+	}
+	return ""
+}
+
+// TestATaskIsStoppedWhileItsInputsArePlaced guards against a task that counts as running, and
+// can't be stopped, while its inputs are copied into its folder.
+func TestATaskIsStoppedWhileItsInputsArePlaced(t *testing.T) {
+	s := newStagingSite(t, 3<<20)
+	s.addReader("wk-000001", "touch $HOME/ran; sleep 60", nil)
+	a, err := New(s.cfg, os.Args[0], discardLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	placing, release := make(chan struct{}), make(chan struct{})
+	a.inputs.store.Observe = func(e datastore.Event) {
+		if e.Kind == "place" {
+			close(placing)
+			<-release
+		}
+	}
+	startAgent(t, a)
+	key := TaskAttempt{"wk-000001", 0, 1}
+	s.controller.send(launch("wk-000001", 0))
+	<-placing
+	beats := a.heartbeatCount()
+	s.controller.await("two heartbeats during the placement", func() bool { return a.heartbeatCount() >= beats+2 })
+	s.controller.mu.Lock()
+	status := s.status(key.TaskName())
+	s.controller.mu.Unlock()
+	if status != protocol.TaskPulling {
+		t.Errorf("the task is reported as %q while its inputs are placed, not %q", status, protocol.TaskPulling)
+	}
+	grace := 0.0
+	s.controller.send(protocol.Command{Verb: "kill", Task: key.TaskName(), Attempt: 1, GracePeriodS: &grace})
+	stopped := false
+	for until := time.Now().Add(3 * time.Second); !stopped && time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		s.controller.mu.Lock()
+		stopped = s.controller.causes["wk-000001/0#1"] == protocol.CauseStopped
+		s.controller.mu.Unlock()
+	}
+	if !stopped {
+		t.Error("the task did not end within 3 s while its inputs were being placed")
+	}
+	close(release)
+	s.controller.await("the inputs of the stopped task are gone", func() bool { return !exists(s.taskPath(key, "work/in")) })
+	if exists(s.taskPath(key, "work/ran")) {
+		t.Error("the program of a task ran that was stopped before it began")
+	}
+}
+
+// heartbeatCount returns how many heartbeats the agent has sent.
+func (a *Agent) heartbeatCount() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stats.Heartbeats
+}
+
+// TestADamagedCopyCostsNoAttempt guards against a task that fails because the disk has damaged
+// the machine's copy of its input: the copy is fetched again before the task starts.
+func TestADamagedCopyCostsNoAttempt(t *testing.T) {
+	s := newStagingSite(t, 3<<20)
+	s.addReader("wk-000001", "cat in/roster.txt > $HOME/read", nil)
+	runAgent(t, s.cfg)
+	s.controller.send(launch("wk-000001", 0))
+	s.controller.await("the first task is done", func() bool { return s.controller.causes["wk-000001/0#1"] != "" })
+	f, err := os.OpenFile(s.storePath(), os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = f.WriteAt([]byte("damage"), 1<<20)
+	if err := errors.Join(err, f.Close()); err != nil {
+		t.Fatal(err)
+	}
+	s.controller.send(launch("wk-000001", 1))
+	s.controller.await("the second task is over", func() bool { return s.controller.causes["wk-000001/1#1"] != "" })
+	s.controller.mu.Lock()
+	cause := s.controller.causes["wk-000001/1#1"]
+	s.controller.mu.Unlock()
+	got, err := os.ReadFile(s.taskPath(TaskAttempt{"wk-000001", 1, 1}, "work/read"))
+	if cause != protocol.CauseDone || err != nil || !bytes.Equal(got, s.data) {
+		t.Errorf("the task ended with %s and read %d bytes, as published: %v; %v", cause, len(got), bytes.Equal(got, s.data), err)
+	}
+}
--- a/internal/agent/task_program.go
+++ b/internal/agent/task_program.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// taskProgram creates an attempt's folder with its inputs and returns the program to run in it.
+// taskProgram creates an attempt's folder, in which its inputs may be already, and returns the
+// program to run in it.
 func (a *Agent) taskProgram(k TaskAttempt, d *protocol.JobDescription) (p program, err error) {
 	folder, image, ok := a.images.folder(d.Image)
 	if !ok {
@@ -102,8 +103,8 @@
 	if x == nil {
 		x = &job.Extra{}
 	}
-	if err := a.inputs.place(p.Dir, d.Inputs, len(x.Inputs)); err != nil {
-		return p, err
+	if len(x.Inputs) != len(d.Inputs) {
+		return p, errNoStore // the controller knows no data sets: nothing was prepared
 	}
 	command := x.Command
 	if len(command) == 0 {
--- a/internal/agent/worker_events.go
+++ b/internal/agent/worker_events.go
@@ -7,9 +7,10 @@
 	"silvergate/internal/protocol"
 )
 
-// InputsFetched records that all inputs of an attempt are present and complete, or that
-// fetching them failed with err. full reports that there is no space for them.
-func (w *Worker) InputsFetched(now time.Duration, k TaskAttempt, err error, full bool) Effects {
+// InputsFetched records that all inputs of an attempt are complete in its folder, or that this
+// failed with err. tryElsewhere reports that this machine is the reason, for example because it
+// has no space for them.
+func (w *Worker) InputsFetched(now time.Duration, k TaskAttempt, err error, tryElsewhere bool) Effects {
 	w.advance(now)
 	task := w.tasks[k]
 	if w.epoch.ending || task == nil || task.phase != fetching || !task.needsInputs {
@@ -17,7 +18,7 @@
 	}
 	task.needsInputs = false
 	switch {
-	case full:
+	case tryElsewhere:
 		w.endWithoutProcess(task, protocol.CauseNoRoom)
 	case err != nil:
 		w.endWithoutProcess(task, protocol.CauseError)
--- a/internal/datastore/golden_test.go
+++ b/internal/datastore/golden_test.go
@@ -1,6 +1,7 @@
 package datastore
 
 import (
+	"context"
 	"io/fs"
 	"log/slog"
 	"net/http"
@@ -80,7 +81,7 @@
 func requirePlaced(t *testing.T, s *Store, want Want, manifest *dataset.Manifest) {
 	t.Helper()
 	dir := filepath.Join(t.TempDir(), "task", "in")
-	if err := s.Place(want.ID, dir); err != nil {
+	if err := s.Place(context.Background(), PlaceRequest{ID: want.ID, Dir: dir}); err != nil {
 		t.Fatal(err)
 	}
 	if err := dataset.VerifyTree(dir, manifest); err != nil {
--- a/internal/datastore/place_test.go
+++ b/internal/datastore/place_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"silvergate/internal/dataset"
 	"silvergate/internal/fakeserver"
 )
@@ -41,7 +47,7 @@
 func placeCopy(t *testing.T, s *Store, held heldVersion) string {
 	t.Helper()
 	dir := filepath.Join(t.TempDir(), "task", "in")
-	if err := s.Place(held.want.ID, dir); err != nil {
+	if err := s.Place(context.Background(), PlaceRequest{ID: held.want.ID, Dir: dir}); err != nil {
 		t.Fatal(err)
 	}
 	return dir
@@ -124,7 +130,7 @@
 func requireLaterTask(t *testing.T, s *Store, held heldVersion, who string) {
 	t.Helper()
 	dir := filepath.Join(t.TempDir(), "in")
-	if err := s.Place(held.want.ID, dir); err != nil {
+	if err := s.Place(context.Background(), PlaceRequest{ID: held.want.ID, Dir: dir}); err != nil {
 		t.Errorf("%s can't start: %v", who, err)
 		return
 	}
@@ -143,7 +149,7 @@
 			s = openTestStore(t, storeDir, 1<<30)
 		}
 		dir := filepath.Join(t.TempDir(), "in")
-		if err := s.Place(held.want.ID, dir); !errors.Is(err, ErrNotHeld) || s.Has(held.want.ID) {
+		if err := s.Place(context.Background(), PlaceRequest{ID: held.want.ID, Dir: dir}); !errors.Is(err, ErrNotHeld) || s.Has(held.want.ID) {
 			t.Errorf("restarted %v: a changed copy was placed, or is kept: %v", restart, err)
 		}
 		if err := fetchAndWait(s, held.want); err != nil {
@@ -179,3 +185,132 @@
 		t.Errorf("%d bytes were taken from the other version, not %d", shared, len(common))
 	}
 }
+
+// hookDisk is a disk that calls beforeWrite with the number of each write, from 1 on.
+type hookDisk struct {
+	osDisk
+	writes      atomic.Int64
+	beforeWrite func(n int64)
+}
+
+func (d *hookDisk) WriteAt(f *os.File, b []byte, off int64) error {
+	d.beforeWrite(d.writes.Add(1))
+	return d.osDisk.WriteAt(f, b, off)
+}
+
+// cloneDisk is a disk whose file system can clone files, as far as callers can tell.
+type cloneDisk struct {
+	osDisk
+	clones, written atomic.Int64
+}
+
+func (d *cloneDisk) Clone(to, from *os.File) error {
+	d.clones.Add(1)
+	_, err := io.Copy(to, from)
+	return err
+}
+
+func (d *cloneDisk) WriteAt(f *os.File, b []byte, off int64) error {
+	d.written.Add(int64(len(b)))
+	return d.osDisk.WriteAt(f, b, off)
+}
+
+// TestClonesAreVerified guards against a task that reads a damaged copy where the file system
+// can clone, and against bytes that are copied there all the same.
+func TestClonesAreVerified(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	disk := &cloneDisk{}
+	s.disk = disk
+	requirePublished(t, placeCopy(t, s, held), held, "a task with clones")
+	if disk.clones.Load() != int64(len(held.files)) || disk.written.Load() != 0 {
+		t.Errorf("%d files cloned and %d bytes copied, not %d and 0", disk.clones.Load(), disk.written.Load(), len(held.files))
+	}
+	overwrite(t, filepath.Join(s.cfg.Dir, copiesDir, string(held.want.ID), "roster.txt"), 1<<20+5, "damage")
+	dir := filepath.Join(t.TempDir(), "in")
+	if err := s.Place(context.Background(), PlaceRequest{ID: held.want.ID, Dir: dir}); !errors.Is(err, ErrNotHeld) || exists(dir) {
+		t.Errorf("a damaged copy was placed, or its folder is left: %v", err)
+	}
+}
+
+// TestPlacingOnAFullDisk guards against a placement on a full disk that gives a task part of its
+// files, loses the copy, or ends with an error that does not say what is wrong.
+func TestPlacingOnAFullDisk(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	refused := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		disk := &fullDisk{}
+		disk.fullFrom.Store(rapid.Int64Range(0, 3).Draw(rt, "from"))
+		disk.fullWrites.Store(rapid.Int64Range(1, 4).Draw(rt, "many"))
+		s.disk = disk
+		dir := filepath.Join(t.TempDir(), fmt.Sprint("in", refused))
+		err := s.Place(context.Background(), PlaceRequest{ID: held.want.ID, Dir: dir})
+		switch {
+		case err == nil:
+			requirePublished(t, dir, held, "a task on a nearly full disk")
+		case !errors.Is(err, ErrFull) || exists(dir):
+			rt.Fatalf("the error does not say that the disk is full, or part of the files is left: %v", err)
+		default:
+			refused++
+		}
+		s.disk = osDisk{}
+		if err := verifyCopy(s, held.want.ID, held.files); err != nil {
+			rt.Fatal(err)
+		}
+		requireLaterTask(t, s, held, "a task once there is room")
+	})
+	if refused == 0 {
+		t.Error("no placement met the full disk")
+	}
+}
+
+// TestACancelledPlacementLeavesNothing guards against files of a task that was stopped while its
+// inputs were placed.
+func TestACancelledPlacementLeavesNothing(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	for n := int64(1); n <= 3; n++ {
+		ctx, cancel := context.WithCancel(context.Background())
+		s.disk = &hookDisk{beforeWrite: func(write int64) {
+			if write == n {
+				cancel()
+			}
+		}}
+		dir := filepath.Join(t.TempDir(), "in")
+		if err := s.Place(ctx, PlaceRequest{ID: held.want.ID, Dir: dir}); !errors.Is(err, context.Canceled) || exists(dir) {
+			t.Errorf("cancelled at write %d: error %v, folder left: %v", n, err, exists(dir))
+		}
+		cancel()
+	}
+}
+
+// TestUrgentPlacementsGoFirst guards against an urgent task that waits while the inputs of
+// others are copied.
+func TestUrgentPlacementsGoFirst(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	placing, release := make(chan struct{}), make(chan struct{})
+	disk := &hookDisk{beforeWrite: func(n int64) {
+		if n == 1 { // the urgent task's first chunk
+			close(placing)
+			<-release
+		}
+	}}
+	s.disk = disk
+	place := func(urgent bool) chan error {
+		placed := make(chan error, 1)
+		dir := filepath.Join(t.TempDir(), "in")
+		go func() {
+			placed <- s.Place(context.Background(), PlaceRequest{ID: held.want.ID, Dir: dir, Urgent: urgent})
+		}()
+		return placed
+	}
+	urgent := place(true)
+	<-placing
+	other := place(false)
+	time.Sleep(50 * time.Millisecond)
+	if n := disk.writes.Load(); n != 1 {
+		t.Errorf("a task that is not urgent had %d chunks copied while an urgent one waited for its own", n-1)
+	}
+	close(release)
+	if err := errors.Join(<-urgent, <-other); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -64,7 +64,7 @@
 // only a source has no ID.
 type Event struct {
 	At     time.Time
-	Kind   string // begin, chunk, visible, pause, resume, aside, evict, drop, quit (a fetch was cancelled), fail
+	Kind   string // begin, chunk, visible, pause, resume, aside, evict, drop, quit (a fetch was cancelled), fail, place, placed
 	ID     dataset.ID
 	Source string
 	Urgent bool
@@ -90,6 +90,8 @@
 	serveLimit *rate.Limiter
 	disk       disk
 	openedAt   time.Time
+	// urgentPlacements are the placements under way that make all others wait.
+	urgentPlacements *activityGate
 	// Observe is called for each event, often with the store's lock held, so it must not
 	// call the store. It may be set only before the first Fetch.
 	Observe func(Event)
@@ -109,9 +111,11 @@
 
 // Stats counts the store's contents, and its work since it was opened.
 type Stats struct {
-	Fetched, Served, Shared int64 // bytes from sources, to other machines, and from other copies in the store
-	Damaged, Retries        int64 // requests for chunks that returned damaged bytes, or no chunk
-	Evicted, Refused        int64 // copies removed, and fetches refused for want of room
+	Fetched, Served, Shared int64         // bytes from sources, to other machines, and from other copies in the store
+	Damaged, Retries        int64         // requests for chunks that returned damaged bytes, or no chunk
+	Evicted, Refused        int64         // copies removed, and fetches refused for want of room
+	Placements              int64         // copies that were placed for a task
+	PlaceTime               time.Duration // time that placements took, those that failed included
 	Copies                  int
 	Bytes, Partial          int64 // bytes of copies, and verified bytes of fetches
 }
@@ -137,7 +141,7 @@
 	}
 	s := &Store{cfg: cfg, log: log, openedAt: time.Now(), copies: map[dataset.ID]*heldCopy{}, fetches: map[dataset.ID]*fetching{},
 		chunks: map[dataset.Hash][]chunkLocation{}, pins: map[dataset.ID]int{},
-		disk: osDisk{}, fetchLimit: newLimiter(cfg.FetchRate), serveLimit: newLimiter(cfg.ServeRate)}
+		disk: osDisk{}, urgentPlacements: newActivityGate(), fetchLimit: newLimiter(cfg.FetchRate), serveLimit: newLimiter(cfg.ServeRate)}
 	s.sources = newSources(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), func(address string) {
 		s.log.Error("a source served damaged bytes and is put aside", "source", address, "for", setAsideDuration)
 		s.emit(Event{Kind: "aside", Source: address})
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -121,7 +121,7 @@
 			t.Fatal(err)
 		}
 		place := filepath.Join(t.TempDir(), "task", "in")
-		if err := s.Place(w.ID, place); err != nil {
+		if err := s.Place(context.Background(), PlaceRequest{ID: w.ID, Dir: place}); err != nil {
 			t.Fatal(err)
 		}
 		if err := dataset.VerifyTree(place, m); err != nil {
@@ -140,7 +140,7 @@
 		t.Fatalf("a fetch whose only source is damaged ended: %v", err)
 	case <-time.After(300 * time.Millisecond):
 	}
-	if s.Has(w.ID) || s.Place(w.ID, filepath.Join(t.TempDir(), "x")) == nil {
+	if s.Has(w.ID) || s.Place(context.Background(), PlaceRequest{ID: w.ID, Dir: filepath.Join(t.TempDir(), "x")}) == nil {
 		t.Fatal("a damaged copy is visible")
 	}
 	// A good source is added to the fetch, which then succeeds.
@@ -213,7 +213,7 @@
 		t.Fatal(err)
 	}
 	place := filepath.Join(t.TempDir(), "in")
-	if err := s.Place(w.ID, place); err != nil {
+	if err := s.Place(context.Background(), PlaceRequest{ID: w.ID, Dir: place}); err != nil {
 		t.Fatal(err)
 	}
 	if err := dataset.VerifyTree(place, m); err != nil {
@@ -334,7 +334,7 @@
 	}
 	// A task that writes to its inputs must not change the inputs of other tasks.
 	place := filepath.Join(t.TempDir(), "in")
-	if err := s.Place(ws[2].ID, place); err != nil {
+	if err := s.Place(context.Background(), PlaceRequest{ID: ws[2].ID, Dir: place}); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(10 * time.Millisecond)
@@ -343,7 +343,7 @@
 	}
 	s.Unpin(ws[2].ID)
 	again := filepath.Join(t.TempDir(), "in")
-	if err := s.Place(ws[2].ID, again); err != nil {
+	if err := s.Place(context.Background(), PlaceRequest{ID: ws[2].ID, Dir: again}); err != nil {
 		t.Fatalf("placing a copy whose earlier task has written to its inputs: %v", err)
 	}
 	m, _ := dataset.Build(again, "set", "2", nil)
@@ -468,7 +468,7 @@
 					continue
 				}
 				place := filepath.Join(dir, "task", fmt.Sprint(step, "-", j))
-				if err := s.Place(ws[j].ID, place); err != nil {
+				if err := s.Place(context.Background(), PlaceRequest{ID: ws[j].ID, Dir: place}); err != nil {
 					if s.Has(ws[j].ID) {
 						t.Fatal(err)
 					}
