datastore, agent: tasks' own inputs are counted, bounded and removed

Callers see: nothing yet; operators would see a disk that fills with what the store does not count. The folders of up to 200 ended attempts are kept, each with its inputs. With links that held the blocks of evicted copies, uncounted; with copies it is their whole size for each attempt. And the folder of an attempt that ended before its program began was never removed.

What placements copy counts against staging.placed_gb, by default as much as capacity_gb; more is no_room, and the task goes elsewhere. The agent removes a copy's files once the attempt is over and the archive has read what the job wants kept. Files that the task has added stay; links that it has made are not followed. New metrics agent_data_*.

TestInterleavings placed copies for ever; it now removes each after its check, as the task is over.

--- a/cmd/silvergate/parts.go
+++ b/cmd/silvergate/parts.go
@@ -181,6 +181,15 @@
 			metrics.Metric{Name: "agent_archive_files", Help: "Files kept.", Value: float64(a.Files), IsCounter: true},
 			metrics.Metric{Name: "agent_archive_refused", Help: "Records that nodes refused.", Value: float64(a.Refused), IsCounter: true})
 	}
+	if d := s.Data; d != nil {
+		out = append(out, metrics.Metric{Name: "agent_data_copies", Help: "Copies of data sets in the store.", Value: float64(d.Copies)},
+			metrics.Metric{Name: "agent_data_copies_bytes", Help: "Room that the copies take.", Value: float64(d.Bytes)},
+			metrics.Metric{Name: "agent_data_placed_bytes", Help: "Room that tasks' own files of copies take.", Value: float64(d.Placed)},
+			metrics.Metric{Name: "agent_data_placements", Help: "Copies given to tasks.", Value: float64(d.Placements), IsCounter: true},
+			metrics.Metric{Name: "agent_data_copied_bytes", Help: "Bytes copied for tasks, where the file system can't clone.", Value: float64(d.Copied), IsCounter: true},
+			metrics.Metric{Name: "agent_data_place_seconds", Help: "Time spent giving tasks their files.", Value: d.PlaceTime.Seconds(), IsCounter: true},
+			metrics.Metric{Name: "agent_data_refused", Help: "Fetches and placements refused for want of room.", Value: float64(d.Refused), IsCounter: true})
+	}
 	for cause, n := range s.TaskEnds {
 		out = append(out, metrics.Metric{Name: "agent_endings", Help: "Attempts that are over, by cause.", Value: float64(n),
 			IsCounter: true, Labels: map[string]string{"cause": cause}})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,6 +32,7 @@
 	"github.com/google/renameio/v2"
 
 	"silvergate/internal/archive/ship"
+	"silvergate/internal/datastore"
 	"silvergate/internal/proc"
 	"silvergate/internal/protocol"
 	"silvergate/internal/transport"
@@ -52,7 +53,8 @@
 	TaskEnds                               map[string]uint64 // by cause
 	Tasks, Live                            int
 	Usage                                  proc.Usage
-	Archive                                *ship.Stats // nil: no archive
+	Archive                                *ship.Stats      // nil: no archive
+	Data                                   *datastore.Stats // nil: no store of data sets
 }
 
 // Agent is a running worker.
@@ -272,6 +274,7 @@
 		a.server.Sweep(now)
 		a.stats.Usage = a.runner.checkMemory()
 		a.inputs.refreshReport(false)
+		a.inputs.removeEndedInputs()
 		a.worker.SetUnshipped(a.outputs.unshipped())
 		if at, ok := a.checkPreemption(); ok {
 			a.perform(a.worker.Preempt(a.clock(), at))
@@ -397,5 +400,9 @@
 		t := a.outputs.shipper.Stats()
 		s.Archive = &t
 	}
+	if a.inputs != nil {
+		t := a.inputs.store.Stats()
+		s.Data = &t
+	}
 	return s
 }
--- a/internal/agent/input_preparation.go
+++ b/internal/agent/input_preparation.go
@@ -104,6 +104,7 @@
 	if earlier != nil {
 		<-earlier.finished
 	}
+	d.removePlacements(d.placementsOf(p.key))
 	err := d.fetchAndPlace(ctx, p)
 	d.agent.mu.Lock()
 	p.unpin(d.store)
@@ -177,7 +178,8 @@
 		if input.placed {
 			continue
 		}
-		if err := d.store.Place(ctx, datastore.PlaceRequest{ID: input.want.ID, Dir: input.dir, Urgent: p.urgent}); err != nil {
+		request := datastore.PlaceRequest{ID: input.want.ID, Dir: input.dir, Owner: p.key.String(), Urgent: p.urgent}
+		if err := d.store.Place(ctx, request); err != nil {
 			return fmt.Errorf("inputs[%d] (%s/%s): %w", i, input.want.Set, input.want.Version, err)
 		}
 		input.placed = true
--- a/internal/agent/inputs.go
+++ b/internal/agent/inputs.go
@@ -16,6 +16,9 @@
 // Staging configures an agent's store of data sets.
 type Staging struct {
 	CapacityGB float64 `yaml:"capacity_gb"`
+	// PlacedGB limits the room that tasks' own copies of their inputs take, beside
+	// CapacityGB; 0: as much as CapacityGB.
+	PlacedGB float64 `yaml:"placed_gb"`
 	// FetchMBPerS and ServeMBPerS limit the rates at which data is fetched, and
 	// served to other machines; 0: unlimited.
 	FetchMBPerS float64 `yaml:"fetch_mb_per_s"`
@@ -35,6 +38,8 @@
 	switch {
 	case !(s.CapacityGB > 0):
 		return errors.New("staging.capacity_gb: must be above 0")
+	case !(s.PlacedGB >= 0):
+		return errors.New("staging.placed_gb: must not be negative")
 	case !(s.FetchMBPerS >= 0) || !(s.ServeMBPerS >= 0):
 		return errors.New("staging: rates must not be negative")
 	case s.Streams < 0 || s.Serving < 0 || !(s.PatienceS >= 0):
@@ -55,6 +60,7 @@
 	failed       map[dataset.ID]bool // fetches that failed since the last heartbeat
 	sentDigest   string              // the store's digest at the last heartbeat
 	listCopies   bool                // the next heartbeat lists all copies
+	removing     bool                // files of ended attempts are being removed
 	trace        *tracer             // nil: off
 }
 
@@ -71,7 +77,7 @@
 func newInputStore(a *Agent) (*inputStore, error) {
 	c := a.cfg.Staging
 	s, err := datastore.Open(datastore.Config{Dir: filepath.Join(a.cfg.Dir, "data"), Capacity: int64(c.CapacityGB * 1e9),
-		FetchRate: c.FetchMBPerS * 1e6, ServeRate: c.ServeMBPerS * 1e6, Streams: c.Streams, ServeStreams: c.Serving, StallTimeout: seconds(c.PatienceS)}, a.log)
+		PlacedCapacity: int64(c.PlacedGB * 1e9), FetchRate: c.FetchMBPerS * 1e6, ServeRate: c.ServeMBPerS * 1e6, Streams: c.Streams, ServeStreams: c.Serving, StallTimeout: seconds(c.PatienceS)}, a.log)
 	if err != nil {
 		return nil, fmt.Errorf("store of data sets: %w", err)
 	}
--- a/internal/agent/inputs_test.go
+++ b/internal/agent/inputs_test.go
@@ -162,3 +162,49 @@
 		t.Errorf("the task ended with %s and read %d bytes, as published: %v; %v", cause, len(got), bytes.Equal(got, s.data), err)
 	}
 }
+
+// TestInputsOfEndedAttemptsAreRemoved guards against inputs of attempts that are over, stopped
+// before they ran, or left by a killed agent, which fill the disk.
+func TestInputsOfEndedAttemptsAreRemoved(t *testing.T) {
+	s := newStagingSite(t, 3<<20)
+	s.cfg.Staging.PlacedGB = 0.007 // two tasks' inputs
+	s.addReader("wk-000001", "wc -c < in/roster.txt > in/result", nil)
+	s.addReader("wk-000002", "sleep 60", nil)
+	// A gang that never starts, as its other task is not on any machine.
+	s.addReader("wk-000003", "sleep 60", func(d *protocol.JobDescription) { d.Shape, d.Tasks = job.Gang, 2 })
+	agent := newAgentProcess(t, s.controller, s.cfg)
+	gone := func(id string, index int) bool {
+		return !exists(s.taskPath(TaskAttempt{id, index, 1}, "work/in/roster.txt"))
+	}
+	// One after the other, more tasks than there is room for at a time.
+	for i := range 5 {
+		s.controller.send(launch("wk-000001", i))
+		s.controller.await("the task is done", func() bool {
+			return s.controller.causes[job.TaskName("wk-000001", i)+"#1"] == protocol.CauseDone
+		})
+		s.controller.await("the inputs of the task that is over are gone", func() bool { return gone("wk-000001", i) })
+		if !exists(s.taskPath(TaskAttempt{"wk-000001", i, 1}, "work/in/result")) {
+			t.Error("what the task wrote is gone, too")
+		}
+	}
+	s.controller.send(launch("wk-000003", 0))
+	s.controller.await("the gang's task waits", func() bool { return s.status("wk-000003/0") == protocol.TaskWaiting })
+	grace := 0.0
+	s.controller.send(protocol.Command{Verb: "kill", Task: "wk-000003/0", Attempt: 1, GracePeriodS: &grace})
+	s.controller.await("the folder of an attempt that never ran is gone", func() bool {
+		return !exists(s.taskPath(TaskAttempt{"wk-000003", 0, 1}, ""))
+	})
+
+	for i := range 2 {
+		s.controller.send(launch("wk-000002", i))
+		s.controller.await("the task runs", func() bool { return s.status(job.TaskName("wk-000002", i)) == protocol.TaskRunning })
+	}
+	if gone("wk-000002", 0) || gone("wk-000002", 1) {
+		t.Error("the inputs of a running task are gone")
+	}
+	s.controller.send(launch("wk-000002", 2))
+	s.controller.await("a third task goes elsewhere", func() bool { return s.controller.causes["wk-000002/2#1"] == protocol.CauseNoRoom })
+	agent.kill()
+	agent.start()
+	s.controller.await("the inputs that the killed agent left are gone", func() bool { return gone("wk-000002", 0) && gone("wk-000002", 1) })
+}
--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -102,3 +102,9 @@
 func (o *outputShipper) needsFolder(key TaskAttempt) bool {
 	return o != nil && o.shipper.Follows(o.attempt(key))
 }
+
+// needsFiles reports whether the archive has not yet read the files of an attempt that its job
+// wants kept.
+func (o *outputShipper) needsFiles(key TaskAttempt) bool {
+	return o != nil && o.shipper.KeepsFiles(o.attempt(key))
+}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -380,6 +380,12 @@
 	return task != nil && task.phase != ended && !w.epoch.ending
 }
 
+// MayHaveProcesses reports whether processes of an attempt may be on this machine, now or later.
+func (w *Worker) MayHaveProcesses(k TaskAttempt) bool {
+	task := w.tasks[k]
+	return w.epoch.ending || task != nil && task.phase != ended
+}
+
 // startIfReady starts an attempt whose image is present, unless inputs are still missing. An
 // attempt of a completed job ends as done, and an attempt of a gang waits for the gang's other tasks.
 func (w *Worker) startIfReady(task *taskState) {
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -279,6 +279,18 @@
 	return s.attempts[a] != nil
 }
 
+// KeepsFiles reports whether an attempt is still followed and files of its working directory
+// are to be shipped.
+func (s *Shipper) KeepsFiles(a archive.Attempt) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.attempts[a]
+	return f != nil && len(f.grant.Keep) > 0
+}
+
 // UnshippedAttempts returns how many ended attempts are not shipped completely.
 func (s *Shipper) UnshippedAttempts() (n int) {
 	if s == nil {
--- a/internal/datastore/place.go
+++ b/internal/datastore/place.go
@@ -7,7 +7,6 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"silvergate/internal/dataset"
@@ -18,6 +17,8 @@
 	ID dataset.ID
 	// Dir is the folder for the files. It must not exist.
 	Dir string
+	// Owner names the task whose files these are.
+	Owner string
 	// Urgent placements make all others wait until they are done.
 	Urgent bool
 }
@@ -25,12 +26,13 @@
 // Place puts a copy's files into a folder, which it creates. The files are the task's own:
 // neither the store nor another task shares them, so what a task writes to its inputs reaches
 // nobody else. They are cloned where the file system can, and copied elsewhere. Each chunk is
-// verified on its way, after it is out of everybody's reach.
+// verified on its way, after it is out of everybody's reach. The bytes that are copied count as
+// placed until RemovePlacement.
 //
 // If the store does not have the copy, the error wraps ErrNotHeld, and so it does if the copy
-// has changed on disk; the store then removes the copy. If the disk is full, it wraps ErrFull.
-// If ctx ends before all files are there, it is ctx's error. After an error the folder does
-// not exist.
+// has changed on disk; the store then removes the copy. If the disk is full, or tasks' files
+// would take more than Config.PlacedCapacity, it wraps ErrFull. If ctx ends before all files
+// are there, it is ctx's error. After an error the folder does not exist.
 func (s *Store) Place(ctx context.Context, r PlaceRequest) error {
 	s.mu.Lock()
 	held := s.copies[r.ID]
@@ -44,8 +46,8 @@
 	s.mu.Unlock()
 	defer s.Unpin(r.ID)
 	if r.Urgent {
-		s.urgentPlacements.begin()
-		defer s.urgentPlacements.end()
+		s.placements.urgent.begin()
+		defer s.placements.urgent.end()
 	}
 	s.emit(Event{Kind: "place", ID: r.ID, Urgent: r.Urgent})
 	now := time.Now()
@@ -75,25 +77,32 @@
 	s.log.Debug("a task has got its copy", "set", held.manifest.Set, "version", held.manifest.Version, "bytes", held.bytes, "ms", took.Milliseconds())
 }
 
-// placeFiles creates the folder of a placement with its files, and removes it after an error.
+// placeFiles records a placement, and creates its folder with its files. After an error it
+// removes them again.
 func (s *Store) placeFiles(ctx context.Context, r PlaceRequest, held *heldCopy) (err error) {
 	if err := os.MkdirAll(filepath.Dir(r.Dir), 0o700); err != nil {
 		return err
 	}
-	if err := os.Mkdir(r.Dir, 0o700); err != nil {
+	if exists(r.Dir) {
+		return &fs.PathError{Op: "place", Path: r.Dir, Err: fs.ErrExist}
+	}
+	placement, err := s.recordPlacement(r, held)
+	if err != nil {
 		return err
 	}
 	defer func() {
 		if err != nil {
-			err = errors.Join(err, os.RemoveAll(r.Dir))
+			err = errors.Join(err, os.RemoveAll(r.Dir), s.forgetPlacement(placement))
 		}
 	}()
+	if err := os.Mkdir(r.Dir, 0o700); err != nil {
+		return err
+	}
 	p := placer{store: s, ctx: ctx, request: r, buf: make([]byte, dataset.ChunkSize)}
-	for i := range held.manifest.Files {
-		if err := p.placeFile(&held.manifest.Files[i]); err != nil {
-			return err
-		}
+	if err := p.place(placement, held.manifest.Files); err != nil {
+		return err
 	}
+	s.finishPlacement(placement)
 	return nil
 }
 
@@ -115,35 +124,85 @@
 	buf     []byte // of the size of a chunk
 }
 
-// placeFile gives the task its own file.
-func (p *placer) placeFile(f *dataset.File) error {
-	to := filepath.Join(p.request.Dir, filepath.FromSlash(f.Path))
-	if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
+// place creates all files, reserves room for those that could not be cloned, and fills and
+// verifies them.
+func (p *placer) place(placement *Placement, files []dataset.File) error {
+	cloned := make([]bool, len(files))
+	bytes := int64(0)
+	for i := range files {
+		var err error
+		if cloned[i], err = p.createFile(&files[i]); err != nil {
+			return err
+		}
+		if !cloned[i] {
+			bytes += files[i].Size
+		}
+	}
+	if err := p.store.reservePlaced(placement, bytes); err != nil {
 		return err
 	}
+	for i := range files {
+		if err := p.fillFile(&files[i], cloned[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// targetPath returns the path of the task's own file.
+func (p *placer) targetPath(f *dataset.File) string {
+	return filepath.Join(p.request.Dir, filepath.FromSlash(f.Path))
+}
+
+// openSource opens the store's file. A file that is missing is damage, as any other change.
+func (p *placer) openSource(f *dataset.File) (*os.File, error) {
 	src, err := os.Open(p.store.filePath(copiesDir, p.request.ID, f))
 	if errors.Is(err, fs.ErrNotExist) {
-		return &damagedError{f.Path, err}
+		return nil, &damagedError{f.Path, err}
+	}
+	return src, err
+}
+
+// createFile creates the task's own file, as a clone if the file system can. It reports whether
+// it is a clone; if not, the file is empty.
+func (p *placer) createFile(f *dataset.File) (cloned bool, err error) {
+	to := p.targetPath(f)
+	if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
+		return false, err
 	}
+	src, err := p.openSource(f)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer src.Close()
-	dst, err := os.OpenFile(to, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode(f))
+	dst, err := os.OpenFile(to, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode(f))
 	if err != nil {
-		return err
+		return false, err
 	}
-	err = p.fillFile(dst, src, f)
-	return errors.Join(err, dst.Close())
+	cloned = p.store.disk.Clone(dst, src) == nil
+	return cloned, dst.Close()
 }
 
-// fillFile clones src to dst and verifies the clone, or else verifies and copies src chunk by
-// chunk. Either way the bytes that are verified can't change any more before the task has them.
-func (p *placer) fillFile(dst, src *os.File, f *dataset.File) error {
-	cloned := p.store.disk.Clone(dst, src) == nil
+// fillFile verifies the task's own file if it is a clone, and else verifies the store's file and
+// copies it chunk by chunk. Either way, what was verified can't change before the task has it.
+func (p *placer) fillFile(f *dataset.File, cloned bool) error {
+	dst, err := os.OpenFile(p.targetPath(f), os.O_RDWR, 0)
+	if err != nil {
+		return err
+	}
 	if cloned {
-		src = dst
+		return errors.Join(p.copyChunks(nil, dst, f), dst.Close())
+	}
+	src, err := p.openSource(f)
+	if err != nil {
+		return errors.Join(err, dst.Close())
 	}
+	defer src.Close()
+	return errors.Join(p.copyChunks(dst, src, f), dst.Close())
+}
+
+// copyChunks verifies the chunks of src and copies them to dst, if that isn't nil.
+func (p *placer) copyChunks(dst, src *os.File, f *dataset.File) error {
 	info, err := src.Stat()
 	if err != nil {
 		return err
@@ -152,7 +211,7 @@
 		return &damagedError{f.Path, fmt.Errorf("it has %d bytes instead of %d", info.Size(), f.Size)}
 	}
 	for k, want := range f.Chunks {
-		if err := p.awaitTurn(); err != nil {
+		if err := p.waitForUrgent(); err != nil {
 			return err
 		}
 		chunk := p.buf[:chunkLen(f, k)]
@@ -160,7 +219,7 @@
 		if err := readVerified(src, chunk, offset, want); err != nil {
 			return &damagedError{f.Path, fmt.Errorf("chunk %d: %w", k, err)}
 		}
-		if cloned {
+		if dst == nil {
 			continue
 		}
 		if err := p.store.writeAt(dst, chunk, offset); err != nil {
@@ -170,58 +229,20 @@
 	return nil
 }
 
-// awaitTurn waits until the placement may go on: one that is not urgent waits for all urgent
+// waitForUrgent waits until the placement may go on: one that is not urgent waits for all urgent
 // ones. It returns an error if the placement was cancelled.
-func (p *placer) awaitTurn() error {
+func (p *placer) waitForUrgent() error {
 	if p.request.Urgent {
 		return p.ctx.Err()
 	}
 	select {
 	case <-p.ctx.Done():
 		return p.ctx.Err()
-	case <-p.store.urgentPlacements.none():
+	case <-p.store.placements.urgent.none():
 		return p.ctx.Err()
 	}
 }
 
-// activityGate lets others wait until no activity is under way. It is safe for concurrent use.
-type activityGate struct {
-	mu     sync.Mutex
-	active int
-	idle   chan struct{} // closed while no activity is under way
-}
-
-func newActivityGate() *activityGate {
-	g := &activityGate{idle: make(chan struct{})}
-	close(g.idle)
-	return g
-}
-
-// begin records that an activity begins; end must be called when it is over.
-func (g *activityGate) begin() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.active++; g.active == 1 {
-		g.idle = make(chan struct{})
-	}
-}
-
-// end records that an activity is over.
-func (g *activityGate) end() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.active--; g.active == 0 {
-		close(g.idle)
-	}
-}
-
-// none returns a channel that is closed once no activity is under way.
-func (g *activityGate) none() <-chan struct{} {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.idle
-}
-
 // discard removes a copy that has changed on disk, unless another caller has already removed
 // it, and returns an error that wraps ErrNotHeld.
 func (s *Store) discard(id dataset.ID, held *heldCopy, cause error) error {
--- a/internal/datastore/place_test.go
+++ b/internal/datastore/place_test.go
@@ -6,9 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -314,3 +317,152 @@
 		t.Fatal(err)
 	}
 }
+
+// removePlacements removes the files of all tasks.
+func removePlacements(t interface{ Fatal(...any) }, s *Store) {
+	for _, p := range s.Placements() {
+		if err := s.RemovePlacement(p); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestPlacedFilesAreCountedAndBounded guards against tasks' own files that fill the disk without
+// the store knowing, also after a restart of the agent.
+func TestPlacedFilesAreCountedAndBounded(t *testing.T) {
+	storeDir := filepath.Join(t.TempDir(), "s")
+	s, held := openStoreWithVersion(t, storeDir)
+	size := held.manifest.Bytes()
+	s.cfg.PlacedCapacity = 2*size + size/2
+	placeCopy(t, s, held)
+	placeCopy(t, s, held)
+	dir := filepath.Join(t.TempDir(), "in")
+	third := PlaceRequest{ID: held.want.ID, Dir: dir}
+	if err := s.Place(context.Background(), third); !errors.Is(err, ErrFull) || exists(dir) {
+		t.Errorf("a third copy where two have room: error %v, folder left: %v", err, exists(dir))
+	}
+	if st := s.Stats(); st.Placed != 2*size || st.Copied != 2*size || st.Placements != 2 {
+		t.Errorf("%+v: two copies of %d bytes are not counted", st, size)
+	}
+	s.Close()
+	s, err := Open(Config{Dir: storeDir, Capacity: 1 << 30, PlacedCapacity: 2*size + size/2}, discardLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if st := s.Stats(); st.Placed != 2*size {
+		t.Errorf("%d bytes count as placed after a restart, not %d", st.Placed, 2*size)
+	}
+	if err := s.Place(context.Background(), third); !errors.Is(err, ErrFull) {
+		t.Errorf("a third copy after a restart: %v", err)
+	}
+	removePlacements(t, s)
+	if st := s.Stats(); st.Placed != 0 {
+		t.Errorf("%d bytes count as placed when all are removed", st.Placed)
+	}
+	if err := s.Place(context.Background(), third); err != nil {
+		t.Errorf("a copy when there is room again: %v", err)
+	}
+}
+
+// TestWhatTasksAddToTheirInputsStays guards against the loss of files that a task has written
+// beside its inputs, and of files elsewhere to which it has made a link.
+func TestWhatTasksAddToTheirInputsStays(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	dir, elsewhere := placeCopy(t, s, held), t.TempDir()
+	moved := placeCopy(t, s, held)
+	err := errors.Join(os.WriteFile(filepath.Join(dir, "result"), []byte("own"), 0o600),
+		os.WriteFile(filepath.Join(elsewhere, "north"), []byte("foreign"), 0o600),
+		os.WriteFile(filepath.Join(elsewhere, "roster.txt"), []byte("foreign"), 0o600),
+		os.RemoveAll(filepath.Join(dir, "routes")), os.Symlink(elsewhere, filepath.Join(dir, "routes")),
+		os.RemoveAll(moved), os.Symlink(elsewhere, moved))
+	if err != nil {
+		t.Fatal(err)
+	}
+	removePlacements(t, s)
+	for _, path := range []string{filepath.Join(dir, "result"), filepath.Join(elsewhere, "north"), filepath.Join(elsewhere, "roster.txt")} {
+		if !exists(path) {
+			t.Errorf("%s is gone, which is not of the copy", path)
+		}
+	}
+	if exists(filepath.Join(dir, "roster.txt")) || s.Stats().Placed != 0 {
+		t.Error("the copy's files are left, or count as placed")
+	}
+}
+
+// placeUntilKilled places a copy again and again, for TestKilledWhilePlacing.
+func placeUntilKilled(id dataset.ID, storeDir, dir string) {
+	s, err := Open(Config{Dir: storeDir, Capacity: 1 << 30}, discardLog)
+	for n := 0; err == nil; n++ {
+		err = s.Place(context.Background(), PlaceRequest{ID: id, Dir: filepath.Join(dir, fmt.Sprint(n), "in"), Owner: "killed"})
+	}
+	fmt.Println(err)
+	os.Exit(1)
+}
+
+// TestKilledWhilePlacing kills the process at random moments while it places copies. It guards
+// against folders that nobody knows of any more, and against damage to the store's copy.
+func TestKilledWhilePlacing(t *testing.T) {
+	storeDir := filepath.Join(t.TempDir(), "s")
+	s, held := openStoreWithVersion(t, storeDir)
+	random := rand.New(rand.NewPCG(7, 8))
+	cut := 0
+	for range 8 {
+		s.Close()
+		dir := t.TempDir()
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "DATASTORE_PLACE="+dir, "DATASTORE_DIR="+storeDir, "DATASTORE_COPY="+string(held.want.ID))
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Duration(50+random.IntN(100)) * time.Millisecond)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		s = openTestStore(t, storeDir, 1<<30)
+		folders, _ := filepath.Glob(filepath.Join(dir, "*", "in"))
+		for _, folder := range folders {
+			if dataset.VerifyTree(folder, held.manifest) != nil {
+				cut++
+			}
+		}
+		if recorded := len(s.Placements()); recorded < len(folders) {
+			t.Errorf("%d folders have files of tasks, and %d are recorded", len(folders), recorded)
+		}
+		for _, p := range s.Placements() {
+			if p.Owner != "killed" {
+				t.Errorf("the owner is %q", p.Owner)
+			}
+		}
+		removePlacements(t, s)
+		if left, _ := filepath.Glob(filepath.Join(dir, "*", "in")); len(left) > 0 || s.Stats().Placed != 0 {
+			t.Errorf("folders left: %v; %d bytes count as placed", left, s.Stats().Placed)
+		}
+		requireLaterTask(t, s, held, "a task after the kill")
+		removePlacements(t, s)
+	}
+	t.Logf("%d of 8 kills met a placement halfway", cut)
+}
+
+// TestADamagedPlacementRecordIsNamed guards against a store that does not open because of a
+// damaged record, or that removes files by it.
+func TestADamagedPlacementRecordIsNamed(t *testing.T) {
+	storeDir := filepath.Join(t.TempDir(), "s")
+	s, held := openStoreWithVersion(t, storeDir)
+	dir := placeCopy(t, s, held)
+	s.Close()
+	for _, damage := range []string{"", "{", `{"dir":"/","files":["etc"]}`, `{"dir":"` + dir + `","bytes":-1}`} {
+		if err := os.WriteFile(s.placementPath(dir), []byte(damage), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var log bytes.Buffer
+		opened, err := Open(Config{Dir: storeDir, Capacity: 1 << 30}, slog.New(slog.NewTextHandler(&log, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		opened.Close()
+		if len(opened.Placements()) > 0 || !strings.Contains(log.String(), filepath.Base(s.placementPath(dir))) {
+			t.Errorf("%q: %d placements; the log says %s", damage, len(opened.Placements()), log.String())
+		}
+	}
+	requirePublished(t, dir, held, "the task")
+}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -9,7 +9,7 @@
 //
 // plan.go decides which chunk is requested from which source, fetch.go sends the
 // requests, and target.go writes the chunks. held.go loads and lists copies, place.go gives
-// tasks files of their own, evict.go makes room, serve.go answers other machines, and store.go
+// tasks files of their own, placements.go counts and removes these, evict.go makes room, serve.go answers other machines, and store.go
 // opens the store and reads chunks.
 package datastore
 
@@ -36,6 +36,9 @@
 	Dir string
 	// Capacity is how many bytes the copies and the fetches may take.
 	Capacity int64
+	// PlacedCapacity is how many bytes of copies the tasks' own files may take, beside
+	// Capacity; 0: as many as Capacity.
+	PlacedCapacity int64
 	// FetchRate and ServeRate bound the bytes per second that are fetched, and
 	// that are served to other machines; 0: unbounded.
 	FetchRate, ServeRate float64
@@ -90,8 +93,6 @@
 	serveLimit *rate.Limiter
 	disk       disk
 	openedAt   time.Time
-	// urgentPlacements are the placements under way that make all others wait.
-	urgentPlacements *activityGate
 	// Observe is called for each event, often with the store's lock held, so it must not
 	// call the store. It may be set only before the first Fetch.
 	Observe func(Event)
@@ -102,6 +103,7 @@
 	fetches    map[dataset.ID]*fetching
 	chunks     map[dataset.Hash][]chunkLocation // chunks of the copies
 	pins       map[dataset.ID]int
+	placements placementTable
 	serving    int
 	useCounter uint64
 	urgent     int // number of urgent fetches
@@ -116,6 +118,8 @@
 	Evicted, Refused        int64         // copies removed, and fetches refused for want of room
 	Placements              int64         // copies that were placed for a task
 	PlaceTime               time.Duration // time that placements took, those that failed included
+	Copied                  int64         // bytes that placements copied, because the file system could not clone
+	Placed                  int64         // bytes that the tasks' own files take now
 	Copies                  int
 	Bytes, Partial          int64 // bytes of copies, and verified bytes of fetches
 }
@@ -124,7 +128,9 @@
 	copiesDir   = "copies"
 	partialDir  = "partial"
 	manifestDir = "manifests"
-	trashDir    = "trash"
+	// placementDir has the records of the folders that hold files of tasks.
+	placementDir = "placements"
+	trashDir     = "trash"
 )
 
 // Open opens the store in cfg.Dir, or creates one. It removes copies that can't be used.
@@ -136,19 +142,22 @@
 	if cfg.ServeStreams <= 0 {
 		cfg.ServeStreams = 8
 	}
+	if cfg.PlacedCapacity <= 0 {
+		cfg.PlacedCapacity = cfg.Capacity
+	}
 	if cfg.StallTimeout <= 0 {
 		cfg.StallTimeout = 5 * time.Second
 	}
 	s := &Store{cfg: cfg, log: log, openedAt: time.Now(), copies: map[dataset.ID]*heldCopy{}, fetches: map[dataset.ID]*fetching{},
-		chunks: map[dataset.Hash][]chunkLocation{}, pins: map[dataset.ID]int{},
-		disk: osDisk{}, urgentPlacements: newActivityGate(), fetchLimit: newLimiter(cfg.FetchRate), serveLimit: newLimiter(cfg.ServeRate)}
+		chunks: map[dataset.Hash][]chunkLocation{}, pins: map[dataset.ID]int{}, placements: newPlacementTable(),
+		disk: osDisk{}, fetchLimit: newLimiter(cfg.FetchRate), serveLimit: newLimiter(cfg.ServeRate)}
 	s.sources = newSources(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), func(address string) {
 		s.log.Error("a source served damaged bytes and is put aside", "source", address, "for", setAsideDuration)
 		s.emit(Event{Kind: "aside", Source: address})
 	})
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxRequestsPerSource, IdleConnTimeout: 30 * time.Second,
 		ResponseHeaderTimeout: cfg.StallTimeout, DisableCompression: true}}
-	for _, d := range []string{copiesDir, partialDir, manifestDir} {
+	for _, d := range []string{copiesDir, partialDir, manifestDir, placementDir} {
 		if err := os.MkdirAll(filepath.Join(cfg.Dir, d), 0o700); err != nil {
 			return nil, err
 		}
@@ -156,7 +165,10 @@
 	if err := os.RemoveAll(filepath.Join(cfg.Dir, trashDir)); err != nil {
 		return nil, err
 	}
-	return s, s.load()
+	if err := s.load(); err != nil {
+		return nil, err
+	}
+	return s, s.loadPlacements()
 }
 
 // newLimiter returns a limiter of bytesPerSecond; 0: unbounded.
@@ -319,6 +331,7 @@
 	defer s.mu.Unlock()
 	st := s.stats
 	st.Copies = len(s.copies)
+	st.Placed = s.placements.bytes
 	for _, h := range s.copies {
 		st.Bytes += h.bytes
 	}
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -155,8 +155,12 @@
 }
 
 // TestMain makes the test binary fetch DATASTORE_WANT into DATASTORE_DIR if they are set,
-// so that a test can run the fetch in a process of its own and kill it.
+// so that a test can run the fetch in a process of its own and kill it. If DATASTORE_PLACE is
+// set, it places copies below that folder, one after the other.
 func TestMain(m *testing.M) {
+	if dir := os.Getenv("DATASTORE_PLACE"); dir != "" {
+		placeUntilKilled(dataset.ID(os.Getenv("DATASTORE_COPY")), os.Getenv("DATASTORE_DIR"), dir)
+	}
 	if raw := os.Getenv("DATASTORE_WANT"); raw != "" {
 		var w Want
 		_ = json.Unmarshal([]byte(raw), &w)
@@ -477,6 +481,7 @@
 				if err := dataset.VerifyTree(place, ms[j]); err != nil {
 					t.Fatal(err)
 				}
+				removePlacements(t, s) // the task is over
 			}
 			if st := s.Stats(); st.Bytes > cfg.Capacity {
 				t.Fatalf("the copies take %d bytes of %d", st.Bytes, cfg.Capacity)
