datastore: heartbeats don't wait until evicted copies are removed

Callers see: an agent that evicts or drops a large copy stands still meanwhile, as heartbeats tell what the store holds.

Cause: the files were removed under the store's lock.

Change: under the lock a copy is only renamed into the trash; its files are removed after. Who needs the room waits until all that was in the trash is gone, as before.

--- a/internal/datastore/disk.go
+++ b/internal/datastore/disk.go
@@ -14,6 +14,8 @@
 type disk interface {
 	// WriteAt writes a part of a file of a copy.
 	WriteAt(f *os.File, b []byte, off int64) error
+	// RemoveAll removes a folder with all that is in it.
+	RemoveAll(path string) error
 	// Clone makes an empty file share the blocks of another until one of the two is
 	// written to. Not all file systems can.
 	Clone(to, from *os.File) error
@@ -31,6 +33,8 @@
 	return err
 }
 
+func (osDisk) RemoveAll(path string) error { return os.RemoveAll(path) }
+
 func (osDisk) Clone(to, from *os.File) error {
 	return unix.IoctlFileClone(int(to.Fd()), int(from.Fd()))
 }
@@ -54,7 +58,7 @@
 	s.mu.Lock()
 	err = s.makeRoom(s.cfg.Capacity - s.used() + 1)
 	s.mu.Unlock()
-	if err != nil {
+	if err := errors.Join(err, s.emptyTrash()); err != nil {
 		return err
 	}
 	return s.wrapDiskFull(s.disk.WriteAt(f, data, offset))
--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -161,7 +161,7 @@
 		f.reservedBytes = size
 	}
 	s.mu.Unlock()
-	if err != nil {
+	if err := errors.Join(err, s.emptyTrash()); err != nil {
 		return err
 	}
 	t := &target{store: s, fetch: f, manifest: m}
--- a/internal/datastore/held.go
+++ b/internal/datastore/held.go
@@ -47,7 +47,7 @@
 		h, err := s.readHeld(id)
 		if err != nil {
 			s.log.Error("a copy on disk can't be used and is removed", "copy", id, "error", err)
-			if err := s.trash(copiesDir, id); err != nil {
+			if err := errors.Join(s.moveToTrash(copiesDir, id), s.emptyTrash()); err != nil {
 				return err
 			}
 			continue
--- a/internal/datastore/place.go
+++ b/internal/datastore/place.go
@@ -246,12 +246,12 @@
 // discard removes a copy that has changed on disk, unless another caller has already removed
 // it, and returns an error that wraps ErrNotHeld.
 func (s *Store) discard(id dataset.ID, held *heldCopy, cause error) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	err := fmt.Errorf("%w: it has changed on disk: %w", ErrNotHeld, cause)
-	if s.copies[id] != held {
-		return err
+	s.mu.Lock()
+	if s.copies[id] == held {
+		s.log.Error("a copy has changed on disk and is removed", "copy", id, "error", cause)
+		err = errors.Join(err, s.evict(id))
 	}
-	s.log.Error("a copy has changed on disk and is removed", "copy", id, "error", cause)
-	return errors.Join(err, s.evict(id))
+	s.mu.Unlock()
+	return errors.Join(err, s.emptyTrash())
 }
--- a/internal/datastore/place_test.go
+++ b/internal/datastore/place_test.go
@@ -466,3 +466,38 @@
 	}
 	requirePublished(t, dir, held, "the task")
 }
+
+// slowRemovals is a disk on which the removal of a copy takes until the channel is closed.
+type slowRemovals struct {
+	osDisk
+	removing chan struct{}
+	release  chan struct{}
+}
+
+func (d *slowRemovals) RemoveAll(path string) error {
+	close(d.removing)
+	<-d.release
+	return d.osDisk.RemoveAll(path)
+}
+
+// TestHeartbeatsDoNotWaitForRemovals guards against heartbeats, which tell what the store holds,
+// that wait until the files of a large copy are removed.
+func TestHeartbeatsDoNotWaitForRemovals(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	disk := &slowRemovals{removing: make(chan struct{}), release: make(chan struct{})}
+	s.disk = disk
+	dropped, answered := make(chan bool, 1), make(chan bool, 1)
+	go func() { dropped <- s.Drop(held.want.ID) }()
+	<-disk.removing
+	go func() { answered <- s.Digest() != "" && !s.Has(held.want.ID) }()
+	select {
+	case ok := <-answered:
+		if !ok {
+			t.Error("a copy that is being removed counts as held")
+		}
+	case <-time.After(time.Second):
+		t.Error("the store does not answer while a copy is being removed")
+	}
+	close(disk.release)
+	<-dropped
+}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -104,6 +104,7 @@
 	chunks     map[dataset.Hash][]chunkLocation // chunks of the copies
 	pins       map[dataset.ID]int
 	placements placementTable
+	trash      trash
 	serving    int
 	useCounter uint64
 	urgent     int // number of urgent fetches
