datastore: chunks leave a reserve of the disk to the agent

Callers see, once tasks have files of their own: while inputs are copied onto a disk that fills, the agent can't write its epoch or token; it then ends, and all tasks of the machine with it.

Change: a chunk is written only if a twentieth of the file system, 256 MiB at most, is free afterwards (chosen; the agent's own state is some KB, and what tasks write is not counted). Less counts as a full disk: copies that nobody uses are evicted, else it is ErrFull, no_room.

Store.network groups three fields; the struct had grown past twenty.

--- a/internal/datastore/disk.go
+++ b/internal/datastore/disk.go
@@ -28,11 +28,39 @@
 
 type osDisk struct{}
 
+// Free space that the store's chunks leave to the agent, which ends with all its tasks if it
+// can't write its own state: a share of the file system, but no more than maxReservedBytes.
+const (
+	reservedShare    = 1.0 / 20
+	maxReservedBytes = 256 << 20
+)
+
+// errReserve means that only the reserved space of a file system is left.
+var errReserve = errors.New("the disk is full but for a reserve")
+
 func (osDisk) WriteAt(f *os.File, b []byte, off int64) error {
+	if err := checkReserve(f, int64(len(b))); err != nil {
+		return &os.PathError{Op: "write", Path: f.Name(), Err: err}
+	}
 	_, err := f.WriteAt(b, off)
 	return err
 }
 
+// checkReserve returns errReserve if a write of more bytes to a file would use the reserved
+// space of its file system.
+func checkReserve(f *os.File, more int64) error {
+	var stat unix.Statfs_t
+	if err := unix.Fstatfs(int(f.Fd()), &stat); err != nil {
+		return err
+	}
+	size := int64(stat.Blocks) * stat.Bsize
+	free := int64(stat.Bavail) * stat.Bsize
+	if free-more < min(int64(float64(size)*reservedShare), maxReservedBytes) {
+		return errReserve
+	}
+	return nil
+}
+
 func (osDisk) RemoveAll(path string) error { return os.RemoveAll(path) }
 
 func (osDisk) Clone(to, from *os.File) error {
@@ -43,9 +71,9 @@
 
 func (osDisk) Sync(dir *os.File) error { return unix.Syncfs(int(dir.Fd())) }
 
-// isDiskFull reports whether an error means that the disk is full.
+// isDiskFull reports whether an error means that there is no more space for the store.
 func isDiskFull(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, errReserve)
 }
 
 // writeAt writes a part of a file. If the disk is full, because other programs fill it although
--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -299,7 +299,7 @@
 	if byteRange != "" {
 		req.Header.Set("Range", byteRange)
 	}
-	r, err := s.client.Do(req)
+	r, err := s.network.client.Do(req)
 	if err != nil {
 		return nil, Failed
 	}
@@ -321,7 +321,7 @@
 			if data = append(data, buf[:n]...); len(data) > limit {
 				return nil, Failed // the body is longer than it may be
 			}
-			if s.fetchLimit.WaitN(ctx, n) != nil {
+			if s.network.fetchLimit.WaitN(ctx, n) != nil {
 				return nil, Failed
 			}
 		}
--- a/internal/datastore/place_test.go
+++ b/internal/datastore/place_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 
 	"silvergate/internal/dataset"
@@ -501,3 +502,49 @@
 	close(disk.release)
 	<-dropped
 }
+
+// freeSpaceDisk records the least free space, in bytes, after its writes.
+type freeSpaceDisk struct {
+	osDisk
+	t     *testing.T
+	least atomic.Int64
+}
+
+func (d *freeSpaceDisk) WriteAt(f *os.File, b []byte, off int64) error {
+	err := d.osDisk.WriteAt(f, b, off)
+	var stat unix.Statfs_t
+	if statErr := unix.Fstatfs(int(f.Fd()), &stat); statErr != nil {
+		d.t.Error(statErr)
+	}
+	d.least.Store(min(d.least.Load(), int64(stat.Bavail)*stat.Bsize))
+	return err
+}
+
+// TestPlacingLeavesRoomForTheAgent guards against copies for tasks that fill the disk to the last
+// block: an agent that can't write its own state ends, with all its tasks. It is skipped where
+// this process may not mount a file system.
+func TestPlacingLeavesRoomForTheAgent(t *testing.T) {
+	const megabytes = 32
+	dir := t.TempDir()
+	if err := unix.Mount("tmpfs", dir, "tmpfs", 0, fmt.Sprintf("size=%dm", megabytes)); err != nil {
+		t.Skipf("a tmpfs can't be mounted here: %v", err)
+	}
+	defer unix.Unmount(dir, unix.MNT_DETACH)
+	s, held := openStoreWithVersion(t, filepath.Join(dir, "s"))
+	disk := &freeSpaceDisk{t: t}
+	disk.least.Store(megabytes << 20)
+	s.disk = disk
+	var err error
+	for n := 0; err == nil && n < 100; n++ {
+		err = s.Place(context.Background(), PlaceRequest{ID: held.want.ID, Dir: filepath.Join(dir, fmt.Sprint(n), "in")})
+	}
+	if !errors.Is(err, ErrFull) {
+		t.Fatalf("copies were placed on a small disk for ever: %v", err)
+	}
+	if least := disk.least.Load(); least < megabytes<<20/20 {
+		t.Errorf("%d bytes were free at one time, less than a twentieth of the disk", least)
+	}
+	if err := verifyCopy(s, held.want.ID, held.files); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -86,13 +86,11 @@
 // Store is a machine's store of copies. It is safe for concurrent use. The caller of
 // Open must call Close.
 type Store struct {
-	cfg        Config
-	log        *slog.Logger
-	client     *http.Client
-	fetchLimit *rate.Limiter
-	serveLimit *rate.Limiter
-	disk       disk
-	openedAt   time.Time
+	cfg      Config
+	log      *slog.Logger
+	network  network
+	disk     disk
+	openedAt time.Time
 	// Observe is called for each event, often with the store's lock held, so it must not
 	// call the store. It may be set only before the first Fetch.
 	Observe func(Event)
@@ -112,6 +110,13 @@
 	stats      Stats
 }
 
+// network sends the store's requests, and limits the rates at which it receives and serves data.
+type network struct {
+	client     *http.Client
+	fetchLimit *rate.Limiter
+	serveLimit *rate.Limiter
+}
+
 // Stats counts the store's contents, and its work since it was opened.
 type Stats struct {
 	Fetched, Served, Shared int64         // bytes from sources, to other machines, and from other copies in the store
@@ -151,12 +156,12 @@
 	}
 	s := &Store{cfg: cfg, log: log, openedAt: time.Now(), copies: map[dataset.ID]*heldCopy{}, fetches: map[dataset.ID]*fetching{},
 		chunks: map[dataset.Hash][]chunkLocation{}, pins: map[dataset.ID]int{}, placements: newPlacementTable(),
-		disk: osDisk{}, fetchLimit: newLimiter(cfg.FetchRate), serveLimit: newLimiter(cfg.ServeRate)}
+		disk: osDisk{}, network: network{fetchLimit: newLimiter(cfg.FetchRate), serveLimit: newLimiter(cfg.ServeRate)}}
 	s.sources = newSources(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), func(address string) {
 		s.log.Error("a source served damaged bytes and is put aside", "source", address, "for", setAsideDuration)
 		s.emit(Event{Kind: "aside", Source: address})
 	})
-	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxRequestsPerSource, IdleConnTimeout: 30 * time.Second,
+	s.network.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxRequestsPerSource, IdleConnTimeout: 30 * time.Second,
 		ResponseHeaderTimeout: cfg.StallTimeout, DisableCompression: true}}
 	for _, d := range []string{copiesDir, partialDir, manifestDir, placementDir} {
 		if err := os.MkdirAll(filepath.Join(cfg.Dir, d), 0o700); err != nil {
@@ -275,7 +280,7 @@
 	if data == nil {
 		return nil, false, false
 	}
-	if s.serveLimit.WaitN(ctx, len(data)) != nil {
+	if s.network.serveLimit.WaitN(ctx, len(data)) != nil {
 		return nil, true, true
 	}
 	return data, true, false
@@ -356,5 +361,5 @@
 	for _, f := range all {
 		<-f.finished
 	}
-	s.client.CloseIdleConnections()
+	s.network.client.CloseIdleConnections()
 }
