datastore: a copy that can't be served any more is not held

Callers see: a machine that tells the controllers for ever that it holds a copy, whose chunk its disk has damaged. Other machines are sent there and get 404; tasks are sent there too.

Cause: Chunk and localChunk verified what they read, and told nobody what they found.

Change: all reads of a held copy go through one place; a copy that has changed on disk is removed there, as in Place. A file that can't be opened for another reason (too many open files) is no damage.

--- a/internal/datastore/place.go
+++ b/internal/datastore/place.go
@@ -106,16 +106,6 @@
 	return nil
 }
 
-// damagedError reports that a file of a copy can't be read as it was published.
-type damagedError struct {
-	path  string
-	cause error
-}
-
-func (e *damagedError) Error() string { return e.path + ": " + e.cause.Error() }
-
-func (e *damagedError) Unwrap() error { return e.cause }
-
 // placer writes the files of one placement.
 type placer struct {
 	store   *Store
@@ -154,15 +144,6 @@
 	return filepath.Join(p.request.Dir, filepath.FromSlash(f.Path))
 }
 
-// openSource opens the store's file. A file that is missing is damage, as any other change.
-func (p *placer) openSource(f *dataset.File) (*os.File, error) {
-	src, err := os.Open(p.store.filePath(copiesDir, p.request.ID, f))
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil, &damagedError{f.Path, err}
-	}
-	return src, err
-}
-
 // createFile creates the task's own file, as a clone if the file system can. It reports whether
 // it is a clone; if not, the file is empty.
 func (p *placer) createFile(f *dataset.File) (cloned bool, err error) {
@@ -170,7 +151,7 @@
 	if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
 		return false, err
 	}
-	src, err := p.openSource(f)
+	src, err := p.store.openHeld(p.request.ID, f)
 	if err != nil {
 		return false, err
 	}
@@ -193,7 +174,7 @@
 	if cloned {
 		return errors.Join(p.copyChunks(nil, dst, f), dst.Close())
 	}
-	src, err := p.openSource(f)
+	src, err := p.store.openHeld(p.request.ID, f)
 	if err != nil {
 		return errors.Join(err, dst.Close())
 	}
@@ -215,14 +196,13 @@
 			return err
 		}
 		chunk := p.buf[:chunkLen(f, k)]
-		offset := int64(k) * dataset.ChunkSize
-		if err := readVerified(src, chunk, offset, want); err != nil {
-			return &damagedError{f.Path, fmt.Errorf("chunk %d: %w", k, err)}
+		if err := readVerified(src, chunk, f, k, want); err != nil {
+			return err
 		}
 		if dst == nil {
 			continue
 		}
-		if err := p.store.writeAt(dst, chunk, offset); err != nil {
+		if err := p.store.writeAt(dst, chunk, int64(k)*dataset.ChunkSize); err != nil {
 			return err
 		}
 	}
--- a/internal/datastore/place_test.go
+++ b/internal/datastore/place_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -548,3 +549,21 @@
 		t.Error(err)
 	}
 }
+
+// TestADamagedCopyIsNoSource guards against a machine that goes on telling that it holds a copy
+// although it can't serve a chunk of it, which the disk has damaged.
+func TestADamagedCopyIsNoSource(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	overwrite(t, filepath.Join(s.cfg.Dir, copiesDir, string(held.want.ID), "roster.txt"), 1<<20+5, "damage")
+	chunks := held.manifest.Files[slices.IndexFunc(held.manifest.Files, func(f dataset.File) bool { return f.Path == "roster.txt" })].Chunks
+	if _, ok, _ := s.Chunk(context.Background(), chunks[0]); !ok || !s.Has(held.want.ID) {
+		t.Error("a sound chunk was not served, or the copy is gone")
+	}
+	if _, ok, busy := s.Chunk(context.Background(), chunks[1]); ok || busy || s.Has(held.want.ID) {
+		t.Errorf("a damaged chunk was served: %v; the store has the copy: %v", ok, s.Has(held.want.ID))
+	}
+	if err := fetchAndWait(s, held.want); err != nil {
+		t.Fatal(err)
+	}
+	requireLaterTask(t, s, held, "a task after the copy was fetched again")
+}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -16,6 +16,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io/fs"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -276,8 +278,7 @@
 		s.stats.Served += int64(len(data))
 		s.mu.Unlock()
 	}()
-	data = readChunk(s.filePath(copiesDir, p.id, &c.manifest.Files[p.file]), &c.manifest.Files[p.file], p.chunk, h)
-	if data == nil {
+	if data = s.readChunk(p, c, h); data == nil {
 		return nil, false, false
 	}
 	if s.network.serveLimit.WaitN(ctx, len(data)) != nil {
@@ -301,32 +302,57 @@
 	return int(min(dataset.ChunkSize, f.Size-int64(chunk)*dataset.ChunkSize))
 }
 
-// readChunk reads a chunk of a file. It returns nil if the chunk can't be read or does not
-// have the hash want, for example because the disk has damaged it.
-func readChunk(path string, f *dataset.File, chunk int, want dataset.Hash) []byte {
-	src, err := os.Open(path)
-	if err != nil {
-		return nil
+// readChunk reads a chunk of a copy. It returns nil if that isn't possible. If the reason is
+// that the copy has changed on disk, it removes the copy.
+func (s *Store) readChunk(at chunkLocation, held *heldCopy, want dataset.Hash) []byte {
+	f := &held.manifest.Files[at.file]
+	src, err := s.openHeld(at.id, f)
+	if err == nil {
+		defer src.Close()
+		buf := make([]byte, chunkLen(f, at.chunk))
+		if err = readVerified(src, buf, f, at.chunk, want); err == nil {
+			return buf
+		}
+	}
+	var damaged *damagedError
+	if errors.As(err, &damaged) {
+		err = s.discard(at.id, held, err)
 	}
-	defer src.Close()
-	buf := make([]byte, chunkLen(f, chunk))
-	if readVerified(src, buf, int64(chunk)*dataset.ChunkSize, want) != nil {
-		return nil
+	s.log.Debug("a chunk can't be read", "copy", at.id, "file", f.Path, "error", err)
+	return nil
+}
+
+// openHeld opens a copy's file. A file that is missing is damage, as any other change.
+func (s *Store) openHeld(id dataset.ID, f *dataset.File) (*os.File, error) {
+	src, err := os.Open(s.filePath(copiesDir, id, f))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, &damagedError{f.Path, err}
 	}
-	return buf
+	return src, err
 }
 
+// damagedError reports that a file of a copy can't be read as it was published.
+type damagedError struct {
+	path  string
+	cause error
+}
+
+func (e *damagedError) Error() string { return e.path + ": " + e.cause.Error() }
+
+func (e *damagedError) Unwrap() error { return e.cause }
+
 // errChunkDiffers means that a chunk on disk does not have the hash of its manifest.
 var errChunkDiffers = errors.New("a chunk differs from the manifest")
 
-// readVerified fills buf from a file at an offset and returns an error unless the bytes read
-// have the hash want.
-func readVerified(file *os.File, buf []byte, offset int64, want dataset.Hash) error {
-	if _, err := file.ReadAt(buf, offset); err != nil {
-		return err
+// readVerified fills buf, which has the chunk's length, with a chunk of a file. It returns a
+// *damagedError unless the bytes have the hash want.
+func readVerified(src *os.File, buf []byte, f *dataset.File, chunk int, want dataset.Hash) error {
+	_, err := src.ReadAt(buf, int64(chunk)*dataset.ChunkSize)
+	if err == nil && dataset.Sum(buf) != want {
+		err = errChunkDiffers
 	}
-	if dataset.Sum(buf) != want {
-		return errChunkDiffers
+	if err != nil {
+		return &damagedError{f.Path, fmt.Errorf("chunk %d: %w", chunk, err)}
 	}
 	return nil
 }
--- a/internal/datastore/target.go
+++ b/internal/datastore/target.go
@@ -90,7 +90,7 @@
 	for k, want := range f.Chunks {
 		at := int64(k) * dataset.ChunkSize
 		// A part that was never written is a hole and reads as zeros.
-		if old.Size() > at && readVerified(file, buf[:chunkLen(f, k)], at, want) == nil {
+		if old.Size() > at && readVerified(file, buf[:chunkLen(f, k)], f, k, want) == nil {
 			continue
 		}
 		data := t.localChunk(want)
@@ -162,7 +162,7 @@
 	if c == nil {
 		return nil
 	}
-	data := readChunk(t.store.filePath(copiesDir, p.id, &c.manifest.Files[p.file]), &c.manifest.Files[p.file], p.chunk, h)
+	data := t.store.readChunk(p, c, h)
 	if data == nil {
 		return nil
 	}
