datastore: what cancelled fetches leave counts as taken room

Callers see: a machine's disk fills although its store is within capacity_gb. The chunks of fetches that were cancelled or failed stay on disk for a later fetch, for ever and uncounted.

Change: partial copies that no fetch is completing count with the disk space that they take, also after a restart, and are the first to go when room is needed.

--- a/internal/datastore/evict.go
+++ b/internal/datastore/evict.go
@@ -56,8 +56,8 @@
 	return err
 }
 
-// used returns how many bytes the copies take and the fetches have reserved. The
-// caller holds the lock.
+// used returns how many bytes the copies and the idle partial copies take and the fetches
+// have reserved. The caller holds the lock.
 func (s *Store) used() (n int64) {
 	for _, h := range s.copies {
 		n += h.bytes
@@ -65,14 +65,23 @@
 	for _, f := range s.fetches {
 		n += f.reservedBytes
 	}
+	for _, bytes := range s.idlePartials {
+		n += bytes
+	}
 	return n
 }
 
-// makeRoom evicts the least recently used unpinned copies until there is room for more
-// bytes. If that isn't possible, it returns an error that wraps ErrFull. The caller
+// makeRoom removes partial copies that no fetch is completing, and then evicts the least
+// recently used unpinned copies, until there is room for more bytes. If that isn't possible, it returns an error that wraps ErrFull. The caller
 // holds the lock, and calls emptyTrash once it has released it.
 func (s *Store) makeRoom(more int64) error {
 	for s.used()+more > s.cfg.Capacity {
+		if removed, err := s.evictPartial(); removed || err != nil {
+			if err != nil {
+				return err
+			}
+			continue
+		}
 		var oldest dataset.ID
 		for id, h := range s.copies {
 			if s.pins[id] == 0 && (oldest == "" || h.lastUse < s.copies[oldest].lastUse) {
--- a/internal/datastore/fetch.go
+++ b/internal/datastore/fetch.go
@@ -126,6 +126,9 @@
 // runFetch fetches a copy and then calls the functions that wait for it.
 func (s *Store) runFetch(f *fetching) {
 	err := s.fetchCopy(f)
+	if err != nil {
+		s.keepPartial(f)
+	}
 	s.mu.Lock()
 	delete(s.fetches, f.want.ID)
 	if f.want.Urgent {
@@ -156,6 +159,7 @@
 	size := m.Bytes()
 	s.mu.Lock()
 	f.totalBytes = size
+	delete(s.idlePartials, id) // part of what is reserved from now on
 	err = s.makeRoom(size)
 	if err == nil {
 		f.reservedBytes = size
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -5,12 +5,14 @@
 // A store owns one folder. A copy becomes visible by one rename after every chunk was
 // verified and synced. The partial copy that a crash leaves behind is never read as a
 // copy: a later fetch verifies it chunk by chunk and fetches the rest. Copies that tasks
-// use are pinned; the others are evicted to make room, the least recently used first.
+// still have to be given are pinned; the others are evicted to make room, the least recently
+// used first.
 //
 // plan.go decides which chunk is requested from which source, fetch.go sends the
-// requests, and target.go writes the chunks. held.go loads and lists copies, place.go gives
-// tasks files of their own, placements.go counts and removes these, evict.go makes room, serve.go answers other machines, and store.go
-// opens the store and reads chunks.
+// requests, and target.go writes the chunks. held.go loads and lists copies, partial.go counts
+// what unfinished fetches leave, place.go gives tasks files of their own, placements.go counts
+// and removes these, evict.go makes room, serve.go answers other machines, and store.go opens
+// the store and reads chunks.
 package datastore
 
 import (
@@ -97,19 +99,21 @@
 	// call the store. It may be set only before the first Fetch.
 	Observe func(Event)
 
-	mu         sync.Mutex
-	sources    *sources
-	copies     map[dataset.ID]*heldCopy
-	fetches    map[dataset.ID]*fetching
-	chunks     map[dataset.Hash][]chunkLocation // chunks of the copies
-	pins       map[dataset.ID]int
-	placements placementTable
-	trash      trash
-	serving    int
-	useCounter uint64
-	urgent     int // number of urgent fetches
-	closed     bool
-	stats      Stats
+	mu      sync.Mutex
+	sources *sources
+	copies  map[dataset.ID]*heldCopy
+	fetches map[dataset.ID]*fetching
+	// idlePartials are the partial copies that no fetch is completing, with their disk space.
+	idlePartials map[dataset.ID]int64
+	chunks       map[dataset.Hash][]chunkLocation // chunks of the copies
+	pins         map[dataset.ID]int
+	placements   placementTable
+	trash        trash
+	serving      int
+	useCounter   uint64
+	urgent       int // number of urgent fetches
+	closed       bool
+	stats        Stats
 }
 
 // network sends the store's requests, and limits the rates at which it receives and serves data.
@@ -156,7 +160,7 @@
 	if cfg.StallTimeout <= 0 {
 		cfg.StallTimeout = 5 * time.Second
 	}
-	s := &Store{cfg: cfg, log: log, openedAt: time.Now(), copies: map[dataset.ID]*heldCopy{}, fetches: map[dataset.ID]*fetching{},
+	s := &Store{cfg: cfg, log: log, openedAt: time.Now(), copies: map[dataset.ID]*heldCopy{}, fetches: map[dataset.ID]*fetching{}, idlePartials: map[dataset.ID]int64{},
 		chunks: map[dataset.Hash][]chunkLocation{}, pins: map[dataset.ID]int{}, placements: newPlacementTable(),
 		disk: osDisk{}, network: network{fetchLimit: newLimiter(cfg.FetchRate), serveLimit: newLimiter(cfg.ServeRate)}}
 	s.sources = newSources(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), func(address string) {
@@ -176,7 +180,7 @@
 	if err := s.load(); err != nil {
 		return nil, err
 	}
-	return s, s.loadPlacements()
+	return s, errors.Join(s.loadPartials(), s.loadPlacements())
 }
 
 // newLimiter returns a limiter of bytesPerSecond; 0: unbounded.
