--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -36,6 +36,10 @@
 			err = ExecTask(os.Args[2])
 		case "agent-watchdog":
 			err = Watchdog(os.Args[2], os.Stdin)
+		case "soak-task":
+			if err = soakTask(os.Args[2], os.Args[3], os.Args[4], os.Args[5]); err == nil {
+				os.Exit(0)
+			}
 		case "agent":
 			var cfg Config
 			raw, _ := os.ReadFile(os.Args[2])
@@ -46,7 +50,7 @@
 				}
 			}
 		}
-		if os.Args[1] == "task-exec" || os.Args[1] == "agent-watchdog" || os.Args[1] == "agent" {
+		if os.Args[1] == "task-exec" || os.Args[1] == "agent-watchdog" || os.Args[1] == "agent" || os.Args[1] == "soak-task" {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
