--- a/internal/agent/inputs_test.go
+++ b/internal/agent/inputs_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -208,3 +209,51 @@
 	agent.start()
 	s.controller.await("the inputs that the killed agent left are gone", func() bool { return gone("wk-000002", 0) && gone("wk-000002", 1) })
 }
+
+// TestHeartbeatsGoOnWhileInputsAreCopied guards against heartbeats that wait for the copying of
+// inputs, or for their removal, so that a machine with large inputs seems lost. PLACE_MB sets the
+// size.
+func TestHeartbeatsGoOnWhileInputsAreCopied(t *testing.T) {
+	megabytes := 128
+	if n, err := strconv.Atoi(os.Getenv("PLACE_MB")); err == nil {
+		megabytes = n
+	}
+	s := newStagingSite(t, megabytes<<20)
+	s.cfg.Staging.CapacityGB = 1.1 * float64(megabytes<<20) / 1e9
+	s.addReader("wk-000001", "sleep 60", nil)
+	var beats []time.Time // the controller's lock guards it
+	s.controller.onHeartbeat = func(protocol.Heartbeat) { beats = append(beats, time.Now()) }
+	var events []datastore.Event // the store's lock guards it
+	a, err := New(s.cfg, os.Args[0], discardLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	placed := make(chan struct{})
+	a.inputs.store.Observe = func(e datastore.Event) {
+		if e.Kind == "place" || e.Kind == "placed" {
+			events = append(events, e)
+		}
+		if e.Kind == "placed" {
+			close(placed)
+		}
+	}
+	startAgent(t, a)
+	key := TaskAttempt{"wk-000001", 0, 1}
+	s.controller.send(launch("wk-000001", 0))
+	<-placed
+	s.controller.await("the task runs", func() bool { return s.status(key.TaskName()) == protocol.TaskRunning })
+	grace := 0.0
+	s.controller.send(protocol.Command{Verb: "kill", Task: key.TaskName(), Attempt: 1, GracePeriodS: &grace})
+	s.controller.await("the inputs are removed", func() bool { return !exists(s.taskPath(key, "work/in")) })
+	s.controller.mu.Lock()
+	defer s.controller.mu.Unlock()
+	longest := time.Duration(0)
+	for i := 1; i < len(beats); i++ {
+		longest = max(longest, beats[i].Sub(beats[i-1]))
+	}
+	t.Logf("%d MB placed in %v; the longest time between two heartbeats was %v, of a lease of %v",
+		megabytes, events[1].At.Sub(events[0].At).Round(time.Millisecond), longest.Round(time.Millisecond), seconds(s.cfg.Workers.Lease))
+	if longest > seconds(s.cfg.Workers.Lease)/2 {
+		t.Errorf("%v passed between two heartbeats, more than half of a lease", longest)
+	}
+}
