datastore, agent: a placement waits for room that other tasks will free

Operators would see, with the bound on tasks' own files: more tasks on a machine than placed_gb allows bounce off it with no_room, an attempt and two changes of the state service each time, where links had let them run side by side.

Evidence: TestAPlacementWaitsForRoom; without the wait Place refuses at once (the bound's own test).

Change: a task that is not urgent waits on its machine, reported as pulling, for up to a lease until inputs of other tasks are removed. An urgent one goes elsewhere at once, as before. A stop ends the wait.

--- a/internal/agent/input_preparation.go
+++ b/internal/agent/input_preparation.go
@@ -179,6 +179,9 @@
 			continue
 		}
 		request := datastore.PlaceRequest{ID: input.want.ID, Dir: input.dir, Owner: p.key.String(), Urgent: p.urgent}
+		if !p.urgent { // an urgent task goes elsewhere at once
+			request.RoomTimeout = seconds(d.agent.cfg.Workers.Lease)
+		}
 		if err := d.store.Place(ctx, request); err != nil {
 			return fmt.Errorf("inputs[%d] (%s/%s): %w", i, input.want.Set, input.want.Version, err)
 		}
--- a/internal/datastore/place.go
+++ b/internal/datastore/place.go
@@ -21,6 +21,8 @@
 	Owner string
 	// Urgent placements make all others wait until they are done.
 	Urgent bool
+	// RoomTimeout is how long to wait for other tasks' files to be removed if there is no room.
+	RoomTimeout time.Duration
 }
 
 // Place puts a copy's files into a folder, which it creates. The files are the task's own:
@@ -31,7 +33,7 @@
 //
 // If the store does not have the copy, the error wraps ErrNotHeld, and so it does if the copy
 // has changed on disk; the store then removes the copy. If the disk is full, or tasks' files
-// would take more than Config.PlacedCapacity, it wraps ErrFull. If ctx ends before all files
+// would take more than Config.PlacedCapacity for longer than RoomTimeout, it wraps ErrFull. If ctx ends before all files
 // are there, it is ctx's error. After an error the folder does not exist.
 func (s *Store) Place(ctx context.Context, r PlaceRequest) error {
 	s.mu.Lock()
@@ -128,7 +130,7 @@
 			bytes += files[i].Size
 		}
 	}
-	if err := p.store.reservePlaced(placement, bytes); err != nil {
+	if err := p.store.awaitPlacedRoom(p.ctx, placement, bytes, p.request.RoomTimeout); err != nil {
 		return err
 	}
 	for i := range files {
--- a/internal/datastore/place_test.go
+++ b/internal/datastore/place_test.go
@@ -567,3 +567,34 @@
 	}
 	requireLaterTask(t, s, held, "a task after the copy was fetched again")
 }
+
+// TestAPlacementWaitsForRoom guards against tasks that are sent from machine to machine, an attempt
+// each, although the room for their inputs will be free in a moment.
+func TestAPlacementWaitsForRoom(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	s.cfg.PlacedCapacity = held.manifest.Bytes()
+	placeCopy(t, s, held)
+	dir := filepath.Join(t.TempDir(), "in")
+	request := PlaceRequest{ID: held.want.ID, Dir: dir, RoomTimeout: 20 * time.Millisecond}
+	if err := s.Place(context.Background(), request); !errors.Is(err, ErrFull) || exists(dir) {
+		t.Errorf("a second copy where one has room: error %v, folder left: %v", err, exists(dir))
+	}
+	request.RoomTimeout = time.Minute
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := s.Place(ctx, request); !errors.Is(err, context.Canceled) || exists(dir) {
+		t.Errorf("a placement that is cancelled while it waits: error %v, folder left: %v", err, exists(dir))
+	}
+	placed := make(chan error, 1)
+	go func() { placed <- s.Place(context.Background(), request) }()
+	select {
+	case err := <-placed:
+		t.Fatalf("a second copy did not wait for room: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	removePlacements(t, s)
+	if err := <-placed; err != nil {
+		t.Fatal(err)
+	}
+	requirePublished(t, dir, held, "the task that waited")
+}
