--- a/internal/agent/inputs_test.go
+++ b/internal/agent/inputs_test.go
@@ -257,3 +257,27 @@
 		t.Errorf("%v passed between two heartbeats, more than half of a lease", longest)
 	}
 }
+
+// TestATasksWritesToItsImageReachNoOtherTask guards against a task that changes the machine's one
+// folder of an image, and with it the programs and files of other teams' tasks. It is known to
+// fail (KNOWN-RED.txt).
+func TestATasksWritesToItsImageReachNoOtherTask(t *testing.T) {
+	c := newFakeController(t)
+	cfg := testConfig(t, c)
+	image := t.TempDir()
+	if err := os.WriteFile(filepath.Join(image, "model"), []byte("published"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg.Images = []Image{{Name: "sh", Path: image}}
+	c.add("wk-000001", "printf taken > $SILVERGATE_IMAGE/model", nil)
+	c.add("wk-000002", "cat $SILVERGATE_IMAGE/model", nil)
+	runAgent(t, cfg)
+	for _, id := range []string{"wk-000001", "wk-000002"} {
+		c.send(launch(id, 0))
+		c.await("the task is over", func() bool { return c.causes[id+"/0#1"] != "" })
+	}
+	got, err := os.ReadFile(filepath.Join(cfg.Dir, tasksDir, TaskAttempt{"wk-000002", 0, 1}.String(), stdout))
+	if err != nil || string(got) != "published" {
+		t.Errorf("the second task reads %q from its image: %v", got, err)
+	}
+}
