agent: pruning spares tasks whose program is being started

Callers see: a task that has just begun finds its folder, with its inputs, gone, and ends with error.

Cause: prune took an attempt for over if no process of it was on record. One that is being started gets there only when its program runs already.

Change: the worker says whether an attempt is over.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -134,7 +134,7 @@
 			return nil, fmt.Errorf("%s: damaged: %w; return the machine to its provider", filepath.Join(cfg.Dir, stateFile), err)
 		}
 	}
-	a.runner = &runner{dir: cfg.Dir, exec: a.taskCommand, log: log, tasks: map[TaskAttempt]*task{}, exited: a.taskExited}
+	a.runner = &runner{dir: cfg.Dir, exec: a.taskCommand, log: log, tasks: map[TaskAttempt]*task{}, exited: a.taskExited, needsFolder: a.needsFolder}
 	if a.images, err = newImageStore(filepath.Join(cfg.Dir, "images"), int64(cfg.LocalGB*1e9), cfg.Images); err != nil {
 		return nil, err
 	}
@@ -157,7 +157,6 @@
 		if a.outputs, err = newOutputShipper(a); err != nil {
 			return nil, err
 		}
-		a.runner.needsFolder = a.outputs.needsFolder
 	}
 	a.server = transport.NewServer(&a.mu, a, requestTimeout, maxServedConnections)
 	return a, nil
@@ -347,6 +346,14 @@
 	}
 }
 
+// needsFolder reports whether an attempt's folder must stay: the attempt is not over, or the
+// archive still reads the folder.
+func (a *Agent) needsFolder(k TaskAttempt) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.worker.MayHaveProcesses(k) || a.outputs.needsFolder(k)
+}
+
 // Serve handles a request; the server holds the lock.
 func (a *Agent) Serve(id uint64, r *transport.Request) {
 	answerError := func(status int, why string) {
--- a/internal/agent/inputs_test.go
+++ b/internal/agent/inputs_test.go
@@ -281,3 +281,31 @@
 		t.Errorf("the second task reads %q from its image: %v", got, err)
 	}
 }
+
+// TestPruningSparesTasksThatStart guards against a task whose folder, with its inputs, is removed
+// while its program is being started.
+func TestPruningSparesTasksThatStart(t *testing.T) {
+	s := newStagingSite(t, 100)
+	s.addReader("wk-000001", "sleep 0.2; cat in/roster.txt > read", nil)
+	for i := range maxKeptFolders + 1 {
+		// Folders that are not removed, such as those that the archive still reads.
+		if err := os.MkdirAll(s.taskPath(TaskAttempt{"wk-000009", i, 1}, workDir), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a := runAgent(t, s.cfg)
+	key := TaskAttempt{"wk-000001", 0, 1}
+	s.controller.send(launch("wk-000001", 0))
+	for until := time.Now().Add(20 * time.Second); !exists(s.taskPath(key, execFile)); {
+		if time.Now().After(until) {
+			t.Fatal("the program was not started")
+		}
+	}
+	a.runner.prune()
+	s.controller.await("the task is over", func() bool { return s.controller.causes["wk-000001/0#1"] != "" })
+	s.controller.mu.Lock()
+	defer s.controller.mu.Unlock()
+	if cause := s.controller.causes["wk-000001/0#1"]; cause != protocol.CauseDone {
+		t.Errorf("the task ended with %s: its folder was removed", cause)
+	}
+}
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -86,7 +86,7 @@
 	log  *slog.Logger
 	// exited is called when all processes of an attempt are gone.
 	exited func(k TaskAttempt, code int, memoryExceeded bool)
-	// needsFolder reports whether an attempt's folder must not be removed yet; nil: none is needed.
+	// needsFolder reports whether an attempt's folder must not be removed yet.
 	needsFolder func(k TaskAttempt) bool
 
 	mu        sync.Mutex
@@ -267,7 +267,7 @@
 }
 
 // prune removes the oldest folders of ended attempts until no more than maxKeptFolders
-// folders are left. It skips folders that the archive still needs.
+// folders are left. It skips folders that are still needed.
 func (r *runner) prune() {
 	root := filepath.Join(r.dir, tasksDir)
 	dirs, err := os.ReadDir(root)
@@ -281,10 +281,7 @@
 	var removable []old
 	for _, d := range dirs {
 		k, ok := parseTaskAttempt(d.Name())
-		r.mu.Lock()
-		_, live := r.tasks[k]
-		r.mu.Unlock()
-		if info, err := os.Stat(filepath.Join(root, d.Name(), execFile)); ok && !live && err == nil && (r.needsFolder == nil || !r.needsFolder(k)) {
+		if info, err := os.Stat(filepath.Join(root, d.Name(), execFile)); ok && err == nil && !r.needsFolder(k) {
 			removable = append(removable, old{d.Name(), info.ModTime()})
 		}
 	}
