agent: a refused placement leaves no folder

Operators would see, since inputs are placed before a task runs: an empty folder for each attempt that found no room, for ever; above 200 of them, pruning removes the folders of all ended attempts.

Evidence: TestARefusedPlacementLeavesNoFolder before the change: "the folder of an attempt that never ran is left". Found by tracing the failure of the long soak.

Change: what an attempt that never ran leaves is removed with its inputs. The soak test also fails now if a task ends with an error.

--- a/internal/agent/input_preparation.go
+++ b/internal/agent/input_preparation.go
@@ -106,6 +106,10 @@
 	}
 	d.removePlacements(d.placementsOf(p.key))
 	err := d.fetchAndPlace(ctx, p)
+	if err != nil {
+		d.removePlacements(d.placementsOf(p.key))
+		d.removeUnusedFolder(p.key.String())
+	}
 	d.agent.mu.Lock()
 	p.unpin(d.store)
 	if d.preparations[p.key] == p {
--- a/internal/agent/input_removal.go
+++ b/internal/agent/input_removal.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"silvergate/internal/datastore"
 )
@@ -47,18 +49,32 @@
 	return out
 }
 
-// removePlacements removes inputs of attempts that are over. The folder of an attempt that never
-// ran goes with them, as nothing else removes it.
+// removePlacements removes inputs of attempts that are over.
 func (d *inputStore) removePlacements(list []*datastore.Placement) {
 	for _, p := range list {
 		if err := d.store.RemovePlacement(p); err != nil {
 			d.agent.log.Error("the inputs of an attempt that is over can't be removed", "attempt", p.Owner, "error", err)
 			continue
 		}
-		folder := filepath.Join(d.agent.cfg.Dir, tasksDir, p.Owner)
-		if !exists(filepath.Join(folder, execFile)) {
-			_ = os.Remove(filepath.Join(folder, workDir)) // each fails if something is in it
-			_ = os.Remove(folder)
+		d.removeUnusedFolder(p.Owner)
+	}
+}
+
+// removeUnusedFolder removes the folder of an attempt that never ran, unless a file is in it:
+// nothing else removes such folders.
+func (d *inputStore) removeUnusedFolder(attempt string) {
+	folder := filepath.Join(d.agent.cfg.Dir, tasksDir, attempt)
+	if exists(filepath.Join(folder, execFile)) {
+		return
+	}
+	var folders []string
+	_ = filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+		if err == nil && entry.IsDir() {
+			folders = append(folders, path)
 		}
+		return nil
+	})
+	for _, path := range slices.Backward(folders) { // a folder comes after its parent
+		_ = os.Remove(path) // fails if something is in it
 	}
 }
--- a/internal/agent/inputs_soak_test.go
+++ b/internal/agent/inputs_soak_test.go
@@ -238,4 +238,7 @@
 	if asPublished == 0 {
 		t.Error("no task has read its input")
 	}
+	if failed := s.counts["ended as "+protocol.CauseError]; failed > 0 {
+		t.Errorf("tasks ended with an error %d times, as heartbeats told", failed)
+	}
 }
--- a/internal/agent/inputs_test.go
+++ b/internal/agent/inputs_test.go
@@ -282,6 +282,21 @@
 	}
 }
 
+// TestARefusedPlacementLeavesNoFolder guards against folders of attempts that never ran, which
+// nothing removes.
+func TestARefusedPlacementLeavesNoFolder(t *testing.T) {
+	s := newStagingSite(t, 3<<20)
+	s.cfg.Staging.PlacedGB = 0.001
+	s.input.Path = "data/in"
+	s.addReader("wk-000001", "sleep 60", func(d *protocol.JobDescription) { d.Priority = "urgent" })
+	runAgent(t, s.cfg)
+	s.controller.send(launch("wk-000001", 0))
+	s.controller.await("the task goes elsewhere", func() bool { return s.controller.causes["wk-000001/0#1"] == protocol.CauseNoRoom })
+	if exists(s.taskPath(TaskAttempt{"wk-000001", 0, 1}, "")) {
+		t.Error("the folder of an attempt that never ran is left")
+	}
+}
+
 // TestPruningSparesTasksThatStart guards against a task whose folder, with its inputs, is removed
 // while its program is being started.
 func TestPruningSparesTasksThatStart(t *testing.T) {
--- a/internal/datastore/place.go
+++ b/internal/datastore/place.go
@@ -34,7 +34,8 @@
 // If the store does not have the copy, the error wraps ErrNotHeld, and so it does if the copy
 // has changed on disk; the store then removes the copy. If the disk is full, or tasks' files
 // would take more than Config.PlacedCapacity for longer than RoomTimeout, it wraps ErrFull. If ctx ends before all files
-// are there, it is ctx's error. After an error the folder does not exist.
+// are there, it is ctx's error. After an error the folder does not exist, but its
+// parents may.
 func (s *Store) Place(ctx context.Context, r PlaceRequest) error {
 	s.mu.Lock()
 	held := s.copies[r.ID]
@@ -82,9 +83,6 @@
 // placeFiles records a placement, and creates its folder with its files. After an error it
 // removes them again.
 func (s *Store) placeFiles(ctx context.Context, r PlaceRequest, held *heldCopy) (err error) {
-	if err := os.MkdirAll(filepath.Dir(r.Dir), 0o700); err != nil {
-		return err
-	}
 	if exists(r.Dir) {
 		return &fs.PathError{Op: "place", Path: r.Dir, Err: fs.ErrExist}
 	}
@@ -97,7 +95,7 @@
 			err = errors.Join(err, os.RemoveAll(r.Dir), s.forgetPlacement(placement))
 		}
 	}()
-	if err := os.Mkdir(r.Dir, 0o700); err != nil {
+	if err := os.MkdirAll(r.Dir, 0o700); err != nil {
 		return err
 	}
 	p := placer{store: s, ctx: ctx, request: r, buf: make([]byte, dataset.ChunkSize)}
