provider: a machine deleted while it starts is gone at the answer

Cause: a start and an end of a machine did not know of one another. A start looked whether the machine was being ended only once, at its beginning; certificates, which are issued one after the other, then took tenths of a second. An end in that time found no agent on record, moved the folder away and answered; the start made the folder anew and started the agent in it.

Change: who writes to a machine's folder or starts its agent, or renews its certificate, says so under the lock, unless the machine is being ended; the end waits for it and then finds the agent on record. A start that has waited for its certificate looks once more.

--- a/internal/provider/agents.go
+++ b/internal/provider/agents.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -133,28 +135,80 @@
 // renewCertificates renews the certificates of all machines whose agents run.
 func (p *Provider) renewCertificates() {
 	p.mu.Lock()
-	var names []string
-	for n := range p.agents {
-		names = append(names, n)
-	}
+	names := slices.Collect(maps.Keys(p.agents))
 	p.mu.Unlock()
 	for _, n := range names {
-		if dir := p.dir(n); exists(dir) {
-			if err := p.certify(n, dir); err != nil {
-				p.log.Error("a machine's certificate can't be renewed", "machine", n, "error", err)
-			}
-		}
+		p.renewCertificate(n)
 	}
 }
 
-// start starts a machine's agent. The agent's identity is on disk before the agent runs.
-func (p *Provider) start(name string) {
+// renewCertificate renews the certificate of a machine, unless the machine is being ended.
+func (p *Provider) renewCertificate(name string) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.beginWork(name) {
+		return
+	}
+	defer p.endWork(name)
+	p.mu.Unlock()
+	err := p.certify(name, p.dir(name))
+	p.mu.Lock()
+	if err != nil {
+		p.log.Error("a machine's certificate can't be renewed", "machine", name, "error", err)
+	}
+}
+
+// beginWork reports whether a machine's folder may be written to and its agent started, which is
+// so unless the machine is being ended. If it does, the end of the machine waits until endWork
+// is called. The lock is held.
+func (p *Provider) beginWork(name string) bool {
 	x := p.market.machines[name]
 	if x == nil || x.Ending || p.closed {
-		p.mu.Unlock()
+		return false
+	}
+	p.work.byMachine[name]++
+	return true
+}
+
+// endWork ends what beginWork began; the lock is held.
+func (p *Provider) endWork(name string) {
+	if p.work.byMachine[name]--; p.work.byMachine[name] == 0 {
+		delete(p.work.byMachine, name)
+	}
+	p.work.ended.Broadcast()
+}
+
+// awaitWork waits until nothing works on a machine that is being ended. Nothing begins any more
+// then, as the machine is marked as ending.
+func (p *Provider) awaitWork(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.work.byMachine[name] > 0 {
+		p.work.ended.Wait()
+	}
+}
+
+// isEnding reports whether a machine is being ended.
+func (p *Provider) isEnding(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.market.machines[name]
+	return x == nil || x.Ending
+}
+
+// errEnding means that a machine is not started because it is being ended.
+var errEnding = errors.New("the machine is being ended")
+
+// start starts a machine's agent. The agent's identity is on disk before the agent runs. An end of
+// the machine that begins meanwhile waits for the start, and then ends the agent.
+func (p *Provider) start(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.beginWork(name) {
 		return
 	}
+	defer p.endWork(name)
+	x := p.market.machines[name]
 	t := p.market.types[x.MachineType]
 	p.mu.Unlock()
 	var id proc.ID
@@ -163,8 +217,10 @@
 		id, err = p.spawn(x, t)
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err != nil {
+	switch {
+	case errors.Is(err, errEnding):
+		return
+	case err != nil:
 		p.log.Error("an agent can't be started", "machine", name, "error", err)
 		p.perform(p.market.AgentDied(time.Now(), name))
 		return
@@ -187,6 +243,9 @@
 	if err := p.certify(x.Name, dir); err != nil {
 		return proc.ID{}, err
 	}
+	if p.isEnding(x.Name) { // certificates are issued one after the other, which may have taken long
+		return proc.ID{}, errEnding
+	}
 	raw, err := yaml.Marshal(p.cfg.agent(x, t))
 	if err != nil {
 		return proc.ID{}, err
@@ -214,6 +273,7 @@
 // the machine's record is deleted only after the tasks are gone.
 func (p *Provider) end(name string) {
 	dir := p.dir(name)
+	p.awaitWork(name)
 	for !p.endRecordedAgent(name) {
 		time.Sleep(killTimeout)
 	}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -104,6 +104,7 @@
 	market  *Market
 	agents  map[string]proc.ID
 	waiting map[string][]func() // by machine: called when it has ended
+	work    machineWork
 	timer   *time.Timer
 	closed  bool
 	failed  error
@@ -112,6 +113,13 @@
 	certsCheckedAt time.Time
 }
 
+// machineWork counts, by machine, the goroutines that write to a machine's folder or start its
+// agent. The provider's lock guards it.
+type machineWork struct {
+	byMachine map[string]int
+	ended     *sync.Cond // signals that one of them has ended
+}
+
 // Stats counts what a provider has done.
 type Stats struct {
 	Requests, Refused, Rented, Ended, Restarted uint64
@@ -142,6 +150,7 @@
 	if err := p.load(path); err != nil {
 		return nil, errors.Join(err, db.Close())
 	}
+	p.work = machineWork{byMachine: map[string]int{}, ended: sync.NewCond(&p.mu)}
 	p.server = transport.NewServer(&p.mu, p, requestTimeout, maxConnections)
 	return p, nil
 }
