datastore: a failed placement whose files stay is on record

Found by reading: if the folder of a failed placement could not be removed, its record and its room were given up all the same. It is now kept, and removed later like that of a task that is over.

--- a/internal/datastore/place.go
+++ b/internal/datastore/place.go
@@ -92,7 +92,7 @@
 	}
 	defer func() {
 		if err != nil {
-			err = errors.Join(err, os.RemoveAll(r.Dir), s.forgetPlacement(placement))
+			err = errors.Join(err, s.abandonPlacement(placement))
 		}
 	}()
 	if err := os.MkdirAll(r.Dir, 0o700); err != nil {
--- a/internal/datastore/place_test.go
+++ b/internal/datastore/place_test.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -598,3 +599,30 @@
 	}
 	requirePublished(t, dir, held, "the task that waited")
 }
+
+// brokenRemovals is a disk on which no folder can be removed.
+type brokenRemovals struct{ osDisk }
+
+func (brokenRemovals) RemoveAll(path string) error {
+	return &os.PathError{Op: "remove", Path: path, Err: syscall.EIO}
+}
+
+// TestAFailedPlacementThatStaysIsCounted guards against files of a failed placement that can't be
+// removed at once, and that nobody knows of any more.
+func TestAFailedPlacementThatStaysIsCounted(t *testing.T) {
+	s, held := openStoreWithVersion(t, filepath.Join(t.TempDir(), "s"))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.disk = brokenRemovals{}
+	dir := filepath.Join(t.TempDir(), "in")
+	if err := s.Place(ctx, PlaceRequest{ID: held.want.ID, Dir: dir}); !errors.Is(err, context.Canceled) || !exists(dir) {
+		t.Fatalf("the placement: %v, folder left: %v", err, exists(dir))
+	}
+	if placed := s.Stats().Placed; placed != held.manifest.Bytes() || len(s.Placements()) != 1 {
+		t.Errorf("%d bytes count as placed, in %d placements", placed, len(s.Placements()))
+	}
+	removePlacements(t, s)
+	if exists(dir) || s.Stats().Placed != 0 {
+		t.Errorf("the folder is left: %v; %d bytes count as placed", exists(dir), s.Stats().Placed)
+	}
+}
--- a/internal/datastore/placements.go
+++ b/internal/datastore/placements.go
@@ -23,7 +23,7 @@
 	Owner string
 	dir   string
 	bytes int64 // reserved for files that are not clones
-	// finished is false while Place still writes the files.
+	// finished is false while Place still works on the files.
 	finished bool
 }
 
@@ -126,6 +126,19 @@
 	s.stats.Copied += p.bytes
 }
 
+// abandonPlacement removes the folder of a placement that failed. If that fails, too, the
+// placement stays on record, to be removed as that of a task that is over.
+func (s *Store) abandonPlacement(p *Placement) error {
+	err := s.disk.RemoveAll(p.dir)
+	if err == nil {
+		return s.forgetPlacement(p)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.finished = true
+	return err
+}
+
 // forgetPlacement removes the record of a placement whose files are gone, and releases its room.
 func (s *Store) forgetPlacement(p *Placement) error {
 	if err := os.Remove(s.placementPath(p.dir)); err != nil && !errors.Is(err, fs.ErrNotExist) {
@@ -181,7 +194,7 @@
 }
 
 // Placements returns the folders that hold files of tasks, those left by a crash included, but
-// not those that Place still writes to.
+// not those that Place still works on.
 func (s *Store) Placements() (out []*Placement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
