--- a/internal/provider/deletion_test.go
+++ b/internal/provider/deletion_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -23,16 +24,15 @@
 
 // cloud is a provider that serves, and a client of it.
 type cloud struct {
-	t        *testing.T
-	cfg      Config
-	provider *Provider
-	address  string
-	pool     *transport.Pool
+	t       *testing.T
+	cfg     Config
+	address string
+	pool    *transport.Pool
 }
 
-// startCloud starts a provider whose machines have certificates, so that their starts take
-// time: certificates are issued one after the other.
-func startCloud(t *testing.T) *cloud {
+// newCloud returns a cloud, which does not serve yet, whose machines have certificates, so that
+// their starts take time: certificates are issued one after the other.
+func newCloud(t *testing.T) *cloud {
 	t.Helper()
 	dir := t.TempDir()
 	c := &cloud{t: t, cfg: testConfig(filepath.Join(dir, "cloud")), pool: transport.NewPool(8)}
@@ -40,26 +40,54 @@
 	if _, err := identity.Init(c.cfg.Authority, "test", time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	c.cfg.Types[0].Zones = map[string]int{"a": maxRental}
-	var err error
-	if c.provider, err = Open(c.cfg, os.Args[0], quiet); err != nil {
-		t.Fatal(err)
+	t.Cleanup(c.killAgents)
+	return c
+}
+
+// serve runs the cloud's provider until the test ends.
+func (c *cloud) serve() {
+	c.t.Helper()
+	provider, err := Open(c.cfg, os.Args[0], quiet)
+	if err != nil {
+		c.t.Fatal(err)
 	}
 	ready, ended := make(chan string, 1), make(chan error, 1)
-	go func() { ended <- c.provider.Run(func(a net.Addr) { ready <- a.String() }) }()
-	t.Cleanup(func() {
-		for _, pid := range c.agentProcesses() {
-			if p, err := os.FindProcess(pid); err == nil {
-				_ = p.Kill()
-			}
-		}
-		c.provider.Stop()
+	go func() { ended <- provider.Run(func(a net.Addr) { ready <- a.String() }) }()
+	c.t.Cleanup(func() {
+		provider.Stop()
 		if err := <-ended; err != nil {
-			t.Error(err)
+			c.t.Error(err)
 		}
 	})
 	c.address = <-ready
-	return c
+}
+
+// startProcess starts the cloud's provider as a process of its own.
+func (c *cloud) startProcess() *exec.Cmd {
+	c.t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "PROVIDER_DIR="+c.cfg.Dir, "PROVIDER_AUTHORITY="+c.cfg.Authority)
+	cmd.Stderr = os.Stderr // shows why it did not start
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := fmt.Fscanln(out, &c.address); err != nil {
+		c.t.Fatal(err)
+	}
+	return cmd
+}
+
+// killAgents kills the agents of the cloud's machines.
+func (c *cloud) killAgents() {
+	for _, pid := range c.agentProcesses() {
+		if p, err := os.FindProcess(pid); err == nil {
+			_ = p.Kill()
+		}
+	}
 }
 
 // post sends a request and decodes the answer, which must have status 200.
@@ -96,7 +124,9 @@
 // TestMachinesDeletedWhileTheyStartAreGone guards against machines that come up after the cloud's
 // 200 to their deletion, run programs and can't be deleted any more.
 func TestMachinesDeletedWhileTheyStartAreGone(t *testing.T) {
-	c := startCloud(t)
+	c := newCloud(t)
+	c.cfg.Types[0].Zones = map[string]int{"a": maxRental}
+	c.serve()
 	random := rand.New(rand.NewPCG(deletionSeed, 1))
 	deletedWhileStarting := 0
 	for round := range 6 {
@@ -115,14 +145,38 @@
 		if atAnswer+later+len(folders) > 0 {
 			t.Errorf("round %d: of 30 deleted machines %d have a process at the answer, %d 0.3 s later, and %d a folder", round, atAnswer, later, len(folders))
 		}
-		for _, pid := range c.agentProcesses() {
-			if p, err := os.FindProcess(pid); err == nil {
-				_ = p.Kill()
-			}
-		}
+		c.killAgents()
 	}
 	if deletedWhileStarting == 0 {
 		t.Error("no deletion met machines that were starting")
 	}
 	t.Logf("%d of 6 deletions met machines that were starting", deletedWhileStarting)
 }
+
+// TestAKilledProviderLeavesNoDeletedMachine guards against machines that go on after the 200 to
+// their deletion because the provider was killed while they started or were ended.
+func TestAKilledProviderLeavesNoDeletedMachine(t *testing.T) {
+	c := newCloud(t)
+	random := rand.New(rand.NewPCG(deletionSeed, 2))
+	for round := range 8 {
+		cmd := c.startProcess()
+		var names protocol.MachineNames
+		c.post(protocol.PathRentals, protocol.RentalRequest{RequestID: fmt.Sprint("r-", round), MachineType: "t", Zone: "a", Count: 3}, &names)
+		time.Sleep(time.Duration(random.IntN(350)) * time.Millisecond)
+		go func(address string) {
+			_, _, _ = c.pool.Do(address, http.MethodPost, protocol.PathRentalsDelete, protocol.Encode(names), time.Second)
+		}(c.address)
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		cmd = c.startProcess()
+		c.post(protocol.PathRentalsDelete, names, nil)
+		atAnswer := len(c.agentProcesses())
+		time.Sleep(checkPeriod + 100*time.Millisecond)
+		if later := len(c.agentProcesses()); atAnswer+later > 0 {
+			t.Errorf("round %d: of 3 deleted machines %d have a process at the answer, and %d later", round, atAnswer, later)
+		}
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+}
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -52,7 +52,9 @@
 		os.Exit(0)
 	}
 	if dir := os.Getenv("PROVIDER_DIR"); dir != "" {
-		p, err := Open(testConfig(dir), os.Args[0], quiet)
+		cfg := testConfig(dir)
+		cfg.Authority = os.Getenv("PROVIDER_AUTHORITY")
+		p, err := Open(cfg, os.Args[0], quiet)
 		if err == nil {
 			err = p.Run(func(a net.Addr) { fmt.Println(a) })
 		}
