--- a/internal/provider/agents.go
+++ b/internal/provider/agents.go
@@ -144,34 +144,27 @@
 
 // renewCertificate renews the certificate of a machine, unless the machine is being ended.
 func (p *Provider) renewCertificate(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.beginWork(name) {
-		return
-	}
-	defer p.endWork(name)
-	p.mu.Unlock()
-	err := p.certify(name, p.dir(name))
-	p.mu.Lock()
-	if err != nil {
-		p.log.Error("a machine's certificate can't be renewed", "machine", name, "error", err)
-	}
+	p.workOn(name, func() {
+		if err := p.certify(name, p.dir(name)); err != nil {
+			p.log.Error("a machine's certificate can't be renewed", "machine", name, "error", err)
+		}
+	})
 }
 
-// beginWork reports whether a machine's folder may be written to and its agent started, which is
-// so unless the machine is being ended. If it does, the end of the machine waits until endWork
-// is called. The lock is held.
-func (p *Provider) beginWork(name string) bool {
+// workOn calls work, which may write to a machine's folder and start its agent, unless the machine
+// is being ended. The end of the machine waits until work returns.
+func (p *Provider) workOn(name string, work func()) {
+	p.mu.Lock()
 	x := p.market.machines[name]
 	if x == nil || x.Ending || p.closed {
-		return false
+		p.mu.Unlock()
+		return
 	}
 	p.work.byMachine[name]++
-	return true
-}
-
-// endWork ends what beginWork began; the lock is held.
-func (p *Provider) endWork(name string) {
+	p.mu.Unlock()
+	work()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.work.byMachine[name]--; p.work.byMachine[name] == 0 {
 		delete(p.work.byMachine, name)
 	}
@@ -202,12 +195,12 @@
 // start starts a machine's agent. The agent's identity is on disk before the agent runs. An end of
 // the machine that begins meanwhile waits for the start, and then ends the agent.
 func (p *Provider) start(name string) {
+	p.workOn(name, func() { p.startAgent(name) })
+}
+
+// startAgent does the work of start.
+func (p *Provider) startAgent(name string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.beginWork(name) {
-		return
-	}
-	defer p.endWork(name)
 	x := p.market.machines[name]
 	t := p.market.types[x.MachineType]
 	p.mu.Unlock()
@@ -217,6 +210,7 @@
 		id, err = p.spawn(x, t)
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	switch {
 	case errors.Is(err, errEnding):
 		return
--- a/internal/provider/deletion_test.go
+++ b/internal/provider/deletion_test.go
@@ -65,19 +65,8 @@
 // startProcess starts the cloud's provider as a process of its own.
 func (c *cloud) startProcess() *exec.Cmd {
 	c.t.Helper()
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "PROVIDER_DIR="+c.cfg.Dir, "PROVIDER_AUTHORITY="+c.cfg.Authority)
-	cmd.Stderr = os.Stderr // shows why it did not start
-	out, err := cmd.StdoutPipe()
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		c.t.Fatal(err)
-	}
-	if _, err := fmt.Fscanln(out, &c.address); err != nil {
-		c.t.Fatal(err)
-	}
+	cmd := providerCommand(c.cfg)
+	c.address = startProvider(c.t, cmd)
 	return cmd
 }
 
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -194,6 +194,31 @@
 	})
 }
 
+// providerCommand returns the command that runs a provider as a process of its own, with the
+// folder and the authority of a configuration.
+func providerCommand(cfg Config) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "PROVIDER_DIR="+cfg.Dir, "PROVIDER_AUTHORITY="+cfg.Authority)
+	cmd.Stderr = os.Stderr // shows why it did not start
+	return cmd
+}
+
+// startProvider starts a provider's process and returns its address.
+func startProvider(t *testing.T, cmd *exec.Cmd) (addr string) {
+	t.Helper()
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fscanln(out, &addr); err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
 // TestKilledProviderFindsItsMachines kills a provider while machines are up or coming up. The
 // next provider must find the same agents, rent nothing for a repeated request, and finish a
 // deletion that had begun.
@@ -202,21 +227,8 @@
 	pool := transport.NewPool(4)
 	var cmd *exec.Cmd
 	start := func() string {
-		cmd = exec.Command(os.Args[0])
-		cmd.Env = append(os.Environ(), "PROVIDER_DIR="+dir)
-		cmd.Stderr = os.Stderr // shows why it did not start
-		out, err := cmd.StdoutPipe()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		var addr string
-		if _, err := fmt.Fscanln(out, &addr); err != nil {
-			t.Fatal(err)
-		}
-		return addr
+		cmd = providerCommand(Config{Dir: dir})
+		return startProvider(t, cmd)
 	}
 	kill := func() {
 		cmd.Process.Kill()
