agent, datastore: less state and fewer twins in the preparation of inputs

A preparation's pins are undone by a sync.OnceFunc in place of a flag and two methods; urgency is worked out once. Behaviour and checks are as they were.

--- a/internal/agent/input_preparation.go
+++ b/internal/agent/input_preparation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"silvergate/internal/datastore"
@@ -19,7 +20,7 @@
 	urgent   bool
 	inputs   []preparedInput
 	cancel   context.CancelFunc
-	pinned   bool          // the agent's lock guards it
+	unpin    func()        // unpins the inputs' copies; further calls do nothing
 	finished chan struct{} // closed when nothing more is written to the attempt's folder
 }
 
@@ -44,26 +45,30 @@
 	}
 	p := &inputPreparation{key: k, urgent: protocol.IsUrgent(description.Priority), finished: make(chan struct{})}
 	var err error
-	if p.inputs, err = parseInputs(description, filepath.Join(d.agent.runner.folder(k), workDir)); err != nil {
+	if p.inputs, err = parseInputs(description.Inputs, p.urgent, filepath.Join(d.agent.runner.folder(k), workDir)); err != nil {
 		go d.reportInputs(k, err)
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	p.pin(d.store)
 	for i := range p.inputs {
+		d.store.Pin(p.inputs[i].want.ID)
 		d.trace.write(Event{At: time.Now(), Kind: "needed", Load: k.String(), Copy: string(p.inputs[i].want.ID), Urgent: p.urgent})
 	}
+	p.unpin = sync.OnceFunc(func() {
+		for i := range p.inputs {
+			d.store.Unpin(p.inputs[i].want.ID)
+		}
+	})
 	earlier := d.preparations[k]
 	d.preparations[k] = p
 	go d.runPreparation(ctx, p, earlier)
 }
 
-// parseInputs returns the inputs of a job's attempt whose program will run in workingDir.
-func parseInputs(description *protocol.JobDescription, workingDir string) (inputs []preparedInput, err error) {
-	urgent := protocol.IsUrgent(description.Priority)
-	for i := range description.Inputs {
-		input := &description.Inputs[i]
+// parseInputs returns the inputs of an attempt whose program will run in workingDir.
+func parseInputs(copies []protocol.InputCopy, urgent bool, workingDir string) (inputs []preparedInput, err error) {
+	for i := range copies {
+		input := &copies[i]
 		want, wantErr := parseWant(&input.DataSet, urgent)
 		if wantErr == nil && !protocol.ValidRelativePath(input.Path) {
 			wantErr = errors.New("place: not a path inside the working directory")
@@ -76,25 +81,6 @@
 	return inputs, err
 }
 
-// pin pins the copies that the attempt needs; the agent's lock is held.
-func (p *inputPreparation) pin(store *datastore.Store) {
-	p.pinned = true
-	for i := range p.inputs {
-		store.Pin(p.inputs[i].want.ID)
-	}
-}
-
-// unpin undoes pin once; the agent's lock is held.
-func (p *inputPreparation) unpin(store *datastore.Store) {
-	if !p.pinned {
-		return
-	}
-	p.pinned = false
-	for i := range p.inputs {
-		store.Unpin(p.inputs[i].want.ID)
-	}
-}
-
 // runPreparation prepares an attempt's inputs and reports the result to the worker, unless the
 // attempt ends before. earlier is a preparation for the same attempt in an earlier agent
 // epoch, or nil; the two must not write to the folder at the same time.
@@ -110,8 +96,8 @@
 		d.removePlacements(d.placementsOf(p.key))
 		d.removeUnusedFolder(p.key.String())
 	}
+	p.unpin()
 	d.agent.mu.Lock()
-	p.unpin(d.store)
 	if d.preparations[p.key] == p {
 		delete(d.preparations, p.key)
 	}
--- a/internal/agent/inputs.go
+++ b/internal/agent/inputs.go
@@ -127,7 +127,7 @@
 	for k, p := range d.preparations {
 		if !d.agent.worker.Live(k) {
 			p.cancel()
-			p.unpin(d.store)
+			p.unpin()
 		}
 	}
 	for _, k := range e.FetchInputs {
--- a/internal/agent/inputs_soak_test.go
+++ b/internal/agent/inputs_soak_test.go
@@ -14,7 +14,6 @@
 	"testing"
 	"time"
 
-	"silvergate/internal/dataset"
 	"silvergate/internal/fakeserver"
 	"silvergate/internal/job"
 	"silvergate/internal/protocol"
@@ -115,28 +114,16 @@
 }
 
 func (s *inputsSoak) addDataSet(root, source, set string, size int, machineDir string) {
-	folder := s.t.TempDir()
 	data := bytes.Repeat([]byte(set+" row\n"), size/9+1)[:size]
-	if err := os.WriteFile(filepath.Join(folder, "f"), data, 0o600); err != nil {
-		s.t.Fatal(err)
-	}
-	m, err := dataset.Build(folder, set, "1", nil)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	digest, err := dataset.Publish(folder, root, m)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.copies = append(s.copies, filepath.Join(machineDir, "data", "copies", string(dataset.IDOf(digest)), "f"))
+	input := publishFile(s.t, root, source, set, "f", data)
+	s.copies = append(s.copies, storePath(machineDir, input, "f"))
 	for _, kind := range []string{"reader", "writer"} {
 		id := fmt.Sprintf("wk-%06d", len(s.jobs)+1)
 		s.jobs = append(s.jobs, id)
 		s.controller.add(id, "", func(d *protocol.JobDescription) {
 			d.Tasks = 1 << 20
 			d.Priority = []string{"urgent", "idle"}[len(s.jobs)%2]
-			d.Inputs = []protocol.InputCopy{{Path: "in", DataSet: protocol.DataSet{Set: set, Version: "1", Digest: digest.String(),
-				Bytes: int64(size), Sources: []string{source}}}}
+			d.Inputs = []protocol.InputCopy{input}
 			d.Extra = &job.Extra{Command: []string{testBinary(s.t), "soak-task", kind, "in/f", fmt.Sprintf("%x", sha256.Sum256(data)), s.results},
 				Inputs: []job.Input{{Set: set, Version: "1", Path: "in"}}}
 		})
@@ -178,9 +165,8 @@
 		return
 	}
 	s.counts["stops"]++
-	grace := 0.0
 	task := live[s.random.IntN(len(live))]
-	s.controller.send(protocol.Command{Verb: "kill", Task: task.Task, Attempt: task.Attempt, GracePeriodS: &grace})
+	s.controller.send(protocol.Command{Verb: "kill", Task: task.Task, Attempt: task.Attempt})
 }
 
 // forgetEnded lets the agent forget tasks that are over, as their list is limited.
--- a/internal/agent/inputs_test.go
+++ b/internal/agent/inputs_test.go
@@ -16,38 +16,51 @@
 	"silvergate/internal/protocol"
 )
 
-// stagingSite is a controller, a file server with one data set, and the configuration of an
+// stagingSite is a controller, a data set that a file server offers, and the configuration of an
 // agent whose tasks read it.
 type stagingSite struct {
 	controller *fakeController
-	server     *fakeserver.FileServer
 	cfg        Config
 	data       []byte
 	input      protocol.InputCopy
-	copyID     dataset.ID
 }
 
-// newStagingSite publishes a data set whose one file, roster.txt, has some bytes.
-func newStagingSite(t *testing.T, size int) *stagingSite {
+// publishFile publishes a data set of one file in a file server's root, and returns an input that
+// names it.
+func publishFile(t *testing.T, root, source, set, name string, data []byte) protocol.InputCopy {
 	t.Helper()
-	folder, root := t.TempDir(), t.TempDir()
-	s := &stagingSite{controller: newFakeController(t), data: bytes.Repeat([]byte("truck 0001\n"), size/11+1)[:size]}
-	err := os.WriteFile(filepath.Join(folder, "roster.txt"), s.data, 0o600)
-	m, buildErr := dataset.Build(folder, "roster", "1", nil)
-	if err := errors.Join(err, buildErr); err != nil {
+	folder := t.TempDir()
+	if err := os.WriteFile(filepath.Join(folder, name), data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	m, err := dataset.Build(folder, set, "1", nil)
+	if err != nil {
 		t.Fatal(err)
 	}
 	digest, err := dataset.Publish(folder, root, m)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.server, err = fakeserver.Serve("127.0.0.1:0", root, 1); err != nil {
+	return protocol.InputCopy{Path: "in", DataSet: protocol.DataSet{Set: set, Version: "1", Digest: digest.String(),
+		Bytes: int64(len(data)), Sources: []string{source}}}
+}
+
+// storePath returns the path, in the store of a machine, of a file of an input.
+func storePath(machineDir string, input protocol.InputCopy, name string) string {
+	return filepath.Join(machineDir, "data", "copies", input.CopyID(), name)
+}
+
+// newStagingSite publishes a data set whose one file, roster.txt, has some bytes.
+func newStagingSite(t *testing.T, size int) *stagingSite {
+	t.Helper()
+	root := t.TempDir()
+	s := &stagingSite{controller: newFakeController(t), data: bytes.Repeat([]byte("truck 0001\n"), size/11+1)[:size]}
+	server, err := fakeserver.Serve("127.0.0.1:0", root, 1)
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(s.server.Close)
-	s.copyID = dataset.IDOf(digest)
-	s.input = protocol.InputCopy{Path: "in", DataSet: protocol.DataSet{Set: "roster", Version: "1", Digest: digest.String(),
-		Bytes: int64(size), Sources: []string{s.server.Address()}}}
+	t.Cleanup(server.Close)
+	s.input = publishFile(t, root, server.Address(), "roster", "roster.txt", s.data)
 	s.cfg = testConfig(t, s.controller)
 	s.cfg.Staging = &Staging{CapacityGB: 0.1}
 	return s
@@ -64,11 +77,6 @@
 	})
 }
 
-// storePath returns the path of the data set's file in the store.
-func (s *stagingSite) storePath() string {
-	return filepath.Join(s.cfg.Dir, "data", "copies", string(s.copyID), "roster.txt")
-}
-
 // taskPath returns a path below an attempt's folder.
 func (s *stagingSite) taskPath(k TaskAttempt, name string) string {
 	return filepath.Join(s.cfg.Dir, tasksDir, k.String(), name)
@@ -112,8 +120,7 @@
 	if status != protocol.TaskPulling {
 		t.Errorf("the task is reported as %q while its inputs are placed, not %q", status, protocol.TaskPulling)
 	}
-	grace := 0.0
-	s.controller.send(protocol.Command{Verb: "kill", Task: key.TaskName(), Attempt: 1, GracePeriodS: &grace})
+	s.controller.send(protocol.Command{Verb: "kill", Task: key.TaskName(), Attempt: 1})
 	stopped := false
 	for until := time.Now().Add(3 * time.Second); !stopped && time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
 		s.controller.mu.Lock()
@@ -145,7 +152,7 @@
 	runAgent(t, s.cfg)
 	s.controller.send(launch("wk-000001", 0))
 	s.controller.await("the first task is done", func() bool { return s.controller.causes["wk-000001/0#1"] != "" })
-	f, err := os.OpenFile(s.storePath(), os.O_WRONLY, 0)
+	f, err := os.OpenFile(storePath(s.cfg.Dir, s.input, "roster.txt"), os.O_WRONLY, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -190,8 +197,7 @@
 	}
 	s.controller.send(launch("wk-000003", 0))
 	s.controller.await("the gang's task waits", func() bool { return s.status("wk-000003/0") == protocol.TaskWaiting })
-	grace := 0.0
-	s.controller.send(protocol.Command{Verb: "kill", Task: "wk-000003/0", Attempt: 1, GracePeriodS: &grace})
+	s.controller.send(protocol.Command{Verb: "kill", Task: "wk-000003/0", Attempt: 1})
 	s.controller.await("the folder of an attempt that never ran is gone", func() bool {
 		return !exists(s.taskPath(TaskAttempt{"wk-000003", 0, 1}, ""))
 	})
@@ -242,8 +248,7 @@
 	s.controller.send(launch("wk-000001", 0))
 	<-placed
 	s.controller.await("the task runs", func() bool { return s.status(key.TaskName()) == protocol.TaskRunning })
-	grace := 0.0
-	s.controller.send(protocol.Command{Verb: "kill", Task: key.TaskName(), Attempt: 1, GracePeriodS: &grace})
+	s.controller.send(protocol.Command{Verb: "kill", Task: key.TaskName(), Attempt: 1})
 	s.controller.await("the inputs are removed", func() bool { return !exists(s.taskPath(key, "work/in")) })
 	s.controller.mu.Lock()
 	defer s.controller.mu.Unlock()
--- a/internal/datastore/evict.go
+++ b/internal/datastore/evict.go
@@ -72,14 +72,16 @@
 }
 
 // makeRoom removes partial copies that no fetch is completing, and then evicts the least
-// recently used unpinned copies, until there is room for more bytes. If that isn't possible, it returns an error that wraps ErrFull. The caller
-// holds the lock, and calls emptyTrash once it has released it.
+// recently used unpinned copies, until there is room for more bytes. If that isn't possible,
+// it returns an error that wraps ErrFull. The caller holds the lock, and calls emptyTrash once
+// it has released it.
 func (s *Store) makeRoom(more int64) error {
 	for s.used()+more > s.cfg.Capacity {
-		if removed, err := s.evictPartial(); removed || err != nil {
-			if err != nil {
-				return err
-			}
+		removed, err := s.evictPartial()
+		if err != nil {
+			return err
+		}
+		if removed {
 			continue
 		}
 		var oldest dataset.ID
--- a/internal/datastore/placements.go
+++ b/internal/datastore/placements.go
@@ -6,11 +6,11 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"path"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -255,23 +255,9 @@
 			return err
 		}
 	}
-	for _, folder := range deepestFirst(folders) {
+	for _, folder := range slices.Backward(slices.Sorted(maps.Keys(folders))) { // a folder sorts after its parent
 		_ = root.Remove(folder) // fails if something is in it
 	}
 	_ = os.Remove(dir)
 	return nil
 }
-
-// deepestFirst returns paths in an order in which each comes before its parents.
-func deepestFirst(paths map[string]bool) (out []string) {
-	for p := range paths {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b string) int {
-		if d := strings.Count(b, "/") - strings.Count(a, "/"); d != 0 {
-			return d
-		}
-		return strings.Compare(a, b)
-	})
-	return out
-}
