coordination: log lines and metrics that tell who holds a machine and why an attempt was given up

Need: after a task ran on two machines at once the controllers' logs said only "task failed" and "serving"; neither who held the machine under which token nor why the attempt had been forgotten could be read from them.

info: records loaded (incarnation, revision), machine claimed and adopted (token, the token shown), launches without an answer, releases on another proof than a listed end. warn: a machine runs an attempt that the records don't bind there, with what they say of the task. debug: launches and forgets with their token. Counters: direct_launches, forgets, releases, unbound_attempts.

--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -210,6 +210,7 @@
 			m.resetForNewToken(c.now)
 			m.mirrorComplete = renewal && retries == 0
 			c.Stats.Claims++
+			c.log.Info("machine claimed", "machine", m.id, "token", m.token, "shown", heartbeat.FencingToken, "epoch", heartbeat.AgentEpoch, "renewal", renewal)
 			done(m, true)
 			return
 		}
@@ -265,4 +266,5 @@
 	m.inFlight = listed // includes attempts that have ended: they may not be forgotten yet
 	c.machines.updateOwn(m, c.isOwn(m))
 	c.Stats.Adopted++
+	c.log.Info("machine adopted", "machine", m.id, "token", m.token, "shown", heartbeat.FencingToken, "epoch", heartbeat.AgentEpoch, "listed", len(listed))
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -265,6 +265,7 @@
 	c.sweep.nextAt = c.now + c.sweepPeriod()
 	if c.sweep.loadedAt == 0 {
 		c.sweep.loadedAt = c.now
+		c.log.Info("records loaded", "incarnation", c.incarnation, "revision", c.state.AppliedRevision(), "machines", len(c.machines.byID), "open_jobs", len(c.jobs.open))
 	}
 	c.expirePendingFailovers()
 	c.foldCompletions()
--- a/internal/coordination/launches.go
+++ b/internal/coordination/launches.go
@@ -77,8 +77,10 @@
 	for _, attempt := range attempts {
 		m.inFlight[attempt] = true
 		commands = append(commands, c.launchCommand(m, attempt))
+		c.traceCommand("launch sent directly", m, job.TaskName(attempt.job, attempt.index), attempt.number, m.token)
 	}
 	token := m.token
+	c.Stats.DirectLaunches += uint64(len(attempts))
 	call := protocol.Call{
 		Target:  protocol.ToWorker,
 		Address: m.claim.Address,
@@ -99,6 +101,7 @@
 	executed := reply.Status == http.StatusOK && protocol.Decode(reply.Body, &status) == nil
 	if !executed && mayBeExecuted(reply) {
 		m.launchInDoubt = true
+		c.log.Info("launch without an answer", "machine", m.id, "token", token, "attempts", len(attempts), "status", reply.Status)
 		return
 	}
 	position := fencing.Position{Epoch: status.AgentEpoch, Sequence: status.Sequence}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -49,8 +49,11 @@
 		m.launchInDoubt = true
 		return commands
 	case fencing.Forget:
+		c.Stats.Forgets++
+		c.traceCommand("attempt forgotten", m, status.Task, status.Attempt, heartbeat.FencingToken)
 		return append(commands, protocol.Command{Verb: protocol.VerbForget, Task: status.Task, Attempt: status.Attempt})
 	case fencing.Kill:
+		c.logUnboundAttempt(m, heartbeat, key, status)
 		return append(commands, killCommand(status, 0))
 	case fencing.Defer:
 		return commands // the worker is told to forget the attempt later
@@ -74,6 +77,21 @@
 	return commands
 }
 
+// logUnboundAttempt logs that a machine runs an attempt that the records don't bind there, and what
+// they say of its task.
+func (c *Core) logUnboundAttempt(m *machine, heartbeat *protocol.Heartbeat, key taskKey, status *protocol.TaskStatus) {
+	c.Stats.UnboundAttempts++
+	var recorded job.Task
+	if record := c.jobs.byID[key.job]; record != nil && !record.final() {
+		if task := record.task(c, key.index); task != nil {
+			recorded = *task
+		}
+	}
+	c.log.Warn("stopping an attempt that is not bound to its machine", "task", status.Task, "attempt", status.Attempt, "status", status.Status,
+		"machine", m.id, "epoch", heartbeat.AgentEpoch, "shown", heartbeat.FencingToken, "token", m.token, "revision", c.state.AppliedRevision(),
+		"bound_attempt", recorded.Attempt, "bound_to", recorded.Machine)
+}
+
 // recordProgress records whether a heartbeat shows an attempt as running or as waiting for its
 // image.
 func (c *Core) recordProgress(m *machine, record *jobRecord, key taskKey, status *protocol.TaskStatus) {
--- a/internal/coordination/transitions.go
+++ b/internal/coordination/transitions.go
@@ -66,11 +66,31 @@
 	}
 	transition.proposedAt = c.now
 	p.queue = append(p.queue, transition)
+	c.logRelease(r, index, transition)
 	if c.verbose && !transition.placement {
 		c.traceEnd(losses.Evidence, r, index, transition)
 	}
 }
 
+// logRelease logs a release that rests on another proof than a heartbeat that lists the attempt as
+// ended, with the token under which the proof was found.
+func (c *Core) logRelease(r *jobRecord, index int, transition taskTransition) {
+	if transition.placement || transition.proof == fencing.Ended {
+		return
+	}
+	c.Stats.Releases++
+	c.log.Info("releasing an attempt", "task", job.TaskName(r.spec.ID, index), "attempt", transition.attempt, "machine", transition.machine,
+		"epoch", transition.epoch, "kind", transition.proof.String(), "found", transition.token, "revision", c.state.AppliedRevision())
+}
+
+// traceCommand logs a command to a worker at debug level, with the token on which it rests: that of
+// the command if it is sent directly, or the one that the worker has shown.
+func (c *Core) traceCommand(message string, m *machine, task string, attempt int, token uint64) {
+	if c.verbose {
+		c.log.Debug(message, "task", task, "attempt", attempt, "machine", m.id, "epoch", m.epoch, "token", token)
+	}
+}
+
 // traceEnd logs a step of the end of an attempt at debug level, in the form that
 // internal/losses parses.
 func (c *Core) traceEnd(step string, r *jobRecord, index int, transition taskTransition) {
