coordination: tests that reproduce a task on two machines after a late copy of an answered launch

TestAnAttemptIsForgottenAfterItsLaunchIsVoid drives one core by hand: the forget comes under the launch's token, whether the attempt ended, moved or was cancelled.

--- /dev/null
+++ b/internal/coordination/copied_commands_test.go
@@ -0,0 +1,130 @@
+package coordination
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"silvergate/internal/job"
+	"silvergate/internal/protocol"
+)
+
+// copiedCommandsDay is the day on which copies of direct commands that were executed and answered arrive seconds later,
+// while attempts end, move, are cancelled and preempted, controllers and machines are back within a second, and workers
+// change hands alone and by the group.
+func copiedCommandsDay() faultDay {
+	return faultDay{
+		name:     "copies of commands that were executed and answered arrive while their attempts end and move",
+		duration: 90 * time.Second,
+		setup:    func(s *sim) { s.faults.copiedCommands = 0.3 },
+		inject: func(s *sim) {
+			for i, at := range []time.Duration{0, 30, 60} {
+				s.after(at*time.Second, func() {
+					n := s.busiestController()
+					n.crash(s.randomMillis(50, 900)) // its claims are adopted
+					s.forSomeWorkers(0.1, (*simWorker).restart)
+					for j := range 6 { // lower work is preempted for these
+						s.submit(&job.Spec{ID: fmt.Sprintf("wk-72%02d%02d", i, j), Class: "svc", Team: "blue", Shape: job.Service, Priority: job.Production, Tasks: 1, CPUs: 4, GPUs: 2, MemoryGB: 8}, 0, 25*time.Second)
+					}
+					s.cancelShare(0.2, 10*time.Second, nil)
+					s.after(8*time.Second, func() { s.anyController().unreachableUntil["workers"] = s.now + 12*time.Second }) // its workers change hands
+					s.after(22*time.Second, func() { s.busiestController().crash(6 * time.Second) })                          // its group fails over
+				})
+			}
+		},
+		occurrences: func(s *sim) int { return s.faultCounts.copiedCommands / 20 },
+		check: func(t *testing.T, s *sim) {
+			if s.faultCounts.revivedAttempts > 0 {
+				t.Errorf("copies of commands started %d attempts again", s.faultCounts.revivedAttempts)
+			}
+		},
+		defect:    func(s *sim) { s.defects.copiesIgnoreTokens = true },
+		violation: "ran_twice",
+	}
+}
+
+// TestCopiedCommandsStartNothing guards against tasks that ran twice, and tasks of cancelled jobs that ran, because a copy
+// of an answered launch started an attempt again that its worker had been told to forget.
+func TestCopiedCommandsStartNothing(t *testing.T) {
+	day := copiedCommandsDay()
+	runSeeds(t, 0, 8, func(t *testing.T, seed uint64) {
+		s := day.prepare(t, 3+2*int(seed%2), 48_000+seed, nil)
+		s.finish(t, 60*time.Second+day.duration)
+		s.checkServed()
+		s.reportViolations(t)
+		day.check(t, s)
+		if day.occurrences(s) == 0 {
+			t.Errorf("too few copies arrived: %+v", s.faultCounts)
+		}
+	})
+}
+
+// TestAnAttemptIsForgottenAfterItsLaunchIsVoid guards against a forget under the token under which the attempt was launched
+// directly: the launch was answered, and a copy of it that arrives after the forget starts the attempt again.
+func TestAnAttemptIsForgottenAfterItsLaunchIsVoid(t *testing.T) {
+	here := job.Task{Phase: job.Bound, Attempt: 1, Machine: "i-000001", Epoch: 1}
+	page := func(revision uint64, task job.Task) protocol.WatchEvent {
+		return protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage([]job.Task{task}), ModRevision: revision}
+	}
+	for _, v := range []struct {
+		name  string
+		cause string
+		after protocol.WatchEvent // what becomes of the attempt's record
+	}{
+		{"ended", protocol.CauseError, page(140, job.Task{Attempt: 1, Failures: 1})},
+		{"moved", protocol.CauseStopped, page(140, job.Task{Phase: job.Bound, Attempt: 2, Machine: "i-000002", Epoch: 1})},
+		{"cancelled", protocol.CauseStopped, protocol.WatchEvent{Put: keyJob + "wk-700000",
+			Value: encode(storedJob{singleServiceSpec(), job.Cancelled, 1, "n0"}), ModRevision: 140}},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			s := newScript(t)
+			s.driveToOwnedMachine(page(125, here))
+			launch := s.launchCall()
+			s.reply(protocol.PathCommands, "", 200, protocol.Heartbeat{Worker: "i-000001", AgentEpoch: 1, Sequence: 3, FencingToken: launch.FencingToken,
+				Tasks: []protocol.TaskStatus{{Task: "wk-700000/0", Attempt: 1, Status: protocol.TaskRunning}}})
+			events := []protocol.WatchEvent{v.after}
+			if v.after.Put != pageKey("wk-700000", 0) { // the release follows the cancellation
+				events = append(events, page(141, job.Task{Attempt: 1}))
+			}
+			s.advance(time.Second)
+			s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Revision: 145, Events: events})
+			shown := launch.FencingToken
+			for sequence := uint64(4); sequence < 8; sequence++ {
+				s.now += 500 * time.Millisecond
+				answer := s.sendHeartbeat(shown, sequence, protocol.TaskStatus{Task: "wk-700000/0", Attempt: 1, Status: protocol.TaskEnded, Cause: v.cause})
+				if answer.FencingToken < shown {
+					t.Fatalf("a heartbeat that shows token %d was answered with %+v", shown, answer)
+				}
+				for _, command := range answer.Commands {
+					if command.Verb != protocol.VerbForget {
+						continue
+					}
+					if shown <= launch.FencingToken {
+						t.Errorf("the attempt is forgotten although its worker still accepts token %d of its launch", launch.FencingToken)
+					}
+					return
+				}
+				shown = answer.FencingToken
+			}
+			t.Error("the attempt is never forgotten")
+		})
+	}
+}
+
+// launchCall returns the body of the open direct call that launches a task.
+func (s *script) launchCall() protocol.DirectCommands {
+	s.t.Helper()
+	if s.countLaunches() != 1 {
+		s.t.Fatal("the attempt was not launched directly")
+	}
+	var direct protocol.DirectCommands
+	for _, call := range s.openCalls {
+		if call.Path == protocol.PathCommands {
+			if err := json.Unmarshal(call.Body, &direct); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+	}
+	return direct
+}
--- a/internal/coordination/sim_faults_test.go
+++ b/internal/coordination/sim_faults_test.go
@@ -19,6 +19,7 @@
 	messageLoss         float64       // probability that a message is lost, is late or loses its answer
 	lateTransactions    float64       // share of transactions that are not answered and are carried out late, after newer ones
 	duplicateHeartbeats float64       // share of heartbeats of which a copy arrives late, up to 1.3 leases after the original was sent
+	copiedCommands      float64       // share of executed and answered direct commands of which copies arrive later, up to three of each
 	randomLinkReports   bool          // the link reports in peers' heartbeats are random instead of true
 	slowLinksUntil      time.Duration // links between machines, users and controllers are slow
 	slowWritesUntil     time.Duration // transactions are carried out late, but within their timeout
@@ -48,6 +49,7 @@
 	ignoreKills           bool // workers ignore kill commands
 	ignoreLeaseExpiry     bool // workers keep running their tasks when their lease has expired
 	wrongZones            bool // some workers report a wrong zone
+	copiesIgnoreTokens    bool // workers execute copies of direct commands whatever token and agent epoch these name
 	forgedHeartbeats      bool // stored heartbeats are delivered with the newest fencing token and with all tasks done
 }
 
@@ -61,6 +63,8 @@
 	expiredLeases       int            // leases of workers with tasks
 	earlyBoots          int            // machines that are up before a rental record names them
 	unsentHeartbeats    int            // by machines that reach no controller
+	copiedCommands      int            // copies of direct commands that arrived under a token and agent epoch that still matched
+	revivedAttempts     int            // attempts that such a copy started after the worker had been told to forget them
 	lostReplies         int            // to transactions
 	lostRepliesByKind   map[string]int // the same, by kind of record (key prefix)
 	groupFailovers      int            // failover records written
@@ -384,3 +388,40 @@
 	}
 	s.faultCounts.earlyBoots++
 }
+
+// maxCommandCopies is how many copies of a direct command may arrive.
+const maxCommandCopies = 3
+
+// copyCommands has copies of a random share of the executed direct commands arrive later. Nobody waits for their answers.
+func (s *sim) copyCommands(w *simWorker, direct protocol.DirectCommands) {
+	if s.faults.copiedCommands == 0 || s.random.Float64() >= s.faults.copiedCommands {
+		return
+	}
+	for range 1 + s.random.IntN(maxCommandCopies) {
+		s.after(s.randomMillis(300, 20_000), func() { w.receiveCopy(direct) })
+	}
+}
+
+// receiveCopy executes a late copy of a direct command, if the worker accepts it.
+func (w *simWorker) receiveCopy(direct protocol.DirectCommands) {
+	s := w.s
+	if w.dead || !w.up {
+		return
+	}
+	if s.now < w.hungUntil {
+		s.after(w.hungUntil-s.now+time.Millisecond, func() { w.receiveCopy(direct) })
+		return
+	}
+	accepted := direct.FencingToken >= w.fencingToken && direct.AgentEpoch == w.agentEpoch
+	if !accepted && !s.defects.copiesIgnoreTokens {
+		return
+	}
+	s.faultCounts.copiedCommands++
+	for _, command := range direct.Commands {
+		if command.Verb == protocol.VerbLaunch && w.tasks[simTaskKey(command)] == nil {
+			s.faultCounts.revivedAttempts++
+		}
+	}
+	w.fencingToken = max(w.fencingToken, direct.FencingToken)
+	w.execute(direct.Commands)
+}
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -274,12 +274,28 @@
 	w.fencingToken = direct.FencingToken
 	w.execute(direct.Commands)
 	reply(200, encode(w.heartbeat()))
+	s.copyCommands(w, direct)
+}
+
+// simTaskKey returns the key in simWorker.tasks of the attempt that a command names.
+func simTaskKey(command protocol.Command) string {
+	return command.Task + "#" + strconv.Itoa(command.Attempt)
+}
+
+// restart ends the agent and all its tasks; it is back at once, in its next agent epoch.
+func (w *simWorker) restart() {
+	for _, task := range w.tasks {
+		task.status, task.generation = protocol.TaskEnded, task.generation+1
+	}
+	w.tasks = map[string]*simTask{}
+	w.agentEpoch++
+	w.epochStartedAt = w.s.now
 }
 
 // execute carries out commands in order.
 func (w *simWorker) execute(commands []protocol.Command) {
 	for _, command := range commands {
-		key := command.Task + "#" + strconv.Itoa(command.Attempt)
+		key := simTaskKey(command)
 		jobID, index, err := job.ParseTaskName(command.Task)
 		if err != nil {
 			continue
