--- a/cmd/silvergate/serve_metrics.go
+++ b/cmd/silvergate/serve_metrics.go
@@ -33,6 +33,7 @@
 		counter("claims", "Claims written.", s.Claims),
 		counter("adopted", "Workers adopted with the attempts that they run.", s.Adopted),
 		counter("direct_launches", "Launches sent by direct commands.", s.DirectLaunches),
+		counter("tokens_raised", "Fencing tokens raised above the claim's, without a write.", s.TokensRaised),
 		counter("forgets", "Commands to forget an ended attempt.", s.Forgets),
 		counter("releases", "Releases proposed on a proof other than the attempt's end.", s.Releases),
 		counter("unbound_attempts", "Stops of live attempts that the records don't bind to their machine.", s.UnboundAttempts),
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -103,6 +103,8 @@
 		c.machines.ownership.machinesByOwner[m.claim.Owner]--
 	}
 	m.token = 0
+	m.commandToken = 0
+	clear(m.directLaunches)
 	m.ownClaim = failover.Claim{}
 	m.links = nil
 	m.tokenSeen = false
@@ -146,6 +148,7 @@
 	m.claim.Owner = ownership.Node
 	m.claim.Incarnation = ownership.Incarnation
 	m.token = ownership.Token
+	m.commandToken = ownership.Token
 	m.claimedAt = c.now
 	m.tokenSeen = false
 	m.mirrorComplete = false
@@ -159,6 +162,7 @@
 	case !c.isOwn(m):
 		c.scheduler.removeFromIdleList(m)
 		clear(m.stops)
+		clear(m.directLaunches)
 	case m.failedOver():
 		m.resetForNewToken(c.now)
 	}
@@ -171,6 +175,7 @@
 func (m *machine) resetForNewToken(now time.Duration) {
 	m.launchInDoubt = false
 	clear(m.inFlight)
+	clear(m.directLaunches)
 	m.resetHeartbeats(now)
 }
 
@@ -231,30 +236,35 @@
 	})
 }
 
-// adoptClaim adopts a machine that an earlier incarnation of ours has claimed, and keeps using the
-// fencing token that its worker knows. A restart therefore writes no claims: claiming a whole
-// fleet would use up the state service's rate for half a minute.
+// adoptClaim adopts a machine that an earlier incarnation of ours has claimed, without writing a new
+// claim: claiming a whole fleet would use up the state service's rate for half a minute.
 //
-// Guards against direct launches of the earlier incarnation that may be executed minutes late.
-// That incarnation neither forgot nor released an attempt while a launch of it had no reply, so
-// the only launches that can still arrive are of attempts that are bound. The worker must
-// therefore list the bound attempts of its agent epoch, because launching an attempt that it
-// already has does nothing. All attempts that it lists are treated as launches in flight: none
-// is forgotten, or released for not being listed, before a new token is seen, and a new token is
-// taken when one of these attempts ends.
+// Guards against direct launches of the earlier incarnation that may be executed, or executed once
+// more, minutes late. That incarnation had no attempt forgotten, and released none as missing, without
+// its direct launches being void, so the only launches that can still arrive are of attempts that are
+// bound or listed. The worker must therefore list the bound attempts of its agent epoch, because
+// launching an attempt that it already has does nothing. All attempts that it lists are treated as
+// launched directly under the highest token that the earlier incarnation can have used: none is
+// forgotten but by an answer with a higher one. Our mirror was loaded after that incarnation had
+// ended, so no token of its commands exceeds the revision that the mirror has reached.
 func (c *Core) adoptClaim(m *machine, heartbeat *protocol.Heartbeat) {
-	if !c.ownedByEarlierIncarnation(m) || m.claiming || m.claim.Incarnation == c.incarnation || heartbeat.FencingToken != m.token {
+	if !c.ownedByEarlierIncarnation(m) || m.claiming || m.claim.Incarnation == c.incarnation || !c.showsOwnersToken(m, heartbeat) {
 		return
 	}
-	listed := map[taskAttempt]bool{}
+	launch := fencing.DirectLaunch{Token: max(m.token, c.state.AppliedRevision()), Epoch: heartbeat.AgentEpoch}
+	listed := map[taskAttempt]fencing.DirectLaunch{}
 	for _, status := range heartbeat.Tasks {
 		if id, index, err := job.ParseTaskName(status.Task); err == nil {
-			listed[taskAttempt{taskKey{id, index}, status.Attempt}] = true
+			listed[taskAttempt{taskKey{id, index}, status.Attempt}] = launch
 		}
 	}
 	for key := range m.bound {
 		attempt, ok := c.boundAttempt(m, key)
-		if ok && !fencing.Adoptable(heartbeatHead(heartbeat), attempt, listed[taskAttempt{key, attempt.Number}]) {
+		if !ok {
+			continue
+		}
+		_, isListed := listed[taskAttempt{key, attempt.Number}]
+		if !fencing.Adoptable(heartbeatHead(heartbeat), attempt, isListed) {
 			return
 		}
 	}
@@ -263,8 +273,23 @@
 	// Our mirror was loaded after that incarnation had ended, so it contains everything it wrote.
 	m.mirrorComplete = true
 	m.resetHeartbeats(c.now)
-	m.inFlight = listed // includes attempts that have ended: they may not be forgotten yet
+	m.commandToken = heartbeat.FencingToken
+	if heartbeat.FencingToken == m.token {
+		// Guards against an earlier incarnation of a version that never raised tokens, and counted answered
+		// launches as spent: copies of launches of attempts that it had forgotten are refused from now on.
+		m.commandToken = launch.Token
+	}
+	m.directLaunches = listed // includes attempts that have ended: they may not be forgotten yet
+	clear(m.inFlight)
 	c.machines.updateOwn(m, c.isOwn(m))
 	c.Stats.Adopted++
 	c.log.Info("machine adopted", "machine", m.id, "token", m.token, "shown", heartbeat.FencingToken, "epoch", heartbeat.AgentEpoch, "listed", len(listed))
 }
+
+// showsOwnersToken reports whether a heartbeat shows a token of the machine's owner: the owner's own,
+// or one to which it has raised that. A higher token than the revision that our mirror has reached may
+// be that of a later owner.
+func (c *Core) showsOwnersToken(m *machine, heartbeat *protocol.Heartbeat) bool {
+	shown := heartbeat.FencingToken
+	return shown == m.token || shown > m.token && shown <= c.state.AppliedRevision()
+}
--- a/internal/coordination/copied_commands_test.go
+++ b/internal/coordination/copied_commands_test.go
@@ -100,7 +100,7 @@
 					if command.Verb != protocol.VerbForget {
 						continue
 					}
-					if shown <= launch.FencingToken {
+					if answer.FencingToken <= launch.FencingToken {
 						t.Errorf("the attempt is forgotten although its worker still accepts token %d of its launch", launch.FencingToken)
 					}
 					return
--- a/internal/coordination/explain.go
+++ b/internal/coordination/explain.go
@@ -102,6 +102,9 @@
 		return fmt.Sprintf("%s is claimed by %s, token %d", m.id, m.claim.Owner, m.token)
 	}
 	out := []string{fmt.Sprintf("%s is ours, token %d, session %d", m.id, m.token, m.epoch)}
+	if m.commandToken > m.token {
+		out = append(out, fmt.Sprintf("token raised to %d", m.commandToken))
+	}
 	for _, condition := range []struct {
 		holds bool
 		text  string
--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -111,7 +111,7 @@
 		return
 	}
 	c.recordHeartbeat(m, heartbeat)
-	response := protocol.HeartbeatResponse{FencingToken: m.token, Commands: []protocol.Command{}}
+	response := protocol.HeartbeatResponse{Commands: []protocol.Command{}}
 	if verdict == fencing.Trust {
 		response.Commands = c.reconcile(m, heartbeat)
 		m.leaseExpired = false
@@ -126,6 +126,7 @@
 	c.scaler.unshipped.handleWorkerHeartbeat(m, heartbeat)
 	response.DataStore = c.staging.handleHeartbeat(m, heartbeat.DataStore)
 	m.answeredAt = c.now
+	response.FencingToken = m.commandToken
 	c.effects.Responses = append(c.effects.Responses, Response{ID: id, Status: http.StatusOK, Body: encode(response), Urgent: m.urgent()})
 }
 
@@ -137,7 +138,7 @@
 	m.heardAt = c.now
 	m.failedProbes = 0
 	m.preempted = heartbeat.PreemptionNoticeS != nil
-	if heartbeat.FencingToken == m.token && !m.tokenSeen {
+	if heartbeat.FencingToken >= m.token && !m.tokenSeen {
 		m.tokenSeen = true
 		m.tokenSeenAt = c.now
 	}
--- a/internal/coordination/launches.go
+++ b/internal/coordination/launches.go
@@ -67,17 +67,18 @@
 
 // sendLaunchCall sends launches to a machine's worker.
 //
-// Guards against late execution: a worker may execute a direct command minutes after this
-// controller gave up on it, as long as token and agent epoch match. Until the reply arrives,
-// the worker is not told to forget the attempt, and a heartbeat that does not list the attempt is
+// Guards against late execution: a worker may execute a direct command, or a copy of one that it has
+// answered, minutes later, as long as token and agent epoch match. Until the launch is void, the
+// worker is not told to forget the attempt, and a heartbeat that does not list the attempt is
 // no reason to release it. If no reply arrives, the machine's launches are in doubt, and its next
 // heartbeat is answered with a new token.
 func (c *Core) sendLaunchCall(m *machine, attempts []taskAttempt) {
 	var commands []protocol.Command
 	for _, attempt := range attempts {
 		m.inFlight[attempt] = true
+		m.directLaunches[attempt] = fencing.DirectLaunch{Token: m.commandToken, Epoch: m.epoch}
 		commands = append(commands, c.launchCommand(m, attempt))
-		c.traceCommand("launch sent directly", m, job.TaskName(attempt.job, attempt.index), attempt.number, m.token)
+		c.traceCommand("launch sent directly", m, job.TaskName(attempt.job, attempt.index), attempt.number, m.commandToken)
 	}
 	token := m.token
 	c.Stats.DirectLaunches += uint64(len(attempts))
@@ -86,13 +87,14 @@
 		Address: m.claim.Address,
 		Method:  http.MethodPost,
 		Path:    protocol.PathCommands,
-		Body:    encode(protocol.DirectCommands{FencingToken: token, AgentEpoch: m.epoch, Commands: commands}),
+		Body:    encode(protocol.DirectCommands{FencingToken: m.commandToken, AgentEpoch: m.epoch, Commands: commands}),
 		Timeout: seconds(c.cfg.Facts.Workers.Heartbeat / 2),
 	}
 	c.call(call, func(reply protocol.Reply) { c.handleLaunchReply(m, token, attempts, reply) })
 }
 
-// handleLaunchReply handles the reply to launches that were sent under a fencing token.
+// handleLaunchReply handles the reply to launches that were sent while token was the claim's. A launch that
+// the worker has refused for its token or epoch is void, and so are those before it.
 func (c *Core) handleLaunchReply(m *machine, token uint64, attempts []taskAttempt, reply protocol.Reply) {
 	if m.token != token {
 		return // the machine has a newer token now
@@ -111,7 +113,39 @@
 	c.handleCommandReply(m, token, reply)
 	for _, attempt := range attempts {
 		delete(m.inFlight, attempt)
+		if reply.Status == http.StatusConflict {
+			delete(m.directLaunches, attempt)
+		}
+	}
+}
+
+// dropVoidLaunches drops the direct launches of which a heartbeat shows that no copy can be executed any
+// more. The machine's table of them is thus bounded by the attempts that its heartbeats list and those
+// launched since the token was last raised.
+func (m *machine) dropVoidLaunches(heartbeat fencing.Heartbeat) {
+	for attempt, launch := range m.directLaunches {
+		if launch.Void(heartbeat) {
+			delete(m.directLaunches, attempt)
+		}
+	}
+}
+
+// raiseTokenAbove raises the token of the machine's commands above that of a direct launch, which becomes
+// void when the worker sees the new one, and reports whether the token is above that of the launch. It
+// does not raise the token while a direct launch is unanswered: the worker would refuse a launch that an
+// answer with the new token overtakes.
+func (c *Core) raiseTokenAbove(m *machine, launch fencing.DirectLaunch) bool {
+	if m.commandToken > launch.Token {
+		return true
+	}
+	token, ok := c.workerState(m).RaisedToken()
+	if !ok || len(m.inFlight) > 0 {
+		return false
 	}
+	c.traceToken(m, token)
+	m.commandToken = token
+	c.Stats.TokensRaised++
+	return true
 }
 
 // mayBeExecuted reports whether a direct command without a readable reply may have been
@@ -161,8 +195,8 @@
 func (c *Core) workerState(m *machine) fencing.WorkerState {
 	return fencing.WorkerState{
 		Held:            c.isOwn(m),
-		Adopted:         m.adopted,
 		Token:           m.token,
+		CommandToken:    m.commandToken,
 		AppliedRevision: c.state.AppliedRevision(),
 		TokenSeen:       m.tokenSeen,
 		MirrorComplete:  c.mirrorComplete(m),
--- a/internal/coordination/machine_table.go
+++ b/internal/coordination/machine_table.go
@@ -61,7 +61,7 @@
 	epoch          uint64           // the agent epoch of the worker
 	sequence       uint64           // the sequence number of the newest heartbeat in that epoch
 	lastLaunch     fencing.Position // the position of the newest reply to a direct launch
-	tokenSeen      bool             // a heartbeat carried our fencing token
+	tokenSeen      bool             // a heartbeat carried our fencing token, or one to which we raised it
 	tokenSeenAt    time.Duration    // when a heartbeat first carried it
 	mirrorComplete bool             // the mirror was complete at some time after tokenSeenAt
 	heardAt        time.Duration    // arrival of the last heartbeat
@@ -80,10 +80,13 @@
 // launchState holds the launches that were sent to a machine or wait to be, the progress of its
 // tasks, and the stops that are wanted.
 type launchState struct {
-	inFlight         map[taskAttempt]bool // sent directly, without a reply yet
-	launchInDoubt    bool                 // a direct launch got no reply: it may be executed until a new token is seen
-	deferredLaunches []taskAttempt        // launches that wait until the records are known to be complete
-	queuedLaunches   []taskAttempt        // to be sent with the next direct call
+	inFlight     map[taskAttempt]bool // sent directly, without a reply yet
+	commandToken uint64               // the fencing token of commands and answers, see fencing.WorkerState
+	// directLaunches holds the newest direct launch of each attempt, until it is void.
+	directLaunches   map[taskAttempt]fencing.DirectLaunch
+	launchInDoubt    bool          // a direct launch got no reply: it may be executed until a new token is seen
+	deferredLaunches []taskAttempt // launches that wait until the records are known to be complete
+	queuedLaunches   []taskAttempt // to be sent with the next direct call
 	runningSince     map[taskKey]time.Duration
 	pulling          map[taskKey]bool // tasks last reported as waiting for their image
 	stops            map[taskKey]taskStop
@@ -141,10 +144,11 @@
 		failedJobs:   map[string]bool{},
 		unboundSince: now,
 		launchState: launchState{
-			inFlight:     map[taskAttempt]bool{},
-			runningSince: map[taskKey]time.Duration{},
-			pulling:      map[taskKey]bool{},
-			stops:        map[taskKey]taskStop{},
+			inFlight:       map[taskAttempt]bool{},
+			directLaunches: map[taskAttempt]fencing.DirectLaunch{},
+			runningSince:   map[taskKey]time.Duration{},
+			pulling:        map[taskKey]bool{},
+			stops:          map[taskKey]taskStop{},
 		},
 		machineAllocation: machineAllocation{
 			bound:        map[taskKey]*jobRecord{},
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -15,6 +15,7 @@
 func (c *Core) reconcile(m *machine, heartbeat *protocol.Heartbeat) []protocol.Command {
 	commands := []protocol.Command{}
 	state := c.workerState(m)
+	m.dropVoidLaunches(heartbeatHead(heartbeat))
 	m.deferredLaunches = nil // tasks that the heartbeat does not list are judged again below
 	listed := c.machines.listedBuffer
 	clear(listed)
@@ -42,21 +43,21 @@
 	key := taskKey{id, index}
 	attempt, bound := c.boundAttempt(m, key)
 	listedAttempt := fencing.ListedAttempt{Number: status.Attempt, Ended: status.Status == protocol.TaskEnded}
-	launchInFlight := m.inFlight[taskAttempt{key, status.Attempt}]
-	action, _ := state.JudgeListed(heartbeatHead(heartbeat), listedAttempt, attempt, bound, launchInFlight)
+	launch := m.directLaunches[taskAttempt{key, status.Attempt}]
+	action, _ := state.JudgeListed(heartbeatHead(heartbeat), listedAttempt, attempt, bound, launch)
+	if action == fencing.RaiseToken && c.raiseTokenAbove(m, launch) {
+		action = fencing.Forget // with the answer to this heartbeat, which carries the new token
+	}
 	switch action {
-	case fencing.RenewToken:
-		m.launchInDoubt = true
-		return commands
+	case fencing.RaiseToken:
+		return commands // the worker is told to forget the attempt later
 	case fencing.Forget:
 		c.Stats.Forgets++
-		c.traceCommand("attempt forgotten", m, status.Task, status.Attempt, heartbeat.FencingToken)
+		c.traceCommand("attempt forgotten", m, status.Task, status.Attempt, m.commandToken)
 		return append(commands, protocol.Command{Verb: protocol.VerbForget, Task: status.Task, Attempt: status.Attempt})
 	case fencing.Kill:
 		c.logUnboundAttempt(m, heartbeat, key, status)
 		return append(commands, killCommand(status, 0))
-	case fencing.Defer:
-		return commands // the worker is told to forget the attempt later
 	}
 	record := c.jobs.byID[id]
 	listed[key] = true
@@ -122,10 +123,10 @@
 	wanted := !record.final() && !stopping && !m.preempted
 	attempt := taskAttempt{key, task.Attempt}
 	boundAttempt, _ := c.boundAttempt(m, key)
-	action, proof := state.JudgeMissing(heartbeatHead(heartbeat), boundAttempt, m.inFlight[attempt], wanted, c.releasePending(record, key.index))
+	action, proof := state.JudgeMissing(heartbeatHead(heartbeat), boundAttempt, m.directLaunches[attempt], wanted, c.releasePending(record, key.index))
 	switch action {
-	case fencing.RenewToken:
-		m.launchInDoubt = true
+	case fencing.RaiseToken:
+		c.raiseTokenAbove(m, m.directLaunches[attempt])
 	case fencing.Release:
 		m.vacate(key, record)
 		c.propose(record, key.index, taskTransition{machine: m.id, epoch: task.Epoch, attempt: task.Attempt, proof: proof})
--- a/internal/coordination/redirect.go
+++ b/internal/coordination/redirect.go
@@ -237,7 +237,7 @@
 // its zone that was up a moment ago and, if it comes back, keeps the worker without a new claim.
 // Waiting for at most a quarter of the lease leaves time to claim the worker here.
 func (c *Core) awaitsOwner(m *machine, heartbeat *protocol.Heartbeat) bool {
-	if m.token == 0 || heartbeat.FencingToken != m.token {
+	if m.token == 0 || !c.showsOwnersToken(m, heartbeat) {
 		return false
 	}
 	snapshot := c.links.Snapshot()
--- a/internal/coordination/restart_test.go
+++ b/internal/coordination/restart_test.go
@@ -9,9 +9,9 @@
 )
 
 // TestRestartAdoptsWorkers guards the restart after all controllers crashed. Each controller keeps
-// using the fencing tokens of its earlier incarnation, without a new claim for every worker. It
-// writes a new claim when an attempt of the earlier incarnation ends, so that a late launch by that
-// incarnation can't start the attempt again.
+// using the claims of its earlier incarnation, without a new claim for every worker. It raises the
+// token of its commands, so that a late launch by that incarnation, or a copy of one, can't start an
+// attempt again that has ended and is forgotten.
 func TestRestartAdoptsWorkers(t *testing.T) {
 	var adopted uint64
 	const seeds = 12
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -46,6 +46,7 @@
 	epochStartedAt time.Duration
 	sequence       uint64        // of the last heartbeat
 	fencingToken   uint64        // highest seen
+	tokenChangedAt time.Duration // when a higher token last caused an early heartbeat; 0: never
 	lastAnsweredAt time.Duration // when the last answered heartbeat was sent
 	controller     int           // index of the controller that it sends heartbeats to
 	tasks          map[string]*simTask
@@ -224,7 +225,7 @@
 }
 
 // applyResponse carries out a heartbeat response unless it is outdated, and reports whether the response raised the
-// fencing token. A hung machine ignores responses, and after it resumes it drops those to heartbeats that were sent
+// fencing token so that the worker sends its next heartbeat early, which it does at most once per half of its lease. A hung machine ignores responses, and after it resumes it drops those to heartbeats that were sent
 // over 4 s ago.
 func (w *simWorker) applyResponse(response protocol.HeartbeatResponse, epoch uint64, sent time.Duration) bool {
 	now := w.s.now
@@ -239,7 +240,11 @@
 		}
 	}
 	w.execute(response.Commands)
-	return newToken
+	if !newToken || w.tokenChangedAt > 0 && now-w.tokenChangedAt < w.s.leaseMultiple(0.5) {
+		return false
+	}
+	w.tokenChangedAt = now
+	return true
 }
 
 // missesMessage reports whether a message that reaches the worker now is lost.
--- a/internal/coordination/stale_launch_test.go
+++ b/internal/coordination/stale_launch_test.go
@@ -69,16 +69,19 @@
 // TestAReportThatALaunchOvertookProvesNoAbsence guards against a fault found by the model in
 // internal/fencing. A heartbeat was in flight while a direct launch was executed and answered, so it
 // does not list the attempt. It carried a preemption notice, which made the attempt unwanted, and
-// the attempt was released as not listed while it ran.
+// the attempt was released as not listed while it ran. The answer to the launch proves nothing either,
+// as a copy of the launch may still be executed: only a newer token does.
 func TestAReportThatALaunchOvertookProvesNoAbsence(t *testing.T) {
 	here := protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage([]job.Task{{Phase: job.Bound, Attempt: 1, Machine: "i-000001", Epoch: 1}}), ModRevision: 125}
 	for _, v := range []struct {
-		name     string
-		sequence uint64 // of the heartbeat that arrives after the launch's reply, which has 4
-		releases int
+		name       string
+		heartbeats []heartbeatHeader // those that arrive after the launch's reply, which has sequence number 4
+		releases   int
 	}{
-		{"a heartbeat from before the launch", 3, 0},
-		{"a heartbeat from after the launch", 5, 1},
+		{"a heartbeat from before the launch", []heartbeatHeader{{120, 3}}, 0},
+		{"a heartbeat from after the launch, of which a copy may come", []heartbeatHeader{{120, 5}}, 0},
+		{"another one, under the launch's token", []heartbeatHeader{{120, 5}, {120, 6}}, 0},
+		{"a heartbeat that shows a newer token than the launch's", []heartbeatHeader{{120, 5}, {130, 6}}, 1},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			s := newScript(t)
@@ -89,17 +92,22 @@
 			s.reply(protocol.PathCommands, "", 200, protocol.Heartbeat{Worker: "i-000001", AgentEpoch: 1, Sequence: 4, FencingToken: 120,
 				Tasks: []protocol.TaskStatus{{Task: "wk-700000/0", Attempt: 1, Status: protocol.TaskPulling}}})
 			s.preemptionNoticeS = 10
-			if a := s.sendHeartbeat(120, v.sequence); a.FencingToken != 120 {
-				t.Errorf("the heartbeat was not answered under our token: %+v", a)
+			for _, heartbeat := range v.heartbeats {
+				if a := s.sendHeartbeat(heartbeat.token, heartbeat.sequence); a.FencingToken != 120 && a.FencingToken != 130 {
+					t.Errorf("the heartbeat was not answered under our token or the raised one: %+v", a)
+				}
 			}
 			s.advance(200 * time.Millisecond)
 			if n := s.countPageWrites(); n != v.releases {
-				t.Errorf("a heartbeat with sequence number %d led to %d releases, want %d", v.sequence, n, v.releases)
+				t.Errorf("the heartbeats %v led to %d releases, want %d", v.heartbeats, n, v.releases)
 			}
 		})
 	}
 }
 
+// heartbeatHeader is the token that a heartbeat shows, and its sequence number.
+type heartbeatHeader struct{ token, sequence uint64 }
+
 // TestAnEndedAttemptIsNotForgottenForTheNextOnesLaunch guards against tracking only one unanswered
 // launch per task. The next attempt's launch replaced that of the earlier attempt, which was then
 // forgotten, and whose launch, executed late, started it again.
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -20,6 +20,7 @@
 	Failovers       uint64 `json:"takeovers"` // groups of workers that failed over to this controller
 	Adopted         uint64 `json:"adopted"`
 	DirectLaunches  uint64 `json:"directLaunches"`  // launches sent by direct commands
+	TokensRaised    uint64 `json:"tokensRaised"`    // fencing tokens raised above the claim's, without a write
 	Forgets         uint64 `json:"forgets"`         // commands to forget an ended attempt
 	Releases        uint64 `json:"releases"`        // releases proposed on a proof other than the attempt's end
 	UnboundAttempts uint64 `json:"unboundAttempts"` // stops of live attempts that the records don't bind to their machine
--- a/internal/coordination/stop_commands.go
+++ b/internal/coordination/stop_commands.go
@@ -32,7 +32,7 @@
 		return
 	}
 	token := m.token
-	body := encode(protocol.DirectCommands{FencingToken: token, AgentEpoch: m.epoch, Commands: commands})
+	body := encode(protocol.DirectCommands{FencingToken: m.commandToken, AgentEpoch: m.epoch, Commands: commands})
 	call := protocol.Call{
 		Target:  protocol.ToWorker,
 		Address: m.claim.Address,
@@ -77,7 +77,7 @@
 	if r.Status != http.StatusOK || m.token != token || protocol.Decode(r.Body, &reply) != nil {
 		return
 	}
-	if reply.FencingToken != token || c.state.AppliedRevision() < token {
+	if reply.FencingToken < token || reply.FencingToken > m.commandToken || c.state.AppliedRevision() < token {
 		return
 	}
 	vacatedBefore := len(m.vacated)
--- a/internal/coordination/transitions.go
+++ b/internal/coordination/transitions.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// traceToken logs a raised token at debug level.
+func (c *Core) traceToken(m *machine, token uint64) {
+	if c.verbose {
+		c.log.Debug("token raised", "machine", m.id, "epoch", m.epoch, "token", token, "since", m.token)
+	}
+}
+
 // traceEnd logs a step of the end of an attempt at debug level, in the form that
 // internal/losses parses.
 func (c *Core) traceEnd(step string, r *jobRecord, index int, transition taskTransition) {
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -3,6 +3,9 @@
 // that an attempt has terminated. The core launches and releases attempts only on decisions
 // of this package.
 //
+// A direct launch is never spent: a copy of it may arrive and be executed at any time, whether or not
+// it was answered, until the worker has seen a newer token or begun a later epoch (see DirectLaunch).
+//
 // The functions are pure: they take values and return a verdict, and use no state and no
 // clock. The core calls them with its knowledge of a worker, and the model in this package's
 // tests calls the same functions in all interleavings of a small system. docs/design.md,
@@ -11,7 +14,8 @@
 // A worker's owner is the controller that its claim names. If the worker has failed over
 // with its group (package failover), the group's failover record counts as the claim. The
 // claim's revision is the fencing token: a worker remembers the highest token that it has
-// seen and refuses commands under a lower one. A worker whose lease ends kills everything
+// seen and refuses commands under a lower one. The owner may raise the token of its commands
+// above the claim's revision without a write (see RaisedToken). A worker whose lease ends kills everything
 // that it runs and begins a new epoch; epochs are never reused.
 package fencing
 
@@ -20,10 +24,10 @@
 // WorkerState is a controller's knowledge of a worker at the time of a decision.
 type WorkerState struct {
 	Held            bool     // the claim names this controller, in this incarnation or adopted from an earlier one
-	Adopted         bool     // the claim is adopted from an earlier incarnation
-	Token           uint64   // the claim's revision: the fencing token that identifies the owner to the worker
+	Token           uint64   // the claim's revision: the lowest fencing token that identifies the owner to the worker
+	CommandToken    uint64   // the token of commands and answers: Token, or the one that it was last raised to
 	AppliedRevision uint64   // the revision up to which our mirror of the records is complete
-	TokenSeen       bool     // a heartbeat has shown the token, so the worker drops messages of earlier owners
+	TokenSeen       bool     // a heartbeat has shown the token or a raised one, so the worker drops messages of earlier owners
 	MirrorComplete  bool     // the mirror is known to be complete as of a time after the token was shown
 	LaunchInDoubt   bool     // a direct launch of ours may still be executed until the worker shows a new token
 	Epoch           uint64   // epoch of the newest accepted heartbeat
@@ -77,8 +81,8 @@
 
 // JudgeHeartbeat decides what to do with a heartbeat.
 //
-// A heartbeat is trusted only if it shows our token, so that no command of an earlier
-// owner can still be executed, and if the mirror has reached the claim's revision, so that
+// A heartbeat is trusted only if it shows our token, or one to which we have raised it, so that no
+// command of an earlier owner can still be executed, and if the mirror has reached the claim's revision, so that
 // the mirror holds every write that was conditional on an earlier claim.
 //
 // Guards against a heartbeat that a direct launch has overtaken: the worker sends it before
@@ -89,16 +93,46 @@
 func (s WorkerState) JudgeHeartbeat(hb Heartbeat) Verdict {
 	newest := Position{s.Epoch, s.Sequence}
 	switch {
-	case !s.Held || hb.Token > s.Token || s.LaunchInDoubt && hb.Token == s.Token:
+	case !s.Held || hb.Token > s.CommandToken || s.LaunchInDoubt && hb.Token >= s.Token:
 		return NeedsClaim
 	case !newest.Before(hb.position()):
 		return Stale
-	case hb.Token == s.Token && s.AppliedRevision >= s.Token && !hb.position().Before(s.LastLaunch):
+	case hb.Token >= s.Token && s.AppliedRevision >= s.Token && !hb.position().Before(s.LastLaunch):
 		return Trust
 	}
 	return Acknowledge
 }
 
+// RaisedToken returns the token to which the owner may raise that of its commands now; ok is false if
+// there is none. It is the revision up to which the mirror is complete. The mirror shows us as the
+// owner at that revision, so every other owner's token is the revision of a later change, which is
+// greater: the worker obeys a later owner whatever we raise our token to. The claim is not written
+// anew, so conditions on it and evidence under it keep their meaning.
+func (s WorkerState) RaisedToken() (token uint64, ok bool) {
+	if !s.Held || s.LaunchInDoubt || s.AppliedRevision <= s.CommandToken {
+		return 0, false
+	}
+	return s.AppliedRevision, true
+}
+
+// DirectLaunch is the newest direct launch of an attempt that the owner has sent, or that an earlier
+// incarnation of it may have sent. The zero value is no launch.
+type DirectLaunch struct {
+	Token uint64 // the token of the command, or an upper bound
+	Epoch uint64 // the agent's epoch that it names
+}
+
+// Void reports whether no copy of the launch can be executed any more, as a heartbeat shows: the worker
+// refuses commands under a lower token than it has seen, or of an earlier epoch. Nothing else makes a
+// launch void. Its answer does not: the network may deliver a request that was answered once more.
+func (l DirectLaunch) Void(hb Heartbeat) bool { return hb.Token > l.Token || hb.Epoch > l.Epoch }
+
+// voidAfterAnswer reports whether the launch is void for a worker that has received the answer, under
+// that token, to a heartbeat.
+func (l DirectLaunch) voidAfterAnswer(hb Heartbeat, token uint64) bool {
+	return token > l.Token || l.Void(hb)
+}
+
 // Attempt is a task's attempt that the records bind to the worker.
 type Attempt struct {
 	Number  int
@@ -118,28 +152,31 @@
 // Actions on an attempt.
 const (
 	Keep       Action = iota // do nothing: the attempt is as it should be, or the controller has to wait
-	Defer                    // send no command yet: a launch of the attempt may still arrive at the worker
 	Launch                   // tell the worker to start the attempt
 	Kill                     // tell the worker to stop the attempt at once
 	Forget                   // tell the worker to forget the attempt, as its end is known
 	Release                  // propose the attempt's release, on the proof returned with the action
-	RenewToken               // obtain a new token: the attempt can't be decided under this one
+	RaiseToken               // raise the token of commands first: a launch of the attempt may still arrive
 )
 
-var actionNames = [...]string{"keep", "defer", "launch", "kill", "forget", "release", "renew token"}
+var actionNames = [...]string{"keep", "launch", "kill", "forget", "release", "raise token"}
 
 // String returns the action's name, "unknown" for an undefined value.
 func (a Action) String() string { return nameOf(actionNames[:], uint8(a)) }
 
 // JudgeListed decides what to do about an attempt that a trusted heartbeat lists. bound is the
-// attempt of the same task that the records bind to this worker, if isBound. launching reports
-// whether a direct launch of the listed attempt is unanswered. A proof comes only with Release.
+// attempt of the same task that the records bind to this worker, if isBound. launch is the newest
+// direct launch of the listed attempt. A proof comes only with Release.
 //
-// An attempt that the records do not bind here is killed, and forgotten once it has ended.
-// A launch that arrives later would start a forgotten attempt again, so the attempt is
-// forgotten only after the launch's answer. Under an adopted claim that answer went to an
-// earlier incarnation; there a new token is needed, under which the launch is refused.
-func (s WorkerState) JudgeListed(hb Heartbeat, listed ListedAttempt, bound Attempt, isBound, launching bool) (Action, Proof) {
+// An attempt that the records do not bind here is killed, and forgotten once it has ended. A launch
+// that arrives later would start a forgotten attempt again, so the attempt is forgotten only by an
+// answer that makes its direct launch void: one under a newer token than the launch's. While the worker
+// lists the attempt, a copy of the launch has no effect.
+//
+// Guards against a task on two machines: the launch of a failed attempt had been answered, the attempt
+// was forgotten under the launch's token, and a copy of the launch started it while the next attempt
+// ran elsewhere.
+func (s WorkerState) JudgeListed(hb Heartbeat, listed ListedAttempt, bound Attempt, isBound bool, launch DirectLaunch) (Action, Proof) {
 	if isBound && bound.Epoch == hb.Epoch && bound.Number == listed.Number {
 		if listed.Ended {
 			return Release, Ended
@@ -149,24 +186,22 @@
 	switch {
 	case !listed.Ended:
 		return Kill, 0
-	case launching && s.Adopted:
-		return RenewToken, 0
-	case launching:
-		return Defer, 0
+	case !launch.voidAfterAnswer(hb, s.CommandToken):
+		return RaiseToken, 0
 	}
 	return Forget, 0
 }
 
 // JudgeMissing decides what to do about an attempt that is bound to the worker and that a
-// trusted heartbeat does not list. launching reports whether a direct launch of the attempt is
-// unanswered, wanted whether the attempt should run here, and ending whether its release is
-// already proposed or being written. A proof comes only with Release.
+// trusted heartbeat does not list. launch is the newest direct launch of the attempt, wanted
+// reports whether the attempt should run here, and ending whether its release is already proposed
+// or being written. A proof comes only with Release.
 //
 // A worker has one heartbeat in flight, so it had executed or dropped the answer to the
-// previous heartbeat when it sent this one. If no direct launch of the attempt is unanswered
-// either, nothing can start the attempt any more, and it is released if it is not wanted. A
-// wanted attempt is launched if launchable allows it.
-func (s WorkerState) JudgeMissing(hb Heartbeat, bound Attempt, launching, wanted, ending bool) (Action, Proof) {
+// previous heartbeat when it sent this one. If the direct launch of the attempt is void, too,
+// nothing can start the attempt any more, and it is released if it is not wanted. A wanted attempt
+// is launched if launchable allows it.
+func (s WorkerState) JudgeMissing(hb Heartbeat, bound Attempt, launch DirectLaunch, wanted, ending bool) (Action, Proof) {
 	switch {
 	case bound.Epoch < hb.Epoch:
 		return JudgeEarlierEpoch(hb, bound)
@@ -176,10 +211,8 @@
 		return Launch, 0
 	case wanted:
 		return Keep, 0
-	case launching && s.Adopted:
-		return RenewToken, 0
-	case launching:
-		return Defer, 0
+	case !launch.Void(hb):
+		return RaiseToken, 0
 	}
 	return Release, NotListed
 }
@@ -242,9 +275,13 @@
 // in which no attempt of an earlier epoch exists or can be started. listed reports whether
 // the heartbeat's list has the attempt.
 //
-// The earlier incarnation neither released an attempt nor had it forgotten while a direct
-// launch of it was unanswered. So only launches of bound attempts may still be executed late,
-// and a launch of an attempt that the worker has does nothing.
+// The earlier incarnation neither released an attempt as missing nor had it forgotten without the
+// direct launches of it being void. So only launches of attempts that are bound or listed may still be
+// executed, and a launch of an attempt that the worker has does nothing. These launches have tokens
+// that the earlier incarnation may have raised, up to the revision at which our mirror was loaded.
+//
+// An earlier incarnation of a version that counted answered launches as spent may have had others
+// forgotten. Copies of their launches are refused once the worker has seen a token of ours.
 func Adoptable(hb Heartbeat, bound Attempt, listed bool) bool {
 	return bound.Epoch < hb.Epoch || bound.Epoch == hb.Epoch && listed
 }
--- a/internal/fencing/model_controller_test.go
+++ b/internal/fencing/model_controller_test.go
@@ -9,8 +9,8 @@
 	owner := md.ownershipOf(s, c, m)
 	state := WorkerState{
 		Held:            owner.owner == c+1 && (owner.incarnation == self.incarnation || view.adopted),
-		Adopted:         view.adopted,
 		Token:           uint64(owner.token),
+		CommandToken:    uint64(md.commandToken(s, c, m)),
 		AppliedRevision: uint64(self.appliedRevision),
 		TokenSeen:       view.tokenSeen,
 		MirrorComplete:  view.mirrorComplete,
@@ -34,6 +34,26 @@
 	return state
 }
 
+// commandToken returns the token of a controller's commands to a machine.
+func (md *model) commandToken(s *world, c, m uint8) uint8 {
+	return max(md.tokenOf(s, c, m), s.controllers[c].views[m].commandToken)
+}
+
+// raiseTokenAbove raises the token of a controller's commands to a machine above that of a launch, and reports
+// whether it is above it.
+func (md *model) raiseTokenAbove(s *world, c, m uint8, launch DirectLaunch) bool {
+	if uint64(md.commandToken(s, c, m)) > launch.Token {
+		return true
+	}
+	view := &s.controllers[c].views[m]
+	token, ok := md.workerState(s, c, m).RaisedToken()
+	if !ok || view.unanswered != 0 {
+		return false
+	}
+	view.commandToken = uint8(token)
+	return true
+}
+
 // boundAttempt returns the attempt that a controller's records bind to a machine, and reports
 // whether they bind one.
 func (md *model) boundAttempt(s *world, c, m uint8) (Attempt, bool) {
@@ -74,6 +94,7 @@
 	}
 	view := &self.views[m]
 	view.tokenSeen, view.mirrorComplete, view.adopted, view.tokenSeenAtWatch = false, false, false, false
+	view.commandToken = 0
 	if owner.owner == c+1 && owner.incarnation == self.incarnation && owner.token != self.known[m] {
 		*view = workerView{} // the machine's group has failed over to this controller
 	}
@@ -99,17 +120,23 @@
 		if !anyRecord && !state.MayLaunchDirectly(attempt) {
 			continue
 		}
-		self.launches[slot] = directLaunch{pending: true, machine: m, token: md.tokenOf(s, c, m), epoch: self.views[m].epoch, attempt: uint8(attempt.Number)}
+		launch := launchMark{md.commandToken(s, c, m), self.views[m].epoch}
+		self.launches[slot] = directLaunch{pending: true, claim: md.tokenOf(s, c, m), machine: m, token: launch.token, epoch: launch.epoch, attempt: uint8(attempt.Number)}
 		if md.has(oneLaunchPerTask) {
-			self.views[m].unanswered = 0
+			self.views[m].launches = [attempts + 1]launchMark{}
 		}
 		self.views[m].unanswered |= 1 << attempt.Number
+		self.views[m].launches[attempt.Number] = launch
 	}
 }
 
-// launchUnanswered reports whether a direct launch of an attempt may still be executed.
-func (md *model) launchUnanswered(view *workerView, attempt int) bool {
-	return view.unanswered>>attempt&1 == 1 && !md.has(ignoreUnanswered)
+// newestLaunch returns the newest direct launch of an attempt that a controller knows of.
+func (md *model) newestLaunch(view *workerView, attempt int) DirectLaunch {
+	if md.has(ignoreLaunches) {
+		return DirectLaunch{}
+	}
+	launch := view.launches[attempt]
+	return DirectLaunch{Token: uint64(launch.token), Epoch: uint64(launch.epoch)}
 }
 
 // receiveHeartbeat handles a heartbeat at a controller and returns the answer.
@@ -135,10 +162,10 @@
 	}
 	view.epoch, view.sequence = hb.epoch, hb.sequence
 	token := md.tokenOf(s, c, m)
-	if hb.token == token && !view.tokenSeen {
+	if hb.token >= token && !view.tokenSeen {
 		view.tokenSeen = true
 	}
-	answer = exchange{heartbeat: hb, answered: true, token: token}
+	answer = exchange{heartbeat: hb, answered: true}
 	// The controller measures the lease from the heartbeat's arrival. However old the heartbeat is,
 	// by then the worker has begun its present epoch and sent all its heartbeats up to the present one.
 	view.answeredSequence, view.answeredEpoch = s.workers[m].sequence, s.workers[m].epoch
@@ -150,6 +177,7 @@
 	} else if bound {
 		md.judgeUntrusted(s, c, m, hb, attempt)
 	}
+	answer.token = md.commandToken(s, c, m)
 	return answer
 }
 
@@ -159,16 +187,26 @@
 	head := Heartbeat{Token: uint64(hb.token), Epoch: uint64(hb.epoch), Sequence: uint64(hb.sequence)}
 	attempt, bound := md.boundAttempt(s, c, m)
 	owner := md.ownershipOf(s, c, m)
-	if owner.owner != c+1 || owner.incarnation >= self.incarnation || view.adopted || hb.token != owner.token || self.claim.kind != noTxn {
+	if owner.owner != c+1 || owner.incarnation >= self.incarnation || view.adopted || self.claim.kind != noTxn {
 		return
 	}
+	if hb.token != owner.token && (hb.token < owner.token || hb.token > self.appliedRevision) {
+		return // not a token of the earlier incarnation, as far as the records show
+	}
 	if bound && !md.has(adoptAnything) && !Adoptable(head, attempt, hb.attempts[attempt.Number] != absent) {
 		return
 	}
-	*view = workerView{adopted: true, mirrorComplete: true}
+	launch := launchMark{max(owner.token, self.appliedRevision), hb.epoch}
+	*view = workerView{adopted: true, mirrorComplete: true, commandToken: hb.token}
+	if hb.token == owner.token {
+		view.commandToken = launch.token
+	}
+	if md.has(adoptAtClaimToken) {
+		launch.token = owner.token
+	}
 	for number, listed := range hb.attempts {
 		if listed != absent && !md.has(adoptWithoutLaunches) {
-			view.unanswered |= 1 << number
+			view.launches[number] = launch
 		}
 	}
 }
@@ -227,14 +265,16 @@
 		}
 		boundListed = boundListed || bound && attempt.Epoch == uint64(hb.epoch) && attempt.Number == number
 		listed := ListedAttempt{Number: number, Ended: hb.attempts[number] == ended}
-		action, proof := state.JudgeListed(head, listed, attempt, bound, md.launchUnanswered(view, number))
+		launch := md.newestLaunch(view, number)
+		action, proof := state.JudgeListed(head, listed, attempt, bound, launch)
+		if action == RaiseToken && md.raiseTokenAbove(s, c, m, launch) {
+			action = Forget
+		}
 		switch action {
 		case Kill:
 			answer.kill |= 1 << number
 		case Forget:
 			answer.forget |= 1 << number
-		case RenewToken:
-			view.launchInDoubt = true
 		case Release:
 			md.propose(s, c, m, proof, attempt)
 		case Keep:
@@ -248,11 +288,12 @@
 	}
 	wanted := !self.unwanted && !self.knowsCancelled
 	ending := self.proposal.proof != 0 || self.taskWrite.kind != noTxn
-	switch action, proof := state.JudgeMissing(head, attempt, md.launchUnanswered(view, attempt.Number), wanted, ending); action {
+	launch := md.newestLaunch(view, attempt.Number)
+	switch action, proof := state.JudgeMissing(head, attempt, launch, wanted, ending); action {
 	case Release:
 		md.propose(s, c, m, proof, attempt)
-	case RenewToken:
-		view.launchInDoubt = true
+	case RaiseToken:
+		md.raiseTokenAbove(s, c, m, launch)
 	case Launch:
 		answer.launch = uint8(attempt.Number)
 	}
@@ -265,7 +306,7 @@
 
 // markLaunchInDoubt records that a direct launch was not answered, unless the machine's token has changed since.
 func (md *model) markLaunchInDoubt(s *world, c uint8, launch directLaunch) {
-	if md.tokenOf(s, c, launch.machine) == launch.token {
+	if md.tokenOf(s, c, launch.machine) == launch.claim {
 		s.controllers[c].views[launch.machine].launchInDoubt = true
 	}
 }
--- a/internal/fencing/model_scenarios_test.go
+++ b/internal/fencing/model_scenarios_test.go
@@ -21,6 +21,27 @@
 	return s
 }
 
+// launchAnswered returns taskRunning's world after the attempt was launched directly and the launch was answered.
+func launchAnswered() world {
+	s := taskRunning()
+	s.controllers[0].views[0].launches[1] = launchMark{token: 1, epoch: 1}
+	s.workers[0].executed[1] = launchMark{token: 1, epoch: 1}
+	return s
+}
+
+// underRaisedToken returns a function that makes a world in which controller 0 has raised its token to the revision
+// that its mirror has reached, and has sent its direct launch of the first attempt under that token.
+func underRaisedToken(start func() world) func() world {
+	return func() world {
+		s := start()
+		self := &s.controllers[0]
+		self.views[0].commandToken = self.appliedRevision
+		self.views[0].launches[1].token = self.appliedRevision
+		self.launches[0].token = self.appliedRevision
+		return s
+	}
+}
+
 // setTaskMirror sets a controller's mirror to a revision of the task.
 func (c *controller) setTaskMirror(revision uint8) {
 	c.appliedRevision, c.watchOpenedAt, c.known[taskKey], c.taskBoundAt = revision, revision, revision, revision
@@ -84,8 +105,9 @@
 	return func() world {
 		s := taskRunning()
 		s.workers[0].attempts[1] = state
-		s.controllers[0].launches[0] = directLaunch{pending: true, abandoned: true, token: 1, epoch: 1, attempt: 1}
+		s.controllers[0].launches[0] = directLaunch{pending: true, abandoned: true, claim: 1, token: 1, epoch: 1, attempt: 1}
 		s.controllers[0].views[0].unanswered, s.controllers[0].views[0].launchInDoubt = 1<<1, true
+		s.controllers[0].views[0].launches[1] = launchMark{token: 1, epoch: 1}
 		return s
 	}
 }
@@ -151,6 +173,7 @@
 	{"release under way", releaseUnderWay, bounds{machines: 1, revisions: 4, attempts: 1, epochs: 1, sequences: 6}},
 	{"abandoned launch, running", launchAbandoned(running), bounds{machines: 1, revisions: 4, attempts: 1, epochs: 1, sequences: 4, crashes: 1}},
 	{"abandoned launch, not arrived", launchAbandoned(absent), bounds{machines: 1, revisions: 4, attempts: 1, epochs: 1, sequences: 4, crashes: 1}},
+	{"abandoned launch under a raised token", underRaisedToken(launchAbandoned(running)), bounds{machines: 1, revisions: 4, attempts: 1, epochs: 1, sequences: 5, crashes: 1}},
 	{"cancellation", taskRunning, bounds{machines: 1, revisions: 5, attempts: 1, epochs: 2, sequences: 4, crashes: 1, delays: 1, cancellation: true}},
 	{"cancellation, pending launch", launchNotArrived, bounds{machines: 1, revisions: 5, attempts: 1, epochs: 2, sequences: 4, cancellation: true}},
 	{"cancellation, abandoned launch", launchAbandoned(absent), bounds{machines: 1, revisions: 5, attempts: 1, epochs: 2, sequences: 4, crashes: 1, cancellation: true}},
@@ -161,5 +184,9 @@
 	{"failover of two machines", taskRunning, bounds{machines: 2, revisions: 5, attempts: 2, epochs: 2, sequences: 3, failovers: 1}},
 	{"failover after a committed release, mirror far behind", releaseCommittedMirrorFarBehind, bounds{machines: 1, revisions: 6, attempts: 1, epochs: 1, sequences: 5, failovers: 1}},
 	{"failover during a launch", launchPending, bounds{machines: 1, revisions: 5, attempts: 1, epochs: 1, sequences: 4, failovers: 1}},
+	{"answered launch", launchAnswered, bounds{machines: 1, revisions: 5, attempts: 2, epochs: 1, sequences: 6}},
+	{"answered launch, crash", launchAnswered, bounds{machines: 1, revisions: 5, attempts: 1, epochs: 2, sequences: 5, crashes: 1, delays: 1}},
+	{"answered launch, failover", launchAnswered, bounds{machines: 1, revisions: 6, attempts: 1, epochs: 1, sequences: 5, failovers: 1}},
+	{"answered launch, cancellation", launchAnswered, bounds{machines: 1, revisions: 5, attempts: 1, epochs: 2, sequences: 5, cancellation: true}},
 	{"pending launch", launchPending, bounds{machines: 1, revisions: 6, attempts: 2, epochs: 1, sequences: 5}},
 }
--- a/internal/fencing/model_steps_test.go
+++ b/internal/fencing/model_steps_test.go
@@ -189,19 +189,21 @@
 
 // launchSteps are the possible outcomes of a direct launch.
 func (md *model) launchSteps(next *world, c uint8, slot int, launch directLaunch, step stepFunc) {
-	deliver := func() {
-		if w := &next.workers[launch.machine]; !w.deleted && launch.token >= w.token && launch.epoch == w.epoch {
-			w.token = launch.token
-			w.startAttempt(launch.attempt)
-		}
+	deliver := func() (executed bool) {
 		next.workers[launch.machine].sequence++
+		return next.workers[launch.machine].executeLaunch(launch.attempt, launchMark{launch.token, launch.epoch})
 	}
-	step(func() { // executed, and answered unless it was abandoned
-		deliver()
+	step(func() { // executed or refused, and answered unless it was abandoned
+		executed := deliver()
 		self, w := &next.controllers[c], &next.workers[launch.machine]
-		if view := &self.views[launch.machine]; !launch.abandoned && md.tokenOf(next, c, launch.machine) == launch.token {
+		if view := &self.views[launch.machine]; !launch.abandoned && md.tokenOf(next, c, launch.machine) == launch.claim {
 			view.unanswered &^= 1 << launch.attempt
-			view.launchEpoch, view.launchSequence = w.epoch, w.sequence
+			if executed {
+				view.launchEpoch, view.launchSequence = w.epoch, w.sequence
+			}
+			if !executed || md.has(answeredLaunchIsSpent) {
+				view.launches[launch.attempt] = launchMark{}
+			}
 		}
 		self.launches[slot] = directLaunch{}
 	})
@@ -377,8 +379,14 @@
 			next.workers[m].epoch++
 			next.workers[m].renewedAfterHorizon = true
 			next.workers[m].attempts = [attempts + 1]attemptState{}
+			next.workers[m].executed = [attempts + 1]launchMark{} // copies name an earlier epoch
 		})
 	}
+	for number := uint8(1); number <= attempts; number++ {
+		if launch := w.executed[number]; w.attempts[number] == absent && launch.token > 0 && launch.token >= w.token {
+			step(func() { next.workers[m].executeLaunch(number, launch) }) // a copy arrives
+		}
+	}
 	for number := 1; number <= attempts; number++ {
 		if w.attempts[number] == running {
 			step(func() { next.workers[m].attempts[number] = ended })
@@ -432,7 +440,8 @@
 	if x.token < w.token || x.heartbeat.epoch != w.epoch {
 		return
 	}
-	w.token, w.renewedSequence = x.token, x.heartbeat.sequence
+	w.setToken(x.token)
+	w.renewedSequence = x.heartbeat.sequence
 	w.renewedAfterHorizon = w.renewedAfterHorizon || x.heartbeat.afterHorizon
 	for number := 1; number <= attempts; number++ {
 		if x.forget>>number&1 == 1 && w.attempts[number] == ended {
@@ -447,7 +456,28 @@
 	}
 }
 
-// startAttempt executes a launch at a worker.
+// executeLaunch executes a direct launch, or a copy of one, at a worker, unless the worker refuses it.
+func (w *worker) executeLaunch(attempt uint8, launch launchMark) (executed bool) {
+	if w.deleted || launch.token < w.token || launch.epoch != w.epoch {
+		return false
+	}
+	w.setToken(launch.token)
+	w.executed[attempt] = launch
+	w.startAttempt(attempt)
+	return true
+}
+
+// setToken records a token that the worker has seen. Copies of launches under lower tokens are refused from now on.
+func (w *worker) setToken(token uint8) {
+	w.token = token
+	for number, launch := range w.executed {
+		if launch.token < token {
+			w.executed[number] = launchMark{}
+		}
+	}
+}
+
+// startAttempt starts an attempt at a worker.
 func (w *worker) startAttempt(attempt uint8) {
 	if w.attempts[attempt] != absent {
 		return
--- a/internal/fencing/model_test.go
+++ b/internal/fencing/model_test.go
@@ -18,7 +18,9 @@
 	trustBeforeMirror
 	launchBeforeMirror
 	launchAnyRecord
-	ignoreUnanswered
+	ignoreLaunches
+	answeredLaunchIsSpent
+	adoptAtClaimToken
 	oneLaunchPerTask
 	trustOvertaken
 	adoptAnything
@@ -76,11 +78,13 @@
 	{"heartbeats trusted before the mirror has reached the claim", "committed release", trustBeforeMirror | launchBeforeMirror},
 	{"launches of what an earlier owner may have ended", "release under way", launchBeforeMirror},
 	{"direct launches of whatever the record shows", "committed release, mirror far behind", launchAnyRecord},
-	{"attempt forgotten or released while its direct launch is unanswered", "one epoch", ignoreUnanswered},
-	{"one slot for a task's unanswered launches", "pending launch", oneLaunchPerTask},
-	{"absence proved by a heartbeat that a launch has overtaken", "one epoch", trustOvertaken},
+	{"attempt forgotten or released while its direct launch is not void", "one epoch", ignoreLaunches},
+	{"answered launch that counts as spent", "pending launch", answeredLaunchIsSpent},
+	{"adopted claim whose launches count as those of the claim's token", "abandoned launch under a raised token", adoptAtClaimToken},
+	{"one slot for a task's direct launches", "pending launch", oneLaunchPerTask},
+	{"absence proved by a heartbeat that a launch has overtaken, if its answer makes it spent", "one epoch", trustOvertaken | answeredLaunchIsSpent},
 	{"claim of an earlier incarnation adopted whatever the worker lists", "abandoned launch, not arrived", adoptAnything},
-	{"adopted claim without the launches that the earlier incarnation may have left", "abandoned launch, running", adoptWithoutLaunches},
+	{"adopted claim without the launches that the earlier incarnation may have left", "abandoned launch under a raised token", adoptWithoutLaunches},
 	{"absence proved by a heartbeat that is not trusted", "abandoned launch, not arrived", releaseOnUntrusted},
 	{"lease renewed under the old token while a cancelled launch may come", "cancellation, pending launch", keepTokenOnCancel},
 	{"kills of listed attempts alone, when a launch has overtaken the heartbeat", "cancellation, pending launch", killListedOnly},
--- a/internal/fencing/model_world_test.go
+++ b/internal/fencing/model_world_test.go
@@ -7,7 +7,8 @@
 // The model has two controllers, two machines, one task, a state service that keeps its
 // history, and faults of the environment. A watch returns any prefix of the changes since
 // its last answer, at any time; transactions are applied late, without an answer or not at
-// all; heartbeats are delayed; answers are dropped; direct launches are executed late;
+// all; heartbeats are delayed; answers are dropped; direct launches are executed late, and executed
+// again, answered or not, for as long as the worker accepts their token and epoch;
 // workers' leases end; controllers freeze (no step of theirs has to happen), are cut off
 // and crash; machines are deleted. The model has no clock: a worker's lease may end at any
 // time, and the worker's owner may conclude that it has ended once that is certain (see
@@ -101,16 +102,22 @@
 // directLaunch is a launch under way. It is abandoned once its sender has given up on it.
 type directLaunch struct {
 	pending, abandoned             bool
+	claim                          uint8 // the owner's token by the records when the launch was sent
 	machine, token, epoch, attempt uint8
 }
 
+// launchMark is the token and the agent's epoch of a direct launch; the zero value is no launch.
+type launchMark struct{ token, epoch uint8 }
+
 // workerView is what a controller knows of a machine.
 type workerView struct {
 	tokenSeen, mirrorComplete, launchInDoubt, adopted bool
 	tokenSeenAtWatch                                  bool // the token had been seen when the current watch was opened
 	epoch, sequence, answeredSequence, answeredEpoch  uint8
-	unanswered                                        uint8 // bit set of attempts with an unanswered direct launch
-	launchEpoch, launchSequence                       uint8 // of the newest answer to a direct launch
+	unanswered                                        uint8                    // bit set of attempts with an unanswered direct launch
+	commandToken                                      uint8                    // the token of commands, if it was raised above the owner's
+	launches                                          [attempts + 1]launchMark // the newest direct launch of each attempt
+	launchEpoch, launchSequence                       uint8                    // of the newest answer to a direct launch
 }
 
 // proposal is a release that a controller wants to write, and its evidence.
@@ -161,6 +168,7 @@
 	deleted                                 bool
 	epoch, token, sequence, renewedSequence uint8
 	attempts                                [attempts + 1]attemptState
+	executed                                [attempts + 1]launchMark // direct launches, of which copies may arrive
 	exchange                                exchange
 	delayed                                 heartbeat
 	renewedAfterHorizon                     bool // its epoch began, or its lease was renewed, after the horizon
--- a/internal/fencing/proof.go
+++ b/internal/fencing/proof.go
@@ -9,13 +9,14 @@
 const (
 	// Ended means that a heartbeat under our token shows the attempt as ended. The proof
 	// remains valid under any claim: an attempt that has ended does not start again before
-	// the worker forgets it, and the worker is told to forget it only after its release.
+	// the worker forgets it, and the worker is told to forget it only after its release, by an
+	// answer that makes every direct launch of it void.
 	Ended Proof = iota + 1
 	// NewerEpoch means that a heartbeat, under any token, belongs to a later epoch than the
 	// attempt. The proof remains valid under any claim: epochs are never reused.
 	NewerEpoch
 	// NotListed means that a heartbeat under our token does not list the attempt, which is
-	// no longer wanted and of which no launch can be under way. The proof is valid only
+	// no longer wanted and of which every direct launch is void. The proof is valid only
 	// under this claim.
 	NotListed
 	// LeaseExpired means that the lease has certainly ended since the last heartbeat that we
