coordination: an answer does not repeat a launch whose direct command has just been sent

Cause: a heartbeat that crosses a direct launch does not list the attempt, and its answer launched it once more.

Change: a launch sent less than 100 ms ago and not answered is not repeated (chosen: replies take some ms; a launch without a reply is repeated by the next answer as before).

Test: TestALaunchUnderWayIsNotRepeated, seen to fail before (the heartbeat that crosses the launch).

--- a/internal/coordination/explain.go
+++ b/internal/coordination/explain.go
@@ -65,7 +65,7 @@
 // describeBinding describes what is known about an attempt on the machine that it is bound to.
 func (c *Core) describeBinding(m *machine, attempt taskAttempt) string {
 	out := fmt.Sprintf(" since %d", m.boundAt[attempt.taskKey].revision)
-	if m.inFlight[attempt] {
+	if _, launching := m.inFlight[attempt]; launching {
 		out += ", a direct launch unanswered"
 	}
 	if stop, ok := m.stops[attempt.taskKey]; ok {
--- a/internal/coordination/launches.go
+++ b/internal/coordination/launches.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"silvergate/internal/fencing"
 	"silvergate/internal/job"
@@ -75,7 +76,7 @@
 func (c *Core) sendLaunchCall(m *machine, attempts []taskAttempt) {
 	var commands []protocol.Command
 	for _, attempt := range attempts {
-		m.inFlight[attempt] = true
+		m.inFlight[attempt] = c.now
 		m.directLaunches[attempt] = fencing.DirectLaunch{Token: m.commandToken, Epoch: m.epoch}
 		commands = append(commands, c.launchCommand(m, attempt))
 		c.traceCommand("launch sent directly", m, job.TaskName(attempt.job, attempt.index), attempt.number, m.commandToken)
@@ -148,6 +149,16 @@
 	return true
 }
 
+// typicalReplyTime is how long the reply to a direct command usually takes at most.
+const typicalReplyTime = 100 * time.Millisecond
+
+// justLaunched reports whether a direct launch of the attempt was sent a moment ago and has no reply yet. A
+// heartbeat that crosses it does not list the attempt, and its answer need not repeat the launch.
+func (c *Core) justLaunched(m *machine, attempt taskAttempt) bool {
+	sentAt, launching := m.inFlight[attempt]
+	return launching && c.now-sentAt < typicalReplyTime
+}
+
 // mayBeExecuted reports whether a direct command without a readable reply may have been
 // executed, or may still be.
 func mayBeExecuted(reply protocol.Reply) bool {
@@ -184,7 +195,8 @@
 		return false
 	}
 	_, stopping := m.stops[attempt.taskKey]
-	if stopping || m.preempted || m.inFlight[attempt] {
+	_, launching := m.inFlight[attempt]
+	if stopping || m.preempted || launching {
 		return false
 	}
 	return !c.releasePending(m.bound[attempt.taskKey], attempt.index)
--- a/internal/coordination/machine_table.go
+++ b/internal/coordination/machine_table.go
@@ -80,8 +80,8 @@
 // launchState holds the launches that were sent to a machine or wait to be, the progress of its
 // tasks, and the stops that are wanted.
 type launchState struct {
-	inFlight     map[taskAttempt]bool // sent directly, without a reply yet
-	commandToken uint64               // the fencing token of commands and answers, see fencing.WorkerState
+	inFlight     map[taskAttempt]time.Duration // when each was sent directly; those without a reply yet
+	commandToken uint64                        // the fencing token of commands and answers, see fencing.WorkerState
 	// directLaunches holds the newest direct launch of each attempt, until it is void.
 	directLaunches   map[taskAttempt]fencing.DirectLaunch
 	launchInDoubt    bool          // a direct launch got no reply: it may be executed until a new token is seen
@@ -144,7 +144,7 @@
 		failedJobs:   map[string]bool{},
 		unboundSince: now,
 		launchState: launchState{
-			inFlight:       map[taskAttempt]bool{},
+			inFlight:       map[taskAttempt]time.Duration{},
 			directLaunches: map[taskAttempt]fencing.DirectLaunch{},
 			runningSince:   map[taskKey]time.Duration{},
 			pulling:        map[taskKey]bool{},
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -134,6 +134,9 @@
 			delete(m.stops, key)
 		}
 	case fencing.Launch:
+		if c.justLaunched(m, attempt) {
+			return commands
+		}
 		return append(commands, c.launchCommand(m, attempt))
 	case fencing.Keep:
 		if wanted && task.Epoch == heartbeat.AgentEpoch {
--- a/internal/coordination/stale_launch_test.go
+++ b/internal/coordination/stale_launch_test.go
@@ -161,3 +161,28 @@
 	}
 	t.Fatal("no transaction was sent")
 }
+
+// TestALaunchUnderWayIsNotRepeated guards against answers that repeat a launch while its direct command is on its way: after
+// a restart of all controllers, workers were sent launches of attempts that they already had. A launch whose reply does
+// not come is repeated.
+func TestALaunchUnderWayIsNotRepeated(t *testing.T) {
+	here := protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage([]job.Task{{Phase: job.Bound, Attempt: 1, Machine: "i-000001", Epoch: 1}}), ModRevision: 125}
+	for _, v := range []struct {
+		name     string
+		after    time.Duration // between the direct launch and the heartbeat
+		launches int           // in the heartbeat's answer
+	}{
+		{"a heartbeat crosses the launch", 5 * time.Millisecond, 0},
+		{"no reply has come for a second", time.Second, 1},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			s := newScript(t)
+			s.driveToOwnedMachine(here)
+			s.launchCall()
+			s.now += v.after
+			if a := s.sendHeartbeat(120, 3); len(a.Commands) != v.launches {
+				t.Errorf("the heartbeat was answered with %+v, want %d launches", a, v.launches)
+			}
+		})
+	}
+}
