--- a/internal/coordination/copied_commands_test.go
+++ b/internal/coordination/copied_commands_test.go
@@ -44,16 +44,47 @@
 	}
 }
 
+// copiedRequestsDay is the day on which copies of users' requests, of calls to the state service and the cloud, of reports
+// and of messages between controllers arrive seconds later, while controllers crash and users cancel.
+func copiedRequestsDay() faultDay {
+	return faultDay{
+		name:     "copies of requests that were carried out arrive, and of messages between controllers",
+		duration: 90 * time.Second,
+		setup:    func(s *sim) { s.faults.copiedRequests, s.faults.duplicateHeartbeats = 0.3, 0.2 },
+		inject: func(s *sim) {
+			for _, at := range []time.Duration{0, 30, 60} {
+				s.after(at*time.Second, func() {
+					s.busiestController().crash(s.randomMillis(50, 900))
+					s.cancelShare(0.2, 10*time.Second, nil)
+					s.after(15*time.Second, func() { s.anyController().crash(7 * time.Second) })
+				})
+			}
+			s.after(80*time.Second, func() { s.faults.duplicateHeartbeats = 0 })
+		},
+		occurrences: func(s *sim) int { return s.faultCounts.copiedRequests / 200 },
+		defect:      func(s *sim) { s.state.ignoresCompares = true },
+		violation:   "",
+	}
+}
+
 // TestCopiedCommandsStartNothing guards against tasks that ran twice, and tasks of cancelled jobs that ran, because a copy
 // of an answered launch started an attempt again that its worker had been told to forget.
-func TestCopiedCommandsStartNothing(t *testing.T) {
-	day := copiedCommandsDay()
+func TestCopiedCommandsStartNothing(t *testing.T) { simulateCopyDay(t, copiedCommandsDay()) }
+
+// TestCopiedRequestsBreakNothing guards against rules that break when requests other than commands, or messages between
+// controllers, arrive once more after they were handled.
+func TestCopiedRequestsBreakNothing(t *testing.T) { simulateCopyDay(t, copiedRequestsDay()) }
+
+// simulateCopyDay simulates a day with copies, with 3 and 5 controllers and several seeds.
+func simulateCopyDay(t *testing.T, day faultDay) {
 	runSeeds(t, 0, 8, func(t *testing.T, seed uint64) {
 		s := day.prepare(t, 3+2*int(seed%2), 48_000+seed, nil)
 		s.finish(t, 60*time.Second+day.duration)
 		s.checkServed()
 		s.reportViolations(t)
-		day.check(t, s)
+		if day.check != nil {
+			day.check(t, s)
+		}
 		if day.occurrences(s) == 0 {
 			t.Errorf("too few copies arrived: %+v", s.faultCounts)
 		}
--- a/internal/coordination/fault_days_controllers_test.go
+++ b/internal/coordination/fault_days_controllers_test.go
@@ -55,6 +55,9 @@
 			}
 			for _, at := range []time.Duration{12, 40, 70} {
 				s.after(at*time.Second, func() { s.busiestController().crash(s.randomMillis(100, 3000)); s.cancelShare(0.2, 5*time.Second, nil) })
+				s.after((at+8)*time.Second, func() { // its workers change hands, as claims are rarely renewed
+					s.busiestController().unreachableUntil["workers"] = s.now + s.leaseMultiple(0.7)
+				})
 			}
 		},
 		occurrences: func(s *sim) int {
--- a/internal/coordination/fault_days_test.go
+++ b/internal/coordination/fault_days_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -49,6 +50,13 @@
 	allControllersDownDay(),
 }
 
+// copyDays lists the fault days on which copies arrive. They have a list and seeds of their own, so that the other days
+// keep their seeds.
+var copyDays = []faultDay{
+	copiedCommandsDay(),
+	copiedRequestsDay(),
+}
+
 // prepare returns the simulation of the day, ready to run. The defect may be nil.
 func (d *faultDay) prepare(t *testing.T, controllers int, seed uint64, defect func(s *sim)) *sim {
 	t.Helper()
@@ -106,8 +114,7 @@
 // TestMeetingDaysAreJudged runs each fault day with its defect and requires that a checker detect it with one of eight
 // seeds.
 func TestMeetingDaysAreJudged(t *testing.T) {
-	for i := range faultDays {
-		d := &faultDays[i]
+	for _, d := range slices.Concat(faultDays, copyDays) {
 		t.Run(d.name, func(t *testing.T) {
 			t.Parallel()
 			found := ""
--- a/internal/coordination/fault_pairs_test.go
+++ b/internal/coordination/fault_pairs_test.go
@@ -107,6 +107,14 @@
 		s.after(duration, func() { s.faults.queryEverywhere = false })
 	}},
 	{"links are slow", func(s *sim, n *simController, duration time.Duration) { s.faults.slowLinksUntil = s.now + duration }},
+	{"copies of commands arrive", func(s *sim, n *simController, duration time.Duration) {
+		s.faults.copiedCommands = 0.3
+		s.after(duration, func() { s.faults.copiedCommands = 0 })
+	}},
+	{"copies of other requests arrive", func(s *sim, n *simController, duration time.Duration) {
+		s.faults.copiedRequests = 0.3
+		s.after(duration, func() { s.faults.copiedRequests = 0 })
+	}},
 	{"a zone is cut off", func(s *sim, n *simController, duration time.Duration) {
 		for _, o := range s.controllers {
 			if o.zone != "a" {
--- a/internal/coordination/sim_controller_test.go
+++ b/internal/coordination/sim_controller_test.go
@@ -145,6 +145,9 @@
 		return
 	}
 	s.after(s.linkDelay(), func() { n.deliver(method, path, body, once) })
+	if link == "users" && s.copies() {
+		s.after(s.randomMillis(300, latestCopy), func() { n.deliver(method, path, body, func(int, []byte) {}) })
+	}
 }
 
 // deliver passes a request that has arrived to the core. done is called when the core answers the request.
@@ -210,14 +213,18 @@
 		if !ok {
 			continue
 		}
-		s.after(s.randomMillis(0.2, 5), func() {
+		deliver := func() {
 			incarnation := peer.incarnation
 			peer.whenRunning(func() {
 				if peer.core != nil && peer.incarnation == incarnation {
 					peer.applyEffects(peer.recorded.Peer(peer.clock(), n.name, message))
 				}
 			})
-		})
+		}
+		s.after(s.randomMillis(0.2, 5), deliver)
+		if s.copies() {
+			s.after(s.randomMillis(300, latestCopy), deliver)
+		}
 	}
 }
 
@@ -297,6 +304,7 @@
 
 // serveAndReply has a call carried out and delivers the reply after a random delay of 1 to 5 ms.
 func (n *simController) serveAndReply(call protocol.Call, reply func(status int, body []byte)) {
+	n.copyCall(call)
 	n.serve(call, func(status int, body []byte) {
 		n.s.after(n.s.randomMillis(1, 5), func() { reply(status, body) })
 	})
--- a/internal/coordination/sim_faults_test.go
+++ b/internal/coordination/sim_faults_test.go
@@ -20,6 +20,7 @@
 	lateTransactions    float64       // share of transactions that are not answered and are carried out late, after newer ones
 	duplicateHeartbeats float64       // share of heartbeats of which a copy arrives late, up to 1.3 leases after the original was sent
 	copiedCommands      float64       // share of executed and answered direct commands of which copies arrive later, up to three of each
+	copiedRequests      float64       // share of all other requests, and of messages between controllers, of which a copy arrives later
 	randomLinkReports   bool          // the link reports in peers' heartbeats are random instead of true
 	slowLinksUntil      time.Duration // links between machines, users and controllers are slow
 	slowWritesUntil     time.Duration // transactions are carried out late, but within their timeout
@@ -64,6 +65,7 @@
 	earlyBoots          int            // machines that are up before a rental record names them
 	unsentHeartbeats    int            // by machines that reach no controller
 	copiedCommands      int            // copies of direct commands that arrived under a token and agent epoch that still matched
+	copiedRequests      int            // copies of other requests and of messages between controllers
 	revivedAttempts     int            // attempts that such a copy started after the worker had been told to forget them
 	lostReplies         int            // to transactions
 	lostRepliesByKind   map[string]int // the same, by kind of record (key prefix)
@@ -116,7 +118,7 @@
 		}
 		return nil
 	}
-	switch s.random.IntN(9) {
+	switch s.random.IntN(10) {
 	case 0:
 		n.crash(s.randomMillis(1_000, 5_000))
 	case 1:
@@ -155,6 +157,9 @@
 				w.faulty = true
 			}
 		}
+	case 9:
+		s.faults.copiedCommands, s.faults.copiedRequests = 0.3, 0.1
+		s.after(duration, func() { s.faults.copiedCommands, s.faults.copiedRequests = 0, 0 })
 	}
 	s.after(s.randomMillis(4_000, 25_000), func() { s.injectFaults(until) })
 }
@@ -398,7 +403,7 @@
 		return
 	}
 	for range 1 + s.random.IntN(maxCommandCopies) {
-		s.after(s.randomMillis(300, 20_000), func() { w.receiveCopy(direct) })
+		s.after(s.randomMillis(300, latestCopy), func() { w.receiveCopy(direct) })
 	}
 }
 
@@ -425,3 +430,23 @@
 	w.fencingToken = max(w.fencingToken, direct.FencingToken)
 	w.execute(direct.Commands)
 }
+
+// latestCopy is how long after a request a copy of it may arrive, in ms.
+const latestCopy = 20_000
+
+// copies reports whether a copy of a request or message is to arrive later.
+func (s *sim) copies() bool {
+	if s.faults.copiedRequests == 0 || s.random.Float64() >= s.faults.copiedRequests {
+		return false
+	}
+	s.faultCounts.copiedRequests++
+	return true
+}
+
+// copyCall has a copy of an executed call to the state service or the cloud arrive later, if the call changes anything.
+func (n *simController) copyCall(call protocol.Call) {
+	if call.Target == protocol.ToWorker || call.Method == "GET" || !n.s.copies() {
+		return
+	}
+	n.s.after(n.s.randomMillis(300, latestCopy), func() { n.serveUnanswered(call) })
+}
