soak: copies of the controllers' launches reach the agents of a real site

Need: that a copied launch runs nothing was shown by simulated workers only.

A third of the jobs fail once, as the result of a done task is kept; a third keep their machines in use. Each attempt adds a line when it starts; that no attempt starts twice is a promise of every soak now.

Test: TestCopiedLaunchesRunNothing.

--- a/cmd/silvergate/site_test.go
+++ b/cmd/silvergate/site_test.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// TestCopiedLaunchesRunNothing guards against an attempt that runs twice on a real site because a copy of its launch
+// arrives after its worker was told to forget it: of each direct launch up to three copies reach the agent within 6 s.
+func TestCopiedLaunchesRunNothing(t *testing.T) {
+	r, err := soak.Run(soak.Options{Executable: os.Args[0], Env: []string{runMainEnv + "=1"}, Dir: filepath.Join(t.TempDir(), "site"),
+		Jobs: 24, Seed: 3, Limit: 2 * time.Minute, CopyLaunches: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("result of the soak: %+v", r)
+	if len(r.Broken) > 0 || r.Accepted != 24 || r.Copies < r.Tasks {
+		t.Errorf("a copied launch ran something, or none arrived in time: %+v", r)
+	}
+}
+
 // TestDemo guards against a demonstration that fails for new users, who run it as the README
 // says, and against a damaged store that is not reported as such.
 func TestDemo(t *testing.T) {
--- a/cmd/silvergate/soak.go
+++ b/cmd/silvergate/soak.go
@@ -46,6 +46,7 @@
 	f.IntVar(&o.Kills, "kills", 20, "how often everything is killed")
 	f.Uint64Var(&o.Seed, "seed", 1, "the seed of the random times and choices")
 	f.DurationVar(&o.MeanKillInterval, "between", 3*time.Second, "mean time between two kills")
+	f.BoolVar(&o.CopyLaunches, "copy-launches", false, "deliver copies of the controllers' launches to the workers seconds later")
 	f.DurationVar(&o.Limit, "limit", 3*time.Minute, "how long the jobs may take after the last kill")
 	_ = cmd.MarkFlagRequired("dir")
 	return cmd
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,7 +34,10 @@
 	MeanKillInterval time.Duration
 	// Limit is how long the jobs may take after the last kill.
 	Limit time.Duration
-	Out   io.Writer // progress; may be nil
+	// CopyLaunches has copies of the controllers' direct launches arrive at the workers some time after
+	// these were carried out. The site then logs at debug level.
+	CopyLaunches bool
+	Out          io.Writer // progress; may be nil
 }
 
 // Result is the result of a run. Broken is empty if the site has kept all its promises.
@@ -43,8 +46,9 @@
 	// Kept is the number of attempts whose output was read back and compared, Lines the
 	// number of their lines. Lost is the number of machines that were taken away without
 	// notice, with their disks.
-	Kept, Lines, Lost int
-	Refused           int // submissions that were refused or not answered, and tried again
+	Kept, Lines, Lost      int
+	Copies, CopiesAccepted int // copies of launches that were sent, and those that the workers executed
+	Refused                int // submissions that were refused or not answered, and tried again
 	// Revision is the state service's revision at the end.
 	Revision uint64 `json:"Ledger"`
 	Took     time.Duration
@@ -61,7 +65,8 @@
 	cmd      *exec.Cmd
 	pool     *transport.Pool
 	ports    *site.Ports
-	trace    string
+	trace    string            // file to which each attempt adds a line when it has done its work
+	starts   string            // file to which each attempt adds a line when it starts
 	tasks    map[string]int    // number of tasks, by accepted job
 	status   map[string]string // last seen status, by job
 	revision uint64            // the state service's revision, as last read
@@ -92,17 +97,26 @@
 	if err != nil {
 		return s.result, err
 	}
-	s.options.Dir, s.trace = dir, filepath.Join(dir, "trace")
+	s.options.Dir = dir
+	s.trace = filepath.Join(dir, "trace")
+	s.starts = filepath.Join(dir, "starts")
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return s.result, err
 	}
-	if err := os.WriteFile(s.trace, nil, 0o600); err != nil {
-		return s.result, err
+	for _, file := range []string{s.trace, s.starts} {
+		if err := os.WriteFile(file, nil, 0o600); err != nil {
+			return s.result, err
+		}
 	}
 	defer s.kill()
 	if err := s.start(); err != nil {
 		return s.result, err
 	}
+	var copier *launchCopier
+	if o.CopyLaunches {
+		copier = startLaunchCopier(dir, o.Seed)
+		defer copier.finish()
+	}
 	submitted := 0
 	for kill := range o.Kills {
 		until := time.Now().Add(time.Duration((0.3 + 1.4*s.random.Float64()) * float64(o.MeanKillInterval)))
@@ -139,6 +153,10 @@
 		}
 	}
 	s.readRevision()
+	if copier != nil {
+		s.result.Copies, s.result.CopiesAccepted = copier.finish()
+		time.Sleep(latestCopy) // for attempts that a copy has started again to end
+	}
 	s.verify()
 	s.result.Accepted, s.result.Revision, s.result.Took = len(s.tasks), s.revision, time.Since(begun)
 	return s.result, nil
@@ -153,6 +171,9 @@
 	defer log.Close()
 	s.cmd = exec.Command(s.options.Executable, "up", "--dir", s.options.Dir)
 	s.cmd.Env = append(os.Environ(), s.options.Env...)
+	if s.options.CopyLaunches {
+		s.cmd.Env = append(s.cmd.Env, "LOG_LEVEL=debug")
+	}
 	s.cmd.Stdout, s.cmd.Stderr = log, log
 	if err := s.cmd.Start(); err != nil {
 		return err
@@ -232,10 +253,12 @@
 		"ref": jobID(n), "jobclass": "soak", "crew": "office", "shape": "batch", "urgency": []string{"urgent", "standard", "idle"}[n%3],
 		"loads": tasks, "cpus": 1, "accelerators": 0, "ramGb": 0.1, "kit": "base", "sizeGb": 0,
 		"oneZone": false, "apart": false, "casual": n%2 == 0, "etaS": 1, "waypointS": 0, "stowS": 0,
-		"command": []string{"/bin/sh", "-c", fmt.Sprintf(`mkdir -p out; for i in 1 2 3 4 5; do echo "line $i of $SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY"; sleep 0.0%d; done
+		"command": []string{"/bin/sh", "-c", fmt.Sprintf(`echo "$SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY $SILVERGATE_MACHINE" >> "$STARTS"
+mkdir -p out; for i in 1 2 3 4 5; do echo "line $i of $SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY"; sleep 0.0%d; done; sleep "$REST"
 echo "result of $SILVERGATE_TASK" > out/result
-echo "$SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY $SILVERGATE_MACHINE" >> "$TRACE"`, n%7)},
-		"env":      map[string]string{"TRACE": s.trace},
+echo "$SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY $SILVERGATE_MACHINE" >> "$TRACE"
+[ "$SILVERGATE_TRY" != "$FAILS" ]`, n%7)},
+		"env":      map[string]string{"TRACE": s.trace, "STARTS": s.starts, "FAILS": s.failingAttempt(n), "REST": s.restTime(n)},
 		"customer": customer(n),
 		"keep":     []string{"out"},
 	})
@@ -255,6 +278,24 @@
 	return false
 }
 
+// failingAttempt returns the attempt in which the tasks of job n fail; "0": none. While launches are copied, a third of
+// the jobs fail once: the result of a task that is done is kept, so a copy of its launch runs nothing in any case.
+func (s *soak) failingAttempt(n int) string {
+	if s.options.CopyLaunches && n%3 == 1 {
+		return "1"
+	}
+	return "0"
+}
+
+// restTime returns how long the tasks of job n sleep, in seconds. While launches are copied, a third of the jobs keep
+// their machines in use until copies of other tasks' launches arrive.
+func (s *soak) restTime(n int) string {
+	if s.options.CopyLaunches && n%3 == 2 {
+		return "5"
+	}
+	return "0"
+}
+
 // poll asks for the status of a few jobs, mostly ones that are not known to be done, and returns
 // the number of jobs that were not known to be done.
 func (s *soak) poll() (left int) {
--- a/internal/soak/verify.go
+++ b/internal/soak/verify.go
@@ -59,6 +59,7 @@
 	if err := s.verifyOutput(records); err != nil {
 		s.reportViolation("the archive can't be read: %v", err)
 	}
+	s.verifyStarts()
 	finished := s.finishedByJob()
 	for id, tasks := range s.tasks {
 		s.result.Tasks += tasks
@@ -76,6 +77,28 @@
 	}
 }
 
+// verifyStarts checks that no attempt has started more than once.
+func (s *soak) verifyStarts() {
+	content, err := os.ReadFile(s.starts)
+	if err != nil {
+		s.reportViolation("the attempts that started can't be read: %v", err)
+		return
+	}
+	started := map[string]bool{}
+	for line := range strings.Lines(string(content)) {
+		fields := strings.Fields(line)
+		if len(fields) != 3 {
+			s.reportViolation("the line of a started attempt can't be read: %q", line)
+			continue
+		}
+		attempt := fields[0] + " " + fields[1]
+		if started[attempt] {
+			s.reportViolation("%s attempt %s started again on %s", fields[0], fields[1], fields[2])
+		}
+		started[attempt] = true
+	}
+}
+
 func customer(n int) string { return fmt.Sprint("customer-", n%3) }
 
 // verifyOutput checks that each job's customer can read from the archive everything that the job's
