hollow, scale: copies of direct commands reach hollow workers

Need: copies of executed commands were not among the faults of the scale run, which plays real controllers against thousands of workers.

A copy arrives 0.3 to 10 s after the command, at any worker that still runs.

--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -54,8 +54,10 @@
 	// headerBytes each as an estimate of the headers.
 	BytesOut, BytesIn atomic.Int64
 	Commands          atomic.Int64
-	ExpiredEpochs     atomic.Int64 // agent epochs that ended because their lease did
-	AnswerNanos       atomic.Int64 // total time until the answer, over all answered heartbeats
+	// Copies counts the copies of direct commands that arrived, CopiesExecuted those that were executed.
+	Copies, CopiesExecuted atomic.Int64
+	ExpiredEpochs          atomic.Int64 // agent epochs that ended because their lease did
+	AnswerNanos            atomic.Int64 // total time until the answer, over all answered heartbeats
 }
 
 // headerBytes is the approximate size of the headers of a request or a response, with its
@@ -81,6 +83,7 @@
 	done        chan struct{}
 
 	mu      sync.Mutex
+	copies  copySettings
 	workers map[string]*worker
 	gangs   map[gangAttempt]map[*worker]bool
 	closed  bool
@@ -155,6 +158,37 @@
 	}
 }
 
+// copySettings say of which share of the executed direct commands a copy arrives later.
+type copySettings struct {
+	share  float64
+	random *rand.Rand
+}
+
+// earliestCopy and latestCopy bound how long after direct commands a copy of them arrives.
+const (
+	earliestCopy = 300 * time.Millisecond
+	latestCopy   = 10 * time.Second
+)
+
+// CopyCommands has a copy of a random share of the direct commands arrive at their worker once more,
+// some time after they were executed, until the next call. seed determines the random choices.
+func (f *Fleet) CopyCommands(share float64, seed uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.copies = copySettings{share, rand.New(rand.NewPCG(seed, 3))}
+}
+
+// copyCommands has a copy of executed direct commands arrive later, if they are in the share.
+func (f *Fleet) copyCommands(w *worker, body []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.copies.share == 0 || f.copies.random.Float64() >= f.copies.share {
+		return
+	}
+	wait := earliestCopy + time.Duration(f.copies.random.Int64N(int64(latestCopy-earliestCopy)))
+	time.AfterFunc(wait, func() { w.receiveCopy(body) })
+}
+
 // Restart ends all tasks of a worker and begins its next agent epoch, like a machine whose
 // agent is restarted.
 func (f *Fleet) Restart(name string) {
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -218,6 +218,18 @@
 	_ = w.server.Close()
 }
 
+// receiveCopy executes a copy of direct commands, unless the worker is stopped or refuses them.
+func (w *worker) receiveCopy(body []byte) {
+	w.step(func(now time.Duration) agent.Effects {
+		status, _, e := w.state.ExecuteDirectCommands(now, body)
+		w.fleet.Stats.Copies.Add(1)
+		if status == http.StatusOK {
+			w.fleet.Stats.CopiesExecuted.Add(1)
+		}
+		return e
+	})
+}
+
 func (w *worker) sendHeartbeat(s *agent.HeartbeatSend) {
 	stats := &w.fleet.Stats
 	stats.Heartbeats.Add(1)
@@ -272,6 +284,9 @@
 	case path == protocol.PathCommands && method == http.MethodPost:
 		w.fleet.Stats.Commands.Add(1)
 		status, answer, e = w.state.ExecuteDirectCommands(w.fleet.clock(), body)
+		if status == http.StatusOK {
+			w.fleet.copyCommands(w, body)
+		}
 	case path == protocol.PathStatus && method == http.MethodGet:
 		var err error
 		if answer, e, err = w.state.Status(w.fleet.clock()); err != nil {
--- a/internal/scale/cell.go
+++ b/internal/scale/cell.go
@@ -260,9 +260,26 @@
 	}
 }
 
+// copyCommands has copies of direct commands arrive until the fault or the run is over.
+func (c *cell) copyCommands(f Fault, over <-chan struct{}) {
+	c.log.Info("fault", "kind", f.Kind, "share", f.Share)
+	c.fleet.CopyCommands(f.Share, c.scenario.Seed)
+	select {
+	case <-time.After(time.Duration(f.ForS * float64(time.Second))):
+	case <-over:
+	}
+	c.fleet.CopyCommands(0, c.scenario.Seed)
+	stats := &c.fleet.Stats
+	c.log.Info("copies of commands", "arrived", stats.Copies.Load(), "executed", stats.CopiesExecuted.Load())
+}
+
 // injectFault removes a share of a zone's workers at once, or restarts them one after the
-// other over the fault's ForS.
+// other over the fault's ForS. Copies of commands are copyCommands's.
 func (c *cell) injectFault(f Fault, over <-chan struct{}) {
+	if f.Kind == FaultCommandsCopied {
+		c.copyCommands(f, over)
+		return
+	}
 	names := c.fleet.Names(f.Zone)
 	slices.Sort(names)
 	names = names[:int(float64(len(names))*f.Share)]
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -61,6 +61,8 @@
 		{"at_s: 6", "at_s: 60", "faults[0].at_s"},
 		{"count: 1", "count: 3", "faults[0].count"},
 		{"share: 0.1, zone: a", "share: 0.1, zone: z", "faults[1].zone"},
+		{"share: 0.3", "share: 1.3", "faults[3].share"},
+		{"share: 0.3", "share: 0.3, zone: a", "faults[3].zone"},
 		{"cancel_s: 14", "cancel_s: 7", "cancel_s"},
 		{"txn_ops: 12", "txn_ops: 1", "txn_ops"},
 		{"cells: 1", "cells: 1\noperator: {group_takover: true}", "group_takover"},
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -99,6 +99,7 @@
 	FaultControllerKill = "controller_kill" // kills the first count controllers of each cell
 	FaultWorkersLost    = "workers_gone"    // removes a share of a zone's hollow workers, or of all
 	FaultWorkersRestart = "workers_restart" // restarts a share of a zone's hollow workers, or of all, one after the other over for_s
+	FaultCommandsCopied = "commands_copied" // a share of the direct commands to hollow workers arrives once more, for for_s
 )
 
 // Fault is a fault that the run injects AtS seconds after users begin.
@@ -317,8 +318,15 @@
 		if f.Zone != "" && !slices.Contains(s.Zones, f.Zone) {
 			return errors.New("zone: not one of zones")
 		}
+	case FaultCommandsCopied:
+		if !(f.Share > 0 && f.Share <= 1) {
+			return errors.New("share: must be above 0 and at most 1")
+		}
+		if f.Zone != "" {
+			return errors.New("zone: must be empty")
+		}
 	default:
-		return fmt.Errorf("kind: must be %s, %s or %s", FaultControllerKill, FaultWorkersLost, FaultWorkersRestart)
+		return fmt.Errorf("kind: must be %s, %s, %s or %s", FaultControllerKill, FaultWorkersLost, FaultWorkersRestart, FaultCommandsCopied)
 	}
 	return nil
 }
