fencing: a token is raised above that of the launch that it has to make void

Cause: after a restart the token goes on from the one that the worker shows, and launches of the earlier process count as sent under the revision that the mirror had reached. Raising the token to that same revision was taken for enough: the forget then went out under a token that a copy of the launch may name, too.

Change: RaisedToken takes the launch and gives a token above it, or none yet.

--- a/internal/coordination/copied_commands_test.go
+++ b/internal/coordination/copied_commands_test.go
@@ -143,6 +143,59 @@
 	}
 }
 
+// TestARestartForgetsUnderANewerTokenThanItsPredecessors guards against copies of the launches of an earlier incarnation, also
+// one of a version that counted answered launches as spent and never raised a token. The new incarnation adopts the claim,
+// and the attempt that has ended meanwhile is forgotten under a token that the earlier one can't have used.
+func TestARestartForgetsUnderANewerTokenThanItsPredecessors(t *testing.T) {
+	const (
+		claimToken = 80
+		loadedAt   = 100 // the revision that the new incarnation reads: no earlier token is above it
+	)
+	ended := protocol.TaskStatus{Task: "wk-700000/0", Attempt: 1, Status: protocol.TaskEnded, Cause: protocol.CauseError}
+	for _, v := range []struct {
+		name       string
+		shown      uint64 // the token that the worker shows
+		firstToken uint64 // of the first answer
+	}{
+		{"the token was never raised", claimToken, loadedAt},
+		{"the earlier incarnation raised it", 90, 90},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			s := newScript(t)
+			s.advance(100 * time.Millisecond)
+			s.reply(protocol.PathKeys+"?", "", 200, protocol.KeyValuePage{Revision: loadedAt, KeyValues: []protocol.KeyValue{
+				{Key: keyClaim + "i-000001", Value: encode(claimRecord{"n1", 3, "10.1.0.1:9000", "small", "a", false, 1}), ModRevision: claimToken},
+				{Key: keyJob + "wk-700000", Value: encode(storedJob{singleServiceSpec(), job.Open, 1, "n0"}), ModRevision: 70}}})
+			s.advance(200 * time.Millisecond)
+			first := s.sendHeartbeat(v.shown, 5, ended)
+			if first.FencingToken != v.firstToken || len(first.Commands) > 0 || s.core.Stats.Adopted != 1 {
+				t.Fatalf("the first heartbeat was answered with %+v, %d claims adopted", first, s.core.Stats.Adopted)
+			}
+			s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Revision: 130})
+			second := s.sendHeartbeat(first.FencingToken, 6, ended)
+			if second.FencingToken <= loadedAt || len(second.Commands) != 1 || second.Commands[0].Verb != protocol.VerbForget {
+				t.Errorf("the second heartbeat was answered with %+v, want a forget under a token above %d", second, loadedAt)
+			}
+		})
+	}
+}
+
+// TestAPeerTellsARaisedTokenFromALaterOwners guards against a controller that takes the workers of a peer for those of a later
+// owner because the peer has raised their token, and claims them while the peer restarts.
+func TestAPeerTellsARaisedTokenFromALaterOwners(t *testing.T) {
+	s := newScript(t)
+	s.driveToOwnedMachine()
+	m := s.core.machine("i-000001") // its claim has token 120, and the mirror has reached 130
+	for _, v := range []struct {
+		shown uint64
+		want  bool
+	}{{119, false}, {120, true}, {125, true}, {130, true}, {131, false}} {
+		if got := s.core.showsOwnersToken(m, &protocol.Heartbeat{FencingToken: v.shown}); got != v.want {
+			t.Errorf("token %d: counts as the owner's: %v, want %v", v.shown, got, v.want)
+		}
+	}
+}
+
 // launchCall returns the body of the open direct call that launches a task.
 func (s *script) launchCall() protocol.DirectCommands {
 	s.t.Helper()
--- a/internal/coordination/launches.go
+++ b/internal/coordination/launches.go
@@ -139,7 +139,7 @@
 	if m.commandToken > launch.Token {
 		return true
 	}
-	token, ok := c.workerState(m).RaisedToken()
+	token, ok := c.workerState(m).RaisedToken(launch)
 	if !ok || len(m.inFlight) > 0 {
 		return false
 	}
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -103,13 +103,14 @@
 	return Acknowledge
 }
 
-// RaisedToken returns the token to which the owner may raise that of its commands now; ok is false if
-// there is none. It is the revision up to which the mirror is complete. The mirror shows us as the
+// RaisedToken returns the token to which the owner may raise that of its commands now, so that a direct
+// launch becomes void when the worker sees it; ok is false if there is none yet. It is the revision up
+// to which the mirror is complete. The mirror shows us as the
 // owner at that revision, so every other owner's token is the revision of a later change, which is
 // greater: the worker obeys a later owner whatever we raise our token to. The claim is not written
 // anew, so conditions on it and evidence under it keep their meaning.
-func (s WorkerState) RaisedToken() (token uint64, ok bool) {
-	if !s.Held || s.LaunchInDoubt || s.AppliedRevision <= s.CommandToken {
+func (s WorkerState) RaisedToken(launch DirectLaunch) (token uint64, ok bool) {
+	if !s.Held || s.LaunchInDoubt || s.AppliedRevision <= max(s.CommandToken, launch.Token) {
 		return 0, false
 	}
 	return s.AppliedRevision, true
--- a/internal/fencing/fencing_test.go
+++ b/internal/fencing/fencing_test.go
@@ -45,14 +45,15 @@
 		state.CommandToken = state.Token + rapid.Uint64Range(0, 5).Draw(t, "raised by")
 		state.AppliedRevision = rapid.Uint64Range(1, 30).Draw(t, "mirror")
 		laterOwner := max(state.AppliedRevision, state.Token) + rapid.Uint64Range(1, 3).Draw(t, "later owner")
-		token, ok := state.RaisedToken()
+		launch := DirectLaunch{Token: rapid.Uint64Range(0, 30).Draw(t, "launch")}
+		token, ok := state.RaisedToken(launch)
 		switch {
-		case !ok && state.Held && !state.LaunchInDoubt && state.AppliedRevision > state.CommandToken:
+		case !ok && state.Held && !state.LaunchInDoubt && state.AppliedRevision > max(state.CommandToken, launch.Token):
 			t.Fatalf("%+v: the token could be raised and is not", state)
 		case ok && (!state.Held || state.LaunchInDoubt):
 			t.Fatalf("%+v: the token is raised to %d by a controller that must not", state, token)
-		case ok && (token <= state.CommandToken || token >= laterOwner):
-			t.Fatalf("%+v: raised to %d, a later owner has %d", state, token, laterOwner)
+		case ok && (token <= max(state.CommandToken, launch.Token) || token >= laterOwner):
+			t.Fatalf("%+v: raised to %d, the launch has %d, a later owner %d", state, token, launch.Token, laterOwner)
 		}
 	})
 }
--- a/internal/fencing/model_controller_test.go
+++ b/internal/fencing/model_controller_test.go
@@ -46,7 +46,10 @@
 		return true
 	}
 	view := &s.controllers[c].views[m]
-	token, ok := md.workerState(s, c, m).RaisedToken()
+	if md.has(raiseToAnyToken) {
+		launch.Token = 0
+	}
+	token, ok := md.workerState(s, c, m).RaisedToken(launch)
 	if !ok || view.unanswered != 0 {
 		return false
 	}
--- a/internal/fencing/model_scenarios_test.go
+++ b/internal/fencing/model_scenarios_test.go
@@ -42,6 +42,22 @@
 	}
 }
 
+// launchAboveTokenShown returns a world in which controller 0 has raised its token twice: the worker has seen the
+// first one, and the direct launch of the attempt that runs was sent under the second one and abandoned.
+func launchAboveTokenShown() world {
+	s := taskRunning()
+	s.commit(change{key: keys + 1}) // of a record that the model does not hold
+	for c := range s.controllers {
+		s.controllers[c].appliedRevision, s.controllers[c].watchOpenedAt = 3, 3
+	}
+	s.workers[0].token = 2
+	view := &s.controllers[0].views[0]
+	view.commandToken, view.unanswered, view.launchInDoubt = 3, 1<<1, true
+	view.launches[1] = launchMark{token: 3, epoch: 1}
+	s.controllers[0].launches[0] = directLaunch{pending: true, abandoned: true, claim: 1, token: 3, epoch: 1, attempt: 1}
+	return s
+}
+
 // setTaskMirror sets a controller's mirror to a revision of the task.
 func (c *controller) setTaskMirror(revision uint8) {
 	c.appliedRevision, c.watchOpenedAt, c.known[taskKey], c.taskBoundAt = revision, revision, revision, revision
@@ -174,6 +190,7 @@
 	{"abandoned launch, running", launchAbandoned(running), bounds{machines: 1, revisions: 4, attempts: 1, epochs: 1, sequences: 4, crashes: 1}},
 	{"abandoned launch, not arrived", launchAbandoned(absent), bounds{machines: 1, revisions: 4, attempts: 1, epochs: 1, sequences: 4, crashes: 1}},
 	{"abandoned launch under a raised token", underRaisedToken(launchAbandoned(running)), bounds{machines: 1, revisions: 4, attempts: 1, epochs: 1, sequences: 5, crashes: 1}},
+	{"abandoned launch above the token shown", launchAboveTokenShown, bounds{machines: 1, revisions: 5, attempts: 1, epochs: 1, sequences: 5, crashes: 1}},
 	{"cancellation", taskRunning, bounds{machines: 1, revisions: 5, attempts: 1, epochs: 2, sequences: 4, crashes: 1, delays: 1, cancellation: true}},
 	{"cancellation, pending launch", launchNotArrived, bounds{machines: 1, revisions: 5, attempts: 1, epochs: 2, sequences: 4, cancellation: true}},
 	{"cancellation, abandoned launch", launchAbandoned(absent), bounds{machines: 1, revisions: 5, attempts: 1, epochs: 2, sequences: 4, crashes: 1, cancellation: true}},
--- a/internal/fencing/model_test.go
+++ b/internal/fencing/model_test.go
@@ -21,6 +21,7 @@
 	ignoreLaunches
 	answeredLaunchIsSpent
 	adoptAtClaimToken
+	raiseToAnyToken
 	oneLaunchPerTask
 	trustOvertaken
 	adoptAnything
@@ -81,6 +82,7 @@
 	{"attempt forgotten or released while its direct launch is not void", "one epoch", ignoreLaunches},
 	{"answered launch that counts as spent", "pending launch", answeredLaunchIsSpent},
 	{"adopted claim whose launches count as those of the claim's token", "abandoned launch under a raised token", adoptAtClaimToken},
+	{"token raised, but not above the launch's", "abandoned launch above the token shown", raiseToAnyToken},
 	{"one slot for a task's direct launches", "pending launch", oneLaunchPerTask},
 	{"absence proved by a heartbeat that a launch has overtaken, if its answer makes it spent", "one epoch", trustOvertaken | answeredLaunchIsSpent},
 	{"claim of an earlier incarnation adopted whatever the worker lists", "abandoned launch, not arrived", adoptAnything},
