--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -134,12 +134,11 @@
 			delete(m.stops, key)
 		}
 	case fencing.Launch:
-		if c.justLaunched(m, attempt) {
-			return commands
+		if !c.justLaunched(m, attempt) {
+			return append(commands, c.launchCommand(m, attempt))
 		}
-		return append(commands, c.launchCommand(m, attempt))
 	case fencing.Keep:
-		if wanted && task.Epoch == heartbeat.AgentEpoch {
+		if wanted && task.Epoch == heartbeat.AgentEpoch && !c.justLaunched(m, attempt) {
 			m.deferLaunch(attempt)
 		}
 	}
