--- a/internal/coordination/copied_commands_test.go
+++ b/internal/coordination/copied_commands_test.go
@@ -78,16 +78,7 @@
 // simulateCopyDay simulates a day with copies, with 3 and 5 controllers and several seeds.
 func simulateCopyDay(t *testing.T, day faultDay) {
 	runSeeds(t, 0, 8, func(t *testing.T, seed uint64) {
-		s := day.prepare(t, 3+2*int(seed%2), 48_000+seed, nil)
-		s.finish(t, 60*time.Second+day.duration)
-		s.checkServed()
-		s.reportViolations(t)
-		if day.check != nil {
-			day.check(t, s)
-		}
-		if day.occurrences(s) == 0 {
-			t.Errorf("too few copies arrived: %+v", s.faultCounts)
-		}
+		day.simulate(t, 3+2*int(seed%2), 48_000+seed)
 	})
 }
 
--- a/internal/coordination/fault_days_test.go
+++ b/internal/coordination/fault_days_test.go
@@ -86,22 +86,29 @@
 	return s
 }
 
+// simulate runs the day without its defect, and checks it.
+func (d *faultDay) simulate(t *testing.T, controllers int, seed uint64) *sim {
+	t.Helper()
+	s := d.prepare(t, controllers, seed, nil)
+	s.finish(t, 60*time.Second+d.duration)
+	s.checkServed()
+	s.reportViolations(t)
+	if d.check != nil {
+		d.check(t, s)
+	}
+	if d.occurrences(s) == 0 {
+		t.Errorf("the faults did not coincide: %+v", s.faultCounts)
+	}
+	return s
+}
+
 // TestMeetingDays runs each fault day with 3 and 5 controllers in turn. SIM_DAYS sets the number of days; a larger number
 // adds further seeds.
 func TestMeetingDays(t *testing.T) {
 	days := len(faultDays)
 	runSeeds(t, 0, 4*days, func(t *testing.T, i uint64) {
 		d, controllers := &faultDays[int(i)%days], 3+2*int(i/uint64(days)%2)
-		s := d.prepare(t, controllers, 46_000+i, nil)
-		s.finish(t, 60*time.Second+d.duration)
-		s.checkServed()
-		s.reportViolations(t)
-		if d.check != nil {
-			d.check(t, s)
-		}
-		if d.occurrences(s) == 0 {
-			t.Errorf("the faults did not coincide: %+v", s.faultCounts)
-		}
+		s := d.simulate(t, controllers, 46_000+i)
 		if s.faultCounts.lateStarts > 0 {
 			t.Logf("%d tasks began after their job's cancellation was confirmed", s.faultCounts.lateStarts)
 		}
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -19,11 +19,6 @@
 	Claims          uint64 `json:"claims"`
 	Failovers       uint64 `json:"takeovers"` // groups of workers that failed over to this controller
 	Adopted         uint64 `json:"adopted"`
-	DirectLaunches  uint64 `json:"directLaunches"`  // launches sent by direct commands
-	TokensRaised    uint64 `json:"tokensRaised"`    // fencing tokens raised above the claim's, without a write
-	Forgets         uint64 `json:"forgets"`         // commands to forget an ended attempt
-	Releases        uint64 `json:"releases"`        // releases proposed on a proof other than the attempt's end
-	UnboundAttempts uint64 `json:"unboundAttempts"` // stops of live attempts that the records don't bind to their machine
 	Placements      uint64 `json:"placements"`
 	Completions     uint64 `json:"endings"`
 	Conflicts       uint64 `json:"conflicts"`
@@ -33,11 +28,22 @@
 	MachinesDeleted uint64 `json:"deleted"`
 	Unavailable     uint64 `json:"unavailable"`
 
+	CommandStats
+
 	Connections connlimit.Stats `json:"doors"` // filled in by the program
 
 	LongestStepMS float64 `json:"longestStepMs"` // longest time that an answer had to wait for another step
 }
 
+// CommandStats holds the counters of commands to workers, and of the evidence on attempts.
+type CommandStats struct {
+	DirectLaunches  uint64 `json:"directLaunches"`  // launches sent by direct commands
+	TokensRaised    uint64 `json:"tokensRaised"`    // fencing tokens raised above the claim's, without a write
+	Forgets         uint64 `json:"forgets"`         // commands to forget an ended attempt
+	Releases        uint64 `json:"releases"`        // releases proposed on a proof other than the attempt's end
+	UnboundAttempts uint64 `json:"unboundAttempts"` // stops of live attempts that the records don't bind to their machine
+}
+
 // statsResponse is the response at PathStats.
 type statsResponse struct {
 	Node       string                    `json:"node"`
