fencing: what adoption decides on tokens stands where the model calls it

Found when the whole change was read again: which token shows an owner, with which token an adopted claim goes on, and as what its listed attempts count stood in the core and, written a second time, in the model, so the model did not check the product's code there. They are WorkerState.ShowsOwnersToken and AdoptedTokens now (adoption.go, with Adoptable), and both call them.

Beside it: direct launches and stops build their call in one place (directCall); debug lines of commands take the command, so that its name is not made again on each launch when nobody reads it; the token of commands stands with the owner's token.

--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -31,13 +31,14 @@
 // machineOwnership records who owns a machine, as given by its own claim and by the groups that
 // have failed over from one controller to another.
 type machineOwnership struct {
-	claim     claimRecord     // the claim, with the owner after failovers in place of the claim's own
-	token     uint64          // the owner's fencing token; 0: the machine has no claim
-	ownClaim  failover.Claim  // the owner by the claim record alone, before failovers
-	links     []failover.Link // the groups that the ownership depends on
-	claimedAt time.Duration   // when we learned of the current owner
-	claiming  bool            // a claim is being written
-	adopted   bool            // claimed by an earlier incarnation of ours, whose token we keep using
+	claim        claimRecord     // the claim, with the owner after failovers in place of the claim's own
+	token        uint64          // the owner's fencing token; 0: the machine has no claim
+	commandToken uint64          // the fencing token of our commands and answers: token, or what it was raised to
+	ownClaim     failover.Claim  // the owner by the claim record alone, before failovers
+	links        []failover.Link // the groups that the ownership depends on
+	claimedAt    time.Duration   // when we learned of the current owner
+	claiming     bool            // a claim is being written
+	adopted      bool            // claimed by an earlier incarnation of ours, whose token we keep using
 }
 
 // failedOver reports whether the owner got the machine by a failover of its group.
@@ -251,7 +252,8 @@
 	if !c.ownedByEarlierIncarnation(m) || m.claiming || m.claim.Incarnation == c.incarnation || !c.showsOwnersToken(m, heartbeat) {
 		return
 	}
-	launch := fencing.DirectLaunch{Token: max(m.token, c.state.AppliedRevision()), Epoch: heartbeat.AgentEpoch}
+	head := heartbeatHead(heartbeat)
+	commandToken, launch := c.workerState(m).AdoptedTokens(head)
 	listed := map[taskAttempt]fencing.DirectLaunch{}
 	for _, status := range heartbeat.Tasks {
 		if id, index, err := job.ParseTaskName(status.Task); err == nil {
@@ -260,11 +262,8 @@
 	}
 	for key := range m.bound {
 		attempt, ok := c.boundAttempt(m, key)
-		if !ok {
-			continue
-		}
 		_, isListed := listed[taskAttempt{key, attempt.Number}]
-		if !fencing.Adoptable(heartbeatHead(heartbeat), attempt, isListed) {
+		if ok && !fencing.Adoptable(head, attempt, isListed) {
 			return
 		}
 	}
@@ -273,12 +272,7 @@
 	// Our mirror was loaded after that incarnation had ended, so it contains everything it wrote.
 	m.mirrorComplete = true
 	m.resetHeartbeats(c.now)
-	m.commandToken = heartbeat.FencingToken
-	if heartbeat.FencingToken == m.token {
-		// Guards against an earlier incarnation of a version that never raised tokens, and counted answered
-		// launches as spent: copies of launches of attempts that it had forgotten are refused from now on.
-		m.commandToken = launch.Token
-	}
+	m.commandToken = commandToken
 	m.directLaunches = listed // includes attempts that have ended: they may not be forgotten yet
 	clear(m.inFlight)
 	c.machines.updateOwn(m, c.isOwn(m))
@@ -286,10 +280,7 @@
 	c.log.Info("machine adopted", "machine", m.id, "token", m.token, "shown", heartbeat.FencingToken, "epoch", heartbeat.AgentEpoch, "listed", len(listed))
 }
 
-// showsOwnersToken reports whether a heartbeat shows a token of the machine's owner: the owner's own,
-// or one to which it has raised that. A higher token than the revision that our mirror has reached may
-// be that of a later owner.
+// showsOwnersToken reports whether a heartbeat shows a token of the machine's owner.
 func (c *Core) showsOwnersToken(m *machine, heartbeat *protocol.Heartbeat) bool {
-	shown := heartbeat.FencingToken
-	return shown == m.token || shown > m.token && shown <= c.state.AppliedRevision()
+	return c.workerState(m).ShowsOwnersToken(heartbeatHead(heartbeat))
 }
--- a/internal/coordination/launches.go
+++ b/internal/coordination/launches.go
@@ -78,20 +78,13 @@
 	for _, attempt := range attempts {
 		m.inFlight[attempt] = c.now
 		m.directLaunches[attempt] = fencing.DirectLaunch{Token: m.commandToken, Epoch: m.epoch}
-		commands = append(commands, c.launchCommand(m, attempt))
-		c.traceCommand("launch sent directly", m, job.TaskName(attempt.job, attempt.index), attempt.number, m.commandToken)
+		command := c.launchCommand(m, attempt)
+		commands = append(commands, command)
+		c.traceCommand("launch sent directly", m, command)
 	}
-	token := m.token
 	c.Stats.DirectLaunches += uint64(len(attempts))
-	call := protocol.Call{
-		Target:  protocol.ToWorker,
-		Address: m.claim.Address,
-		Method:  http.MethodPost,
-		Path:    protocol.PathCommands,
-		Body:    encode(protocol.DirectCommands{FencingToken: m.commandToken, AgentEpoch: m.epoch, Commands: commands}),
-		Timeout: seconds(c.cfg.Facts.Workers.Heartbeat / 2),
-	}
-	c.call(call, func(reply protocol.Reply) { c.handleLaunchReply(m, token, attempts, reply) })
+	token := m.token
+	c.call(c.directCall(m, commands), func(reply protocol.Reply) { c.handleLaunchReply(m, token, attempts, reply) })
 }
 
 // handleLaunchReply handles the reply to launches that were sent while token was the claim's. A launch that
@@ -143,9 +136,11 @@
 	if !ok || len(m.inFlight) > 0 {
 		return false
 	}
-	c.traceToken(m, token)
 	m.commandToken = token
 	c.Stats.TokensRaised++
+	if c.verbose {
+		c.log.Debug("token raised", "machine", m.id, "epoch", m.epoch, "token", token, "since", m.token)
+	}
 	return true
 }
 
--- a/internal/coordination/machine_table.go
+++ b/internal/coordination/machine_table.go
@@ -80,8 +80,7 @@
 // launchState holds the launches that were sent to a machine or wait to be, the progress of its
 // tasks, and the stops that are wanted.
 type launchState struct {
-	inFlight     map[taskAttempt]time.Duration // when each was sent directly; those without a reply yet
-	commandToken uint64                        // the fencing token of commands and answers, see fencing.WorkerState
+	inFlight map[taskAttempt]time.Duration // when each was sent directly; those without a reply yet
 	// directLaunches holds the newest direct launch of each attempt, until it is void.
 	directLaunches   map[taskAttempt]fencing.DirectLaunch
 	launchInDoubt    bool          // a direct launch got no reply: it may be executed until a new token is seen
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -53,8 +53,9 @@
 		return commands // the worker is told to forget the attempt later
 	case fencing.Forget:
 		c.Stats.Forgets++
-		c.traceCommand("attempt forgotten", m, status.Task, status.Attempt, m.commandToken)
-		return append(commands, protocol.Command{Verb: protocol.VerbForget, Task: status.Task, Attempt: status.Attempt})
+		command := protocol.Command{Verb: protocol.VerbForget, Task: status.Task, Attempt: status.Attempt}
+		c.traceCommand("attempt forgotten", m, command)
+		return append(commands, command)
 	case fencing.Kill:
 		c.logUnboundAttempt(m, heartbeat, key, status)
 		return append(commands, killCommand(status, 0))
@@ -123,10 +124,11 @@
 	wanted := !record.final() && !stopping && !m.preempted
 	attempt := taskAttempt{key, task.Attempt}
 	boundAttempt, _ := c.boundAttempt(m, key)
-	action, proof := state.JudgeMissing(heartbeatHead(heartbeat), boundAttempt, m.directLaunches[attempt], wanted, c.releasePending(record, key.index))
+	launch := m.directLaunches[attempt]
+	action, proof := state.JudgeMissing(heartbeatHead(heartbeat), boundAttempt, launch, wanted, c.releasePending(record, key.index))
 	switch action {
 	case fencing.RaiseToken:
-		c.raiseTokenAbove(m, m.directLaunches[attempt])
+		c.raiseTokenAbove(m, launch)
 	case fencing.Release:
 		m.vacate(key, record)
 		c.propose(record, key.index, taskTransition{machine: m.id, epoch: task.Epoch, attempt: task.Attempt, proof: proof})
--- a/internal/coordination/stop_commands.go
+++ b/internal/coordination/stop_commands.go
@@ -32,16 +32,19 @@
 		return
 	}
 	token := m.token
-	body := encode(protocol.DirectCommands{FencingToken: m.commandToken, AgentEpoch: m.epoch, Commands: commands})
-	call := protocol.Call{
+	c.call(c.directCall(m, commands), func(r protocol.Reply) { c.handleCommandReply(m, token, r) })
+}
+
+// directCall returns the call that sends commands to a machine's worker directly.
+func (c *Core) directCall(m *machine, commands []protocol.Command) protocol.Call {
+	return protocol.Call{
 		Target:  protocol.ToWorker,
 		Address: m.claim.Address,
 		Method:  http.MethodPost,
 		Path:    protocol.PathCommands,
-		Body:    body,
+		Body:    encode(protocol.DirectCommands{FencingToken: m.commandToken, AgentEpoch: m.epoch, Commands: commands}),
 		Timeout: seconds(c.cfg.Facts.Workers.Heartbeat / 2),
 	}
-	c.call(call, func(r protocol.Reply) { c.handleCommandReply(m, token, r) })
 }
 
 // stopUnstartedTasks stops those tasks of a cancelled job on machines of ours that are not known to
--- a/internal/coordination/transitions.go
+++ b/internal/coordination/transitions.go
@@ -6,6 +6,7 @@
 	"silvergate/internal/fencing"
 	"silvergate/internal/job"
 	"silvergate/internal/losses"
+	"silvergate/internal/protocol"
 )
 
 // taskTransition is a proposed change of one task: its placement on a machine, or its release
@@ -83,18 +84,10 @@
 		"epoch", transition.epoch, "kind", transition.proof.String(), "found", transition.token, "revision", c.state.AppliedRevision())
 }
 
-// traceCommand logs a command to a worker at debug level, with the token on which it rests: that of
-// the command if it is sent directly, or the one that the worker has shown.
-func (c *Core) traceCommand(message string, m *machine, task string, attempt int, token uint64) {
+// traceCommand logs a command to a worker, with the token that it carries, at debug level.
+func (c *Core) traceCommand(message string, m *machine, command protocol.Command) {
 	if c.verbose {
-		c.log.Debug(message, "task", task, "attempt", attempt, "machine", m.id, "epoch", m.epoch, "token", token)
-	}
-}
-
-// traceToken logs a raised token at debug level.
-func (c *Core) traceToken(m *machine, token uint64) {
-	if c.verbose {
-		c.log.Debug("token raised", "machine", m.id, "epoch", m.epoch, "token", token, "since", m.token)
+		c.log.Debug(message, "task", command.Task, "attempt", command.Attempt, "machine", m.id, "epoch", m.epoch, "token", m.commandToken)
 	}
 }
 
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -15,8 +15,8 @@
 // with its group (package failover), the group's failover record counts as the claim. The
 // claim's revision is the fencing token: a worker remembers the highest token that it has
 // seen and refuses commands under a lower one. The owner may raise the token of its commands
-// above the claim's revision without a write (see RaisedToken). A worker whose lease ends kills everything
-// that it runs and begins a new epoch; epochs are never reused.
+// above the claim's revision without a write (see RaisedToken). A worker whose lease ends kills
+// everything that it runs and begins a new epoch; epochs are never reused.
 package fencing
 
 import "time"
@@ -82,8 +82,8 @@
 // JudgeHeartbeat decides what to do with a heartbeat.
 //
 // A heartbeat is trusted only if it shows our token, or one to which we have raised it, so that no
-// command of an earlier owner can still be executed, and if the mirror has reached the claim's revision, so that
-// the mirror holds every write that was conditional on an earlier claim.
+// command of an earlier owner can still be executed, and if the mirror has reached the claim's
+// revision, so that the mirror holds every write that was conditional on an earlier claim.
 //
 // Guards against a heartbeat that a direct launch has overtaken: the worker sends it before
 // it executes the launch, the heartbeat arrives after the launch's answer, and its list
@@ -105,10 +105,10 @@
 
 // RaisedToken returns the token to which the owner may raise that of its commands now, so that a direct
 // launch becomes void when the worker sees it; ok is false if there is none yet. It is the revision up
-// to which the mirror is complete. The mirror shows us as the
-// owner at that revision, so every other owner's token is the revision of a later change, which is
-// greater: the worker obeys a later owner whatever we raise our token to. The claim is not written
-// anew, so conditions on it and evidence under it keep their meaning.
+// to which the mirror is complete. The mirror shows us as the owner at that revision, so every other
+// owner's token is the revision of a later change, which is greater: the worker obeys a later owner
+// whatever we raise our token to. The claim is not written anew, so conditions on it and evidence
+// under it keep their meaning.
 func (s WorkerState) RaisedToken(launch DirectLaunch) (token uint64, ok bool) {
 	if !s.Held || s.LaunchInDoubt || s.AppliedRevision <= max(s.CommandToken, launch.Token) {
 		return 0, false
@@ -270,19 +270,3 @@
 func (s WorkerState) LeaseExpired(now, answered, limit time.Duration) bool {
 	return s.Held && s.TokenSeen && answered > 0 && now-answered > limit
 }
-
-// Adoptable reports whether an attempt bound to the worker lets this controller adopt the
-// claim of its earlier incarnation: the worker lists the attempt, or the worker is in a later epoch,
-// in which no attempt of an earlier epoch exists or can be started. listed reports whether
-// the heartbeat's list has the attempt.
-//
-// The earlier incarnation neither released an attempt as missing nor had it forgotten without the
-// direct launches of it being void. So only launches of attempts that are bound or listed may still be
-// executed, and a launch of an attempt that the worker has does nothing. These launches have tokens
-// that the earlier incarnation may have raised, up to the revision at which our mirror was loaded.
-//
-// An earlier incarnation of a version that counted answered launches as spent may have had others
-// forgotten. Copies of their launches are refused once the worker has seen a token of ours.
-func Adoptable(hb Heartbeat, bound Attempt, listed bool) bool {
-	return bound.Epoch < hb.Epoch || bound.Epoch == hb.Epoch && listed
-}
--- a/internal/fencing/model_controller_test.go
+++ b/internal/fencing/model_controller_test.go
@@ -193,23 +193,21 @@
 	if owner.owner != c+1 || owner.incarnation >= self.incarnation || view.adopted || self.claim.kind != noTxn {
 		return
 	}
-	if hb.token != owner.token && (hb.token < owner.token || hb.token > self.appliedRevision) {
-		return // not a token of the earlier incarnation, as far as the records show
+	state := md.workerState(s, c, m)
+	if !state.ShowsOwnersToken(head) {
+		return
 	}
 	if bound && !md.has(adoptAnything) && !Adoptable(head, attempt, hb.attempts[attempt.Number] != absent) {
 		return
 	}
-	launch := launchMark{max(owner.token, self.appliedRevision), hb.epoch}
-	*view = workerView{adopted: true, mirrorComplete: true, commandToken: hb.token}
-	if hb.token == owner.token {
-		view.commandToken = launch.token
-	}
+	commandToken, launch := state.AdoptedTokens(head)
 	if md.has(adoptAtClaimToken) {
-		launch.token = owner.token
+		launch.Token = uint64(owner.token)
 	}
+	*view = workerView{adopted: true, mirrorComplete: true, commandToken: uint8(commandToken)}
 	for number, listed := range hb.attempts {
 		if listed != absent && !md.has(adoptWithoutLaunches) {
-			view.launches[number] = launch
+			view.launches[number] = launchMark{uint8(launch.Token), uint8(launch.Epoch)}
 		}
 	}
 }
