coordination: the simulation has one place for each of what its copies had written again

A machine's end, the end of a lease and an agent's restart end tasks and begin epochs by the same two functions; direct commands and copies of them are accepted by one rule; copies take their delay from one function; a share that a fault affects for a time is set by setShareFor (five pairs of faults, the random faults and two other tests wrote it out); scripted tests make the event that writes a task's page by pageEvent.

--- a/internal/coordination/completions_test.go
+++ b/internal/coordination/completions_test.go
@@ -8,7 +8,6 @@
 
 	"silvergate/internal/completionlog"
 	"silvergate/internal/job"
-	"silvergate/internal/protocol"
 )
 
 // TestRulesHoldWithTheEndingLog simulates days with random faults and the completion log enabled.
@@ -72,7 +71,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newScript(t)
-			s.driveToOwnedMachine(protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage([]job.Task{{Phase: job.Bound, Attempt: 1, Machine: "i-000001", Epoch: 1}}), ModRevision: 125})
+			s.driveToOwnedMachine(pageEvent(125, boundTask(1)))
 			s.core.applyCompletionRecord("n9/1-1", encode(completionlog.Record{Completions: []string{test.completion}}))
 			if ended := s.core.jobs.byID["wk-700000"].pages[0].tasks[0].Phase == job.Finished; ended != test.ends {
 				t.Errorf("%s: task finished %v, want %v", test.completion, ended, test.ends)
@@ -90,7 +89,7 @@
 	c := s.core
 	c.applyCompletionRecord("n9/1-1", encode(completionlog.Record{Completions: []string{"wk-700000/0.1 i-000001 1"}}))
 	page := func(attempt int) []byte {
-		return writePage([]job.Task{{Phase: job.Bound, Attempt: attempt, Machine: "i-000001", Epoch: 1}})
+		return writePage([]job.Task{boundTask(attempt)})
 	}
 	c.applyPage("wk-700000/0", page(1), 130)
 	task := &c.jobs.byID["wk-700000"].pages[0].tasks[0]
--- a/internal/coordination/copied_commands_test.go
+++ b/internal/coordination/copied_commands_test.go
@@ -85,29 +85,25 @@
 // TestAnAttemptIsForgottenAfterItsLaunchIsVoid guards against a forget under the token under which the attempt was launched
 // directly: the launch was answered, and a copy of it that arrives after the forget starts the attempt again.
 func TestAnAttemptIsForgottenAfterItsLaunchIsVoid(t *testing.T) {
-	here := job.Task{Phase: job.Bound, Attempt: 1, Machine: "i-000001", Epoch: 1}
-	page := func(revision uint64, task job.Task) protocol.WatchEvent {
-		return protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage([]job.Task{task}), ModRevision: revision}
-	}
 	for _, v := range []struct {
 		name  string
 		cause string
 		after protocol.WatchEvent // what becomes of the attempt's record
 	}{
-		{"ended", protocol.CauseError, page(140, job.Task{Attempt: 1, Failures: 1})},
-		{"moved", protocol.CauseStopped, page(140, job.Task{Phase: job.Bound, Attempt: 2, Machine: "i-000002", Epoch: 1})},
+		{"ended", protocol.CauseError, pageEvent(140, job.Task{Attempt: 1, Failures: 1})},
+		{"moved", protocol.CauseStopped, pageEvent(140, job.Task{Phase: job.Bound, Attempt: 2, Machine: "i-000002", Epoch: 1})},
 		{"cancelled", protocol.CauseStopped, protocol.WatchEvent{Put: keyJob + "wk-700000",
 			Value: encode(storedJob{singleServiceSpec(), job.Cancelled, 1, "n0"}), ModRevision: 140}},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			s := newScript(t)
-			s.driveToOwnedMachine(page(125, here))
+			s.driveToOwnedMachine(pageEvent(125, boundTask(1)))
 			launch := s.launchCall()
 			s.reply(protocol.PathCommands, "", 200, protocol.Heartbeat{Worker: "i-000001", AgentEpoch: 1, Sequence: 3, FencingToken: launch.FencingToken,
 				Tasks: []protocol.TaskStatus{{Task: "wk-700000/0", Attempt: 1, Status: protocol.TaskRunning}}})
 			events := []protocol.WatchEvent{v.after}
 			if v.after.Put != pageKey("wk-700000", 0) { // the release follows the cancellation
-				events = append(events, page(141, job.Task{Attempt: 1}))
+				events = append(events, pageEvent(141, job.Task{Attempt: 1}))
 			}
 			s.advance(time.Second)
 			s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Revision: 145, Events: events})
--- a/internal/coordination/failover_completions_test.go
+++ b/internal/coordination/failover_completions_test.go
@@ -49,12 +49,10 @@
 			s.after(20*time.Second, func() { s.state.downUntil = s.now + 30*time.Second })
 		},
 		"late transactions": func(s *sim) {
-			s.faults.lateTransactions = 0.3
-			s.after(time.Minute, func() { s.faults.lateTransactions = 0 })
+			s.setShareFor(time.Minute, &s.faults.lateTransactions, 0.3)
 		},
 		"late reports": func(s *sim) {
-			s.faults.duplicateHeartbeats = 0.5
-			s.after(time.Minute, func() { s.faults.duplicateHeartbeats = 0 })
+			s.setShareFor(time.Minute, &s.faults.duplicateHeartbeats, 0.5)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordination/fault_pairs_test.go
+++ b/internal/coordination/fault_pairs_test.go
@@ -60,12 +60,10 @@
 		}
 	}},
 	{"late transactions", func(s *sim, n *simController, duration time.Duration) {
-		s.faults.lateTransactions = 0.25
-		s.after(duration, func() { s.faults.lateTransactions = 0 })
+		s.setShareFor(duration, &s.faults.lateTransactions, 0.25)
 	}},
 	{"late reports", func(s *sim, n *simController, duration time.Duration) {
-		s.faults.duplicateHeartbeats = 0.4
-		s.after(duration, func() { s.faults.duplicateHeartbeats = 0 })
+		s.setShareFor(duration, &s.faults.duplicateHeartbeats, 0.4)
 	}},
 	{"the state service is slow", func(s *sim, n *simController, duration time.Duration) {
 		for _, o := range s.controllers {
@@ -98,8 +96,7 @@
 		s.cancelRunning(4, s.randomMillis(2000, 900*s.facts.Workers.Lease))
 	}},
 	{"jobs are called off at their end", func(s *sim, n *simController, duration time.Duration) {
-		s.faults.cancelAtEnd = 0.7
-		s.after(duration, func() { s.faults.cancelAtEnd = 0 })
+		s.setShareFor(duration, &s.faults.cancelAtEnd, 0.7)
 	}},
 	{"odd requests", func(s *sim, n *simController, duration time.Duration) { s.sendInvalidRequests(s.now + duration) }},
 	{"users look closely", func(s *sim, n *simController, duration time.Duration) {
@@ -108,12 +105,10 @@
 	}},
 	{"links are slow", func(s *sim, n *simController, duration time.Duration) { s.faults.slowLinksUntil = s.now + duration }},
 	{"copies of commands arrive", func(s *sim, n *simController, duration time.Duration) {
-		s.faults.copiedCommands = 0.3
-		s.after(duration, func() { s.faults.copiedCommands = 0 })
+		s.setShareFor(duration, &s.faults.copiedCommands, 0.3)
 	}},
 	{"copies of other requests arrive", func(s *sim, n *simController, duration time.Duration) {
-		s.faults.copiedRequests = 0.3
-		s.after(duration, func() { s.faults.copiedRequests = 0 })
+		s.setShareFor(duration, &s.faults.copiedRequests, 0.3)
 	}},
 	{"a zone is cut off", func(s *sim, n *simController, duration time.Duration) {
 		for _, o := range s.controllers {
--- a/internal/coordination/full_restart_test.go
+++ b/internal/coordination/full_restart_test.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"strconv"
 	"testing"
 	"time"
 
@@ -69,7 +68,7 @@
 
 func (s *sim) countRestartLaunch(counts *restartCounts, w *simWorker, command protocol.Command) {
 	jobID, _, _ := job.ParseTaskName(command.Task)
-	if w.tasks[command.Task+"#"+strconv.Itoa(command.Attempt)] != nil {
+	if w.tasks[simTaskKey(command)] != nil {
 		counts.duplicateLaunches++
 	}
 	if u := s.users[jobID]; u != nil && u.finalStatus != "" {
@@ -80,7 +79,7 @@
 func (s *sim) countRestartKill(counts *restartCounts, w *simWorker, command protocol.Command) {
 	jobID, index, _ := job.ParseTaskName(command.Task)
 	u := s.users[jobID]
-	if task := w.tasks[command.Task+"#"+strconv.Itoa(command.Attempt)]; task == nil || !task.isActive() || u == nil || u.cancelRequested {
+	if task := w.tasks[simTaskKey(command)]; task == nil || !task.isActive() || u == nil || u.cancelRequested {
 		return
 	}
 	if record := s.taskRecord(jobID, index); record != nil && record.Machine == w.name && record.Epoch == w.agentEpoch && record.Attempt == command.Attempt {
--- a/internal/coordination/scripted_core_test.go
+++ b/internal/coordination/scripted_core_test.go
@@ -116,6 +116,16 @@
 	s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Revision: 130, Events: events})
 }
 
+// pageEvent returns the watch event in which the first page of the job's tasks is written.
+func pageEvent(revision uint64, tasks ...job.Task) protocol.WatchEvent {
+	return protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage(tasks), ModRevision: revision}
+}
+
+// boundTask returns a task that is bound to machine i-000001 in its first agent epoch.
+func boundTask(attempt int) job.Task {
+	return job.Task{Phase: job.Bound, Attempt: attempt, Machine: "i-000001", Epoch: 1}
+}
+
 // countPageWrites counts the open transactions that write the job's page, and so record the end of its task.
 func (s *script) countPageWrites() (n int) {
 	for _, k := range s.openCalls {
--- a/internal/coordination/sim_controller_test.go
+++ b/internal/coordination/sim_controller_test.go
@@ -146,7 +146,7 @@
 	}
 	s.after(s.linkDelay(), func() { n.deliver(method, path, body, once) })
 	if link == "users" && s.copies() {
-		s.after(s.randomMillis(300, latestCopy), func() { n.deliver(method, path, body, func(int, []byte) {}) })
+		s.after(s.copyDelay(), func() { n.deliver(method, path, body, func(int, []byte) {}) })
 	}
 }
 
@@ -223,7 +223,7 @@
 		}
 		s.after(s.randomMillis(0.2, 5), deliver)
 		if s.copies() {
-			s.after(s.randomMillis(300, latestCopy), deliver)
+			s.after(s.copyDelay(), deliver)
 		}
 	}
 }
--- a/internal/coordination/sim_faults_test.go
+++ b/internal/coordination/sim_faults_test.go
@@ -103,6 +103,12 @@
 	observed          bool          // its tasks are counted by countLeaseKills
 }
 
+// setShareFor sets the share of messages or jobs that a fault affects, and sets it to 0 after a duration.
+func (s *sim) setShareFor(duration time.Duration, share *float64, value float64) {
+	*share = value
+	s.after(duration, func() { *share = 0 })
+}
+
 // injectFaults injects a random fault every few seconds until the given time.
 func (s *sim) injectFaults(until time.Duration) {
 	if s.now > until {
@@ -158,8 +164,8 @@
 			}
 		}
 	case 9:
-		s.faults.copiedCommands, s.faults.copiedRequests = 0.3, 0.1
-		s.after(duration, func() { s.faults.copiedCommands, s.faults.copiedRequests = 0, 0 })
+		s.setShareFor(duration, &s.faults.copiedCommands, 0.3)
+		s.setShareFor(duration, &s.faults.copiedRequests, 0.1)
 	}
 	s.after(s.randomMillis(4_000, 25_000), func() { s.injectFaults(until) })
 }
@@ -403,7 +409,7 @@
 		return
 	}
 	for range 1 + s.random.IntN(maxCommandCopies) {
-		s.after(s.randomMillis(300, latestCopy), func() { w.receiveCopy(direct) })
+		s.after(s.copyDelay(), func() { w.receiveCopy(direct) })
 	}
 }
 
@@ -417,8 +423,7 @@
 		s.after(w.hungUntil-s.now+time.Millisecond, func() { w.receiveCopy(direct) })
 		return
 	}
-	accepted := direct.FencingToken >= w.fencingToken && direct.AgentEpoch == w.agentEpoch
-	if !accepted && !s.defects.copiesIgnoreTokens {
+	if !w.accepts(direct) && !s.defects.copiesIgnoreTokens {
 		return
 	}
 	s.faultCounts.copiedCommands++
@@ -431,8 +436,8 @@
 	w.execute(direct.Commands)
 }
 
-// latestCopy is how long after a request a copy of it may arrive, in ms.
-const latestCopy = 20_000
+// copyDelay returns how long after a request or message a copy of it arrives.
+func (s *sim) copyDelay() time.Duration { return s.randomMillis(300, 20_000) }
 
 // copies reports whether a copy of a request or message is to arrive later.
 func (s *sim) copies() bool {
@@ -448,5 +453,5 @@
 	if call.Target == protocol.ToWorker || call.Method == "GET" || !n.s.copies() {
 		return
 	}
-	n.s.after(n.s.randomMillis(300, latestCopy), func() { n.serveUnanswered(call) })
+	n.s.after(n.s.copyDelay(), func() { n.serveUnanswered(call) })
 }
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -57,12 +57,23 @@
 func (w *simWorker) die() {
 	w.dead = true
 	w.up = false
+	w.endTasks()
+}
+
+// endTasks ends all tasks on the machine, and the worker knows them no more.
+func (w *simWorker) endTasks() {
 	for _, task := range w.tasks {
 		task.status, task.generation = protocol.TaskEnded, task.generation+1
 	}
 	w.tasks = map[string]*simTask{}
 }
 
+// beginEpoch begins the next agent epoch.
+func (w *simWorker) beginEpoch() {
+	w.agentEpoch++
+	w.epochStartedAt = w.s.now
+}
+
 // boot starts the agent.
 func (w *simWorker) boot() {
 	if w.dead {
@@ -89,13 +100,9 @@
 			w.s.faultCounts.expiredLeases++
 		}
 		if !w.s.defects.ignoreLeaseExpiry {
-			for _, task := range w.tasks {
-				task.status, task.generation = protocol.TaskEnded, task.generation+1
-			}
-			w.tasks = map[string]*simTask{}
+			w.endTasks()
 		}
-		w.agentEpoch++
-		w.epochStartedAt = w.s.now
+		w.beginEpoch()
 		expiresAt = w.epochStartedAt + seconds(w.s.facts.Workers.Lease)
 	}
 	w.s.after(expiresAt-w.s.now+time.Millisecond, w.watchLease)
@@ -225,8 +232,8 @@
 }
 
 // applyResponse carries out a heartbeat response unless it is outdated, and reports whether the response raised the
-// fencing token so that the worker sends its next heartbeat early, which it does at most once per half of its lease. A hung machine ignores responses, and after it resumes it drops those to heartbeats that were sent
-// over 4 s ago.
+// fencing token so that the worker sends its next heartbeat early, which it does at most once per half of its lease. A
+// hung machine ignores responses, and after it resumes it drops those to heartbeats that were sent over 4 s ago.
 func (w *simWorker) applyResponse(response protocol.HeartbeatResponse, epoch uint64, sent time.Duration) bool {
 	now := w.s.now
 	if now < w.hungUntil || response.FencingToken < w.fencingToken || response.FencingToken == 0 || epoch != w.agentEpoch || now-sent > 4*time.Second {
@@ -272,7 +279,7 @@
 	}
 	var direct protocol.DirectCommands
 	_ = json.Unmarshal(call.Body, &direct)
-	if direct.FencingToken < w.fencingToken || direct.AgentEpoch != w.agentEpoch {
+	if !w.accepts(direct) {
 		reply(409, encode(w.heartbeat()))
 		return
 	}
@@ -282,6 +289,11 @@
 	s.copyCommands(w, direct)
 }
 
+// accepts reports whether direct commands name the agent epoch, and no lower token than the highest that was seen.
+func (w *simWorker) accepts(direct protocol.DirectCommands) bool {
+	return direct.FencingToken >= w.fencingToken && direct.AgentEpoch == w.agentEpoch
+}
+
 // simTaskKey returns the key in simWorker.tasks of the attempt that a command names.
 func simTaskKey(command protocol.Command) string {
 	return command.Task + "#" + strconv.Itoa(command.Attempt)
@@ -289,12 +301,8 @@
 
 // restart ends the agent and all its tasks; it is back at once, in its next agent epoch.
 func (w *simWorker) restart() {
-	for _, task := range w.tasks {
-		task.status, task.generation = protocol.TaskEnded, task.generation+1
-	}
-	w.tasks = map[string]*simTask{}
-	w.agentEpoch++
-	w.epochStartedAt = w.s.now
+	w.endTasks()
+	w.beginEpoch()
 }
 
 // execute carries out commands in order.
--- a/internal/coordination/stale_launch_test.go
+++ b/internal/coordination/stale_launch_test.go
@@ -17,10 +17,7 @@
 // forgotten, and the task ran elsewhere. The controller sent a launch at once, which started the
 // task again.
 func TestNothingIsLaunchedFromThePast(t *testing.T) {
-	page := func(revision uint64, tasks ...job.Task) protocol.WatchEvent {
-		return protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage(tasks), ModRevision: revision}
-	}
-	here := job.Task{Phase: job.Bound, Attempt: 1, Machine: "i-000001", Epoch: 1}
+	here := boundTask(1)
 	there := job.Task{Phase: job.Bound, Attempt: 2, Machine: "i-000002", Epoch: 1}
 	for _, v := range []struct {
 		name     string
@@ -28,11 +25,11 @@
 		events   []protocol.WatchEvent
 		launches int // launches that should be sent
 	}{
-		{"a watch answered late", 110, []protocol.WatchEvent{page(105, here)}, 0},
-		{"all since in one answer", 130, []protocol.WatchEvent{page(105, here), page(115, there)}, 0},
-		{"bound under our claim", 130, []protocol.WatchEvent{page(125, here)}, 1},
-		{"bound under our claim and gone", 130, []protocol.WatchEvent{page(125, here), page(128, there)}, 0},
-		{"cancelled since", 130, []protocol.WatchEvent{page(125, here),
+		{"a watch answered late", 110, []protocol.WatchEvent{pageEvent(105, here)}, 0},
+		{"all since in one answer", 130, []protocol.WatchEvent{pageEvent(105, here), pageEvent(115, there)}, 0},
+		{"bound under our claim", 130, []protocol.WatchEvent{pageEvent(125, here)}, 1},
+		{"bound under our claim and gone", 130, []protocol.WatchEvent{pageEvent(125, here), pageEvent(128, there)}, 0},
+		{"cancelled since", 130, []protocol.WatchEvent{pageEvent(125, here),
 			{Put: keyJob + "wk-700000", Value: encode(storedJob{singleServiceSpec(), job.Cancelled, 1, "n0"}), ModRevision: 129}}, 0},
 	} {
 		t.Run(v.name, func(t *testing.T) {
@@ -72,7 +69,7 @@
 // the attempt was released as not listed while it ran. The answer to the launch proves nothing either,
 // as a copy of the launch may still be executed: only a newer token does.
 func TestAReportThatALaunchOvertookProvesNoAbsence(t *testing.T) {
-	here := protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage([]job.Task{{Phase: job.Bound, Attempt: 1, Machine: "i-000001", Epoch: 1}}), ModRevision: 125}
+	here := pageEvent(125, boundTask(1))
 	for _, v := range []struct {
 		name       string
 		heartbeats []heartbeatHeader // those that arrive after the launch's reply, which has sequence number 4
@@ -113,12 +110,9 @@
 // forgotten, and whose launch, executed late, started it again.
 func TestAnEndedAttemptIsNotForgottenForTheNextOnesLaunch(t *testing.T) {
 	s := newScript(t)
-	bound := func(attempt int, revision uint64) protocol.WatchEvent {
-		return protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage([]job.Task{{Phase: job.Bound, Attempt: attempt, Machine: "i-000001", Epoch: 1}}), ModRevision: revision}
-	}
-	s.driveToOwnedMachine(bound(1, 125)) // its launch is not answered
+	s.driveToOwnedMachine(pageEvent(125, boundTask(1))) // its launch is not answered
 	s.advance(200 * time.Millisecond)
-	s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Revision: 140, Events: []protocol.WatchEvent{bound(2, 135)}})
+	s.reply(protocol.PathWatch, "", 200, protocol.WatchResult{Revision: 140, Events: []protocol.WatchEvent{pageEvent(135, boundTask(2))}})
 	a := s.sendHeartbeat(120, 3, protocol.TaskStatus{Task: "wk-700000/0", Attempt: 1, Status: protocol.TaskEnded, Cause: protocol.CauseError},
 		protocol.TaskStatus{Task: "wk-700000/0", Attempt: 2, Status: protocol.TaskPulling})
 	if a.FencingToken != 120 || len(a.Commands) > 0 {
@@ -166,7 +160,7 @@
 // a restart of all controllers, workers were sent launches of attempts that they already had. A launch whose reply does
 // not come is repeated.
 func TestALaunchUnderWayIsNotRepeated(t *testing.T) {
-	here := protocol.WatchEvent{Put: pageKey("wk-700000", 0), Value: writePage([]job.Task{{Phase: job.Bound, Attempt: 1, Machine: "i-000001", Epoch: 1}}), ModRevision: 125}
+	here := pageEvent(125, boundTask(1))
 	for _, v := range []struct {
 		name     string
 		after    time.Duration // between the direct launch and the heartbeat
