--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,18 +60,19 @@
 
 // soak is the state of a run.
 type soak struct {
-	options  Options
-	random   *rand.Rand
-	cmd      *exec.Cmd
-	pool     *transport.Pool
-	ports    *site.Ports
-	trace    string            // file to which each attempt adds a line when it has done its work
-	starts   string            // file to which each attempt adds a line when it starts
-	tasks    map[string]int    // number of tasks, by accepted job
-	status   map[string]string // last seen status, by job
-	revision uint64            // the state service's revision, as last read
-	lost     map[string]bool   // machines taken away without notice
-	result   Result
+	options   Options
+	random    *rand.Rand
+	cmd       *exec.Cmd
+	pool      *transport.Pool
+	ports     *site.Ports
+	trace     string            // file to which each attempt adds a line when it has done its work
+	starts    string            // file to which each attempt adds a line when it starts
+	submitted int               // number of jobs submitted so far
+	tasks     map[string]int    // number of tasks, by accepted job
+	status    map[string]string // last seen status, by job
+	revision  uint64            // the state service's revision, as last read
+	lost      map[string]bool   // machines taken away without notice
+	result    Result
 }
 
 // reportViolation records a promise that the site has broken, up to maxBroken.
@@ -93,65 +94,24 @@
 func Run(o Options) (Result, error) {
 	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), pool: transport.NewPool(8), tasks: map[string]int{}, status: map[string]string{}, lost: map[string]bool{}}
 	begun := time.Now()
-	dir, err := filepath.Abs(o.Dir)
-	if err != nil {
-		return s.result, err
-	}
-	s.options.Dir = dir
-	s.trace = filepath.Join(dir, "trace")
-	s.starts = filepath.Join(dir, "starts")
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := s.createFiles(); err != nil {
 		return s.result, err
 	}
-	for _, file := range []string{s.trace, s.starts} {
-		if err := os.WriteFile(file, nil, 0o600); err != nil {
-			return s.result, err
-		}
-	}
 	defer s.kill()
 	if err := s.start(); err != nil {
 		return s.result, err
 	}
 	var copier *launchCopier
 	if o.CopyLaunches {
-		copier = startLaunchCopier(dir, o.Seed)
+		copier = startLaunchCopier(s.options.Dir, o.Seed)
 		defer copier.finish()
 	}
-	submitted := 0
-	for kill := range o.Kills {
-		until := time.Now().Add(time.Duration((0.3 + 1.4*s.random.Float64()) * float64(o.MeanKillInterval)))
-		quota := (kill + 1) * o.Jobs / o.Kills
-		for time.Now().Before(until) {
-			if submitted < quota && s.submit(submitted) {
-				submitted++
-			}
-			s.poll()
-			time.Sleep(20 * time.Millisecond)
-		}
-		s.readRevision()
-		if s.random.IntN(2) == 0 {
-			s.loseMachine()
-		}
-		s.kill()
-		s.result.Kills++
-		s.printProgress("kill %d of %d: %d jobs accepted, revision %d", kill+1, o.Kills, len(s.tasks), s.revision)
-		if err := s.start(); err != nil {
+	for range o.Kills {
+		if err := s.submitAndKill(); err != nil {
 			return s.result, err
 		}
-		s.readRevision()
-	}
-	for limit := time.Now().Add(o.Limit); ; time.Sleep(50 * time.Millisecond) {
-		if submitted < o.Jobs && s.submit(submitted) {
-			submitted++
-			continue
-		}
-		if left := s.poll(); left == 0 && submitted == o.Jobs {
-			break
-		} else if time.Now().After(limit) {
-			s.reportViolation("%d jobs are not done, and %d of %d were accepted, %s after the last kill", left, submitted, o.Jobs, o.Limit)
-			break
-		}
 	}
+	s.awaitJobs()
 	s.readRevision()
 	if copier != nil {
 		s.result.Copies, s.result.CopiesAccepted = copier.finish()
@@ -162,6 +122,71 @@
 	return s.result, nil
 }
 
+// createFiles creates the site's folder and the files to which attempts add their lines.
+func (s *soak) createFiles() error {
+	dir, err := filepath.Abs(s.options.Dir)
+	if err != nil {
+		return err
+	}
+	s.options.Dir = dir
+	s.trace = filepath.Join(dir, "trace")
+	s.starts = filepath.Join(dir, "starts")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	for _, file := range []string{s.trace, s.starts} {
+		if err := os.WriteFile(file, nil, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// submitAndKill submits the jobs that are due before the next kill and polls for a random time, kills
+// the site and starts it again.
+func (s *soak) submitAndKill() error {
+	o := &s.options
+	kill := s.result.Kills + 1
+	until := time.Now().Add(time.Duration((0.3 + 1.4*s.random.Float64()) * float64(o.MeanKillInterval)))
+	quota := kill * o.Jobs / o.Kills
+	for time.Now().Before(until) {
+		if s.submitted < quota && s.submit(s.submitted) {
+			s.submitted++
+		}
+		s.poll()
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.readRevision()
+	if s.random.IntN(2) == 0 {
+		s.loseMachine()
+	}
+	s.kill()
+	s.result.Kills = kill
+	s.printProgress("kill %d of %d: %d jobs accepted, revision %d", kill, o.Kills, len(s.tasks), s.revision)
+	if err := s.start(); err != nil {
+		return err
+	}
+	s.readRevision()
+	return nil
+}
+
+// awaitJobs submits the jobs that are left and waits until all are done, up to Options.Limit.
+func (s *soak) awaitJobs() {
+	o := &s.options
+	for limit := time.Now().Add(o.Limit); ; time.Sleep(50 * time.Millisecond) {
+		if s.submitted < o.Jobs && s.submit(s.submitted) {
+			s.submitted++
+			continue
+		}
+		if left := s.poll(); left == 0 && s.submitted == o.Jobs {
+			return
+		} else if time.Now().After(limit) {
+			s.reportViolation("%d jobs are not done, and %d of %d were accepted, %s after the last kill", left, s.submitted, o.Jobs, o.Limit)
+			return
+		}
+	}
+}
+
 // start starts the site and waits until its ports can be read.
 func (s *soak) start() error {
 	log, err := os.OpenFile(filepath.Join(s.options.Dir, "up.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
