soak, scale, hollow: copies without a pool, special cases and literals of their own

Found when the change was read again. The soak's copier sends with an http.Client and its time limit, where it had driven a connection pool and expired its calls in two places; the folders of logs and machines have one name each (site.LogsDir, machinesDir). The scale run's fault of copied commands had stood in front of the others in injectFault: the kinds are cases of one switch, and share and zone are checked in one case. Hollow workers take whether a command is copied from a lock of its own, not from the fleet's.

--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -82,8 +82,9 @@
 	pool        *transport.Pool
 	done        chan struct{}
 
+	copies copySettings
+
 	mu      sync.Mutex
-	copies  copySettings
 	workers map[string]*worker
 	gangs   map[gangAttempt]map[*worker]bool
 	closed  bool
@@ -160,6 +161,7 @@
 
 // copySettings say of which share of the executed direct commands a copy arrives later.
 type copySettings struct {
+	mu     sync.Mutex
 	share  float64
 	random *rand.Rand
 }
@@ -173,20 +175,20 @@
 // CopyCommands has a copy of a random share of the direct commands arrive at their worker once more,
 // some time after they were executed, until the next call. seed determines the random choices.
 func (f *Fleet) CopyCommands(share float64, seed uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.copies = copySettings{share, rand.New(rand.NewPCG(seed, 3))}
+	f.copies.mu.Lock()
+	defer f.copies.mu.Unlock()
+	f.copies.share = share
+	f.copies.random = rand.New(rand.NewPCG(seed, 3))
 }
 
-// copyCommands has a copy of executed direct commands arrive later, if they are in the share.
-func (f *Fleet) copyCommands(w *worker, body []byte) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.copies.share == 0 || f.copies.random.Float64() >= f.copies.share {
-		return
+// delay returns how long after direct commands a copy of them arrives; ok is false if none does.
+func (c *copySettings) delay() (delay time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.share == 0 || c.random.Float64() >= c.share {
+		return 0, false
 	}
-	wait := earliestCopy + time.Duration(f.copies.random.Int64N(int64(latestCopy-earliestCopy)))
-	time.AfterFunc(wait, func() { w.receiveCopy(body) })
+	return earliestCopy + time.Duration(c.random.Int64N(int64(latestCopy-earliestCopy))), true
 }
 
 // Restart ends all tasks of a worker and begins its next agent epoch, like a machine whose
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -218,6 +218,13 @@
 	_ = w.server.Close()
 }
 
+// scheduleCopy has a copy of executed direct commands arrive later, if they are in the share of those that are copied.
+func (w *worker) scheduleCopy(body []byte) {
+	if delay, ok := w.fleet.copies.delay(); ok {
+		time.AfterFunc(delay, func() { w.receiveCopy(body) })
+	}
+}
+
 // receiveCopy executes a copy of direct commands, unless the worker is stopped or refuses them.
 func (w *worker) receiveCopy(body []byte) {
 	w.step(func(now time.Duration) agent.Effects {
@@ -285,7 +292,7 @@
 		w.fleet.Stats.Commands.Add(1)
 		status, answer, e = w.state.ExecuteDirectCommands(w.fleet.clock(), body)
 		if status == http.StatusOK {
-			w.fleet.copyCommands(w, body)
+			w.scheduleCopy(body)
 		}
 	case path == protocol.PathStatus && method == http.MethodGet:
 		var err error
--- a/internal/scale/cell.go
+++ b/internal/scale/cell.go
@@ -260,39 +260,35 @@
 	}
 }
 
-// copyCommands has copies of direct commands arrive until the fault or the run is over.
-func (c *cell) copyCommands(f Fault, over <-chan struct{}) {
-	c.log.Info("fault", "kind", f.Kind, "share", f.Share)
-	c.fleet.CopyCommands(f.Share, c.scenario.Seed)
-	select {
-	case <-time.After(time.Duration(f.ForS * float64(time.Second))):
-	case <-over:
-	}
-	c.fleet.CopyCommands(0, c.scenario.Seed)
-	stats := &c.fleet.Stats
-	c.log.Info("copies of commands", "arrived", stats.Copies.Load(), "executed", stats.CopiesExecuted.Load())
-}
-
-// injectFault removes a share of a zone's workers at once, or restarts them one after the
-// other over the fault's ForS. Copies of commands are copyCommands's.
+// injectFault injects a fault of workers, which lasts until its ForS or the run is over.
 func (c *cell) injectFault(f Fault, over <-chan struct{}) {
-	if f.Kind == FaultCommandsCopied {
+	switch f.Kind {
+	case FaultWorkersLost:
+		names := c.affectedWorkers(f)
+		c.fleet.Remove(names...)
+		c.cloud.machinesLost(names)
+	case FaultWorkersRestart:
+		c.restartWorkers(c.affectedWorkers(f), f.ForS, over)
+	case FaultCommandsCopied:
 		c.copyCommands(f, over)
-		return
 	}
+}
+
+// affectedWorkers returns the share of a zone's workers that a fault affects.
+func (c *cell) affectedWorkers(f Fault) []string {
 	names := c.fleet.Names(f.Zone)
 	slices.Sort(names)
 	names = names[:int(float64(len(names))*f.Share)]
 	c.log.Info("fault", "kind", f.Kind, "workers", len(names))
-	if f.Kind == FaultWorkersLost {
-		c.fleet.Remove(names...)
-		c.cloud.machinesLost(names)
-		return
-	}
+	return names
+}
+
+// restartWorkers restarts workers one after the other over a time in seconds.
+func (c *cell) restartWorkers(names []string, forS float64, over <-chan struct{}) {
 	for i, name := range names {
 		c.fleet.Restart(name)
 		select {
-		case <-time.After(time.Duration(f.ForS / float64(len(names)) * float64(time.Second))):
+		case <-time.After(time.Duration(forS / float64(len(names)) * float64(time.Second))):
 		case <-over:
 			c.log.Info("the run ended during a rolling restart", "restarted", i+1)
 			return
@@ -300,6 +296,19 @@
 	}
 }
 
+// copyCommands has copies of direct commands arrive.
+func (c *cell) copyCommands(f Fault, over <-chan struct{}) {
+	c.log.Info("fault", "kind", f.Kind, "share", f.Share)
+	c.fleet.CopyCommands(f.Share, c.scenario.Seed)
+	select {
+	case <-time.After(time.Duration(f.ForS * float64(time.Second))):
+	case <-over:
+	}
+	c.fleet.CopyCommands(0, c.scenario.Seed)
+	stats := &c.fleet.Stats
+	c.log.Info("copies of commands", "arrived", stats.Copies.Load(), "executed", stats.CopiesExecuted.Load())
+}
+
 // boot starts a hollow worker or a real agent, by the machine's type, and returns its address.
 func (c *cell) boot(m provider.Machine) (string, error) {
 	if m.MachineType == realType {
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -311,20 +311,16 @@
 		if f.Count < 1 || f.Count > s.Controllers {
 			return fmt.Errorf("count: must be from 1 to %d", s.Controllers)
 		}
-	case FaultWorkersLost, FaultWorkersRestart:
+	case FaultWorkersLost, FaultWorkersRestart, FaultCommandsCopied:
 		if !(f.Share > 0 && f.Share <= 1) {
 			return errors.New("share: must be above 0 and at most 1")
 		}
+		if f.Kind == FaultCommandsCopied && f.Zone != "" {
+			return errors.New("zone: must be empty")
+		}
 		if f.Zone != "" && !slices.Contains(s.Zones, f.Zone) {
 			return errors.New("zone: not one of zones")
 		}
-	case FaultCommandsCopied:
-		if !(f.Share > 0 && f.Share <= 1) {
-			return errors.New("share: must be above 0 and at most 1")
-		}
-		if f.Zone != "" {
-			return errors.New("zone: must be empty")
-		}
 	default:
 		return fmt.Errorf("kind: must be %s, %s, %s or %s", FaultControllerKill, FaultWorkersLost, FaultWorkersRestart, FaultCommandsCopied)
 	}
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -190,8 +190,9 @@
 	siteFile  = "site.yaml"
 	portsFile = "ports.json"
 	lockFile  = "lock"
-	logsDir   = "logs"
 	runDir    = "run"
+	// LogsDir is the folder of the parts' logs.
+	LogsDir = "logs"
 	// AuthorityDir is the folder of the site's authority.
 	AuthorityDir = "authority"
 	// CertsDir is the folder of the parts' certificates, a folder for each part.
--- a/internal/site/up.go
+++ b/internal/site/up.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, d := range []string{dir, filepath.Join(dir, logsDir), filepath.Join(dir, runDir), filepath.Join(dir, outsideDir)} {
+	for _, d := range []string{dir, filepath.Join(dir, LogsDir), filepath.Join(dir, runDir), filepath.Join(dir, outsideDir)} {
 		if err := os.MkdirAll(d, 0o700); err != nil {
 			return nil, err
 		}
@@ -147,7 +147,7 @@
 	}
 	add := func(name string, args ...string) {
 		s.parts = append(s.parts, &part{name: name, args: args, log: &lumberjack.Logger{
-			Filename: filepath.Join(s.Dir, logsDir, name+".log"), MaxSize: 10, MaxBackups: 3}})
+			Filename: filepath.Join(s.Dir, LogsDir, name+".log"), MaxSize: 10, MaxBackups: 3}})
 	}
 	state, err := yamlFile("state.yaml", l.state(s.cfg))
 	if err != nil {
@@ -260,7 +260,7 @@
 const ExitDamaged = 3
 
 // LogFile returns the path of a part's log.
-func (s *Site) LogFile(part string) string { return filepath.Join(s.Dir, logsDir, part+".log") }
+func (s *Site) LogFile(part string) string { return filepath.Join(s.Dir, LogsDir, part+".log") }
 
 // run starts a part and waits until it ends. When ctx ends, run stops the part.
 func (s *Site) run(ctx context.Context, p *part) error {
@@ -331,7 +331,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("the site did not come up in time: %w; see %s", ctx.Err(), filepath.Join(s.Dir, logsDir))
+			return fmt.Errorf("the site did not come up in time: %w; see %s", ctx.Err(), filepath.Join(s.Dir, LogsDir))
 		case err := <-s.fatal:
 			return err
 		case <-time.After(50 * time.Millisecond):
--- a/internal/soak/copies.go
+++ b/internal/soak/copies.go
@@ -11,7 +11,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,7 +18,7 @@
 
 	"silvergate/internal/agent"
 	"silvergate/internal/protocol"
-	"silvergate/internal/transport"
+	"silvergate/internal/site"
 )
 
 const (
@@ -51,7 +50,7 @@
 type launchCopier struct {
 	dir     string // the site's folder
 	random  *rand.Rand
-	pool    *transport.Pool
+	client  http.Client
 	offsets map[string]int64 // how far each log has been read
 	stop    func()           // ends run
 	stopped <-chan struct{}  // closed by stop
@@ -67,7 +66,7 @@
 	c := &launchCopier{
 		dir:     dir,
 		random:  rand.New(rand.NewPCG(seed, 2)),
-		pool:    transport.NewPool(4),
+		client:  http.Client{Timeout: copyTimeout},
 		offsets: map[string]int64{},
 		stop:    cancel,
 		stopped: ctx.Done(),
@@ -87,7 +86,6 @@
 		case <-c.stopped:
 			return
 		case <-ticker.C:
-			c.pool.Expire(time.Now())
 			for _, launch := range c.newLaunches() {
 				c.schedule(launch)
 			}
@@ -119,24 +117,25 @@
 
 // send sends a copy of a launch to the worker, if that is up.
 func (c *launchCopier) send(launch directLaunch) {
-	address, err := os.ReadFile(filepath.Join(c.dir, "cloud/machines", launch.machine, agent.AddressFile))
+	address, err := os.ReadFile(filepath.Join(c.dir, machinesDir, launch.machine, agent.AddressFile))
 	if err != nil {
 		return // the machine is gone
 	}
-	expire := time.AfterFunc(copyTimeout, func() { c.pool.Expire(time.Now()) })
-	defer expire.Stop()
-	answer, _, err := c.pool.Do(strings.TrimSpace(string(address)), http.MethodPost, protocol.PathCommands, protocol.Encode(launch.body), copyTimeout)
+	answer, err := c.client.Post("http://"+string(address)+protocol.PathCommands, "application/json", bytes.NewReader(protocol.Encode(launch.body)))
+	if err == nil {
+		defer answer.Body.Close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
-	if err == nil && answer.Status == http.StatusOK {
+	if err == nil && answer.StatusCode == http.StatusOK {
 		c.accepted++
 	}
 }
 
 // newLaunches returns the launches that the controllers have logged since the last call.
 func (c *launchCopier) newLaunches() (launches []directLaunch) {
-	logs, _ := filepath.Glob(filepath.Join(c.dir, "logs", "*.log"))
+	logs, _ := filepath.Glob(filepath.Join(c.dir, site.LogsDir, "*.log"))
 	for _, file := range logs {
 		for _, line := range c.newLines(file) {
 			if !bytes.Contains(line, []byte(directLaunchMessage)) {
@@ -161,7 +160,10 @@
 	if info, err := f.Stat(); err == nil && info.Size() < c.offsets[file] {
 		c.offsets[file] = 0
 	}
-	added, err := io.ReadAll(io.NewSectionReader(f, c.offsets[file], 1<<30))
+	if _, err := f.Seek(c.offsets[file], io.SeekStart); err != nil {
+		return nil
+	}
+	added, err := io.ReadAll(f)
 	end := bytes.LastIndexByte(added, '\n')
 	if err != nil || end < 0 {
 		return nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,6 +55,9 @@
 	Broken   []string
 }
 
+// machinesDir is the folder in the site's that holds a folder for each machine.
+const machinesDir = "cloud/machines"
+
 // maxBroken is the most broken promises that a result describes.
 const maxBroken = 20
 
@@ -223,7 +226,7 @@
 		return
 	}
 	var ids []proc.ID
-	for _, pattern := range []string{"run/*.json", "cloud/machines/*/agent.json"} {
+	for _, pattern := range []string{"run/*.json", machinesDir + "/*/agent.json"} {
 		files, _ := filepath.Glob(filepath.Join(s.options.Dir, pattern))
 		for _, f := range files {
 			if id, err := proc.ReadRecord(f); err == nil {
@@ -238,7 +241,7 @@
 	_ = s.cmd.Wait()
 	s.cmd = nil
 	// A machine that was being started has its record by now, or ends by itself.
-	machines, _ := filepath.Glob(filepath.Join(s.options.Dir, "cloud/machines/*"))
+	machines, _ := filepath.Glob(filepath.Join(s.options.Dir, machinesDir, "*"))
 	for _, m := range machines {
 		if id, err := proc.ReadRecord(filepath.Join(m, "agent.json")); err == nil {
 			_ = id.Signal(syscall.SIGKILL)
@@ -358,7 +361,7 @@
 
 // loseMachine preempts a random machine without notice.
 func (s *soak) loseMachine() {
-	folders, _ := filepath.Glob(filepath.Join(s.options.Dir, "cloud/machines/*"))
+	folders, _ := filepath.Glob(filepath.Join(s.options.Dir, machinesDir, "*"))
 	if len(folders) == 0 {
 		return
 	}
