coordination: the log tells what a machine said of its output before it was deleted

The logs could not tell whether the machine had said that output waits, whether the leader knew, and what had the machine deleted. At debug level the machine's controller now logs what a heartbeat that lists an ended attempt says of output, and the leader logs each deletion with its reason.

--- a/internal/coordination/scale_in.go
+++ b/internal/coordination/scale_in.go
@@ -173,6 +173,7 @@
 		return
 	}
 	for _, id := range names {
+		c.traceDeletion(id)
 		f.deletedAt[id] = c.now // prevents another request while this one is in flight
 		delete(f.deletionConfirmed, id)
 	}
@@ -181,6 +182,17 @@
 	})
 }
 
+// traceDeletion logs why a machine is deleted, and what is known of its output and its owner.
+func (c *Core) traceDeletion(id string) {
+	m := c.machines.byID[id]
+	if m == nil || !c.verbose {
+		return
+	}
+	_, announced := c.scaler.unshipped.known[id]
+	c.log.Debug("requesting a deletion", "machine", id, "reason", c.machines.drains[id].Reason, "bound", len(m.bound), "owner", m.claim.Owner,
+		"heard", m.heardAt, "unshipped_announced", announced)
+}
+
 // handleDeletionReply handles the cloud's reply to a deletion request. A failed request is repeated;
 // a confirmed one releases the tasks of the machines and deletes their records.
 func (c *Core) handleDeletionReply(names []string, r protocol.Reply) {
--- a/internal/coordination/unshipped.go
+++ b/internal/coordination/unshipped.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -40,6 +41,7 @@
 
 // handleWorkerHeartbeat updates the table from a heartbeat of one of our machines.
 func (u *unshippedOutput) handleWorkerHeartbeat(m *machine, heartbeat *protocol.Heartbeat) {
+	u.traceReport(m, heartbeat)
 	if heartbeat.Unshipped == 0 {
 		delete(u.own, m.id)
 		delete(u.known, m.id)
@@ -49,6 +51,18 @@
 	u.recordAnnouncement(m.id)
 }
 
+// traceReport logs what a heartbeat says about output, if the heartbeat lists an ended attempt or the
+// number of attempts with unshipped output has changed.
+func (u *unshippedOutput) traceReport(m *machine, heartbeat *protocol.Heartbeat) {
+	if u.core.cfg.Operator.Archive == nil || !u.core.verbose {
+		return
+	}
+	listsEnded := slices.ContainsFunc(heartbeat.Tasks, func(status protocol.TaskStatus) bool { return status.Status == protocol.TaskEnded })
+	if listsEnded || u.own[m.id] != (heartbeat.Unshipped > 0) {
+		u.core.log.Debug("output reported", "machine", m.id, "sequence", heartbeat.Sequence, "unshipped", heartbeat.Unshipped, "lists_ended", listsEnded)
+	}
+}
+
 // handlePeerHeartbeat handles the list of machines in a peer's heartbeat.
 func (u *unshippedOutput) handlePeerHeartbeat(machines []string) {
 	for _, id := range machines {
