agent: the first report of an end counts the output of the attempt

The heartbeat that first lists an attempt as ended is sent in the same step as the end and went out with the old number, 0. After the end of an epoch its first heartbeat could do the same. Evidence: 'output reported unshipped=0 lists_ended=true' in the log of the machine's controller, and the deletion 0.1 s to 0.5 s later.

Fix: the number is counted when a heartbeat is written, from the attempts whose output is not completely shipped, less those that are live by the same worker state.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -253,6 +253,9 @@
 	a.schedule.startedAt = bootClock()
 	a.worker = NewWorker(identity, a.cfg.Resources, a.cfg.Workers, a.cfg.Controllers, a.persisted.Epoch, a.persisted.FencingToken,
 		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if a.outputs != nil {
+		a.worker.SetFollowedAttempts(a.outputs.followed)
+	}
 	a.runner.setEpoch(a.persisted.Epoch)
 	a.stats.Epochs++
 	a.log.Info("serving", "listen", address, "epoch", a.persisted.Epoch)
@@ -274,7 +277,6 @@
 		a.stats.Usage = a.runner.checkMemory()
 		a.inputs.refreshReport(false)
 		a.inputs.removeEndedInputs()
-		a.worker.SetUnshipped(a.outputs.unshipped())
 		if at, ok := a.checkPreemption(); ok {
 			a.perform(a.worker.Preempt(a.clock(), at))
 		}
--- a/internal/agent/agent_effects.go
+++ b/internal/agent/agent_effects.go
@@ -108,7 +108,7 @@
 }
 
 // sweepPeriod returns the time between two of the periodic checks in tick: of connections,
-// memory, inputs, unshipped output and the preemption notice.
+// memory, inputs and the preemption notice.
 func (a *Agent) sweepPeriod() time.Duration { return seconds(a.cfg.Workers.Heartbeat / 6) }
 
 // step passes an event to the worker and carries out its effects.
--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -90,12 +90,13 @@
 	}
 }
 
-// unshipped returns the number of ended attempts whose output is not completely shipped.
-func (o *outputShipper) unshipped() int {
-	if o == nil {
-		return 0
+// followed returns the attempts whose output is not completely shipped, live ones included.
+func (o *outputShipper) followed() []TaskAttempt {
+	var keys []TaskAttempt
+	for _, attempt := range o.shipper.FollowedAttempts() {
+		keys = append(keys, TaskAttempt{Job: attempt.Job, Index: attempt.Task, Attempt: attempt.Try})
 	}
-	return o.shipper.UnshippedAttempts()
+	return keys
 }
 
 // needsFolder reports whether the archive still needs an attempt's folder.
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -105,7 +105,9 @@
 	heartbeats     heartbeatSchedule
 
 	storeReport *protocol.StoreReport
-	unshipped   int
+	// followedAttempts returns the attempts whose output is not completely shipped, live ones
+	// included; nil: there is no archive.
+	followedAttempts func() []TaskAttempt
 
 	tasks  map[TaskAttempt]*taskState
 	jobs   jobDescriptions
--- a/internal/agent/worker_events.go
+++ b/internal/agent/worker_events.go
@@ -43,8 +43,9 @@
 	return ""
 }
 
-// SetUnshipped sets the number of ended attempts whose output is not yet shipped to the archive.
-func (w *Worker) SetUnshipped(n int) { w.unshipped = n }
+// SetFollowedAttempts sets the function that returns the attempts whose output is not completely
+// shipped to the archive, live ones included. Each heartbeat calls it.
+func (w *Worker) SetFollowedAttempts(followed func() []TaskAttempt) { w.followedAttempts = followed }
 
 // DescriptionFetched records the result of fetching a job's description; d is nil if that failed.
 // If unknown is set, a controller has answered that there is no such job, and the job's attempts
--- a/internal/agent/worker_heartbeat.go
+++ b/internal/agent/worker_heartbeat.go
@@ -12,7 +12,8 @@
 func (w *Worker) buildHeartbeat() protocol.Heartbeat {
 	w.sequence++
 	r := w.identity
-	r.DataStore, r.Unshipped = w.storeReport, w.unshipped
+	unshipped := w.unshippedAttempts()
+	r.DataStore, r.Unshipped = w.storeReport, &unshipped
 	r.AgentEpoch, r.Sequence, r.FencingToken = w.epoch.number, w.sequence, w.fencingToken
 	if w.preemption.received {
 		left := max(0, (w.preemption.at - w.now).Seconds())
@@ -26,6 +27,21 @@
 	return r
 }
 
+// unshippedAttempts returns how many attempts that are not live have output that is not completely
+// shipped. It is counted when a heartbeat is written, so that the heartbeat that first lists an
+// attempt as ended, or no longer lists it, also says that its output waits.
+func (w *Worker) unshippedAttempts() (n int) {
+	if w.followedAttempts == nil {
+		return 0
+	}
+	for _, k := range w.followedAttempts() {
+		if !w.Live(k) {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *Worker) sendHeartbeat() {
 	w.heartbeats.inflight, w.heartbeats.sent, w.heartbeats.changed = true, true, false
 	w.heartbeats.lastAt = w.now
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io/fs"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -291,6 +293,14 @@
 	return f != nil && len(f.grant.Keep) > 0
 }
 
+// FollowedAttempts returns, in no order, the attempts that are not shipped completely, including
+// those that have not ended. The shipper must not be nil.
+func (s *Shipper) FollowedAttempts() []archive.Attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.attempts))
+}
+
 // UnshippedAttempts returns how many ended attempts are not shipped completely.
 func (s *Shipper) UnshippedAttempts() (n int) {
 	if s == nil {
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -113,7 +113,8 @@
 	w.sequence++
 	heartbeat := protocol.Heartbeat{Worker: w.name, Address: w.address, MachineType: w.machineType, Zone: w.reportedZone(), Spot: w.spot, AgentEpoch: w.agentEpoch, Sequence: w.sequence, FencingToken: w.fencingToken, Tasks: []protocol.TaskStatus{}}
 	if w.unshippedUntil > w.s.now {
-		heartbeat.Unshipped = 1
+		one := 1
+		heartbeat.Unshipped = &one
 	}
 	if w.s.defects.emptyTaskLists {
 		return heartbeat
--- a/internal/coordination/unshipped.go
+++ b/internal/coordination/unshipped.go
@@ -42,7 +42,7 @@
 // handleWorkerHeartbeat updates the table from a heartbeat of one of our machines.
 func (u *unshippedOutput) handleWorkerHeartbeat(m *machine, heartbeat *protocol.Heartbeat) {
 	u.traceReport(m, heartbeat)
-	if heartbeat.Unshipped == 0 {
+	if heartbeat.Unshipped == nil || *heartbeat.Unshipped == 0 {
 		delete(u.own, m.id)
 		delete(u.known, m.id)
 		return
@@ -57,9 +57,10 @@
 	if u.core.cfg.Operator.Archive == nil || !u.core.verbose {
 		return
 	}
+	reported := heartbeat.Unshipped != nil && *heartbeat.Unshipped > 0
 	listsEnded := slices.ContainsFunc(heartbeat.Tasks, func(status protocol.TaskStatus) bool { return status.Status == protocol.TaskEnded })
-	if listsEnded || u.own[m.id] != (heartbeat.Unshipped > 0) {
-		u.core.log.Debug("output reported", "machine", m.id, "sequence", heartbeat.Sequence, "unshipped", heartbeat.Unshipped, "lists_ended", listsEnded)
+	if listsEnded || u.own[m.id] != reported {
+		u.core.log.Debug("output reported", "machine", m.id, "sequence", heartbeat.Sequence, "unshipped", reported, "lists_ended", listsEnded)
 	}
 }
 
--- a/internal/protocol/heartbeat.go
+++ b/internal/protocol/heartbeat.go
@@ -29,9 +29,11 @@
 	Tasks             []TaskStatus `json:"loads"`
 	// DataStore is an extension: the state of the machine's data set store.
 	DataStore *StoreReport `json:"store,omitempty"`
-	// Unshipped is an extension: the number of attempts that have ended and whose output
-	// the archive has not acknowledged.
-	Unshipped int `json:"unkept,omitempty"`
+	// Unshipped is an extension: the number of attempts that the heartbeat does not list as
+	// live and whose output the archive has not acknowledged. It is nil if the worker does not
+	// say so. Agents of earlier versions leave it out when it is 0, and count an attempt some
+	// time after the heartbeat that lists its end.
+	Unshipped *int `json:"unkept,omitempty"`
 }
 
 // TaskStatus is an attempt of a task as a worker reports it.
