coordination: a machine is deleted when it has said, after its last task, that no output waits

Cause: 'nothing waits here' was assumed wherever it was not contradicted. Only two places that drain asked at all (scale-in by the plan, consolidation); a machine drained for a notice or as faulty was deleted as soon as nothing was bound to it, although the leader had been told that output waits. And where it was asked, the answer came from announcements that the leader holds in memory: what had not reached it yet (the machine's controller tells it once a heartbeat), got lost, had expired after three periods of silence (an agent that stands still), or was known to its predecessor counted as 'nothing'.

Fix: one question for every way in, judgeDeletion, asked when the deletion is, not when the drain is. On a drained machine nothing new starts; once the records bind nothing to it, the leader asks the machine itself (GET /status) and deletes it when it lists no live attempt and says that 0 attempts wait. No answer proves nothing; the machine is then held until hold_s after its last task. So it depends neither on the reason of the drain, nor on what other controllers know or which version they run, nor on how long this one has led. Nothing is stored. Agents of earlier versions leave out a 0 and count an end up to a sixth of a period late: their silence counts when it has lasted half a period. The announcements stay as a hint that keeps the leader from draining an idle machine that could take work while its output is shipped. A machine that is beyond use is still deleted at once while tasks are bound to it, as that is what lets them run elsewhere.

New counter deleted_unshipped: machines deleted at the end of hold_s without the machine's word.

--- a/cmd/silvergate/serve_metrics.go
+++ b/cmd/silvergate/serve_metrics.go
@@ -44,6 +44,7 @@
 		counter("preemptions", "Tasks preempted for others.", s.Preemptions),
 		counter("rented", "Machines rented.", s.MachinesRented),
 		counter("deleted", "Machines returned.", s.MachinesDeleted),
+		counter("deleted_unshipped", "Machines returned although output may have waited to be archived.", s.UnshippedDeletions),
 		counter("unavailable", "Requests answered with 503.", s.Unavailable),
 	}
 	return append(list, n.connectionMetrics()...)
--- a/internal/coordination/consolidation.go
+++ b/internal/coordination/consolidation.go
@@ -61,12 +61,10 @@
 }
 
 // continueConsolidation moves the next service off a machine, or drains the machine once it is
-// empty and need not be kept for its unshipped output. It reports whether the machine is still
+// empty. It reports whether the machine is still
 // being emptied.
 func (c *Core) continueConsolidation(m *machine) bool {
 	switch {
-	case len(m.bound) == 0 && c.scaler.unshipped.mustKeep(m.id):
-		return true
 	case len(m.bound) == 0:
 		// Draining the machine at once guards against a fleet plan that counts
 		// on it for a waiting gang although nothing is placed on it any more.
--- a/internal/coordination/machine_table.go
+++ b/internal/coordination/machine_table.go
@@ -21,7 +21,9 @@
 	launchTargets  []*machine // machines with queued launches, which are sent at the end of the step
 	claimsInFlight int
 	probesInFlight int
-	listedBuffer   map[taskKey]bool // scratch space of reconcile
+	// inquiriesInFlight counts the calls that ask drained machines for their output.
+	inquiriesInFlight int
+	listedBuffer      map[taskKey]bool // scratch space of reconcile
 }
 
 // newMachineTable returns an empty table.
@@ -49,6 +51,8 @@
 	idleListIndex int             // position in the idle list, counted from 1; 0: not listed
 	listedAt      time.Duration   // when it was added to the idle list
 	unboundSince  time.Duration   // since when no task is bound to it, for scaling in
+	emptySince    time.Duration   // since when the records bind no task to it, as far as this process knows
+	output        outputInquiry   // its unshipped output, while it is drained and empty
 	draining      bool            // a drain record is being written
 	dropRetryAt   time.Duration   // its records are being deleted; no further attempt before this time
 	consolidating bool            // its services are being moved to other machines
@@ -142,6 +146,7 @@
 		id:           id,
 		failedJobs:   map[string]bool{},
 		unboundSince: now,
+		emptySince:   now,
 		launchState: launchState{
 			inFlight:       map[taskAttempt]time.Duration{},
 			directLaunches: map[taskAttempt]fencing.DirectLaunch{},
--- /dev/null
+++ b/internal/coordination/output_inquiry.go
@@ -0,0 +1,133 @@
+package coordination
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"silvergate/internal/protocol"
+)
+
+// This file decides whether a drained machine may be deleted.
+//
+// Nothing new starts on a drained machine. Once no task is bound to it, only output of ended attempts
+// can still be lost with it. Whether any waits to be shipped is known to the machine alone, so the
+// leader asks the machine itself, after its last task is over by the records, and deletes it when it
+// answers that nothing waits. No answer, or one that leaves the question open, proves nothing: the
+// machine is then held until hold_s after its last task. Because the question is asked anew for each
+// deletion, the answer depends neither on why the machine was drained, nor on what other controllers
+// know or on their versions, nor on how long this controller has been the leader.
+
+// outputInquiry is what the leader knows of the output on a drained machine without bound tasks.
+type outputInquiry struct {
+	asking    bool          // a status call is under way
+	nextAskAt time.Duration // no status call before this time
+	// quietSince is the arrival of the first of the latest consecutive answers that report no
+	// unshipped output and no live attempt; 0: the last answer was another.
+	quietSince time.Duration
+	shipped    bool // the machine has answered that all output is shipped
+}
+
+// deletionVerdict says whether a drained machine may be deleted.
+type deletionVerdict int
+
+const (
+	deletionAllowed deletionVerdict = iota
+	deletionAwaitsTasks
+	deletionAwaitsOutput // it is not known that no output waits
+)
+
+// judgeDeletion decides whether a drained machine may be deleted now.
+func (c *Core) judgeDeletion(id string, drain drainRecord) deletionVerdict {
+	m := c.machines.byID[id]
+	if m == nil || m.token == 0 {
+		return deletionAllowed // tasks are launched on claimed machines only, and a claim is deleted after its machine
+	}
+	beyondUse := drainSeverity[drain.Reason] >= drainSeverity[drainSilent]
+	switch {
+	case beyondUse && (len(m.bound) > 0 || c.cfg.Operator.Archive == nil):
+		return deletionAllowed // the deletion is the evidence on which tasks that are bound to it are released
+	case len(m.bound) > 0 || !c.drainSettled(id):
+		return deletionAwaitsTasks
+	case c.cfg.Operator.Archive == nil || m.output.shipped || c.holdExpired(m):
+		return deletionAllowed
+	}
+	return deletionAwaitsOutput
+}
+
+// holdExpired reports whether a machine without bound tasks has been held for its output for as long
+// as the settings allow.
+func (c *Core) holdExpired(m *machine) bool {
+	return c.now-m.emptySince >= seconds(c.cfg.Operator.Archive.HoldS)
+}
+
+// awaitsOutput reports whether a machine is known to have unshipped output for which it is to be kept.
+func (c *Core) awaitsOutput(m *machine) bool {
+	return c.cfg.Operator.Archive != nil && c.scaler.unshipped.announced(m.id) && !c.holdExpired(m)
+}
+
+// inquiriesPerPeriod is how many times in a heartbeat period a machine is asked for its output.
+const inquiriesPerPeriod = 4
+
+// askForOutput asks drained machines without bound tasks for their status, except those that were asked a
+// moment ago. Those that were asked the longest ago come first, so that machines which don't answer
+// delay no others.
+func (c *Core) askForOutput(machines []*machine) {
+	slices.SortFunc(machines, func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(a.output.nextAskAt, b.output.nextAskAt), cmp.Compare(a.id, b.id))
+	})
+	for _, m := range machines {
+		if c.machines.inquiriesInFlight >= c.maxProbes() {
+			return
+		}
+		if !m.output.asking && c.now >= m.output.nextAskAt && m.claim.Address != "" {
+			c.sendOutputInquiry(m)
+		}
+	}
+}
+
+// sendOutputInquiry asks a machine for its status.
+func (c *Core) sendOutputInquiry(m *machine) {
+	interval := seconds(c.cfg.Facts.Workers.Heartbeat / inquiriesPerPeriod)
+	m.output.asking = true
+	m.output.nextAskAt = c.now + interval
+	c.machines.inquiriesInFlight++
+	call := protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: http.MethodGet, Path: protocol.PathStatus, Timeout: interval}
+	c.call(call, func(reply protocol.Reply) {
+		c.machines.inquiriesInFlight--
+		m.output.asking = false
+		c.handleOutputReply(m, reply)
+	})
+}
+
+// handleOutputReply handles a machine's reply to an inquiry.
+func (c *Core) handleOutputReply(m *machine, reply protocol.Reply) {
+	inquiry := &m.output
+	var status protocol.Heartbeat
+	answered := reply.Status == http.StatusOK && protocol.Decode(reply.Body, &status) == nil && status.Worker == m.id
+	if !answered || !reportsQuiet(&status) {
+		inquiry.quietSince = 0
+	} else if inquiry.quietSince == 0 {
+		inquiry.quietSince = c.now
+	}
+	inquiry.shipped = inquiry.quietSince != 0 && (status.Unshipped != nil || c.now-inquiry.quietSince >= c.implicitReportDelay())
+	if c.verbose {
+		c.log.Debug("asked for output", "machine", m.id, "answered", answered, "shipped", inquiry.shipped, "empty_for", c.now-m.emptySince)
+	}
+}
+
+// reportsQuiet reports whether a status lists no live attempt and no unshipped output.
+func reportsQuiet(status *protocol.Heartbeat) bool {
+	if status.Unshipped != nil && *status.Unshipped > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(status.Tasks, func(task protocol.TaskStatus) bool { return task.Status != protocol.TaskEnded })
+}
+
+// implicitReportDelay is how long a machine that says nothing about its output must go on saying
+// nothing for this to mean that none waits. Agents of earlier versions leave out a count of 0, and
+// take up to a sixth of a heartbeat period to count an attempt that has ended.
+func (c *Core) implicitReportDelay() time.Duration {
+	return seconds(c.cfg.Facts.Workers.Heartbeat / 2)
+}
--- a/internal/coordination/rules_checker_test.go
+++ b/internal/coordination/rules_checker_test.go
@@ -328,7 +328,7 @@
 	var usable []*simWorker
 	for _, w := range s.cloud.sortedMachines() {
 		_, drained := s.state.keys[keyDrain+w.name]
-		if w.up && !w.dead && !drained && !w.faulty && w.unshippedUntil <= s.now && max(w.hungUntil, w.unresponsiveUntil, w.isolatedUntil) <= s.now && w.messageLoss == 0 {
+		if w.up && !w.dead && !drained && !w.faulty && w.output.unshippedUntil <= s.now && max(w.hungUntil, w.unresponsiveUntil, w.isolatedUntil) <= s.now && w.messageLoss == 0 {
 			usable = append(usable, w)
 		}
 	}
--- a/internal/coordination/scale_in.go
+++ b/internal/coordination/scale_in.go
@@ -36,7 +36,8 @@
 // idleTimeShare is how long a machine may be idle, as a share of the startup time of its type.
 const idleTimeShare = 0.75
 
-// scaleIn drains the machines that have been idle beyond their limit and hold no unshipped output.
+// scaleIn drains the machines that have been idle beyond their limit, except those that are known to have
+// unshipped output: until they are to be deleted they can take new work.
 func (c *Core) scaleIn(slots []*slot) {
 	for _, s := range slots {
 		m := c.machines.byID[s.id]
@@ -48,7 +49,7 @@
 			continue
 		}
 		idleLimit := seconds(idleTimeShare * c.machineTypeOf(m).StartupS)
-		if c.now-m.unboundSince > idleLimit && !c.scaler.unshipped.mustKeep(m.id) {
+		if c.now-m.unboundSince > idleLimit && !c.awaitsOutput(m) {
 			// The condition on the leader record keeps a replaced leader from draining machines.
 			c.drainMachine(m, drainIdle, protocol.Compare{Key: keyFleet, ModRevision: c.scaler.leaderRevision})
 		}
@@ -56,8 +57,8 @@
 }
 
 // deleteMachines deletes drained machines and those that the cloud lists as failed. Machines drained
-// as silent, stray, lost or failed and unclaimed ones are deleted at once, the others once nothing is
-// bound to them.
+// as silent, stray, lost or failed are deleted at once if tasks are bound to them, and the others
+// once nothing is bound to them and their output is shipped, see judgeDeletion.
 // The cloud's 200 response is the evidence that whatever ran on them has ended.
 //
 // Deletions are fenced: the leader requests the deletion only of machines that the cloud lists as
@@ -76,17 +77,19 @@
 	c.requestDeletions()
 }
 
-// collectDrained marks for deletion the drained machines that have no bound tasks, that are not
-// claimed, or whose drain reason means that they can't be used any more.
+// collectDrained marks for deletion the drained machines that may be deleted, and asks those for their
+// output of which only that is not known.
 func (c *Core) collectDrained() {
+	var undecided []*machine
 	for id, drain := range c.machines.drains {
-		m := c.machines.byID[id]
-		unclaimed := m == nil || m.token == 0
-		beyondUse := drainSeverity[drain.Reason] >= drainSeverity[drainSilent]
-		if unclaimed || beyondUse || len(m.bound) == 0 && c.drainSettled(id) {
+		switch c.judgeDeletion(id, drain) {
+		case deletionAllowed:
 			c.scaler.toDelete[id] = true
+		case deletionAwaitsOutput:
+			undecided = append(undecided, c.machines.byID[id])
 		}
 	}
+	c.askForOutput(undecided)
 }
 
 // unattendedMachines returns, sorted by name, the machines without an owner that is up and those
@@ -182,15 +185,23 @@
 	})
 }
 
-// traceDeletion logs why a machine is deleted, and what is known of its output and its owner.
+// traceDeletion logs why a machine is deleted, and warns if output may be lost with it because the
+// time for which it was held is over.
 func (c *Core) traceDeletion(id string) {
 	m := c.machines.byID[id]
-	if m == nil || !c.verbose {
+	if m == nil {
 		return
 	}
-	_, announced := c.scaler.unshipped.known[id]
-	c.log.Debug("requesting a deletion", "machine", id, "reason", c.machines.drains[id].Reason, "bound", len(m.bound), "owner", m.claim.Owner,
-		"heard", m.heardAt, "unshipped_announced", announced)
+	reason := c.machines.drains[id].Reason
+	emptyFor := c.now - m.emptySince
+	if c.verbose {
+		c.log.Debug("requesting a deletion", "machine", id, "reason", reason, "bound", len(m.bound), "owner", m.claim.Owner,
+			"empty_for", emptyFor, "output_shipped", m.output.shipped)
+	}
+	if c.cfg.Operator.Archive != nil && m.token != 0 && len(m.bound) == 0 && !m.output.shipped {
+		c.Stats.UnshippedDeletions++
+		c.log.Warn("a machine is returned with output that the archive has not acknowledged", "machine", id, "reason", reason, "waited", emptyFor)
+	}
 }
 
 // handleDeletionReply handles the cloud's reply to a deletion request. A failed request is repeated;
--- a/internal/coordination/sim_cloud_test.go
+++ b/internal/coordination/sim_cloud_test.go
@@ -16,6 +16,7 @@
 	s                *sim
 	machineTypes     map[string]protocol.MachineType
 	capacity         map[offering]int // machines that can still be rented
+	deletedMachineS  float64          // total time for which the deleted machines were rented, in seconds
 	rentalsByRequest map[string][]string
 	nextMachine      int                   // number of the next machine
 	machines         map[string]*simWorker // by name
@@ -98,7 +99,9 @@
 			continue
 		}
 		s.countDeletionInUse(w)
+		s.checkOutputOfDeleted(w)
 		w.die()
+		c.deletedMachineS += (s.now - w.rentedAt).Seconds()
 		delete(c.machines, name)
 		if !w.preempted {
 			c.capacity[offering{w.machineType, w.zone, w.spot}]++
--- a/internal/coordination/sim_faults_test.go
+++ b/internal/coordination/sim_faults_test.go
@@ -99,7 +99,6 @@
 	unresponsiveUntil time.Duration // answers and direct requests to it are lost
 	isolatedUntil     time.Duration // it reaches no controller, while direct requests reach it
 	messageLoss       float64       // share of answers and direct requests to it that are lost at any time
-	unshippedUntil    time.Duration // heartbeats report output that is not yet shipped
 	observed          bool          // its tasks are counted by countLeaseKills
 }
 
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -51,6 +51,7 @@
 	controller     int           // index of the controller that it sends heartbeats to
 	tasks          map[string]*simTask
 	dataSetCopies  map[string]bool // by copy ID: true if complete, false while being fetched
+	output         simWorkerOutput
 }
 
 // die ends the machine and all tasks on it.
@@ -63,6 +64,7 @@
 // endTasks ends all tasks on the machine, and the worker knows them no more.
 func (w *simWorker) endTasks() {
 	for _, task := range w.tasks {
+		w.attemptEnds(task)
 		task.status, task.generation = protocol.TaskEnded, task.generation+1
 	}
 	w.tasks = map[string]*simTask{}
@@ -112,9 +114,10 @@
 func (w *simWorker) heartbeat() protocol.Heartbeat {
 	w.sequence++
 	heartbeat := protocol.Heartbeat{Worker: w.name, Address: w.address, MachineType: w.machineType, Zone: w.reportedZone(), Spot: w.spot, AgentEpoch: w.agentEpoch, Sequence: w.sequence, FencingToken: w.fencingToken, Tasks: []protocol.TaskStatus{}}
-	if w.unshippedUntil > w.s.now {
-		one := 1
-		heartbeat.Unshipped = &one
+	heartbeat.Unshipped = w.unshippedReport()
+	if w.output.takenBackAt > 0 {
+		left := max(0, (w.output.takenBackAt - w.s.now).Seconds())
+		heartbeat.PreemptionNoticeS = &left
 	}
 	if w.s.defects.emptyTaskLists {
 		return heartbeat
@@ -328,6 +331,7 @@
 				w.s.hooks.onKill(w, command)
 			}
 			if task != nil && !w.s.defects.ignoreKills && task.status != protocol.TaskEnded {
+				w.attemptEnds(task)
 				task.status, task.cause, task.generation = protocol.TaskEnded, protocol.CauseStopped, task.generation+1
 			}
 		case protocol.VerbForget:
@@ -444,6 +448,7 @@
 	}
 	if w.faulty || u.failsEverywhere {
 		u.failures++
+		w.attemptEnds(task)
 		task.status, task.cause = protocol.TaskEnded, protocol.CauseError
 		return
 	}
@@ -462,6 +467,7 @@
 		w.s.after(w.hungUntil-w.s.now+time.Millisecond, func() { w.finishTask(u, task, generation) })
 		return
 	}
+	w.attemptEnds(task)
 	task.status, task.cause = protocol.TaskEnded, protocol.CauseDone
 	if u.spec.Shape == job.Gang { // the tasks of a gang complete together
 		for i := range u.done {
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -26,7 +26,10 @@
 	Preemptions     uint64 `json:"preemptions"`
 	MachinesRented  uint64 `json:"rented"`
 	MachinesDeleted uint64 `json:"deleted"`
-	Unavailable     uint64 `json:"unavailable"`
+	// UnshippedDeletions counts the machines that were deleted although it was not known that no
+	// output waited there.
+	UnshippedDeletions uint64 `json:"deletedUnshipped"`
+	Unavailable        uint64 `json:"unavailable"`
 
 	CommandStats
 
--- a/internal/coordination/task_index.go
+++ b/internal/coordination/task_index.go
@@ -68,6 +68,9 @@
 		m.services--
 	}
 	delete(m.bound, k)
+	if len(m.bound) == 0 {
+		m.emptySince = c.now
+	}
 	delete(m.runningSince, k)
 	delete(m.pulling, k)
 	delete(m.boundAt, k)
