ship: files of attempts that end together are sent once, and an interrupted file goes on where it was

Cause: every ended attempt was finished at once, each with a request of its own in flight, and a node takes three; a request beyond these fails at once. The failed attempt began anew a second later, from its first file's first chunk, and had used up its share of the rate.

Fix: two attempts are finished at a time (one request is left for the output of running attempts): urgent ones first, then those tried the longest ago, then those that ended first. The chunks that a quorum has stored are remembered until the attempt is shipped, and are not sent again after an interruption.

--- a/internal/archive/ship/files.go
+++ b/internal/archive/ship/files.go
@@ -51,6 +51,7 @@
 		s.mu.Unlock()
 		err = s.storeTogether([]archive.Record{f.grantRecord, archive.NewRecord(f.attempt, archive.KindEnd, "", archive.Encode(end))})
 	}
+	defer s.wake() // the next attempt can be finished
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f.finishing = false
@@ -166,8 +167,11 @@
 		}
 		_, _ = sum.Write(buf[:n])
 		chunk := archive.NewRecord(archive.FilesAttempt(f.attempt.Job), archive.KindChunk, "", buf[:n])
-		if err := s.storeTogether([]archive.Record{f.grantRecord, filesGrant, chunk}); err != nil {
-			return nil, err
+		if !f.storedChunks[chunk.Key.Digest] {
+			if err := s.storeTogether([]archive.Record{f.grantRecord, filesGrant, chunk}); err != nil {
+				return nil, err
+			}
+			f.storedChunks[chunk.Key.Digest] = true
 		}
 		out.Chunks = append(out.Chunks, chunk.Key.Digest)
 		left -= n
--- a/internal/archive/ship/golden_test.go
+++ b/internal/archive/ship/golden_test.go
@@ -126,16 +126,22 @@
 
 // serveNode serves a node on the listener with the certificate in the folder certs.
 func serveNode(t *testing.T, listener net.Listener, certs string) *memoryNode {
+	t.Helper()
+	n := &memoryNode{records: map[string]archive.Record{}}
+	serveHandler(t, listener, certs, n)
+	return n
+}
+
+// serveHandler serves a node's handler on the listener with the certificate in the folder certs.
+func serveHandler(t *testing.T, listener net.Listener, certs string, handler http.Handler) {
 	t.Helper()
 	credentials, err := identity.OpenCredentials(certs, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &memoryNode{records: map[string]archive.Record{}}
-	server := &http.Server{Handler: n, TLSConfig: credentials.ServerConfig()}
+	server := &http.Server{Handler: handler, TLSConfig: credentials.ServerConfig()}
 	go func() { _ = server.ServeTLS(listener, "", "") }()
 	t.Cleanup(func() { _ = server.Close() })
-	return n
 }
 
 // summary returns a sorted line for each record: its attempt, kind, name and content, but
--- a/internal/archive/ship/rounds.go
+++ b/internal/archive/ship/rounds.go
@@ -1,6 +1,7 @@
 package ship
 
 import (
+	"cmp"
 	"errors"
 	"io/fs"
 	"os"
@@ -148,7 +149,8 @@
 }
 
 // selectDue returns the output to ship now, up to about batchBytes, and the ended
-// attempts whose output is shipped completely. It marks the latter as finishing.
+// attempts whose output is shipped completely, as many as may be finished at a time. It marks the
+// latter as finishing.
 func (s *Shipper) selectDue() (cuts []streamCut, ended []*followedAttempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,7 +158,7 @@
 	for _, f := range s.attempts {
 		backlogs = append(backlogs, f.backlog())
 	}
-	size := int64(0)
+	size, finishing := int64(0), 0
 	bound := int64(s.cfg.BoundS * 1000)
 	for _, b := range due(backlogs, nowMS(), bound/2) {
 		f := s.attempts[b.attempt]
@@ -177,14 +179,38 @@
 			}
 			pending = pending || follower.unshipped() > 0 || len(follower.Gaps) > 0
 		}
-		if f.outputFinal && !pending && !f.finishing && time.Since(f.lastFinish) > finishRetryInterval {
-			f.finishing, f.lastFinish = true, time.Now()
+		if f.finishing {
+			finishing++
+		} else if f.outputFinal && !pending && time.Since(f.lastFinish) > finishRetryInterval {
 			ended = append(ended, f)
 		}
 	}
+	ended = chooseToFinish(ended, maxFinishing-finishing)
+	for _, f := range ended {
+		f.finishing, f.lastFinish = true, time.Now()
+	}
 	return cuts, ended
 }
 
+// maxFinishing is how many attempts are finished at a time. Each has one request to a node in flight, and
+// a request beyond maxInFlight fails: one is left for the output of running attempts.
+const maxFinishing = maxInFlight - 1
+
+// chooseToFinish returns up to limit of the attempts: urgent ones first, then those that were tried the longest
+// ago, so that attempts whose nodes don't answer delay no others for long, then those that ended first.
+func chooseToFinish(attempts []*followedAttempt, limit int) []*followedAttempt {
+	slices.SortFunc(attempts, func(a, b *followedAttempt) int {
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(a.lastFinish.Compare(b.lastFinish), cmp.Compare(a.progress.End.At, b.progress.End.At))
+	})
+	return attempts[:min(len(attempts), max(0, limit))]
+}
+
 // makeRecords reads the segments' data and returns the records of a batch, with a
 // sentRecord for each. Each attempt's grant comes before its other records, and each
 // stream's gaps come before its segment.
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -75,7 +75,7 @@
 }
 
 // followedAttempt is an attempt whose output is followed. Shipper.mu guards its fields
-// except the first four, which do not change.
+// except storedChunks and the first four, which do not change.
 type followedAttempt struct {
 	attempt     archive.Attempt
 	dir         string
@@ -89,6 +89,9 @@
 	finishing   bool      // finish is running
 	lastFinish  time.Time // when finish was last started
 	lastSaved   time.Time
+	// storedChunks holds the digests of the files' chunks that a quorum has stored, so that a
+	// file whose shipping is interrupted goes on where it was. Only finish uses it.
+	storedChunks map[string]bool
 }
 
 // Stats counts what a shipper follows, and what it has shipped since New.
@@ -206,7 +209,7 @@
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
 	}
-	f := &followedAttempt{attempt: a, dir: dir, streams: map[string]*streamFollower{}}
+	f := &followedAttempt{attempt: a, dir: dir, streams: map[string]*streamFollower{}, storedChunks: map[string]bool{}}
 	if err == nil {
 		err = json.Unmarshal(raw, &f.grant)
 	}
