soak: disruptions of a running site, under which what ended attempts wrote must be kept

Need: the whole site is killed by the soak, so the leader's decisions to return machines were hardly exercised, and one job alone failed while launches were copied, as machines drained as faulty lost output.

What was checked is checked as before.

--- a/cmd/silvergate/site_test.go
+++ b/cmd/silvergate/site_test.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// TestOutputOfEndedTasksIsKeptOnADisruptedSite guards against files that are lost with a machine because the
+// controllers delete it before its output is in the archive.
+func TestOutputOfEndedTasksIsKeptOnADisruptedSite(t *testing.T) {
+	r, err := soak.Run(soak.Options{Executable: os.Args[0], Env: []string{runMainEnv + "=1"}, Dir: filepath.Join(t.TempDir(), "site"),
+		Jobs: 24, Disruptions: 12, Seed: 61, MeanKillInterval: 2 * time.Second, Limit: 2 * time.Minute})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("result of the soak: %+v", r)
+	if len(r.Broken) > 0 || r.Accepted != 24 || r.Disruptions != 12 || r.Kept < r.Tasks {
+		t.Errorf("the soak broke a promise, or is not complete: %+v", r)
+	}
+}
+
 // TestCopiedLaunchesRunNothing guards against an attempt that runs twice on a real site because a copy of its launch
 // arrives after its worker was told to forget it: of each direct launch up to three copies reach the agent within 6 s.
 func TestCopiedLaunchesRunNothing(t *testing.T) {
--- a/cmd/silvergate/soak.go
+++ b/cmd/silvergate/soak.go
@@ -43,6 +43,7 @@
 	f := cmd.Flags()
 	f.StringVar(&o.Dir, "dir", "", "a folder that is empty or does not exist")
 	f.IntVar(&o.Jobs, "jobs", 200, "jobs to submit")
+	f.IntVar(&o.Disruptions, "disruptions", 0, "how often the running site is disrupted before the kills: preemption notices, stopped archive nodes and agents, controllers killed one by one")
 	f.IntVar(&o.Kills, "kills", 20, "how often everything is killed")
 	f.Uint64Var(&o.Seed, "seed", 1, "the seed of the random times and choices")
 	f.DurationVar(&o.MeanKillInterval, "between", 3*time.Second, "mean time between two kills")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,13 +11,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
 	"silvergate/internal/agent"
 	"silvergate/internal/proc"
 	"silvergate/internal/protocol"
-	"silvergate/internal/provider"
 	"silvergate/internal/site"
 	"silvergate/internal/transport"
 )
@@ -37,12 +37,16 @@
 	// CopyLaunches has copies of the controllers' direct launches arrive at the workers some time after
 	// these were carried out. The site then logs at debug level.
 	CopyLaunches bool
-	Out          io.Writer // progress; may be nil
+	// Disruptions is how often the running site is disrupted before the kills: machines are preempted with
+	// notice, the archive or an agent is stopped for a while, controllers are killed one by one.
+	Disruptions int
+	Out         io.Writer // progress; may be nil
 }
 
 // Result is the result of a run. Broken is empty if the site has kept all its promises.
 type Result struct {
 	Accepted, Tasks, Effects, Repeated, Kills int
+	Disruptions                               int `json:",omitempty"`
 	// Kept is the number of attempts whose output was read back and compared, Lines the
 	// number of their lines. Lost is the number of machines that were taken away without
 	// notice, with their disks.
@@ -58,6 +62,9 @@
 // machinesDir is the folder in the site's that holds a folder for each machine.
 const machinesDir = "cloud/machines"
 
+// agentRecord is the file in a machine's folder that records its agent's process.
+const agentRecord = "agent.json"
+
 // maxBroken is the most broken promises that a result describes.
 const maxBroken = 20
 
@@ -109,6 +116,9 @@
 		copier = startLaunchCopier(s.options.Dir, o.Seed)
 		defer copier.finish()
 	}
+	for n := range o.Disruptions {
+		s.disrupt(n + 1)
+	}
 	for range o.Kills {
 		if err := s.submitAndKill(); err != nil {
 			return s.result, err
@@ -142,6 +152,9 @@
 			return err
 		}
 	}
+	if s.options.Disruptions > 0 {
+		return s.writeDisruptedSettings()
+	}
 	return nil
 }
 
@@ -151,14 +164,7 @@
 	o := &s.options
 	kill := s.result.Kills + 1
 	until := time.Now().Add(time.Duration((0.3 + 1.4*s.random.Float64()) * float64(o.MeanKillInterval)))
-	quota := kill * o.Jobs / o.Kills
-	for time.Now().Before(until) {
-		if s.submitted < quota && s.submit(s.submitted) {
-			s.submitted++
-		}
-		s.poll()
-		time.Sleep(20 * time.Millisecond)
-	}
+	s.submitUntil(until, kill*o.Jobs/o.Kills)
 	s.readRevision()
 	if s.random.IntN(2) == 0 {
 		s.loseMachine()
@@ -173,6 +179,18 @@
 	return nil
 }
 
+// submitUntil submits jobs and polls until the given time. quota is the number of jobs that may have been
+// submitted by then.
+func (s *soak) submitUntil(until time.Time, quota int) {
+	for time.Now().Before(until) {
+		if s.submitted < quota && s.submit(s.submitted) {
+			s.submitted++
+		}
+		s.poll()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // awaitJobs submits the jobs that are left and waits until all are done, up to Options.Limit.
 func (s *soak) awaitJobs() {
 	o := &s.options
@@ -226,7 +244,7 @@
 		return
 	}
 	var ids []proc.ID
-	for _, pattern := range []string{"run/*.json", machinesDir + "/*/agent.json"} {
+	for _, pattern := range []string{"run/*.json", machinesDir + "/*/" + agentRecord} {
 		files, _ := filepath.Glob(filepath.Join(s.options.Dir, pattern))
 		for _, f := range files {
 			if id, err := proc.ReadRecord(f); err == nil {
@@ -243,7 +261,7 @@
 	// A machine that was being started has its record by now, or ends by itself.
 	machines, _ := filepath.Glob(filepath.Join(s.options.Dir, machinesDir, "*"))
 	for _, m := range machines {
-		if id, err := proc.ReadRecord(filepath.Join(m, "agent.json")); err == nil {
+		if id, err := proc.ReadRecord(filepath.Join(m, agentRecord)); err == nil {
 			_ = id.Signal(syscall.SIGKILL)
 			id.Await(time.Now().Add(killTimeout))
 		}
@@ -283,10 +301,10 @@
 		"oneZone": false, "apart": false, "casual": n%2 == 0, "etaS": 1, "waypointS": 0, "stowS": 0,
 		"command": []string{"/bin/sh", "-c", fmt.Sprintf(`echo "$SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY $SILVERGATE_MACHINE" >> "$STARTS"
 mkdir -p out; for i in 1 2 3 4 5; do echo "line $i of $SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY"; sleep 0.0%d; done; sleep "$REST"
-echo "result of $SILVERGATE_TASK" > out/result
+echo "result of $SILVERGATE_TASK" > out/result; head -c "$RESULT_BYTES" /dev/urandom >> out/result
 echo "$SILVERGATE_JOB/$SILVERGATE_TASK $SILVERGATE_TRY $SILVERGATE_MACHINE" >> "$TRACE"
 [ "$SILVERGATE_TRY" != "$FAILS" ]`, n%7)},
-		"env":      map[string]string{"TRACE": s.trace, "STARTS": s.starts, "FAILS": s.failingAttempt(n), "REST": s.restTime(n)},
+		"env":      map[string]string{"TRACE": s.trace, "STARTS": s.starts, "FAILS": s.failingAttempt(n), "REST": s.restTime(n), "RESULT_BYTES": s.resultBytes()},
 		"customer": customer(n),
 		"keep":     []string{"out"},
 	})
@@ -306,19 +324,24 @@
 	return false
 }
 
-// failingJob is the job whose tasks fail once while launches are copied. It is one job, as a machine on which the
-// tasks of several jobs fail counts as faulty and is returned at once, with output that is not shipped yet.
-const failingJob = 3
-
-// failingAttempt returns the attempt in which the tasks of job n fail; "0": none. While launches are copied, one job
-// fails once: the result of a task that is done is kept, so a copy of its launch runs nothing in any case.
+// failingAttempt returns the attempt in which the tasks of job n fail; "0": none. While launches are copied, a third of
+// the jobs fail once: the result of a task that is done is kept, so a copy of its launch runs nothing in any case. While the
+// site is disrupted a third fails too, so that machines count as faulty.
 func (s *soak) failingAttempt(n int) string {
-	if s.options.CopyLaunches && n == failingJob {
+	if (s.options.CopyLaunches || s.options.Disruptions > 0) && n%3 == 1 {
 		return "1"
 	}
 	return "0"
 }
 
+// resultBytes returns how many bytes a task adds to its result.
+func (s *soak) resultBytes() string {
+	if s.options.Disruptions > 0 {
+		return strconv.Itoa(disruptedResultBytes)
+	}
+	return "0"
+}
+
 // restTime returns how long the tasks of job n sleep, in seconds. While launches are copied, a third of the jobs keep
 // their machines in use until copies of other tasks' launches arrive.
 func (s *soak) restTime(n int) string {
@@ -361,15 +384,14 @@
 
 // loseMachine preempts a random machine without notice.
 func (s *soak) loseMachine() {
-	folders, _ := filepath.Glob(filepath.Join(s.options.Dir, machinesDir, "*"))
-	if len(folders) == 0 {
+	folder := s.randomMachine()
+	if folder == "" {
 		return
 	}
-	name := filepath.Base(folders[s.random.IntN(len(folders))])
-	body, _ := json.Marshal(map[string]any{"stokers": []string{name}, "noticeS": 0})
+	name := filepath.Base(folder)
 	// The machine may be gone even if no answer comes.
 	s.lost[name] = true
-	if st, _ := s.request(fmt.Sprintf("127.0.0.1:%d", s.ports.Provider), "POST", provider.PathPreemptions, body); st == 200 {
+	if s.preempt(name, 0) {
 		s.result.Lost++
 		time.Sleep(200 * time.Millisecond)
 	}
