coordination: a controller that is restarted does not begin the hold of a machine anew

What callers would see: with the archive unreachable and the controllers restarted one by one, a machine was held for longer than hold_s (82 to 91 s of 60, simulated), as each leader counted from its own start.

Cause: since when a machine is empty is known to a controller's process alone. Fix: the machine says how long ago the last attempt with unshipped output ended (unkeptS in heartbeats and status, an extension that earlier versions ignore; the end is on the machine's disk already), and the hold counts from the earlier of the two. Output that has waited for hold_s is no longer announced, so that an idle machine is drained then.

--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -91,12 +91,16 @@
 }
 
 // followed returns the attempts whose output is not completely shipped, live ones included.
-func (o *outputShipper) followed() []TaskAttempt {
-	var keys []TaskAttempt
-	for _, attempt := range o.shipper.FollowedAttempts() {
-		keys = append(keys, TaskAttempt{Job: attempt.Job, Index: attempt.Task, Attempt: attempt.Try})
+func (o *outputShipper) followed() []FollowedAttempt {
+	var followed []FollowedAttempt
+	for attempt, endedAt := range o.shipper.FollowedAttempts() {
+		f := FollowedAttempt{ID: TaskAttempt{Job: attempt.Job, Index: attempt.Task, Attempt: attempt.Try}}
+		if !endedAt.IsZero() {
+			f.EndedFor = max(0, time.Since(endedAt))
+		}
+		followed = append(followed, f)
 	}
-	return keys
+	return followed
 }
 
 // needsFolder reports whether the archive still needs an attempt's folder.
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -107,7 +107,7 @@
 	storeReport *protocol.StoreReport
 	// followedAttempts returns the attempts whose output is not completely shipped, live ones
 	// included; nil: there is no archive.
-	followedAttempts func() []TaskAttempt
+	followedAttempts func() []FollowedAttempt
 
 	tasks  map[TaskAttempt]*taskState
 	jobs   jobDescriptions
@@ -152,6 +152,12 @@
 	fetching map[string]bool
 }
 
+// FollowedAttempt is an attempt whose output is not completely shipped to the archive.
+type FollowedAttempt struct {
+	ID       TaskAttempt
+	EndedFor time.Duration // the time since its end; 0: its end is not recorded yet
+}
+
 // NewWorker returns a worker that begins the given agent epoch. fencingToken is the
 // highest token that an earlier process on this machine has persisted.
 func NewWorker(identity protocol.Heartbeat, resources Room, p Periods, controllers []Controller, epoch, fencingToken uint64, random *rand.Rand) *Worker {
--- a/internal/agent/worker_events.go
+++ b/internal/agent/worker_events.go
@@ -45,7 +45,9 @@
 
 // SetFollowedAttempts sets the function that returns the attempts whose output is not completely
 // shipped to the archive, live ones included. Each heartbeat calls it.
-func (w *Worker) SetFollowedAttempts(followed func() []TaskAttempt) { w.followedAttempts = followed }
+func (w *Worker) SetFollowedAttempts(followed func() []FollowedAttempt) {
+	w.followedAttempts = followed
+}
 
 // DescriptionFetched records the result of fetching a job's description; d is nil if that failed.
 // If unknown is set, a controller has answered that there is no such job, and the job's attempts
--- a/internal/agent/worker_heartbeat.go
+++ b/internal/agent/worker_heartbeat.go
@@ -12,8 +12,9 @@
 func (w *Worker) buildHeartbeat() protocol.Heartbeat {
 	w.sequence++
 	r := w.identity
-	unshipped := w.unshippedAttempts()
-	r.DataStore, r.Unshipped = w.storeReport, &unshipped
+	r.DataStore = w.storeReport
+	unshipped, endedFor := w.unshippedAttempts()
+	r.Unshipped, r.UnshippedForS = &unshipped, endedFor.Seconds()
 	r.AgentEpoch, r.Sequence, r.FencingToken = w.epoch.number, w.sequence, w.fencingToken
 	if w.preemption.received {
 		left := max(0, (w.preemption.at - w.now).Seconds())
@@ -28,18 +29,23 @@
 }
 
 // unshippedAttempts returns how many attempts that are not live have output that is not completely
-// shipped. It is counted when a heartbeat is written, so that the heartbeat that first lists an
-// attempt as ended, or no longer lists it, also says that its output waits.
-func (w *Worker) unshippedAttempts() (n int) {
+// shipped, and the time since the last of them has ended. They are counted when a heartbeat is written, so
+// that the heartbeat that first lists an attempt as ended, or no longer lists it, also says that its output
+// waits.
+func (w *Worker) unshippedAttempts() (count int, endedFor time.Duration) {
 	if w.followedAttempts == nil {
-		return 0
+		return 0, 0
 	}
-	for _, k := range w.followedAttempts() {
-		if !w.Live(k) {
-			n++
+	for _, attempt := range w.followedAttempts() {
+		if w.Live(attempt.ID) {
+			continue
 		}
+		if count == 0 || attempt.EndedFor < endedFor {
+			endedFor = attempt.EndedFor
+		}
+		count++
 	}
-	return n
+	return count, endedFor
 }
 
 func (w *Worker) sendHeartbeat() {
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -7,10 +7,8 @@
 	"fmt"
 	"io/fs"
 	"log/slog"
-	"maps"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
@@ -296,12 +294,20 @@
 	return f != nil && len(f.grant.Keep) > 0
 }
 
-// FollowedAttempts returns, in no order, the attempts that are not shipped completely, including
-// those that have not ended. The shipper must not be nil.
-func (s *Shipper) FollowedAttempts() []archive.Attempt {
+// FollowedAttempts returns the attempts that are not shipped completely, each with the time at which
+// its end was recorded. The time is zero for an attempt that is not known to have ended. The shipper must
+// not be nil.
+func (s *Shipper) FollowedAttempts() map[archive.Attempt]time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.attempts))
+	followed := map[archive.Attempt]time.Time{}
+	for attempt, f := range s.attempts {
+		followed[attempt] = time.Time{}
+		if f.progress.End != nil {
+			followed[attempt] = time.UnixMilli(f.progress.End.At)
+		}
+	}
+	return followed
 }
 
 // UnshippedAttempts returns how many ended attempts are not shipped completely.
--- a/internal/coordination/output_inquiry.go
+++ b/internal/coordination/output_inquiry.go
@@ -27,6 +27,8 @@
 	// unshipped output and no live attempt; 0: the last answer was another.
 	quietSince time.Duration
 	shipped    bool // the machine has answered that all output is shipped
+	// endedFor is how long the last attempt with unshipped output had been over by the last answer.
+	endedFor time.Duration
 }
 
 // deletionVerdict says whether a drained machine may be deleted.
@@ -57,9 +59,16 @@
 }
 
 // holdExpired reports whether a machine without bound tasks has been held for its output for as long
-// as the settings allow.
+// as the settings allow. A controller that was restarted does not know how long the machine has been
+// empty, but the machine knows for how long its output has waited.
 func (c *Core) holdExpired(m *machine) bool {
-	return c.now-m.emptySince >= seconds(c.cfg.Operator.Archive.HoldS)
+	return max(c.now-m.emptySince, m.output.endedFor) >= seconds(c.cfg.Operator.Archive.HoldS)
+}
+
+// heldLongEnough reports whether the output on a machine has waited for as long as a machine may be held.
+func (c *Core) heldLongEnough(heartbeat *protocol.Heartbeat) bool {
+	archive := c.cfg.Operator.Archive
+	return archive != nil && heartbeat.UnshippedForS >= archive.HoldS
 }
 
 // awaitsOutput reports whether a machine is known to have unshipped output for which it is to be kept.
@@ -111,6 +120,10 @@
 	} else if inquiry.quietSince == 0 {
 		inquiry.quietSince = c.now
 	}
+	inquiry.endedFor = 0
+	if answered && !showsLiveAttempt(&status) {
+		inquiry.endedFor = seconds(status.UnshippedForS)
+	}
 	inquiry.shipped = inquiry.quietSince != 0 && (status.Unshipped != nil || c.now-inquiry.quietSince >= c.implicitReportDelay())
 	if c.verbose {
 		c.log.Debug("asked for output", "machine", m.id, "answered", answered, "shipped", inquiry.shipped, "empty_for", c.now-m.emptySince)
@@ -122,7 +135,12 @@
 	if status.Unshipped != nil && *status.Unshipped > 0 {
 		return false
 	}
-	return !slices.ContainsFunc(status.Tasks, func(task protocol.TaskStatus) bool { return task.Status != protocol.TaskEnded })
+	return !showsLiveAttempt(status)
+}
+
+// showsLiveAttempt reports whether a status lists an attempt that has not ended.
+func showsLiveAttempt(status *protocol.Heartbeat) bool {
+	return slices.ContainsFunc(status.Tasks, func(task protocol.TaskStatus) bool { return task.Status != protocol.TaskEnded })
 }
 
 // implicitReportDelay is how long a machine that says nothing about its output must go on saying
--- a/internal/coordination/unshipped.go
+++ b/internal/coordination/unshipped.go
@@ -32,9 +32,10 @@
 	return &unshippedOutput{core: core, own: map[string]bool{}, announcedAt: map[string]time.Duration{}}
 }
 
-// handleWorkerHeartbeat updates the table from a heartbeat of one of our machines.
+// handleWorkerHeartbeat updates the table from a heartbeat of one of our machines. Output that has waited for
+// as long as a machine may be held is not announced.
 func (u *unshippedOutput) handleWorkerHeartbeat(m *machine, heartbeat *protocol.Heartbeat) {
-	reported := heartbeat.Unshipped != nil && *heartbeat.Unshipped > 0
+	reported := heartbeat.Unshipped != nil && *heartbeat.Unshipped > 0 && !u.core.heldLongEnough(heartbeat)
 	if u.core.verbose && reported != u.own[m.id] {
 		u.core.log.Debug("unshipped output reported", "machine", m.id, "sequence", heartbeat.Sequence, "reported", reported)
 	}
--- a/internal/protocol/heartbeat.go
+++ b/internal/protocol/heartbeat.go
@@ -34,6 +34,9 @@
 	// say so. Agents of earlier versions leave it out when it is 0, and count an attempt some
 	// time after the heartbeat that lists its end.
 	Unshipped *int `json:"unkept,omitempty"`
+	// UnshippedForS is an extension: the time since the last of these attempts has ended, in
+	// seconds; 0 if that is not known.
+	UnshippedForS float64 `json:"unkeptS,omitempty"`
 }
 
 // TaskStatus is an attempt of a task as a worker reports it.
