archive: a file is looked up by its attempt, not on the first page of its job

Cause: Node.file gathered the job's attempts, which come in pages of 200, and took the first page for all.

Fix: the nodes are asked for the row of the one attempt. Nodes of earlier versions ignore the parameter and answer with a page that begins with it.

TestFilesBeyondTheFirstPageOfAJobAreGiven (450 attempts, lists followed to their end) failed before at attempt 201.

--- a/internal/archive/node/attempts.go
+++ b/internal/archive/node/attempts.go
@@ -82,6 +82,18 @@
 	}
 }
 
+// addRow merges what a node stores of the attempt.
+func (s *attemptState) addRow(n *Node, row *Row) {
+	for _, r := range append(row.Records, row.Files...) {
+		s.add(n, r.Key, r.Payload)
+	}
+	for stream, ranges := range row.Cover {
+		for _, r := range ranges {
+			s.cover[stream] = archive.AddRange(s.cover[stream], r)
+		}
+	}
+}
+
 // newAttemptState returns an empty state.
 func newAttemptState() *attemptState {
 	return &attemptState{gaps: map[string][]archive.Gap{}, cover: map[string][]archive.Range{}, files: map[string]archive.File{}}
@@ -115,14 +127,7 @@
 				s = newAttemptState()
 				states[row.Attempt] = s
 			}
-			for _, r := range append(row.Records, row.Files...) {
-				s.add(n, r.Key, r.Payload)
-			}
-			for stream, ranges := range row.Cover {
-				for _, r := range ranges {
-					s.cover[stream] = archive.AddRange(s.cover[stream], r)
-				}
-			}
+			s.addRow(n, row)
 		}
 	})
 	for name := range states { // after the end of the page that ends first, states may be incomplete
@@ -133,6 +138,28 @@
 	return states, last, a
 }
 
+// gatherAttempt reads one attempt with a label, including its files, from all nodes and merges what they
+// have, without checking access. It returns nil if no node has anything.
+//
+// Nodes of earlier versions do not know the parameter "attempt" and return a page of the job's attempts:
+// "from" has it begin with this one.
+func (n *Node) gatherAttempt(ctx context.Context, a archive.Attempt, label string) (state *attemptState) {
+	name := a.String()
+	q := url.Values{"job": {a.Job}, "label": {label}, "from": {name[:len(name)-1]}, "files": {"true"}, "attempt": {name}}
+	gather(ctx, n, PathRows+"?"+q.Encode(), func() (Rows, error) { return n.listAttempt(name, label, true) }, func(_ string, page Rows) {
+		for i := range page.Rows {
+			if page.Rows[i].Attempt != name {
+				continue
+			}
+			if state == nil {
+				state = newAttemptState()
+			}
+			state.addRow(n, &page.Rows[i])
+		}
+	})
+	return state
+}
+
 // attempts responds with the attempts that a reader may see. It gathers the page first and
 // checks access afterwards, so that a denied request takes as long as one for something that
 // does not exist.
--- a/internal/archive/node/node_test.go
+++ b/internal/archive/node/node_test.go
@@ -19,6 +19,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -369,6 +370,57 @@
 	}
 }
 
+// TestFilesBeyondTheFirstPageOfAJobAreGiven guards against files that are listed and can't be read: those of a
+// job's attempts after its first page.
+func TestFilesBeyondTheFirstPageOfAJobAreGiven(t *testing.T) {
+	const attempts = 2*rowsPage + 50
+	s := newTestSite(t)
+	n := s.node("one", []Member{{"one", "127.0.0.1:1"}}, nil)
+	h := n.handler()
+	attempt := func(i int) archive.Attempt {
+		return archive.Attempt{Job: "wk-000001", Task: i, Try: 1, Machine: fmt.Sprint("m-", i%12)}
+	}
+	content := func(i int) string { return fmt.Sprint("content of ", i) }
+	for i := range attempts {
+		a := attempt(i)
+		body := encodeFrames(attemptRecords(a, grantOf(a, "office", "baker", 1), content(i)))
+		if st, answer := s.call(h, "agent/"+a.Machine, "POST", PathRecords, body); st != 200 {
+			t.Fatal(st, answer)
+		}
+	}
+	for i := range attempts {
+		name := attempt(i).String()
+		for _, who := range []string{"customer/office/baker", "operator/admin"} {
+			st, got := s.call(h, who, "GET", PathFile+"?path=out/result&chunk=0&attempt="+url.QueryEscape(name), nil)
+			if st != 200 || got != "file of "+content(i) {
+				t.Fatalf("%s reads the file of %s: %d %q", who, name, st, got)
+			}
+		}
+		// A node of an earlier version answers a request for one attempt with this page.
+		page, err := n.listRows("wk-000001", "all", name[:len(name)-1], true)
+		if err != nil || !slices.ContainsFunc(page.Rows, func(row Row) bool { return row.Attempt == name }) {
+			t.Fatalf("the page for %s does not have it: %v", name, err)
+		}
+	}
+	listed := map[string]bool{}
+	for from := ""; ; {
+		_, body := s.call(h, "customer/office/baker", "GET", PathAttempts+"?job=wk-000001&from="+url.QueryEscape(from), nil)
+		var page Attempts
+		if err := json.Unmarshal([]byte(body), &page); err != nil {
+			t.Fatal(body, err)
+		}
+		for i := range page.Attempts {
+			listed[page.Attempts[i].Attempt.String()] = true
+		}
+		if from = page.Next; from == "" {
+			break
+		}
+	}
+	if len(listed) != attempts {
+		t.Errorf("%d attempts are listed, want %d", len(listed), attempts)
+	}
+}
+
 // TestStoppedBeforeItServes guards against a node that leaves its listener, and so its port,
 // open when Stop is called between Open and Serve.
 func TestStoppedBeforeItServes(t *testing.T) {
--- a/internal/archive/node/read.go
+++ b/internal/archive/node/read.go
@@ -61,6 +61,19 @@
 	return out, nil
 }
 
+// listAttempt returns the row of one attempt, or no row if the attempt does not have the label here.
+func (n *Node) listAttempt(name, label string, files bool) (Rows, error) {
+	out := Rows{Rows: []Row{}}
+	if !n.vault.HasLabel(label, name) {
+		return out, nil
+	}
+	row, err := n.readRow(name, files)
+	if err == nil {
+		out.Rows = append(out.Rows, row)
+	}
+	return out, err
+}
+
 // readRow reads what this node stores of an attempt. It includes file records only with
 // files.
 func (n *Node) readRow(name string, files bool) (Row, error) {
@@ -95,10 +108,17 @@
 	}
 }
 
-// serveRows responds to another node with a page of rows.
+// serveRows responds to another node with a page of rows, or with the row of one attempt.
 func (n *Node) serveRows(w http.ResponseWriter, r *http.Request, _ string) {
 	q := r.URL.Query()
-	rows, err := n.listRows(q.Get("job"), q.Get("label"), q.Get("from"), q.Get("files") == "true")
+	label, files := q.Get("label"), q.Get("files") == "true"
+	var rows Rows
+	var err error
+	if attempt := q.Get("attempt"); attempt != "" {
+		rows, err = n.listAttempt(attempt, label, files)
+	} else {
+		rows, err = n.listRows(q.Get("job"), label, q.Get("from"), files)
+	}
 	if err != nil {
 		writeError(w, http.StatusServiceUnavailable, "the index can't be read now")
 		return
--- a/internal/archive/node/stream.go
+++ b/internal/archive/node/stream.go
@@ -335,8 +335,7 @@
 		writeError(w, http.StatusBadRequest, "attempt, path or chunk is not what it should be")
 		return
 	}
-	states, _, _ := n.gatherPage(r.Context(), a.Job, readableLabel(who), "", true)
-	s := states[a.String()]
+	s := n.gatherAttempt(r.Context(), a, readableLabel(who))
 	if s == nil || s.grant == nil || !archive.Access(who, archive.Read, s.grant.Owner, "") {
 		n.audit(who, archive.Read, a.String(), s == nil || s.grant == nil)
 		notFound(w)
