coordination: a silent machine with unshipped output is not deleted for tasks that are not urgent

What callers would see: the files of a job that is done are lost with their machine because it was silent for some seconds (an agent that stands still for 3 s at a heartbeat period of 1 s) while another task was bound to it.

Cause: a machine that is beyond use is deleted at once while tasks are bound to it, since its deletion is the evidence on which these run elsewhere; what the machine was known to hold was not weighed.

Fix: a silent machine whose controller is up, that is known to have unshipped output and has no production task, is kept until its tasks end or their lease does, and then judged as any empty one. The output that a machine reported last counts however long ago that was, and the reply to a direct command can report it, too. Cost: tasks that are not urgent on such a machine wait for their lease. Without an archive nothing changes.

TestASilentMachineWithUnshippedOutputIsNotDeletedForItsOtherTasks failed before.

--- a/internal/coordination/output_inquiry.go
+++ b/internal/coordination/output_inquiry.go
@@ -48,6 +48,8 @@
 	}
 	beyondUse := drainSeverity[drain.Reason] >= drainSeverity[drainSilent]
 	switch {
+	case len(m.bound) > 0 && c.keptWhileSilent(m, drain):
+		return deletionAwaitsTasks
 	case beyondUse && (len(m.bound) > 0 || c.cfg.Operator.Archive == nil):
 		return deletionAllowed // the deletion is the evidence on which tasks that are bound to it are released
 	case len(m.bound) > 0 || !c.drainSettled(id):
@@ -58,6 +60,14 @@
 	return deletionAwaitsOutput
 }
 
+// keptWhileSilent reports whether a silent machine is kept although its deletion would let the tasks that are
+// bound to it run elsewhere: it is known to have unshipped output, and none of the tasks is urgent. If it
+// is not heard again, its controller releases them when its lease has expired.
+func (c *Core) keptWhileSilent(m *machine, drain drainRecord) bool {
+	return drain.Reason == drainSilent && !m.urgent() && c.alive(m.claim.Owner) &&
+		c.cfg.Operator.Archive != nil && c.scaler.unshipped.announced(m.id)
+}
+
 // holdExpired reports whether a machine without bound tasks has been held for its output for as long
 // as the settings allow. A controller that was restarted does not know how long the machine has been
 // empty, but the machine knows for how long its output has waited.
--- a/internal/coordination/stop_commands.go
+++ b/internal/coordination/stop_commands.go
@@ -83,6 +83,7 @@
 	if reply.FencingToken < token || reply.FencingToken > m.commandToken || c.state.AppliedRevision() < token {
 		return
 	}
+	c.scaler.unshipped.handleCommandReply(m, &reply)
 	vacatedBefore := len(m.vacated)
 	defer func() {
 		if len(m.vacated) > vacatedBefore {
--- a/internal/coordination/unshipped.go
+++ b/internal/coordination/unshipped.go
@@ -48,6 +48,14 @@
 	u.announcedAt[m.id] = u.core.now
 }
 
+// handleCommandReply records unshipped output that the reply to a direct command reports. A reply that reports
+// none proves nothing, as it may be older than the last heartbeat.
+func (u *unshippedOutput) handleCommandReply(m *machine, reply *protocol.Heartbeat) {
+	if reply.Unshipped != nil && *reply.Unshipped > 0 {
+		u.handleWorkerHeartbeat(m, reply)
+	}
+}
+
 // handlePeerHeartbeat handles the list of machines in a peer's heartbeat.
 func (u *unshippedOutput) handlePeerHeartbeat(machines []string) {
 	for _, id := range machines {
@@ -55,9 +63,12 @@
 	}
 }
 
-// announced reports whether a machine is known to have unshipped output. A machine that does not
-// repeat the announcement has shipped its output or is lost.
+// announced reports whether a machine is known to have unshipped output. A machine of another controller
+// that does not repeat the announcement has shipped its output or is lost.
 func (u *unshippedOutput) announced(id string) bool {
+	if u.own[id] {
+		return true // as its last heartbeat said, however long ago
+	}
 	at, known := u.announcedAt[id]
 	if !known {
 		return false
--- a/internal/coordination/unshipped_test.go
+++ b/internal/coordination/unshipped_test.go
@@ -186,6 +186,36 @@
 	}
 }
 
+// TestASilentMachineWithUnshippedOutputIsNotDeletedForItsOtherTasks guards against the files of a job that is
+// done, lost with their machine because it was silent for some seconds while another task was bound to it:
+// the machine is deleted at once only if that task is urgent.
+func TestASilentMachineWithUnshippedOutputIsNotDeletedForItsOtherTasks(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		priority job.Priority
+		kept     bool
+	}{{"standard work is bound to it", job.Normal, true}, {"production work is bound to it", job.Production, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			kept := 0
+			for seed := uint64(61_800); seed < 61_806; seed++ {
+				d := newOutputDay(t, seed, 8, simOutputOptions{shippingTime: 25 * time.Second, holdS: 70})
+				// The second task shares the machine, and others keep further machines heard.
+				d.submit(&job.Spec{ID: "wk-000002", Class: "arr", Team: "blue", Shape: job.Array, Priority: test.priority, Tasks: 100, CPUs: 2, MemoryGB: 1, Spot: true}, 70, 0)
+				d.awaitDone(t)
+				d.worker.hungUntil = d.now + 11*time.Second
+				d.run(d.now + 20*time.Second)
+				if d.cloud.machines[d.worker.name] != nil {
+					kept++
+				}
+				d.reportViolations(t)
+			}
+			if (kept == 6) != test.kept {
+				t.Errorf("the machine was kept on %d of 6 days", kept)
+			}
+		})
+	}
+}
+
 // TestMachineIsHeldForAsLongAsTheSettingsSay guards against a machine that is kept for ever for its output,
 // one that is given up before hold_s is over, and one that is held anew by each controller that is restarted.
 func TestMachineIsHeldForAsLongAsTheSettingsSay(t *testing.T) {
