coordination: a machine that says nothing of its output goes with its first answer once it has been empty

Need: workers that know nothing of archives, and agents of earlier versions, leave out a count of 0. Their silence had to last half a heartbeat period after the first answer, so that each machine was rented for that much longer. Now it counts from the machine's last task, unless an answer was missing or reported output or a live attempt since: an idle machine has been empty for longer than half a period when it is first asked.

--- a/internal/coordination/output_inquiry.go
+++ b/internal/coordination/output_inquiry.go
@@ -23,8 +23,9 @@
 type outputInquiry struct {
 	asking    bool          // a status call is under way
 	nextAskAt time.Duration // no status call before this time
-	// quietSince is the arrival of the first of the latest consecutive answers that report no
-	// unshipped output and no live attempt; 0: the last answer was another.
+	// quietSince is since when nothing contradicts that no output waits: since the machine is empty
+	// if all its answers say so, else since the first answer after the last one that was missing or
+	// reported unshipped output or a live attempt; 0: that was the last answer.
 	quietSince time.Duration
 	shipped    bool // the machine has answered that all output is shipped
 	// endedFor is how long the last attempt with unshipped output had been over by the last answer.
@@ -109,6 +110,9 @@
 // sendOutputInquiry asks a machine for its status.
 func (c *Core) sendOutputInquiry(m *machine) {
 	interval := seconds(c.cfg.Facts.Workers.Heartbeat / inquiriesPerPeriod)
+	if m.output.nextAskAt == 0 {
+		m.output.quietSince = max(1, m.emptySince)
+	}
 	m.output.asking = true
 	m.output.nextAskAt = c.now + interval
 	c.machines.inquiriesInFlight++
@@ -153,8 +157,8 @@
 	return slices.ContainsFunc(status.Tasks, func(task protocol.TaskStatus) bool { return task.Status != protocol.TaskEnded })
 }
 
-// implicitReportDelay is how long a machine that says nothing about its output must go on saying
-// nothing for this to mean that none waits. Agents of earlier versions leave out a count of 0, and
+// implicitReportDelay is for how long nothing must have contradicted that no output waits on a machine that
+// says nothing about its output, for this to mean that none waits. Agents of earlier versions leave out a count of 0, and
 // take up to a sixth of a heartbeat period to count an attempt that has ended.
 func (c *Core) implicitReportDelay() time.Duration {
 	return seconds(c.cfg.Facts.Workers.Heartbeat / 2)
