--- a/internal/coordination/scale_in.go
+++ b/internal/coordination/scale_in.go
@@ -189,7 +189,8 @@
 // time for which it was held is over.
 func (c *Core) traceDeletion(id string) {
 	m := c.machines.byID[id]
-	if m == nil {
+	_, repeated := c.scaler.deletedAt[id] // a deletion is repeated until the records of the machine are gone
+	if m == nil || repeated {
 		return
 	}
 	reason := c.machines.drains[id].Reason
