coordination: what a machine said of its waiting output stands when it does not answer the next time

A leader that was restarted and gets one answer and then none went on from its own start again. The time that was reported is a lower bound, so it stays.

--- a/internal/coordination/output_inquiry.go
+++ b/internal/coordination/output_inquiry.go
@@ -28,7 +28,8 @@
 	// reported unshipped output or a live attempt; 0: that was the last answer.
 	quietSince time.Duration
 	shipped    bool // the machine has answered that all output is shipped
-	// endedFor is how long the last attempt with unshipped output had been over by the last answer.
+	// endedFor is for how long the last attempt with unshipped output had been over, as the machine
+	// last answered.
 	endedFor time.Duration
 }
 
@@ -134,8 +135,7 @@
 	} else if inquiry.quietSince == 0 {
 		inquiry.quietSince = c.now
 	}
-	inquiry.endedFor = 0
-	if answered && !showsLiveAttempt(&status) {
+	if answered {
 		inquiry.endedFor = seconds(status.UnshippedForS)
 	}
 	inquiry.shipped = inquiry.quietSince != 0 && (status.Unshipped != nil || c.now-inquiry.quietSince >= c.implicitReportDelay())
@@ -149,17 +149,12 @@
 	if status.Unshipped != nil && *status.Unshipped > 0 {
 		return false
 	}
-	return !showsLiveAttempt(status)
+	return !slices.ContainsFunc(status.Tasks, func(task protocol.TaskStatus) bool { return task.Status != protocol.TaskEnded })
 }
 
-// showsLiveAttempt reports whether a status lists an attempt that has not ended.
-func showsLiveAttempt(status *protocol.Heartbeat) bool {
-	return slices.ContainsFunc(status.Tasks, func(task protocol.TaskStatus) bool { return task.Status != protocol.TaskEnded })
-}
-
-// implicitReportDelay is for how long nothing must have contradicted that no output waits on a machine that
-// says nothing about its output, for this to mean that none waits. Agents of earlier versions leave out a count of 0, and
-// take up to a sixth of a heartbeat period to count an attempt that has ended.
+// implicitReportDelay is for how long nothing must have contradicted that no output waits on a machine
+// that says nothing about its output, for this to mean that none waits. Agents of earlier versions leave
+// out a count of 0, and take up to a sixth of a heartbeat period to count an attempt that has ended.
 func (c *Core) implicitReportDelay() time.Duration {
 	return seconds(c.cfg.Facts.Workers.Heartbeat / 2)
 }
