history: the wait for shipped output waits for the shipper to have observed the files

Fix: the shipper counts its observations, and the wait is over only after one that began after the call.

--- a/internal/archive/history/history.go
+++ b/internal/archive/history/history.go
@@ -355,11 +355,12 @@
 // waitShipped waits until a machine has shipped all output. If ends is true, it also waits
 // until the files and the ends of the machine's ended attempts are shipped.
 func waitShipped(m *Machine, ends bool) error {
+	// The shipper must have observed the files after the last write: the observation that is under way
+	// may have begun before it, the next one begins now or later.
+	observed := m.Stats().Observations + 2
 	for until := time.Now().Add(waitTimeout); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		// The shipper must have observed the files after the last write.
-		time.Sleep(60 * time.Millisecond)
 		stats := m.Stats()
-		if stats.Left == 0 && (!ends || m.UnshippedAttempts() == 0) {
+		if stats.Observations >= observed && stats.Left == 0 && (!ends || m.UnshippedAttempts() == 0) {
 			return nil
 		}
 	}
--- a/internal/archive/ship/rounds.go
+++ b/internal/archive/ship/rounds.go
@@ -69,6 +69,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stats.Observations++
 	for _, f := range all {
 		backlogs = append(backlogs, f.backlog())
 	}
--- a/internal/archive/ship/ship.go
+++ b/internal/archive/ship/ship.go
@@ -102,6 +102,8 @@
 	GivenUp  int64 // bytes of output
 	Refused  int64 // records
 	OldestMS int64 // age of the oldest output that waits, in milliseconds
+	// Observations is how many times the sizes of all files were observed.
+	Observations int64
 }
 
 // Shipper follows the attempts of a machine. It is safe for concurrent use. Unless a
