soak: pages are read in both of their forms

A controller that does not know the versions of all others, as after these were killed, writes pages as a list of tasks, the form of earlier versions; the soak read the compact form alone, and took such a job's tasks for not finished. The product is as it should be.

Fix: countFinished reads both.

--- a/internal/soak/verify.go
+++ b/internal/soak/verify.go
@@ -17,6 +17,7 @@
 	"silvergate/internal/archive"
 	"silvergate/internal/archive/reader"
 	"silvergate/internal/identity"
+	"silvergate/internal/job"
 	"silvergate/internal/protocol"
 	"silvergate/internal/site"
 	"silvergate/internal/stateclient"
@@ -230,8 +231,18 @@
 
 // countFinished returns the number of finished tasks in the record of a page of tasks. The record
 // has a field for each task, which starts with d if the task is finished; the suffix *n stands
-// for n equal fields.
+// for n equal fields. While a controller does not know the versions of all others, for example after
+// these were killed, it writes a list of tasks instead.
 func countFinished(data []byte) (n int, err error) {
+	var tasks []job.Task
+	if json.Unmarshal(data, &tasks) == nil {
+		for i := range tasks {
+			if tasks[i].Phase == job.Finished {
+				n++
+			}
+		}
+		return n, nil
+	}
 	var words string
 	if json.Unmarshal(data, &words) != nil {
 		return 0, errors.New("not a page of tasks")
