--- a/internal/agent/output_test.go
+++ b/internal/agent/output_test.go
@@ -44,6 +44,7 @@
 	c := newFakeController(t)
 	cfg := testConfig(t, c)
 	cfg.Archive = unreachableArchive(t)
+	cfg.Workers.Lease = 8 // no epoch ends early beside other work
 	endedBefore := 0
 	c.onHeartbeat = func(heartbeat protocol.Heartbeat) { // the lock is held
 		listed := 0
