coordination: status requests are made in one place; names that say what they are

Found in the reading of the whole change: the inquiry for output built the same request as the probe of a silent worker, with the same timeout under another name. Both call requestStatus now. traceDeletion also counts and warns, so it is recordDeletion. Beside the new emptySince, unboundSince was the wrong word for the time since the fleet plan has had no use for a machine: idleSince. A field of a test that nothing read is gone.

--- a/internal/coordination/failure_detector.go
+++ b/internal/coordination/failure_detector.go
@@ -285,13 +285,11 @@
 	if c.machines.probesInFlight >= c.maxProbes() {
 		return
 	}
-	timeout := seconds(c.cfg.Facts.Workers.Heartbeat / 4)
 	c.machines.probesInFlight++
 	m.probing = true
-	m.nextProbeAt = c.now + timeout
+	m.nextProbeAt = c.now + c.statusTimeout()
 	heardBefore := m.heardAt
-	call := protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: http.MethodGet, Path: protocol.PathStatus, Timeout: timeout}
-	c.call(call, func(reply protocol.Reply) {
+	c.requestStatus(m, func(reply protocol.Reply) {
 		m.probing = false
 		c.machines.probesInFlight--
 		if reply.Status != 0 {
@@ -305,6 +303,14 @@
 	})
 }
 
+// statusTimeout returns how long a worker may take to answer a request for its status.
+func (c *Core) statusTimeout() time.Duration { return seconds(c.cfg.Facts.Workers.Heartbeat / 4) }
+
+// requestStatus asks a machine's worker for its status.
+func (c *Core) requestStatus(m *machine, done func(protocol.Reply)) {
+	c.call(protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: http.MethodGet, Path: protocol.PathStatus, Timeout: c.statusTimeout()}, done)
+}
+
 // maxZoneProbes is the number of probes under way at which probeZone starts no further one.
 const maxZoneProbes = 2
 
--- a/internal/coordination/fleet_plan.go
+++ b/internal/coordination/fleet_plan.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		if p.unreachableZones[m.claim.Zone] || p.unresponsive[id] || c.isOwn(m) && m.leaseExpired {
-			m.unboundSince = c.now // the machine can't be used now, so this time doesn't count as idle
+			m.idleSince = c.now // the machine can't be used now, so this time doesn't count as idle
 			continue
 		}
 		s := p.addSlot(id, offering{m.claim.MachineType, m.claim.Zone, m.claim.Spot})
--- a/internal/coordination/machine_table.go
+++ b/internal/coordination/machine_table.go
@@ -50,7 +50,7 @@
 	failedJobs    map[string]bool // jobs of which a task failed on this machine
 	idleListIndex int             // position in the idle list, counted from 1; 0: not listed
 	listedAt      time.Duration   // when it was added to the idle list
-	unboundSince  time.Duration   // since when no task is bound to it, for scaling in
+	idleSince     time.Duration   // since when the fleet plan has had no use for it, for scaling in
 	emptySince    time.Duration   // since when the records bind no task to it, as far as this process knows
 	output        outputInquiry   // its unshipped output, while it is drained and empty
 	draining      bool            // a drain record is being written
@@ -143,10 +143,10 @@
 // newMachine returns a machine about which nothing is known yet.
 func newMachine(id string, now time.Duration) *machine {
 	return &machine{
-		id:           id,
-		failedJobs:   map[string]bool{},
-		unboundSince: now,
-		emptySince:   now,
+		id:         id,
+		failedJobs: map[string]bool{},
+		idleSince:  now,
+		emptySince: now,
 		launchState: launchState{
 			inFlight:       map[taskAttempt]time.Duration{},
 			directLaunches: map[taskAttempt]fencing.DirectLaunch{},
--- a/internal/coordination/output_inquiry.go
+++ b/internal/coordination/output_inquiry.go
@@ -88,9 +88,6 @@
 	return c.cfg.Operator.Archive != nil && c.scaler.unshipped.announced(m.id) && !c.holdExpired(m)
 }
 
-// inquiriesPerPeriod is how many times in a heartbeat period a machine is asked for its output.
-const inquiriesPerPeriod = 4
-
 // askForOutput asks drained machines without bound tasks for their status, except those that were asked a
 // moment ago. Those that were asked the longest ago come first, so that machines which don't answer
 // delay no others.
@@ -108,17 +105,15 @@
 	}
 }
 
-// sendOutputInquiry asks a machine for its status.
+// sendOutputInquiry asks a machine for its status, and not again before the request has timed out.
 func (c *Core) sendOutputInquiry(m *machine) {
-	interval := seconds(c.cfg.Facts.Workers.Heartbeat / inquiriesPerPeriod)
 	if m.output.nextAskAt == 0 {
 		m.output.quietSince = max(1, m.emptySince)
 	}
 	m.output.asking = true
-	m.output.nextAskAt = c.now + interval
+	m.output.nextAskAt = c.now + c.statusTimeout()
 	c.machines.inquiriesInFlight++
-	call := protocol.Call{Target: protocol.ToWorker, Address: m.claim.Address, Method: http.MethodGet, Path: protocol.PathStatus, Timeout: interval}
-	c.call(call, func(reply protocol.Reply) {
+	c.requestStatus(m, func(reply protocol.Reply) {
 		c.machines.inquiriesInFlight--
 		m.output.asking = false
 		c.handleOutputReply(m, reply)
--- a/internal/coordination/scale_in.go
+++ b/internal/coordination/scale_in.go
@@ -45,11 +45,11 @@
 			continue
 		}
 		if s.used || s.bound || m.gpus > 0 || m.cpus > 0 {
-			m.unboundSince = c.now
+			m.idleSince = c.now
 			continue
 		}
 		idleLimit := seconds(idleTimeShare * c.machineTypeOf(m).StartupS)
-		if c.now-m.unboundSince > idleLimit && !c.awaitsOutput(m) {
+		if c.now-m.idleSince > idleLimit && !c.awaitsOutput(m) {
 			// The condition on the leader record keeps a replaced leader from draining machines.
 			c.drainMachine(m, drainIdle, protocol.Compare{Key: keyFleet, ModRevision: c.scaler.leaderRevision})
 		}
@@ -176,7 +176,7 @@
 		return
 	}
 	for _, id := range names {
-		c.traceDeletion(id)
+		c.recordDeletion(id)
 		f.deletedAt[id] = c.now // prevents another request while this one is in flight
 		delete(f.deletionConfirmed, id)
 	}
@@ -185,9 +185,8 @@
 	})
 }
 
-// traceDeletion logs why a machine is deleted, and warns if output may be lost with it because the
-// time for which it was held is over.
-func (c *Core) traceDeletion(id string) {
+// recordDeletion logs why a machine is deleted. If output may be lost with it, it warns and counts that.
+func (c *Core) recordDeletion(id string) {
 	m := c.machines.byID[id]
 	_, repeated := c.scaler.deletedAt[id] // a deletion is repeated until the records of the machine are gone
 	if m == nil || repeated {
--- a/internal/coordination/unshipped_test.go
+++ b/internal/coordination/unshipped_test.go
@@ -55,7 +55,6 @@
 	*sim
 	user   *simUser
 	worker *simWorker
-	doneAt time.Duration // when the user was told that the job is done
 }
 
 // newOutputDay runs a day, on which machines boot within about startupS, until the task runs.
@@ -98,7 +97,6 @@
 func (d *outputDay) awaitDone(t *testing.T) {
 	t.Helper()
 	d.awaitCondition(t, "the job is done", func() bool { return d.user.finalStatus == "done" })
-	d.doneAt = d.now
 }
 
 // awaitDeletion runs the day until the task's machine is gone, and returns how long after its last task.
