archive: rows of nodes are merged, and urgent attempts are put first, in one place each

gatherAttempt merged rows beside gatherPage; both call mergeRows. chooseToFinish ordered by urgency in the same lines as due; both call compareUrgency. Behaviour is as before.

--- a/internal/archive/node/attempts.go
+++ b/internal/archive/node/attempts.go
@@ -82,18 +82,6 @@
 	}
 }
 
-// addRow merges what a node stores of the attempt.
-func (s *attemptState) addRow(n *Node, row *Row) {
-	for _, r := range append(row.Records, row.Files...) {
-		s.add(n, r.Key, r.Payload)
-	}
-	for stream, ranges := range row.Cover {
-		for _, r := range ranges {
-			s.cover[stream] = archive.AddRange(s.cover[stream], r)
-		}
-	}
-}
-
 // newAttemptState returns an empty state.
 func newAttemptState() *attemptState {
 	return &attemptState{gaps: map[string][]archive.Gap{}, cover: map[string][]archive.Range{}, files: map[string]archive.File{}}
@@ -112,6 +100,26 @@
 	return v
 }
 
+// mergeRows merges what a node stores of attempts into their states, by the attempts' names.
+func (n *Node) mergeRows(states map[string]*attemptState, rows []Row) {
+	for i := range rows {
+		row := &rows[i]
+		s := states[row.Attempt]
+		if s == nil {
+			s = newAttemptState()
+			states[row.Attempt] = s
+		}
+		for _, r := range append(row.Records, row.Files...) {
+			s.add(n, r.Key, r.Payload)
+		}
+		for stream, ranges := range row.Cover {
+			for _, r := range ranges {
+				s.cover[stream] = archive.AddRange(s.cover[stream], r)
+			}
+		}
+	}
+}
+
 // gatherPage reads a page of attempts from all nodes and merges it, without checking access.
 func (n *Node) gatherPage(ctx context.Context, job, label, from string, files bool) (states map[string]*attemptState, last string, a Completeness) {
 	q := url.Values{"job": {job}, "label": {label}, "from": {from}, "files": {strconv.FormatBool(files)}}
@@ -120,15 +128,7 @@
 		if page.Last != "" && (last == "" || page.Last < last) {
 			last = page.Last
 		}
-		for i := range page.Rows {
-			row := &page.Rows[i]
-			s := states[row.Attempt]
-			if s == nil {
-				s = newAttemptState()
-				states[row.Attempt] = s
-			}
-			s.addRow(n, row)
-		}
+		n.mergeRows(states, page.Rows)
 	})
 	for name := range states { // after the end of the page that ends first, states may be incomplete
 		if last != "" && name > last {
@@ -143,21 +143,14 @@
 //
 // Nodes of earlier versions do not know the parameter "attempt" and return a page of the job's attempts:
 // "from" has it begin with this one.
-func (n *Node) gatherAttempt(ctx context.Context, a archive.Attempt, label string) (state *attemptState) {
+func (n *Node) gatherAttempt(ctx context.Context, a archive.Attempt, label string) *attemptState {
 	name := a.String()
 	q := url.Values{"job": {a.Job}, "label": {label}, "from": {name[:len(name)-1]}, "files": {"true"}, "attempt": {name}}
+	states := map[string]*attemptState{}
 	gather(ctx, n, PathRows+"?"+q.Encode(), func() (Rows, error) { return n.listAttempt(name, label, true) }, func(_ string, page Rows) {
-		for i := range page.Rows {
-			if page.Rows[i].Attempt != name {
-				continue
-			}
-			if state == nil {
-				state = newAttemptState()
-			}
-			state.addRow(n, &page.Rows[i])
-		}
+		n.mergeRows(states, page.Rows)
 	})
-	return state
+	return states[name]
 }
 
 // attempts responds with the attempts that a reader may see. It gathers the page first and
--- a/internal/archive/ship/plan.go
+++ b/internal/archive/ship/plan.go
@@ -138,13 +138,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b attemptBacklog) int {
-		if a.urgent != b.urgent {
-			if a.urgent {
-				return -1
-			}
-			return 1
-		}
-		if c := cmp.Compare(a.oldestAt, b.oldestAt); c != 0 {
+		if c := cmp.Or(compareUrgency(a.urgent, b.urgent), cmp.Compare(a.oldestAt, b.oldestAt)); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.attempt.String(), b.attempt.String())
@@ -152,6 +146,17 @@
 	return out
 }
 
+// compareUrgency orders urgent attempts before others.
+func compareUrgency(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // bytesToDrop returns how many bytes of each attempt are given up, in the order of all,
 // when the backlog exceeds quota bytes. Ended attempts lose output before running ones. In
 // each of these two groups, non-urgent attempts lose output before urgent ones, and
--- a/internal/archive/ship/rounds.go
+++ b/internal/archive/ship/rounds.go
@@ -201,13 +201,7 @@
 // ago, so that attempts whose nodes don't answer delay no others for long, then those that ended first.
 func chooseToFinish(attempts []*followedAttempt, limit int) []*followedAttempt {
 	slices.SortFunc(attempts, func(a, b *followedAttempt) int {
-		if a.urgent != b.urgent {
-			if a.urgent {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(a.lastFinish.Compare(b.lastFinish), cmp.Compare(a.progress.End.At, b.progress.End.At))
+		return cmp.Or(compareUrgency(a.urgent, b.urgent), a.lastFinish.Compare(b.lastFinish), cmp.Compare(a.progress.End.At, b.progress.End.At))
 	})
 	return attempts[:min(len(attempts), max(0, limit))]
 }
