agent: a machine without an archive follows no attempts, as its other calls have it

outputShipper's methods take a nil receiver for a machine without an archive; followed did not, and the agent and the worker each had a check for that. The test that reads reports now fails on any heartbeat that says nothing of its output, where it passed over those without an epoch.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -253,9 +253,7 @@
 	a.schedule.startedAt = bootClock()
 	a.worker = NewWorker(identity, a.cfg.Resources, a.cfg.Workers, a.cfg.Controllers, a.persisted.Epoch, a.persisted.FencingToken,
 		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if a.outputs != nil {
-		a.worker.SetFollowedAttempts(a.outputs.followed)
-	}
+	a.worker.SetFollowedAttempts(a.outputs.followed)
 	a.runner.setEpoch(a.persisted.Epoch)
 	a.stats.Epochs++
 	a.log.Info("serving", "listen", address, "epoch", a.persisted.Epoch)
--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -92,6 +92,9 @@
 
 // followed returns the attempts whose output is not completely shipped, live ones included.
 func (o *outputShipper) followed() []FollowedAttempt {
+	if o == nil {
+		return nil
+	}
 	var followed []FollowedAttempt
 	for attempt, endedAt := range o.shipper.FollowedAttempts() {
 		f := FollowedAttempt{ID: TaskAttempt{Job: attempt.Job, Index: attempt.Task, Attempt: attempt.Try}}
--- a/internal/agent/output_test.go
+++ b/internal/agent/output_test.go
@@ -55,7 +55,7 @@
 		}
 		endedBefore = max(endedBefore, listed)
 		switch {
-		case heartbeat.Unshipped == nil && heartbeat.AgentEpoch > 0:
+		case heartbeat.Unshipped == nil:
 			t.Errorf("heartbeat %d says nothing of its output", heartbeat.Sequence)
 		case *heartbeat.Unshipped != endedBefore:
 			t.Errorf("epoch %d, heartbeat %d: %d attempts have ended and none is shipped, but %d are reported as unshipped", heartbeat.AgentEpoch, heartbeat.Sequence, endedBefore, *heartbeat.Unshipped)
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -106,7 +106,7 @@
 
 	storeReport *protocol.StoreReport
 	// followedAttempts returns the attempts whose output is not completely shipped, live ones
-	// included; nil: there is no archive.
+	// included.
 	followedAttempts func() []FollowedAttempt
 
 	tasks  map[TaskAttempt]*taskState
@@ -170,6 +170,8 @@
 		jobs:       jobDescriptions{descriptions: map[string]*protocol.JobDescription{}, describing: map[string]bool{}},
 		images:     imageStates{present: map[string]bool{}, fetching: map[string]bool{}},
 		doneAt:     map[TaskAttempt]time.Duration{},
+
+		followedAttempts: func() []FollowedAttempt { return nil },
 	}
 }
 
--- a/internal/agent/worker_heartbeat.go
+++ b/internal/agent/worker_heartbeat.go
@@ -33,9 +33,6 @@
 // that the heartbeat that first lists an attempt as ended, or no longer lists it, also says that its output
 // waits.
 func (w *Worker) unshippedAttempts() (count int, endedFor time.Duration) {
-	if w.followedAttempts == nil {
-		return 0, 0
-	}
 	for _, attempt := range w.followedAttempts() {
 		if w.Live(attempt.ID) {
 			continue
