soak: processes are found by their records in one place; its tests share their options

kill, pause and killControllers each read records of processes; they call processes and parts. Checks and bounds are as they were.

--- a/cmd/silvergate/site_test.go
+++ b/cmd/silvergate/site_test.go
@@ -24,16 +24,26 @@
 	os.Exit(m.Run())
 }
 
-// TestSiteSurvivesKills guards against accepted jobs that are lost or run otherwise than
-// promised when all processes of a site are killed. A small soak kills them twice while
-// jobs are submitted, run and end.
-func TestSiteSurvivesKills(t *testing.T) {
-	r, err := soak.Run(soak.Options{Executable: os.Args[0], Env: []string{runMainEnv + "=1"}, Dir: filepath.Join(t.TempDir(), "site"),
-		Jobs: 8, Kills: 2, Seed: 1, MeanKillInterval: 2 * time.Second, Limit: 2 * time.Minute})
+// runSoak runs a soak whose site starts the test binary for each of its processes, and whose jobs may take two
+// minutes after the last kill.
+func runSoak(t *testing.T, options soak.Options) soak.Result {
+	t.Helper()
+	options.Executable, options.Env = os.Args[0], []string{runMainEnv + "=1"}
+	options.Dir = filepath.Join(t.TempDir(), "site")
+	options.Limit = 2 * time.Minute
+	r, err := soak.Run(options)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Logf("result of the soak: %+v", r)
+	return r
+}
+
+// TestSiteSurvivesKills guards against accepted jobs that are lost or run otherwise than
+// promised when all processes of a site are killed. A small soak kills them twice while
+// jobs are submitted, run and end.
+func TestSiteSurvivesKills(t *testing.T) {
+	r := runSoak(t, soak.Options{Jobs: 8, Kills: 2, Seed: 1, MeanKillInterval: 2 * time.Second})
 	if len(r.Broken) > 0 || r.Accepted != 8 || r.Effects < r.Tasks || r.Tasks != 20 || r.Kills != 2 || r.Kept == 0 {
 		t.Errorf("the soak broke a promise, or is not complete: %+v", r)
 	}
@@ -42,12 +52,7 @@
 // TestOutputOfEndedTasksIsKeptOnADisruptedSite guards against files that are lost with a machine because the
 // controllers delete it before its output is in the archive.
 func TestOutputOfEndedTasksIsKeptOnADisruptedSite(t *testing.T) {
-	r, err := soak.Run(soak.Options{Executable: os.Args[0], Env: []string{runMainEnv + "=1"}, Dir: filepath.Join(t.TempDir(), "site"),
-		Jobs: 24, Disruptions: 12, Seed: 61, MeanKillInterval: 2 * time.Second, Limit: 2 * time.Minute})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("result of the soak: %+v", r)
+	r := runSoak(t, soak.Options{Jobs: 24, Disruptions: 12, Seed: 61, MeanKillInterval: 2 * time.Second})
 	if len(r.Broken) > 0 || r.Accepted != 24 || r.Disruptions != 12 || r.Kept < r.Tasks {
 		t.Errorf("the soak broke a promise, or is not complete: %+v", r)
 	}
@@ -56,12 +61,7 @@
 // TestCopiedLaunchesRunNothing guards against an attempt that runs twice on a real site because a copy of its launch
 // arrives after its worker was told to forget it: of each direct launch up to three copies reach the agent within 6 s.
 func TestCopiedLaunchesRunNothing(t *testing.T) {
-	r, err := soak.Run(soak.Options{Executable: os.Args[0], Env: []string{runMainEnv + "=1"}, Dir: filepath.Join(t.TempDir(), "site"),
-		Jobs: 24, Seed: 3, Limit: 2 * time.Minute, CopyLaunches: true})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("result of the soak: %+v", r)
+	r := runSoak(t, soak.Options{Jobs: 24, Seed: 3, CopyLaunches: true})
 	if len(r.Broken) > 0 || r.Accepted != 24 || r.Copies < r.Tasks {
 		t.Errorf("a copied launch ran something, or none arrived in time: %+v", r)
 	}
--- a/internal/soak/disruptions.go
+++ b/internal/soak/disruptions.go
@@ -50,7 +50,7 @@
 		run  func()
 	}{
 		{"a preemption notice", s.noticeMachine},
-		{"the archive is stopped", func() { s.pause("archive-*", s.randomDuration(maxArchivePause)) }},
+		{"the archive is stopped", func() { s.pause(s.parts("archive-*"), s.randomDuration(maxArchivePause)) }},
 		{"an agent is stopped", func() { s.pauseAgent(s.randomDuration(maxAgentPause)) }},
 		{"the controllers are killed one by one", s.killControllers},
 	}
@@ -88,22 +88,15 @@
 	return status == 200
 }
 
-// pause stops the site's processes whose records match a pattern, and continues them after a while.
-func (s *soak) pause(pattern string, duration time.Duration) {
-	files, _ := filepath.Glob(filepath.Join(s.options.Dir, "run", pattern+".json"))
-	s.pauseRecorded(files, duration)
-}
-
 // pauseAgent stops the agent of a random machine for a while.
 func (s *soak) pauseAgent(duration time.Duration) {
 	if folder := s.randomMachine(); folder != "" {
-		s.pauseRecorded([]string{filepath.Join(folder, agentRecord)}, duration)
+		s.pause(s.processes(filepath.Join(machinesDir, filepath.Base(folder), agentRecord)), duration)
 	}
 }
 
-// pauseRecorded stops the processes with the given records, submits and polls for a while, and continues them.
-func (s *soak) pauseRecorded(files []string, duration time.Duration) {
-	ids := readRecords(files)
+// pause stops processes, submits and polls for a while, and continues them.
+func (s *soak) pause(ids []proc.ID, duration time.Duration) {
 	for _, id := range ids {
 		_ = id.Signal(syscall.SIGSTOP)
 	}
@@ -115,15 +108,19 @@
 
 // killControllers kills the controllers one by one; the site starts each again.
 func (s *soak) killControllers() {
-	files, _ := filepath.Glob(filepath.Join(s.options.Dir, "run", "stoker-*.json"))
-	for _, id := range readRecords(files) {
+	for _, id := range s.parts("stoker-*") {
 		_ = id.Signal(syscall.SIGKILL)
 		s.submitUntil(time.Now().Add(s.randomDuration(maxRestartInterval)), s.submitted)
 	}
 }
 
-// readRecords returns the processes of the given records, without those that can't be read.
-func readRecords(files []string) (ids []proc.ID) {
+// parts returns the site's processes, without its machines', whose names match a pattern.
+func (s *soak) parts(pattern string) []proc.ID { return s.processes("run/" + pattern + ".json") }
+
+// processes returns the processes whose records in the site's folder match a pattern, without those whose
+// records can't be read.
+func (s *soak) processes(pattern string) (ids []proc.ID) {
+	files, _ := filepath.Glob(filepath.Join(s.options.Dir, pattern))
 	for _, file := range files {
 		if id, err := proc.ReadRecord(file); err == nil {
 			ids = append(ids, id)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -243,15 +243,7 @@
 	if s.cmd == nil {
 		return
 	}
-	var ids []proc.ID
-	for _, pattern := range []string{"run/*.json", machinesDir + "/*/" + agentRecord} {
-		files, _ := filepath.Glob(filepath.Join(s.options.Dir, pattern))
-		for _, f := range files {
-			if id, err := proc.ReadRecord(f); err == nil {
-				ids = append(ids, id)
-			}
-		}
-	}
+	ids := append(s.parts("*"), s.processes(machinesDir+"/*/"+agentRecord)...)
 	_ = s.cmd.Process.Kill()
 	for _, id := range ids {
 		_ = id.Signal(syscall.SIGKILL)
