--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -17,11 +17,15 @@
 const longest = 115 * time.Second
 
 func main() {
+	trouble := os.Getenv("TROUBLE") != "0"
+	if len(os.Args) == 3 && os.Args[1] == "files" {
+		os.Exit(playFiles(os.Args[2], trouble))
+	}
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: world CASE RECORD")
 		os.Exit(2)
 	}
-	os.Exit(play(scenarios[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
+	os.Exit(play(scenarios[os.Args[1]], os.Args[2], trouble))
 }
 
 // cannotRun is why a case can't run; it has no verdict then.
