review: case 8, a gang with a task on record as done is never done when that task's machine hangs

From the open incident of the last member of a finished gang. The restarted members wait for the one that is done, with a description that was fetched before it was.

--- a/review/world2/files.go
+++ b/review/world2/files.go
@@ -96,8 +96,8 @@
 	hang      = 40 * time.Second
 )
 
-// playFiles runs the case of the file of a job that is done.
-func playFiles(recordPath string, trouble bool) (code int) {
+// playSite runs a case on a whole site: that of the file of a job that is done, or that of the last member of a gang.
+func playSite(recordPath string, trouble, member bool) (code int) {
 	root := os.Getenv("ROOT")
 	record, err := os.Create(recordPath)
 	if err != nil {
@@ -110,8 +110,12 @@
 	s.log("trouble: %v", trouble)
 	settings, err := os.ReadFile(filepath.Join(root, "deploy/up.yaml"))
 	must(err)
+	machines, cpus := 4, 3.0
+	if member {
+		machines, cpus = 2, 2.5
+	}
 	path := filepath.Join(tmp, "up.yaml")
-	settings = []byte(strings.Replace(string(settings), "north: 2", "north: 4", 1))
+	settings = []byte(strings.Replace(string(settings), "north: 2", "north: "+strconv.Itoa(machines), 1))
 	must(os.WriteFile(path, settings, 0o600))
 	s.up = exec.Command(s.program, "up", "--dir", s.dir, "--settings", path)
 	s.up.Dir = root
@@ -126,9 +130,9 @@
 	}()
 	time.Sleep(3 * time.Second)
 	// Services that fill most of a machine each, so that the controller of the zone hears other machines, too.
-	services := []string{"wk-000011", "wk-000012", "wk-000013", "wk-000014"}
+	services := []string{"wk-000011", "wk-000012", "wk-000013", "wk-000014"}[:machines]
 	for _, ref := range services {
-		if out, err := s.run("submit", s.job(ref, "standing", "prod", 3, 0.5, nil, "while :; do sleep 1; done")); err != nil {
+		if out, err := s.run("submit", s.job(ref, "standing", "prod", cpus, 0.5, nil, "while :; do sleep 1; done")); err != nil {
 			panic(cannotRun(out))
 		}
 	}
@@ -149,6 +153,16 @@
 	}
 	time.Sleep(3 * time.Second)
 	s.run("nodes")
+	if member {
+		if s.playMember(trouble) {
+			s.log("the rule held")
+			fmt.Println("the rule held")
+			return 0
+		}
+		s.log("the rule was broken")
+		fmt.Println("the rule was broken")
+		return 1
+	}
 	script := fmt.Sprintf("head -c %d /dev/urandom > out.bin; echo made $(wc -c < out.bin) bytes", fileBytes)
 	out, err := s.run("submit", "--wait", s.job("wk-000003", "batch", "standard", 1, 0.2, []string{"*.bin"}, script))
 	if err != nil || !strings.Contains(out, "wk-000003 done") {
--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -18,8 +18,8 @@
 
 func main() {
 	trouble := os.Getenv("TROUBLE") != "0"
-	if len(os.Args) == 3 && os.Args[1] == "files" {
-		os.Exit(playFiles(os.Args[2], trouble))
+	if len(os.Args) == 3 && (os.Args[1] == "files" || os.Args[1] == "member") {
+		os.Exit(playSite(os.Args[2], trouble, os.Args[1] == "member"))
 	}
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: world CASE RECORD")
