coordination: waiting tasks take no memory

Cause, in two parts. And each open job kept up to 512 tasks in dispatch, in maps that take some 140 bytes a task, whatever the other jobs had.

Fix: a job's pages are in memory once they have a record or queued transitions; the tasks of the others were never started. Pages of open jobs whose tasks have all finished keep their count. The tasks in dispatch of all jobs together are bounded by a share of ram_mb, the most urgent jobs' first; beyond the bound each job keeps one task in dispatch, so that none is starved by tasks that wait for another kind of room. Nothing of this is stored, so versions may run side by side.

Three checks of tests were adapted: pages that are not in memory are created (TestPagesOfAJob) or count as not applied (goldenPageApplied); what they check is the same.

--- a/internal/coordination/completions.go
+++ b/internal/coordination/completions.go
@@ -216,11 +216,18 @@
 		return // applied later, with the job's pages
 	}
 	log := c.writer.completions.log
-	if completion.Index >= r.spec.Tasks || r.status == job.Done || c.pageOf(r, completion.Index).tasks == nil {
+	if completion.Index >= r.spec.Tasks || r.status == job.Done {
+		log.RemoveTask(completion.Task)
+		return
+	}
+	p := c.findPageOf(r, completion.Index)
+	switch {
+	case p == nil && !r.final():
+		return // applied later, with the page
+	case p == nil || p.tasks == nil:
 		log.RemoveTask(completion.Task)
 		return
 	}
-	p := c.pageOf(r, completion.Index)
 	index := completion.Index - p.firstTask
 	task := &p.tasks[index]
 	switch {
--- a/internal/coordination/dispatch.go
+++ b/internal/coordination/dispatch.go
@@ -1,10 +1,10 @@
 package coordination
 
 import (
+	"maps"
 	"sort"
 	"time"
 
-	"silvergate/internal/job"
 	"silvergate/internal/peer"
 )
 
@@ -14,6 +14,33 @@
 // 269 s with one page in dispatch and 162 s with four.
 const maxPagesInFlight = 4
 
+// Bounds on the tasks in dispatch of all jobs together, so that the memory of a controller does not
+// follow the number of waiting tasks.
+const (
+	dispatchMemoryShare = 0.04 // of the memory limit, for the tasks in dispatch
+	dispatchedTaskBytes = 256  // that a task in dispatch takes: its queue entry and the maps that hold it
+)
+
+// maxTasksInDispatch returns how many tasks of all jobs together may be in dispatch. Beyond that, each
+// further job has one.
+func (c *Core) maxTasksInDispatch() int {
+	return int(c.cfg.Facts.Limits.RAMMB * (1 << 20) * dispatchMemoryShare / dispatchedTaskBytes)
+}
+
+// updateDispatchWindow sets how many tasks of a job may be in dispatch: a few pages' worth, but at
+// most what the more urgent jobs leave.
+func (c *Core) updateDispatchWindow(r *jobRecord) {
+	largest := maxPagesInFlight * c.tasksPerPage()
+	left := c.maxTasksInDispatch() - c.scheduler.inDispatch
+	r.dispatchWindow = min(largest, max(1, left))
+	if r.dispatchWindow == largest {
+		return
+	}
+	maps.DeleteFunc(r.dispatchAfter, func(index int, at time.Duration) bool {
+		return at <= c.now && r.queuedByIndex[index] == nil
+	})
+}
+
 // dispatchJob places a job's pending tasks on this controller's idle machines as far as they
 // fit, and probes peers for the rest.
 func (c *Core) dispatchJob(r *jobRecord) {
@@ -25,29 +52,27 @@
 		return
 	}
 	var unplaced []int
-	// The limit guards against the largest jobs: a few pages' worth of tasks in dispatch
-	// is enough, and 100,000 tasks would fill queues and messages.
+	// The limit guards against the largest jobs, whose tasks would fill queues and messages.
+	c.updateDispatchWindow(r)
 	pending, noneFits := 0, false
-	for _, p := range r.pages {
-		for j := 0; j < len(p.tasks) && p.pending > 0 && pending < maxPagesInFlight*c.tasksPerPage(); j++ {
-			if p.tasks[j].Phase != job.Pending {
-				continue
-			}
-			pending++
-			i := p.firstTask + j
-			if r.queuedByIndex[i] != nil || c.now < r.dispatchAfter[i] || !c.placeable(r, i) {
-				continue
-			}
-			if noneFits { // a job's tasks are alike: if one does not fit, none does
-				unplaced = append(unplaced, i)
-				continue
-			}
-			if !c.placeOnIdleMachine(r, i) { // step 2 of the thesis
-				noneFits = true
-				unplaced = append(unplaced, i)
-			}
+	for i := range r.pendingTasks() {
+		if pending == r.dispatchWindow {
+			break
+		}
+		pending++
+		if r.queuedByIndex[i] != nil || c.now < r.dispatchAfter[i] || !c.placeable(r, i) {
+			continue
+		}
+		if noneFits { // a job's tasks are alike: if one does not fit, none does
+			unplaced = append(unplaced, i)
+			continue
+		}
+		if !c.placeOnIdleMachine(r, i) { // step 2 of the thesis
+			noneFits = true
+			unplaced = append(unplaced, i)
 		}
 	}
+	c.scheduler.inDispatch += pending
 	c.probe(r, unplaced)
 }
 
--- a/internal/coordination/explain.go
+++ b/internal/coordination/explain.go
@@ -76,7 +76,10 @@
 
 // describeProposals describes the changes of a task that this controller has yet to commit.
 func (c *Core) describeProposals(r *jobRecord, index int) string {
-	p := c.pageOf(r, index)
+	p := c.findPageOf(r, index)
+	if p == nil {
+		return ""
+	}
 	out := ""
 	for i := range p.queue {
 		change := &p.queue[i]
--- a/internal/coordination/job_table.go
+++ b/internal/coordination/job_table.go
@@ -22,7 +22,7 @@
 	// addedSinceSweep holds the jobs that were added to the open jobs since then.
 	openByUrgency   []*jobRecord
 	addedSinceSweep []*jobRecord
-	orphanPages     map[string]orphanPage // pages that were read before their jobs, by name
+	orphanPages     map[string][]orphanPage // by job: pages that were read before the job
 	teams           map[string]*team
 }
 
@@ -30,7 +30,7 @@
 	return jobTable{
 		byID:        map[string]*jobRecord{},
 		open:        map[string]*jobRecord{},
-		orphanPages: map[string]orphanPage{},
+		orphanPages: map[string][]orphanPage{},
 		teams:       map[string]*team{},
 	}
 }
@@ -75,7 +75,7 @@
 	gangState
 	failureState
 
-	pages        []*page
+	pages        []*page              // those in memory, by number; see page_table.go
 	bound        int                  // bound tasks
 	finished     int                  // finished tasks
 	lastAttempt  int                  // the highest attempt number of its tasks
@@ -98,6 +98,7 @@
 	queue           []*queuedTask         // tasks queued for machines of this controller, by index
 	queuedByIndex   map[int]*queuedTask   // the same tasks
 	dispatchAfter   map[int]time.Duration // when tasks that were sent to another controller may be dispatched again
+	dispatchWindow  int                   // how many of its tasks may be in dispatch, as of the last dispatch
 	latestStart     float64               // see updateJobOrder
 	targetDuration  float64               // see Core.targetDuration
 	withinGuarantee bool                  // fits into its team's guarantee together with the team's older jobs
@@ -136,22 +137,6 @@
 // final reports whether the job is done or cancelled.
 func (r *jobRecord) final() bool { return r.status != job.Open }
 
-// task returns the job's task of an index. It returns nil if the job has no such task, or if
-// the job is final and its page's tasks were dropped from memory.
-func (r *jobRecord) task(c *Core, index int) *job.Task {
-	if index < 0 || index >= r.spec.Tasks {
-		return nil
-	}
-	p := c.pageOf(r, index)
-	if p.tasks == nil {
-		return nil
-	}
-	return &p.tasks[index-p.firstTask]
-}
-
-// pageOf returns the page that holds a task of the job.
-func (c *Core) pageOf(r *jobRecord, index int) *page { return r.pages[index/c.tasksPerPage()] }
-
 // applyJob applies a change of a job's record.
 func (c *Core) applyJob(id string, data json.RawMessage, revision uint64) {
 	if data == nil {
@@ -196,7 +181,6 @@
 	r := &jobRecord{tasksByZone: map[string]int{}}
 	r.spec = spec
 	r.targetDuration = c.targetDuration(spec)
-	r.pages = newPages(r, c.tasksPerPage())
 	return r
 }
 
@@ -213,14 +197,24 @@
 	}
 }
 
+// addOrphanPage keeps a page of a job that has not been read yet, in place of an older record of the
+// same page.
+func (t *jobTable) addOrphanPage(jobID string, orphan orphanPage) {
+	orphans := t.orphanPages[jobID]
+	sameName := func(other orphanPage) bool { return other.name == orphan.name }
+	if at := slices.IndexFunc(orphans, sameName); at >= 0 {
+		orphans[at] = orphan
+		return
+	}
+	t.orphanPages[jobID] = append(orphans, orphan)
+}
+
 // applyOrphanPages applies the pages of a job that were read before the job's record.
 func (c *Core) applyOrphanPages(r *jobRecord) {
-	for _, p := range r.pages {
-		name := p.name()
-		if orphan, ok := c.jobs.orphanPages[name]; ok {
-			delete(c.jobs.orphanPages, name)
-			c.applyPage(name, orphan.data, orphan.revision)
-		}
+	orphans := c.jobs.orphanPages[r.spec.ID]
+	delete(c.jobs.orphanPages, r.spec.ID)
+	for _, orphan := range orphans {
+		c.applyPage(orphan.name, orphan.data, orphan.revision)
 	}
 }
 
--- a/internal/coordination/job_table_test.go
+++ b/internal/coordination/job_table_test.go
@@ -56,10 +56,13 @@
 		{"a page for each task", 1, []int{1, 1, 1, 1, 1}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			pages := newPages(tableJob("wk-000001", 1, 0), test.tasksPerPage)
+			r := tableJob("wk-000001", 1, 0)
+			for number := r.pageCount(test.tasksPerPage) - 1; number >= 0; number-- {
+				r.ensurePage(number, test.tasksPerPage)
+			}
 			var sizes []int
 			first := 0
-			for i, p := range pages {
+			for i, p := range r.pages {
 				if p.number != i || p.firstTask != first || len(p.tasks) != p.size || p.pending != p.size {
 					t.Errorf("page %d: number %d, first task %d, %d tasks, %d pending", i, p.number, p.firstTask, len(p.tasks), p.pending)
 				}
--- a/internal/coordination/page.go
+++ b/internal/coordination/page.go
@@ -33,6 +33,7 @@
 
 // orphanPage is the record of a page that was read before its job's record.
 type orphanPage struct {
+	name     string
 	data     json.RawMessage
 	revision uint64
 }
@@ -43,22 +44,21 @@
 // pageKey returns the key of a page in the state service.
 func pageKey(jobID string, number int) string { return keyPage + pageName(jobID, number) }
 
-// newPages returns the pages of a job, with all tasks pending.
-func newPages(r *jobRecord, tasksPerPage int) []*page {
-	var pages []*page
-	for first := 0; first < r.spec.Tasks; first += tasksPerPage {
-		size := min(tasksPerPage, r.spec.Tasks-first)
-		pages = append(pages, &page{
-			job:       r,
-			jobID:     r.spec.ID,
-			number:    len(pages),
-			firstTask: first,
-			size:      size,
-			tasks:     make([]job.Task, size),
-			pending:   size,
-		})
-	}
-	return pages
+// newPage returns a page of a job, with all tasks pending. If the job is final, the page's tasks are
+// not allocated.
+func newPage(r *jobRecord, number, tasksPerPage int) *page {
+	first := number * tasksPerPage
+	p := &page{
+		job:       r,
+		jobID:     r.spec.ID,
+		number:    number,
+		firstTask: first,
+		size:      min(tasksPerPage, r.spec.Tasks-first),
+	}
+	if !r.final() {
+		p.reallocateTasks()
+	}
+	return p
 }
 
 func (p *page) name() string { return pageName(p.jobID, p.number) }
@@ -80,6 +80,20 @@
 	p.done = 0
 }
 
+// dropFinishedTasks frees the memory of the tasks of an open job's page if all of them have
+// finished: they never change again, and the record is read anew should it do so.
+func (c *Core) dropFinishedTasks(p *page) {
+	unfinished := func(t job.Task) bool { return t.Phase != job.Finished }
+	if p.pending > 0 || len(p.queue) > 0 || slices.ContainsFunc(p.tasks, unfinished) {
+		return
+	}
+	if c.writer.completions.hasCompletionFor(p) {
+		return
+	}
+	p.tasks = nil
+	p.done = p.size
+}
+
 // dropTasks frees the memory of the tasks of a page whose job is final, unless one of them is
 // bound or has an open completion in the log: memory must not grow with the number of tasks
 // ever submitted. Answers to users need only the counts.
@@ -113,14 +127,14 @@
 	r := c.jobs.byID[id]
 	if r == nil {
 		// A copy, since data is a slice of the response's buffer.
-		c.jobs.orphanPages[name] = orphanPage{data: bytes.Clone(data), revision: revision}
+		c.jobs.addOrphanPage(id, orphanPage{name: name, data: bytes.Clone(data), revision: revision})
 		return
 	}
 	k, err := strconv.Atoi(number)
-	if err != nil || k < 0 || k >= len(r.pages) || data == nil {
+	if err != nil || k < 0 || k >= r.pageCount(c.tasksPerPage()) || data == nil {
 		return
 	}
-	p := r.pages[k]
+	p := r.ensurePage(k, c.tasksPerPage())
 	p.reallocateTasks()
 	if r.final() {
 		defer c.dropTasks(p)
@@ -134,6 +148,9 @@
 	c.writer.changeBuffer = changes
 	p.revision = revision
 	c.applyTaskChanges(p, changes)
+	if !r.final() && len(changes) > 0 {
+		c.dropFinishedTasks(p)
+	}
 }
 
 // applyTaskChanges applies the changed tasks of a page to the mirror and its indexes.
--- a/internal/coordination/page_draft.go
+++ b/internal/coordination/page_draft.go
@@ -266,7 +266,7 @@
 	p := d.page
 	r := p.job
 	batch.ops = append(batch.ops, protocol.Op{Put: p.key(), Value: d.core.encodePage(d.tasks)})
-	spansPages := len(r.pages) > 1 && (r.spec.OneZone || r.spec.Spread)
+	spansPages := r.spec.Tasks > d.core.tasksPerPage() && (r.spec.OneZone || r.spec.Spread)
 	switch {
 	case d.finishedTasks() == r.spec.Tasks && r.status == job.Open:
 		// Finished tasks stay finished, so the other pages need no condition.
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -108,17 +108,26 @@
 }
 
 // retryQueuedTasks probes peers again for the queued tasks of our own jobs once
-// PublishInterval has passed: machines may have become free at other controllers.
+// PublishInterval has passed: machines may have become free at other controllers. Tasks beyond
+// their job's dispatch window, which shrinks as more urgent jobs arrive, leave the queue.
 func (c *Core) retryQueuedTasks() {
 	for _, r := range slices.Clone(c.scheduler.queuedJobs) {
-		var retry []int
-		for _, queued := range r.queue {
+		var retry, dropped []int
+		for position, queued := range r.queue {
 			index := queued.key.index
 			due := r.dispatchAfter[index] + c.cfg.Operator.PublishInterval
-			if queued.expiresAt == 0 && c.now >= queued.nextPreemptionAt && c.now >= due {
+			switch {
+			case queued.expiresAt != 0 || c.now < queued.nextPreemptionAt || c.now < due:
+			case position >= r.dispatchWindow && c.isResponsibleFor(r):
+				dropped = append(dropped, index)
+			default:
 				retry = append(retry, index)
 			}
 		}
+		for _, i := range dropped {
+			c.scheduler.dequeueTask(r, i)
+			delete(r.dispatchAfter, i)
+		}
 		for _, i := range retry {
 			r.deferDispatch(i, c.now)
 			c.scheduler.dequeueTask(r, i)
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -153,7 +153,10 @@
 	if c.writer.completions.queued[taskKey{record.spec.ID, index}] {
 		return true
 	}
-	page := c.pageOf(record, index)
+	page := c.findPageOf(record, index)
+	if page == nil {
+		return false
+	}
 	for i := range page.queue {
 		if page.queue[i].index == index-page.firstTask && !page.queue[i].placement {
 			return true
--- a/internal/coordination/scheduler.go
+++ b/internal/coordination/scheduler.go
@@ -11,6 +11,7 @@
 	idle                []*machine   // machines with room
 	queuedJobs          []*jobRecord // jobs with queued tasks, most urgent first
 	queuedTasks         int
+	inDispatch          int                       // tasks in dispatch of the jobs that were dispatched since the last sweep began
 	earlyHandoffs       map[string][]earlyHandoff // by job: handoffs that arrived before the job's record
 	capacity            usage                     // of all machines
 	capacityAt          time.Duration             // when capacity was last summed
@@ -35,6 +36,7 @@
 		}
 	}
 	c.updateGangReservation(c.jobs.openByUrgency)
+	c.scheduler.inDispatch = 0
 	for _, r := range c.jobs.openByUrgency {
 		switch {
 		case r.finished == r.spec.Tasks:
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -207,9 +207,9 @@
 			t.Logf("%s does not know the job", n.name)
 			continue
 		}
-		t.Logf("%s: %+v status %s owner %s bound %d held %d zones %v retry in %v failed on %v tasks %v queue %d in flight %v leads %v gang %v team %+v idle %v offers %v",
-			n.name, *r.spec, r.status, r.owner, r.bound, len(r.reservations), r.tasksByZone, r.retryAt-c.now, r.failedOn, r.pages[0].tasks, len(r.pages[0].queue),
-			r.pages[0].inFlight, c.isLeader(), c.gangs.reservation, c.jobs.teamOf(r).charged, c.scheduler.idle, r.offers)
+		t.Logf("%s: %+v status %s owner %s bound %d held %d zones %v retry in %v failed on %v pages %s leads %v gang %v team %+v idle %v offers %v",
+			n.name, *r.spec, r.status, r.owner, r.bound, len(r.reservations), r.tasksByZone, r.retryAt-c.now, r.failedOn, describePages(r),
+			c.isLeader(), c.gangs.reservation, c.jobs.teamOf(r).charged, c.scheduler.idle, r.offers)
 		if c.isLeader() {
 			t.Logf("  rentals %+v refused %v now %v free %v listed %d deleted at %v drains %v", c.scaler.rentals, c.scaler.refusedUntil, c.now, s.cloud.capacity, len(c.scaler.cloudMachines), c.scaler.deletedAt, c.machines.drains)
 		}
@@ -221,6 +221,14 @@
 	}
 }
 
+// describePages returns the pages of a job that are in memory, with what waits to be written.
+func describePages(r *jobRecord) (out string) {
+	for _, p := range r.pages {
+		out += fmt.Sprintf("[page %d: tasks %v queue %d in flight %v]", p.number, p.tasks, len(p.queue), p.inFlight)
+	}
+	return out
+}
+
 // traceWriter writes the controllers' log lines to the trace, prefixed with the simulated time.
 type traceWriter struct{ s *sim }
 
--- a/internal/coordination/stored_keys_test.go
+++ b/internal/coordination/stored_keys_test.go
@@ -108,6 +108,6 @@
 		return false
 	}
 	c.applyChange("sg/j/wk-000042", data, 1)
-	p := c.jobs.byID["wk-000042"].pages[0]
-	return reflect.DeepEqual(p.tasks, goldenTasks()) && p.revision == 99
+	p := c.jobs.byID["wk-000042"].findPage(0)
+	return p != nil && reflect.DeepEqual(p.tasks, goldenTasks()) && p.revision == 99
 }
