coordination: the fleet is planned for whole gangs, and not for those that it can't hold

Cause, as the reviewer guessed: tasksToPack plans two pages of a job's tasks, 256, as enough for independent tasks; a gang needs room for all at once. The machines that were rented for the 256 count as used by the plan, so they are never given back.

Fix: the planner packs a gang whole. If the cloud has refused all that the gang may use since the attempt began, and the machines that there are could not hold it even if all work but services had ended, nothing is kept for it: the packing is rolled back, the machines become idle and are given back, and rentals are tried again after 2, 4, ... 64 gang_wait_s. Meanwhile it is packed if the fleet holds all of it. A gang beyond its team's limit gets no machines before the limit is saved for it. A plan rents at most 1,000 machines, so that its size does not follow the waiting tasks either. All of this is the leader's memory; nothing is stored.

The simulated gangs of these tests wait for each other, which simulated workers did not.

--- a/internal/coordination/bin_packing.go
+++ b/internal/coordination/bin_packing.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"silvergate/internal/job"
@@ -55,6 +57,15 @@
 	urgent         map[offering]bool // offerings that production work waits for
 	unplaceable    int               // tasks for which no machine can be rented
 	firstOpenSlot  int               // slots before this one have no room for any open job
+	planned        int               // slots of machines that are still to be rented
+	rentalsStopped bool              // no further machines are planned
+	undo           []slotChange      // the slots changed since the last checkpoint, as they were before
+}
+
+// slotChange is a slot and its state before tasks were added to it.
+type slotChange struct {
+	slot   *slot
+	before slot
 }
 
 func newBinPacking(types map[string]*protocol.MachineType, refused func(offering) bool, cpuOnlyWork bool) *binPacking {
@@ -93,16 +104,25 @@
 	})
 }
 
-// packTasks packs n tasks of a job. tasksByZone counts the job's tasks in each zone if they must
-// be spread over zones, and is nil otherwise.
-func (p *binPacking) packTasks(spec *job.Spec, n int, tasksByZone map[string]int) {
+// maxPlannedMachines is the most machines that a packing plans to rent: more than the cloud is asked
+// for until the next packing, so that the size of a packing does not follow the waiting tasks.
+const maxPlannedMachines = 20 * maxRentalCount
+
+// packTasks packs n tasks of a job, and returns how many of them were left. tasksByZone counts the
+// job's tasks in each zone if they must be spread over zones, and is nil otherwise.
+func (p *binPacking) packTasks(spec *job.Spec, n int, tasksByZone map[string]int) (left int) {
 	p.skipFullSlots()
 	slotIndex := p.firstOpenSlot // a job's tasks are alike: a slot that does not fit one fits none
+	changed := -1                // the last slot that was recorded for undo
 	for ; n > 0; n-- {
 		for slotIndex < len(p.slots) && !(p.slots[slotIndex].fits(spec) && spreadAllows(spec, tasksByZone, p.slots[slotIndex].offering.zone)) {
 			slotIndex++
 		}
 		if slotIndex < len(p.slots) {
+			if changed != slotIndex {
+				changed = slotIndex
+				p.undo = append(p.undo, slotChange{p.slots[slotIndex], *p.slots[slotIndex]})
+			}
 			p.slots[slotIndex].add(spec)
 			if tasksByZone != nil {
 				tasksByZone[p.slots[slotIndex].offering.zone]++
@@ -110,15 +130,44 @@
 			continue
 		}
 		offer, found := p.cheapestOffering(spec, tasksByZone)
-		if !found {
+		if !found || p.rentalsStopped || p.planned >= maxPlannedMachines {
 			p.unplaceable += n
-			return
+			return n
 		}
 		p.planMachine(offer, spec)
 		if tasksByZone != nil {
 			tasksByZone[offer.zone]++
 		}
 	}
+	return 0
+}
+
+// packingCheckpoint is a state of a packing to which it can be rolled back.
+type packingCheckpoint struct {
+	slots       int
+	planned     int
+	unplaceable int
+	toRent      map[offering]int
+	urgent      map[offering]bool
+}
+
+// checkpoint returns the present state of the packing. A checkpoint is void once another one is made.
+func (p *binPacking) checkpoint() packingCheckpoint {
+	p.undo = p.undo[:0]
+	return packingCheckpoint{len(p.slots), p.planned, p.unplaceable, maps.Clone(p.toRent), maps.Clone(p.urgent)}
+}
+
+// rollBack undoes what was packed since the last checkpoint.
+func (p *binPacking) rollBack(to packingCheckpoint) {
+	for _, change := range slices.Backward(p.undo) {
+		*change.slot = change.before
+	}
+	p.undo = p.undo[:0]
+	p.slots = p.slots[:to.slots]
+	p.planned = to.planned
+	p.unplaceable = to.unplaceable
+	p.toRent = to.toRent
+	p.urgent = to.urgent
 }
 
 // spreadAllows reports whether another task of a job may go to a zone; tasksByZone is nil for a
@@ -144,6 +193,7 @@
 	s := &slot{offering: offer, cpus: machineType.CPUs, gpus: machineType.GPUs, memoryGB: machineType.MemoryGB, planned: true}
 	s.add(spec)
 	p.slots = append(p.slots, s)
+	p.planned++
 	p.toRent[offer]++
 	p.urgent[offer] = p.urgent[offer] || spec.Priority == job.Production
 }
--- a/internal/coordination/fleet_leadership.go
+++ b/internal/coordination/fleet_leadership.go
@@ -24,7 +24,8 @@
 	// started.
 	inheritedMachines int
 	nextPlanAt        time.Duration
-	zoneViews         map[string]zoneView // by controller
+	zoneViews         map[string]zoneView      // by controller
+	shortages         map[string]*gangShortage // by job: gangs that the fleet can't hold
 	unshipped         *unshippedOutput
 }
 
@@ -34,6 +35,7 @@
 		rentalState:   newRentalState(),
 		deletionState: newDeletionState(),
 		zoneViews:     map[string]zoneView{},
+		shortages:     map[string]*gangShortage{},
 		unshipped:     unshipped,
 	}
 }
--- a/internal/coordination/fleet_plan.go
+++ b/internal/coordination/fleet_plan.go
@@ -12,6 +12,7 @@
 // It provisions machines for tasks that do not fit, and drains machines that have been unused
 // for a while.
 func (c *Core) planFleet() {
+	c.scaler.forgetShortages(c.jobs.open)
 	p := c.newFleetPlan()
 	p.addMachines()
 	p.addCloudMachines()
@@ -141,7 +142,11 @@
 		if spec.OneZone && spec.Zone == "" && n > 1 {
 			spec = p.pinZone(r.spec, n, c.cfg.Facts.Zones, r.tasksByZone)
 		}
-		p.packTasks(spec, n, tasksByZone(r))
+		if isGang(r) {
+			p.packGang(r, spec, n)
+		} else {
+			p.packTasks(spec, n, tasksByZone(r))
+		}
 	}
 }
 
@@ -157,10 +162,15 @@
 	if !ok {
 		used = team.charged
 	}
-	// There is no need to plan for more than two pages of tasks at a time.
-	pending := min(r.spec.Tasks-r.bound-r.finished, 2*c.tasksPerPage())
-	if !isGang(r) {
-		pending = c.failureHistory(r).MaxStartingTasks(pending)
+	pending := r.unplacedTasks()
+	if isGang(r) {
+		// A gang that exceeds its team's limit needs no machines until the limit is saved for it.
+		if !team.withinLimit(used.plus(r.spec, float64(pending))) && team.savingFor != r {
+			return 0
+		}
+	} else {
+		// The tasks are independent: there is no need to plan for more than two pages of them at a time.
+		pending = c.failureHistory(r).MaxStartingTasks(min(pending, 2*c.tasksPerPage()))
 	}
 	for ; n < pending && team.withinLimit(used.plus(r.spec, 1)); n++ {
 		used = used.plus(r.spec, 1)
--- a/internal/coordination/page_table.go
+++ b/internal/coordination/page_table.go
@@ -81,6 +81,9 @@
 	return &neverStarted
 }
 
+// unplacedTasks returns how many tasks of a job are neither bound nor finished.
+func (r *jobRecord) unplacedTasks() int { return r.spec.Tasks - r.bound - r.finished }
+
 // pendingTasks yields the indexes of the job's pending tasks in ascending order. Pages may be
 // created while it runs.
 func (r *jobRecord) pendingTasks() iter.Seq[int] {
--- a/internal/coordination/scale_out.go
+++ b/internal/coordination/scale_out.go
@@ -33,6 +33,8 @@
 	rentalSequence int                        // number in the name of this controller's last request
 	refusedUntil   map[offering]time.Duration // offerings without capacity: not to be requested before
 	refusals       map[offering]int           // consecutive refusals
+	refusedAt      map[offering]time.Duration // time of the last refusal, unless a request was filled since
+	recordedAt     map[offering]time.Duration // when the last rental was recorded
 }
 
 func newRentalState() rentalState {
@@ -40,6 +42,8 @@
 		rentals:      map[string]*rental{},
 		refusedUntil: map[offering]time.Duration{},
 		refusals:     map[offering]int{},
+		refusedAt:    map[offering]time.Duration{},
+		recordedAt:   map[offering]time.Duration{},
 	}
 }
 
@@ -96,12 +100,22 @@
 			if toRent[offer] -= maxRentalCount; toRent[offer] > 0 {
 				remaining = append(remaining, offer)
 			}
-			f.refusedUntil[offer] = max(f.refusedUntil[offer], c.now+time.Second) // until the mirror shows the record
+			f.refusedUntil[offer] = max(f.refusedUntil[offer], c.now+rentalRecordTime)
+			f.recordedAt[offer] = c.now
 		}
 		offerings = remaining
 	}
 }
 
+// rentalRecordTime is how long it may take until the mirror shows the record of a rental.
+const rentalRecordTime = time.Second
+
+// recordingAt reports whether the record of a rental of an offering may not be in the mirror yet.
+func (f *rentalState) recordingAt(offer offering, now time.Duration) bool {
+	at, recorded := f.recordedAt[offer]
+	return recorded && now-at < rentalRecordTime
+}
+
 // sortedOfferings returns the offerings sorted by machine type and zone, on demand before spot.
 func sortedOfferings(toRent map[offering]int) (offerings []offering) {
 	for offer := range toRent {
@@ -197,6 +211,7 @@
 		c.backOffOffering(r.offering())
 	} else {
 		c.scaler.refusals[r.offering()] = 0
+		delete(c.scaler.refusedAt, r.offering())
 	}
 	if len(machines) == 0 {
 		c.dropRental(name)
@@ -223,6 +238,7 @@
 // maxRefusalBackoff.
 func (f *rentalState) backOff(offer offering, now, period time.Duration) {
 	f.refusals[offer]++
+	f.refusedAt[offer] = now
 	f.refusedUntil[offer] = now + period*time.Duration(min(f.refusals[offer], maxRefusalBackoff))
 }
 
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -50,6 +50,7 @@
 	skipLaunchOrderCheck bool               // checkLaunchOrder is off, because faults delay when controllers learn that a placement was committed
 	completionLog        bool               // controllers write the completion log
 	perWorkerFailover    bool               // workers fail over one by one, not as a group
+	gangsWait            bool               // the tasks of a gang wait for each other, see gangRun
 	output               *simOutputOptions  // what tasks write is shipped to an archive; nil: there is none
 }
 
--- a/internal/coordination/sim_user_test.go
+++ b/internal/coordination/sim_user_test.go
@@ -38,6 +38,7 @@
 	startDelay         time.Duration // from the submission to the first start, not counting outages
 	outageAtSubmission time.Duration // simCounts.outage at the submission
 	tasksStarted       int           // tasks that have started at least once
+	gangsStarted       int           // attempts in which all tasks of the gang ran together, if simOptions.gangsWait is set
 	lastStarts         []lastStart   // by task index
 	restarts           int           // starts of tasks that had started on a machine that is still up in the same agent epoch
 }
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -455,6 +455,10 @@
 	if u.spec.Shape == job.Service {
 		return
 	}
+	if s.waitsForGang(u.spec) {
+		w.joinGang(u, task)
+		return
+	}
 	s.after(seconds(u.runtimeS+u.runtimeStepS*float64(task.index)), func() { w.finishTask(u, task, task.generation) })
 }
 
