coordination: a gang is placed by as few transactions as possible, and completed if one fails

Others waited gang_wait_s for nothing when one of their transactions failed.

Cause: each page of a gang was a transaction of its own. With a zone constraint each rewrites the job's record, so those sent together refuse each other; only the team's record, one transaction at a time, kept them apart. What was committed blocked the rest: a gang of which a task was bound was not placed any further.

Fix: a transaction takes as many pages of a gang as fit, its job's and its team's record once, and all of them are given up if one placement is not valid any more. Pages of a job whose zones depend on each other wait for each other. A gang that is placed in part, its other tasks never in this attempt, can't have started; the rest is placed with the same attempt number, and what searches, holds and offers room for gangs does so for it too. Room is counted before it is reserved, and a gang's zones are counted once a page, not once a task.

--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -1,30 +1,24 @@
 package coordination
 
-// A gang is a job whose tasks start together: the controller responsible for the job binds
-// all tasks in one transaction, on its own machines and on machines that peers have offered.
+// A gang is a job whose tasks start together: once there is room for all of them, the controller
+// responsible for the job binds them, on its own machines and on machines that peers have offered. A
+// gang that fits into one transaction is bound by one; a larger one, whose tasks wait for each other on
+// their machines, by several.
 // A record in the state service, written under a lease, holds the reservation for one waiting
 // gang at a time. Only that gang holds the room it has found and requests more from peers; other
 // gangs release the room that they find unless it is enough for all their tasks.
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"silvergate/internal/job"
-	"silvergate/internal/peer"
 )
 
 // isGang reports whether a job must start several tasks at once.
 func isGang(r *jobRecord) bool { return r.spec.Shape == job.Gang && r.spec.Tasks > 1 }
 
-// peerOffer is a peer's promise of room for a gang on a machine that the peer owns. It is valid
-// for one claim and one agent epoch of the machine.
-type peerOffer struct {
-	epoch         uint64
-	claimRevision uint64
-	expiresAt     time.Duration
-}
-
 // holdTime returns how long room is held for a gang after a request: long enough for the
 // request to be repeated.
 func (c *Core) holdTime() time.Duration { return 2 * c.cfg.Operator.PublishInterval }
@@ -40,380 +34,167 @@
 	return ok && !drained && o.claimRevision == m.token && o.epoch == epoch && c.now < o.expiresAt
 }
 
+// partlyPlaced reports whether some tasks of a gang's latest attempt are bound and the others were
+// never placed in it. A gang may need several transactions, of which some may fail. It can't have
+// started then, so the others are placed with the same attempt number.
+func (r *jobRecord) partlyPlaced() bool {
+	if !isGang(r) || r.bound == 0 || r.bound+r.finished >= r.spec.Tasks {
+		return false
+	}
+	for _, p := range r.pages {
+		for i := range p.tasks {
+			t := &p.tasks[i]
+			if t.Phase != job.Finished && (t.Phase == job.Bound) != (t.Attempt == r.lastAttempt) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// awaitsRoom reports whether a gang, none of whose tasks is being placed, may be started or its start
+// completed once there is room: all tasks of earlier attempts have ended.
+func (r *jobRecord) awaitsRoom() bool {
+	return len(r.reservations) == 0 && (r.bound == 0 || r.partlyPlaced())
+}
+
+// gangZones returns the zones in which a gang may start, each of which has to hold all its tasks; "" is
+// all zones together.
+func (c *Core) gangZones(r *jobRecord) []string {
+	if !r.spec.OneZone {
+		return []string{""}
+	}
+	for _, zone := range c.cfg.Facts.Zones {
+		if r.tasksByZone[zone] > 0 {
+			return []string{zone}
+		}
+	}
+	return c.cfg.Facts.Zones
+}
+
 // startGang starts a gang if there is room for all its tasks and none of them is still bound
 // from an earlier attempt or being placed.
 func (c *Core) startGang(r *jobRecord) {
-	if r.bound > 0 || len(r.reservations) > 0 || c.now < r.retryAt {
+	if c.now < r.retryAt || !r.awaitsRoom() {
 		return
 	}
 	team := c.jobs.teamOf(r)
-	need := r.spec.Tasks - r.finished
+	need := r.unplacedTasks()
 	if team == nil || !team.withinLimit(team.charged.plus(r.spec, float64(need))) {
 		return
 	}
-	zones := []string{""}
-	if r.spec.OneZone {
-		zones = c.cfg.Facts.Zones
-	}
-	mostPicked := 0
-	var bestZone string
+	zones := c.gangZones(r)
+	var best gangRoom
 	for _, zone := range zones {
-		picked := c.reserveGang(r, zone)
-		if len(picked) == need {
-			c.proposeGang(r, picked)
+		room := c.findGangRoom(r, zone, need)
+		if room.tasks == need {
+			c.placeGang(r, room)
 			return
 		}
-		for _, i := range picked {
-			c.unreserve(r, i)
-		}
-		if len(picked) > mostPicked {
-			mostPicked, bestZone = len(picked), zone
+		if room.tasks > best.tasks {
+			best = room
 		}
 	}
 	if !c.holdsGangReservation(r) || c.requestBlock(r, zones, need) {
 		return
 	}
-	c.holdRoom(r, bestZone)
+	for _, share := range best.shares {
+		share.machine.reserveRoom(r.spec.ID, c.now+c.holdTime(), "")
+	}
 	c.requestIdleRoom(r)
 }
 
-// proposeGang proposes the placements of a gang's tasks, for all of which room is reserved.
-func (c *Core) proposeGang(r *jobRecord, tasks []int) {
-	for _, i := range tasks {
-		m := c.machines.byID[r.reservations[i].machine]
-		epoch := m.epoch
-		if !c.isOwn(m) {
-			epoch = r.offers[m.id].epoch
-		}
-		c.propose(r, i, taskTransition{placement: true, machine: m.id, epoch: epoch, attempt: r.lastAttempt + 1})
-	}
-	c.log.Debug("starting gang", "job", r.spec.ID, "tasks", len(tasks))
+// gangRoom is room that was found for a gang.
+type gangRoom struct {
+	shares []gangShare
+	tasks  int // that the machines hold together
 }
 
-// holdRoom holds the room that is found in a zone for the gang with the reservation.
-func (c *Core) holdRoom(r *jobRecord, zone string) {
-	picked := c.reserveGang(r, zone)
-	for _, i := range picked {
-		m := c.machines.byID[r.reservations[i].machine]
-		m.reserveRoom(r.spec.ID, c.now+c.holdTime(), "")
-	}
-	for _, i := range picked {
-		c.unreserve(r, i)
-	}
+// gangShare is the part of a gang that a machine has room for.
+type gangShare struct {
+	machine *machine
+	tasks   int
 }
 
-// requestIdleRoom requests room for a gang on the idle machines of every peer.
-func (c *Core) requestIdleRoom(r *jobRecord) {
-	if c.now < c.gangs.nextRoomRequestAt {
-		return
-	}
-	c.gangs.nextRoomRequestAt = c.now + c.cfg.Operator.PublishInterval
-	for _, p := range c.cfg.Peers {
-		request := &peer.RoomRequest{Job: r.spec.ID}
-		c.send(p.Node, peer.Message{RoomRequest: request})
-	}
-}
-
-// reserveGang reserves room for as many of a gang's tasks as fit in a zone, or in all zones
-// together if zone is empty, and returns the indexes of those tasks.
-func (c *Core) reserveGang(r *jobRecord, zone string) []int {
-	ids := make([]string, 0, len(c.scheduler.idle)+len(r.offers))
-	for _, m := range c.scheduler.idle {
-		ids = append(ids, m.id)
-	}
-	for id, o := range r.offers {
-		if c.now < o.expiresAt {
-			ids = append(ids, id)
-		}
-	}
-	sort.Strings(ids)
-	var picked []int
-	for i := 0; i < r.spec.Tasks; i++ {
-		if r.task(c, i).Phase != job.Pending {
-			continue
-		}
-		var best *machine
-		for _, id := range ids {
-			m := c.machines.byID[id]
-			if m == nil || (zone != "" && m.claim.Zone != zone) || !c.fits(r, m) {
-				continue
-			}
-			epoch := m.epoch
-			if !c.isOwn(m) {
-				epoch = r.offers[id].epoch
-			}
-			if c.canBindTo(r, m, epoch) {
-				best = m
-				break
-			}
-		}
-		if best == nil {
+// findGangRoom finds room for up to need tasks of a gang in a zone, or in all zones together if zone is
+// empty, on our idle machines and on those that peers offer.
+func (c *Core) findGangRoom(r *jobRecord, zone string, need int) (room gangRoom) {
+	tasksByZone := maps.Clone(r.tasksByZone)
+	for _, id := range c.gangCandidates(r) {
+		if room.tasks == need {
 			break
 		}
-		c.reserve(r, i, best)
-		picked = append(picked, i)
-	}
-	return picked
-}
-
-// requestBlock requests a block for the gang with the reservation: the machines that can be
-// cleared for it at the least loss of work. It reports whether there is a block. Exception
-// "whole blocks": tasks that are placed one by one fragment machines, and a gang that only
-// waits for idle machines rarely finds enough of them at once. The mirror shows what runs on
-// every machine; the owner of a chosen machine stops the tasks of lower priority there, holds the
-// room, and offers it once it is free. A block is kept until one of its machines is lost or
-// drained or half of gang_wait_s has passed; for as long again only room on idle machines is
-// requested.
-func (c *Core) requestBlock(r *jobRecord, zones []string, need int) bool {
-	blockTimeout := seconds(c.cfg.Facts.Workers.GangWait / 2)
-	if len(r.blockMachines) > 0 && c.now-r.blockChosenAt >= blockTimeout {
-		if c.now-r.blockChosenAt < 2*blockTimeout {
-			return false
-		}
-		r.blockMachines = nil
-	}
-	if !c.blockIntact(r) {
-		if c.now < r.blockChosenAt+c.cfg.Operator.PublishInterval && r.blockChosenAt > 0 {
-			return len(r.blockMachines) > 0
-		}
-		r.blockMachines = c.cheapestBlock(r, zones, need)
-		r.blockChosenAt = c.now
-		c.gangs.nextRoomRequestAt = 0
-	}
-	if len(r.blockMachines) == 0 {
-		return false
-	}
-	if c.now >= c.gangs.nextRoomRequestAt {
-		c.gangs.nextRoomRequestAt = c.now + c.cfg.Operator.PublishInterval
-		c.sendBlockRequests(r)
-	}
-	return true
-}
-
-// blockIntact reports whether a block was chosen for a gang and none of its machines is lost or
-// drained.
-func (c *Core) blockIntact(r *jobRecord) bool {
-	for _, id := range r.blockMachines {
-		m := c.machines.byID[id]
-		_, drained := c.machines.drains[id]
-		if m == nil || m.token == 0 || drained {
-			return false
-		}
-	}
-	return len(r.blockMachines) > 0
-}
-
-// sendBlockRequests clears those machines of a gang's block that are ours, and asks the owners
-// of the others to clear theirs.
-func (c *Core) sendBlockRequests(r *jobRecord) {
-	byOwner := map[string][]string{}
-	for _, id := range r.blockMachines {
-		m := c.machines.byID[id]
-		if c.isOwn(m) {
-			c.clearMachine(r, m, c.cfg.Node)
-		} else {
-			byOwner[m.claim.Owner] = append(byOwner[m.claim.Owner], id)
-		}
-	}
-	for _, owner := range sortedKeys(byOwner) {
-		request := &peer.RoomRequest{Job: r.spec.ID, Machines: byOwner[owner]}
-		c.send(owner, peer.Message{RoomRequest: request})
-	}
-	c.log.Debug("requesting machines for a gang", "job", r.spec.ID, "machines", r.blockMachines)
-}
-
-// blockCandidate is a machine that may be cleared for a gang.
-type blockCandidate struct {
-	machineID string
-	zone      string
-	tasks     int     // how many of the gang's tasks the machine holds once cleared
-	cost      float64 // seconds of work lost and of waiting for the image
-}
-
-// cheapestBlock picks machines for a whole gang, regardless of their owners, in the zone where
-// clearing them costs least.
-func (c *Core) cheapestBlock(r *jobRecord, zones []string, need int) []string {
-	anyZone := len(zones) == 1 && zones[0] == ""
-	byZone := map[string][]blockCandidate{}
-	for _, id := range sortedKeys(c.machines.byID) {
 		m := c.machines.byID[id]
-		if !c.mayBeCleared(r, m) {
-			continue
-		}
-		candidate := c.blockCandidate(r, m, need)
-		if candidate.tasks == 0 {
+		if m == nil || (zone != "" && m.claim.Zone != zone) || !c.fits(r, m) || !c.canBindTo(r, m, c.gangEpoch(r, m)) {
 			continue
 		}
-		zone := candidate.zone
-		if anyZone {
-			zone = ""
+		limit := need - room.tasks
+		if r.spec.Spread {
+			limit = min(limit, r.spec.SpreadLimit()-tasksByZone[m.claim.Zone])
 		}
-		byZone[zone] = append(byZone[zone], candidate)
-	}
-	var best []string
-	bestCost := 0.0
-	for _, zone := range zones {
-		ids, cost, found := cheapestCandidates(r.spec, byZone[zone], need)
-		if found >= need && (best == nil || cost < bestCost) {
-			best, bestCost = ids, cost
+		tasks := c.tasksThatFit(r.spec, m, limit)
+		if tasks <= 0 {
+			continue
 		}
+		tasksByZone[m.claim.Zone] += tasks
+		room.shares = append(room.shares, gangShare{m, tasks})
+		room.tasks += tasks
 	}
-	return best
+	return room
 }
 
-// mayBeCleared reports whether a machine may be part of a gang's block.
-func (c *Core) mayBeCleared(r *jobRecord, m *machine) bool {
-	if _, drained := c.machines.drains[m.id]; m.token == 0 || drained || !c.couldHold(r, m) {
-		return false
-	}
-	if c.isOwn(m) && c.unschedulable(m) || !c.alive(m.claim.Owner) {
-		return false
-	}
-	return m.reservedFor == r.spec.ID || c.now >= m.reservedUntil
-}
-
-// blockCandidate computes how many of a gang's tasks, need at most, a machine holds once the
-// work of lower priority there is stopped, and what that costs.
-func (c *Core) blockCandidate(r *jobRecord, m *machine, need int) blockCandidate {
-	machineType := c.machineTypeOf(m)
-	room := slot{cpus: machineType.CPUs - m.cpus, gpus: machineType.GPUs - m.gpus, memoryGB: machineType.MemoryGB - m.memoryGB}
-	cost := c.fetchTime(r.spec, m)
-	for k, v := range m.bound {
-		if v.spec.Priority < r.spec.Priority && !isGang(v) && m.vacated[k] == nil {
-			room.cpus += v.spec.CPUs
-			room.gpus += v.spec.GPUs
-			room.memoryGB += v.spec.MemoryGB
-			cost += (c.now - m.boundAt[k].boundAt).Seconds()
-		}
-	}
-	tasks := 0
-	for tasks < need && room.hasRoomFor(r.spec) {
-		room.add(r.spec)
-		tasks++
+// gangCandidates returns in order the names of the machines that may have room for a gang: our idle
+// machines and those that peers offer.
+func (c *Core) gangCandidates(r *jobRecord) []string {
+	ids := make([]string, 0, len(c.scheduler.idle)+len(r.offers))
+	for _, m := range c.scheduler.idle {
+		ids = append(ids, m.id)
 	}
-	return blockCandidate{m.id, m.claim.Zone, tasks, cost}
-}
-
-// cheapestCandidates picks the candidates with the least cost per task until they hold the
-// gang, and returns their machines, their total cost and how many tasks they hold.
-func cheapestCandidates(spec *job.Spec, candidates []blockCandidate, need int) (ids []string, cost float64, found int) {
-	sort.SliceStable(candidates, func(i, j int) bool {
-		a, b := candidates[i], candidates[j]
-		return a.cost/float64(a.tasks) < b.cost/float64(b.tasks)
-	})
-	tasksInZone := map[string]int{}
-	for i := 0; i < len(candidates) && found < need; i++ {
-		candidate := candidates[i]
-		tasks := min(candidate.tasks, need-found)
-		if spec.Spread {
-			tasks = min(tasks, spec.SpreadLimit()-tasksInZone[candidate.zone])
-			if tasks <= 0 {
-				continue
-			}
-			tasksInZone[candidate.zone] += tasks
+	for id, offer := range r.offers {
+		if c.now < offer.expiresAt {
+			ids = append(ids, id)
 		}
-		ids = append(ids, candidate.machineID)
-		cost += candidate.cost
-		found += tasks
 	}
-	return ids, cost, found
+	slices.Sort(ids)
+	return slices.Compact(ids)
 }
 
-// clearMachine holds a machine's room for a gang and stops the tasks that are in the way.
-// requester is the controller that is notified when the room is free.
-func (c *Core) clearMachine(r *jobRecord, m *machine, requester string) {
-	if c.unschedulable(m) || (m.reservedFor != r.spec.ID && c.now < m.reservedUntil) {
-		return
-	}
-	m.reserveRoom(r.spec.ID, c.now+c.holdTime(), requester)
-	if c.fits(r, m) || len(m.stops) > 0 {
-		return
-	}
-	victims, _, ok := c.pickVictims(r, m, false)
-	if !ok {
-		return
-	}
-	for _, k := range victims {
-		c.stopTask(m, k, "cleared for a gang")
-		c.Stats.Preemptions++
-	}
-}
-
-// offerHeldRoom starts the gang that a machine's room is held for, or offers the room to the
-// peer that requested it for the gang.
-func (c *Core) offerHeldRoom(m *machine) {
-	if m.reservedBy == "" || c.now >= m.reservedUntil {
-		return
-	}
-	r := c.jobs.byID[m.reservedFor]
-	switch {
-	case r == nil || r.final() || r.bound > 0 || !c.fits(r, m):
-	case m.reservedBy == c.cfg.Node:
-		c.startGang(r)
-	default:
-		offer := &peer.RoomOffer{Job: m.reservedFor, Machines: []peer.OfferedMachine{{Machine: m.id, Epoch: m.epoch}}}
-		c.send(m.reservedBy, peer.Message{RoomOffer: offer})
-	}
-}
-
-// offerRoom answers a peer's request for room for its gang. If the request names machines, it
-// clears them and offers those that have room already; otherwise it offers our idle machines.
-func (c *Core) offerRoom(from string, request *peer.RoomRequest) {
-	r := c.jobs.byID[request.Job]
-	if r == nil || r.final() || r.bound > 0 {
-		return
-	}
-	offer := &peer.RoomOffer{Job: request.Job}
-	if request.Machines != nil {
-		offer.Machines = c.offerBlock(r, from, request.Machines)
-	} else {
-		offer.Machines = c.offerIdleMachines(r)
-	}
-	if len(offer.Machines) > 0 {
-		c.send(from, peer.Message{RoomOffer: offer})
+// gangEpoch returns the agent epoch for which tasks of a gang are bound to a machine.
+func (c *Core) gangEpoch(r *jobRecord, m *machine) uint64 {
+	if c.isOwn(m) {
+		return m.epoch
 	}
+	return r.offers[m.id].epoch
 }
 
-// offerBlock clears machines for a peer's gang and returns those that already have room.
-func (c *Core) offerBlock(r *jobRecord, from string, ids []string) (offered []peer.OfferedMachine) {
-	for _, id := range ids {
-		m := c.machines.byID[id]
-		if m == nil || !c.isOwn(m) {
-			continue
-		}
-		c.clearMachine(r, m, from)
-		if !c.unschedulable(m) && c.fits(r, m) {
-			offered = append(offered, peer.OfferedMachine{Machine: id, Epoch: m.epoch})
-		}
+// tasksThatFit returns how many tasks of a job the free resources of a machine hold, at most limit.
+func (c *Core) tasksThatFit(spec *job.Spec, m *machine, limit int) (tasks int) {
+	machineType := c.machineTypeOf(m)
+	cpus, gpus, memoryGB := m.cpus, m.gpus, m.memoryGB
+	for tasks < limit && hasCapacity(machineType, cpus, gpus, memoryGB, spec) {
+		cpus += spec.CPUs
+		gpus += spec.GPUs
+		memoryGB += spec.MemoryGB
+		tasks++
 	}
-	return offered
+	return tasks
 }
 
-// offerIdleMachines holds room on idle machines for a peer's gang and returns the machines.
-func (c *Core) offerIdleMachines(r *jobRecord) (offered []peer.OfferedMachine) {
-	for _, m := range c.scheduler.idle {
-		if !c.unschedulable(m) && c.fits(r, m) && len(offered) < r.spec.Tasks {
-			m.reserveRoom(r.spec.ID, c.now+c.holdTime(), "")
-			offered = append(offered, peer.OfferedMachine{Machine: m.id, Epoch: m.epoch})
+// placeGang reserves room for all unplaced tasks of a gang and proposes their placements, all with the
+// same attempt number.
+func (c *Core) placeGang(r *jobRecord, room gangRoom) {
+	attempt := c.nextAttempt(r)
+	share, placed := 0, 0
+	for index := range r.pendingTasks() {
+		m := room.shares[share].machine
+		c.reserve(r, index, m)
+		c.propose(r, index, taskTransition{placement: true, machine: m.id, epoch: c.gangEpoch(r, m), attempt: attempt})
+		if placed++; placed == room.shares[share].tasks {
+			share, placed = share+1, 0
 		}
-	}
-	return offered
-}
-
-// acceptOffer records the room that a peer offers for a gang, and starts the gang if there is
-// enough room.
-func (c *Core) acceptOffer(offer *peer.RoomOffer) {
-	r := c.jobs.byID[offer.Job]
-	if r == nil || r.final() {
-		return
-	}
-	if r.offers == nil {
-		r.offers = map[string]peerOffer{}
-	}
-	for _, offered := range offer.Machines {
-		if m := c.machines.byID[offered.Machine]; m != nil && m.token != 0 {
-			r.offers[offered.Machine] = peerOffer{offered.Epoch, m.token, c.now + c.holdTime()}
+		if share == len(room.shares) {
+			break
 		}
 	}
-	c.startGang(r)
+	c.log.Debug("starting gang", "job", r.spec.ID, "tasks", room.tasks)
 }
--- a/internal/coordination/gang_reservation.go
+++ b/internal/coordination/gang_reservation.go
@@ -82,7 +82,7 @@
 		c.nextWaitingGang(open, func(other *jobRecord) bool { return other != r }) != nil
 	// A gang that has found no room for a long time leaves the reservation to others.
 	timedOut := noBlock || c.now-c.gangs.reservedAt > seconds(2*c.cfg.Facts.Workers.GangWait)
-	waiting := r != nil && !r.final() && r.bound == 0
+	waiting := r != nil && !r.final() && (r.bound == 0 || r.partlyPlaced())
 	// Guards against a reservation that no controller acts on: a controller that stood in
 	// for the job's owner releases it when the owner returns.
 	if ofThisIncarnation && waiting && !timedOut && c.isResponsibleFor(r) {
@@ -132,11 +132,11 @@
 // allows it to start, or nil.
 func (c *Core) nextWaitingGang(open []*jobRecord, wanted func(*jobRecord) bool) *jobRecord {
 	for _, r := range open {
-		if !isGang(r) || !wanted(r) || r.bound > 0 || len(r.reservations) > 0 || c.now < r.retryAt || c.now < r.nextReservationAt {
+		if !isGang(r) || !wanted(r) || !r.awaitsRoom() || c.now < r.retryAt || c.now < r.nextReservationAt {
 			continue
 		}
 		team := c.jobs.teamOf(r)
-		if team != nil && team.withinLimit(team.charged.plus(r.spec, float64(r.spec.Tasks))) {
+		if team != nil && team.withinLimit(team.charged.plus(r.spec, float64(r.unplacedTasks()))) {
 			return r
 		}
 	}
--- a/internal/coordination/job_table.go
+++ b/internal/coordination/job_table.go
@@ -82,6 +82,8 @@
 	tasksByZone  map[string]int       // bound and reserved tasks by zone
 	reservations map[int]*reservation // tasks that this controller is placing, by index
 	completing   bool                 // a transaction that marks it as done is in flight
+
+	pagesInFlight int // pages whose transaction has not been answered
 }
 
 // mirroredJob is the stored part of a job, as of revision.
--- a/internal/coordination/large_gang_test.go
+++ b/internal/coordination/large_gang_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,6 +54,7 @@
 		{"in one zone", largeGang(300, func(spec *job.Spec) { spec.OneZone = true }), 12},
 		{"spread over zones", largeGang(300, func(spec *job.Spec) { spec.Spread = true }), 8},
 		{"of a team without limits", largeGang(300, func(spec *job.Spec) { spec.Team = "blue" }), 8},
+		{"in one zone, of a team without limits", largeGang(300, func(spec *job.Spec) { spec.Team, spec.OneZone = "blue", true }), 12},
 		{"on more machines than a transaction names", largeGang(130, func(spec *job.Spec) { spec.CPUs = 60 }), 70},
 		{"of ten pages", largeGang(1250, func(spec *job.Spec) { spec.CPUs = 0.8 }), 12},
 	} {
@@ -101,6 +103,32 @@
 	s.reportViolations(t)
 }
 
+// TestGangsOfSeveralPagesSurviveFaults guards against gangs that stay placed in part when some of their
+// transactions fail or lose their answers, as machines and controllers fail: once the faults are over, all gangs must
+// have run, and no rule may be broken.
+func TestGangsOfSeveralPagesSurviveFaults(t *testing.T) {
+	runSeeds(t, 69_400, 6, func(t *testing.T, seed uint64) {
+		s := newGangSim(t, seed, 14)
+		s.traceDay(t, seed)
+		s.faults.messageLoss = 0.03
+		s.options.skipLaunchOrderCheck = true
+		for i, change := range []func(*job.Spec){nil, func(spec *job.Spec) { spec.OneZone = true }, func(spec *job.Spec) { spec.Spread = true }, func(spec *job.Spec) { spec.Team, spec.CPUs = "blue", 4 }} {
+			spec := largeGang(200+60*i, change)
+			spec.ID = fmt.Sprintf("wk-70000%d", i)
+			s.after(s.randomMillis(0, 60_000), func() { s.submit(spec, 5, 0) })
+		}
+		s.submitLowArrays(2)
+		for id := range s.users {
+			s.users[id].runtimeS = 20
+		}
+		s.injectFaults(2 * time.Minute)
+		s.run(2 * time.Minute)
+		s.cloud.capacity[offering{"small", "c", false}] = 20 // for the arrays, which need accelerators
+		s.finish(t, 3*time.Minute)
+		s.reportViolations(t)
+	})
+}
+
 // rentedSeconds returns the time for which machines have been rented so far, in seconds.
 func (s *sim) rentedSeconds() float64 {
 	total := s.cloud.deletedMachineS
@@ -136,3 +164,41 @@
 	t.Logf("rented for %.0f s", s.rentedSeconds())
 	s.reportViolations(t)
 }
+
+// TestPartlyPlacedGangIsCompleted guards against a gang whose tasks wait in vain for those whose placement failed:
+// after the first of several transactions, a machine that a later one names is drained. The rest of the gang must be
+// placed elsewhere with the same attempt number.
+func TestPartlyPlacedGangIsCompleted(t *testing.T) {
+	s := newGangSim(t, 69_600, 70)
+	s.facts.Workers.GangWait = 60
+	s.advertised = s.facts
+	u := s.submit(largeGang(130, func(spec *job.Spec) { spec.Team, spec.CPUs = "blue", 60 }), 5, 0)
+	drained := ""
+	for s.now < 3*time.Minute && drained == "" {
+		s.run(s.now + time.Millisecond)
+		for _, n := range s.controllers {
+			if n.core == nil || n.core.jobs.byID[u.spec.ID] == nil {
+				continue
+			}
+			r := n.core.jobs.byID[u.spec.ID]
+			if last := r.reservations[n.core.tasksPerPage()-1]; r.bound > 0 && last != nil {
+				drained = last.machine // it is named by the last transaction of the first page
+			}
+		}
+	}
+	if drained == "" {
+		t.Fatal("the gang was never placed in part")
+	}
+	s.state.apply(keyDrain+drained, encode(drainRecord{Reason: drainIdle}), 0, s.state.revision+1)
+	s.state.revision++
+	s.run(s.now + 2*time.Minute)
+	if done := u.countDone(); done < 130 || u.gangsStarted != 1 {
+		t.Errorf("%d of 130 tasks are done, the gang has started %d times", done, u.gangsStarted)
+	}
+	for _, n := range s.controllers {
+		if attempt := n.core.jobs.byID[u.spec.ID].lastAttempt; attempt != 1 {
+			t.Errorf("%s: the gang needed %d attempts", n.name, attempt)
+		}
+	}
+	s.reportViolations(t)
+}
--- a/internal/coordination/page.go
+++ b/internal/coordination/page.go
@@ -61,8 +61,7 @@
 	return p
 }
 
-func (p *page) name() string { return pageName(p.jobID, p.number) }
-func (p *page) key() string  { return pageKey(p.jobID, p.number) }
+func (p *page) key() string { return pageKey(p.jobID, p.number) }
 
 // taskKey returns the key of a task of the page.
 func (p *page) taskKey(index int) taskKey { return taskKey{job: p.jobID, index: p.firstTask + index} }
--- a/internal/coordination/page_draft.go
+++ b/internal/coordination/page_draft.go
@@ -21,24 +21,27 @@
 	included       []taskTransition
 	deferred       []taskTransition // transitions left for a later transaction
 	gangIncomplete bool             // a placement of a gang failed: a gang starts all of its tasks or none
+	boundByZone    map[string]int   // bound tasks of the job, nil until a placement depends on them
 }
 
 // compareReserve is the number of compares kept free for the team's record, with a margin.
 const compareReserve = 4
 
 func (c *Core) newPageDraft(b *txnBatch, p *page) *pageDraft {
-	return &pageDraft{
+	d := &pageDraft{
 		core:  c,
 		batch: b,
 		page:  p,
 		tasks: slices.Clone(p.tasks),
 		usage: b.usage,
-		compares: []protocol.Compare{
-			{Key: keyJob + p.jobID, ModRevision: p.job.revision},
-			{Key: p.key(), ModRevision: p.revision},
-		},
+
 		compareBudget: comparesPerOp*c.cfg.Facts.State.TxnOps - compareReserve - len(b.compares),
 	}
+	if !b.jobs[p.job] {
+		d.compares = append(d.compares, protocol.Compare{Key: keyJob + p.jobID, ModRevision: p.job.revision})
+	}
+	d.compares = append(d.compares, protocol.Compare{Key: p.key(), ModRevision: p.revision})
+	return d
 }
 
 // addPage adds the transitions of a page's queue to a batch, as far as they are valid and fit.
@@ -56,7 +59,8 @@
 		}
 	}
 	if d.gangIncomplete {
-		d.abandonGang()
+		d.dropCompares()
+		c.abandonGang(b, p.job)
 		return
 	}
 	p.queue = d.deferred
@@ -120,6 +124,7 @@
 		attempt = max(attempt, transition.attempt)
 	}
 	*task = job.Task{Phase: job.Bound, Attempt: attempt, Machine: m.id, Epoch: transition.epoch, Failures: task.Failures}
+	d.adjustBoundByZone(m, 1)
 	d.included = append(d.included, transition)
 }
 
@@ -148,30 +153,48 @@
 }
 
 // zoneStillAllowed reports whether one more task of the job may be placed in a zone. It counts
-// bound tasks only, not reservations, with the draft's page as the transaction will write it.
+// bound tasks only, not reservations, with the pages of the batch as the transaction will write them.
 func (d *pageDraft) zoneStillAllowed(zone string) bool {
 	spec := d.page.job.spec
 	if !spec.OneZone && !spec.Spread {
 		return true
 	}
-	inZone := 0
+	if d.boundByZone == nil {
+		d.countBoundByZone()
+	}
+	if spec.OneZone {
+		for other, bound := range d.boundByZone {
+			if bound > 0 && other != zone {
+				return false
+			}
+		}
+	}
+	return !spec.Spread || d.boundByZone[zone] < spec.SpreadLimit()
+}
+
+// countBoundByZone counts the job's bound tasks by zone.
+func (d *pageDraft) countBoundByZone() {
+	d.boundByZone = map[string]int{}
 	for _, p := range d.page.job.pages {
 		tasks := p.tasks
 		if p == d.page {
 			tasks = d.tasks
+		} else if changed, ok := d.batch.tasks[p]; ok {
+			tasks = changed
 		}
 		for i := range tasks {
-			if tasks[i].Phase != job.Bound {
-				continue
-			}
-			if d.core.machine(tasks[i].Machine).claim.Zone == zone {
-				inZone++
-			} else if spec.OneZone {
-				return false
+			if tasks[i].Phase == job.Bound {
+				d.boundByZone[d.core.machine(tasks[i].Machine).claim.Zone]++
 			}
 		}
 	}
-	return !spec.Spread || inZone < spec.SpreadLimit()
+}
+
+// adjustBoundByZone adds n to the number of bound tasks in the zone of a machine, if they are counted.
+func (d *pageDraft) adjustBoundByZone(m *machine, n int) {
+	if d.boundByZone != nil {
+		d.boundByZone[m.claim.Zone] += n
+	}
 }
 
 // yieldsToUrgentWork reports whether a placement has to leave its capacity to production work
@@ -225,6 +248,7 @@
 	}
 	d.usage = d.usage.plus(d.page.job.spec, -1)
 	*task = releasedTask(transition, task)
+	d.adjustBoundByZone(m, -1)
 	d.included = append(d.included, transition)
 }
 
@@ -245,19 +269,38 @@
 	return released
 }
 
-// abandonGang gives up the page's placements and leaves its releases for the next flush.
-func (d *pageDraft) abandonGang() {
-	all := append(d.included, d.deferred...)
-	for _, transition := range all {
-		if transition.placement {
-			d.core.unreserve(d.page.job, d.page.firstTask+transition.index)
+// abandonGang gives up the placements of a gang, one of which is not valid any more, and leaves its
+// releases for the next flush: a gang starts all of its tasks or none. If the batch has other pages of
+// the gang, it has no others.
+func (c *Core) abandonGang(b *txnBatch, r *jobRecord) {
+	if b.jobs[r] {
+		for _, part := range b.pages {
+			part.page.queue = append(part.included, part.page.queue...)
 		}
+		b.reset()
 	}
-	d.page.queue = withoutPlacements(all)
-	if len(d.page.queue) == 0 {
-		d.core.writer.removeDirty(d.page)
+	c.dropGangPlacements(r)
+}
+
+// dropGangPlacements drops the queued placements of a gang. Those in flight are not affected; if they
+// are committed, the rest of the gang is placed anew.
+func (c *Core) dropGangPlacements(r *jobRecord) {
+	for _, p := range r.pages {
+		if p.inFlight || len(p.queue) == 0 {
+			continue
+		}
+		for _, transition := range p.queue {
+			if transition.placement {
+				c.unreserve(r, p.firstTask+transition.index)
+			}
+		}
+		p.queue = withoutPlacements(p.queue)
+		if len(p.queue) == 0 {
+			c.writer.removeDirty(p)
+		} else {
+			c.writer.addDirty(p)
+		}
 	}
-	d.dropCompares()
 }
 
 // write adds the page to the batch, and the job's record where it has to be written too.
@@ -266,20 +309,21 @@
 	p := d.page
 	r := p.job
 	batch.ops = append(batch.ops, protocol.Op{Put: p.key(), Value: d.core.encodePage(d.tasks)})
-	spansPages := r.spec.Tasks > d.core.tasksPerPage() && (r.spec.OneZone || r.spec.Spread)
 	switch {
+	case batch.jobs[r]:
+		// Another page of the gang is in the batch, which has the job's record already.
 	case d.finishedTasks() == r.spec.Tasks && r.status == job.Open:
 		// Finished tasks stay finished, so the other pages need no condition.
 		batch.ops = append(batch.ops, protocol.Op{Put: keyJob + p.jobID, Value: encode(r.storedWith(job.Done))})
-	case spansPages:
-		// Zone constraints span all pages; rewriting the job record makes
-		// concurrent placements on different pages conflict.
+	case d.core.zonesSpanPages(r):
 		batch.ops = append(batch.ops, protocol.Op{Put: keyJob + p.jobID, Value: encode(r.storedWith(r.status))})
 	}
 	batch.compares = append(batch.compares, d.compares...)
 	batch.size += len(d.tasks)*taskBytes + jobBytes + len(d.compares)*compareBytes
 	batch.usage = d.usage
 	batch.pages = append(batch.pages, pageChanges{page: p, included: d.included})
+	batch.jobs[r] = true
+	batch.tasks[p] = d.tasks
 	p.foldRequested = false
 }
 
--- a/internal/coordination/page_writer.go
+++ b/internal/coordination/page_writer.go
@@ -69,6 +69,18 @@
 	return ratelimit.OtherWork
 }
 
+// writeBlocksOthers reports whether a transaction in flight would conflict with one that writes another
+// of the job's pages: it rewrites the job's record.
+func (c *Core) writeBlocksOthers(r *jobRecord) bool {
+	return r.pagesInFlight > 0 && c.zonesSpanPages(r)
+}
+
+// zonesSpanPages reports whether the zones allowed for a task depend on the job's tasks on other pages.
+// Rewriting the job's record then makes concurrent placements on different pages conflict.
+func (c *Core) zonesSpanPages(r *jobRecord) bool {
+	return r.spec.Tasks > c.tasksPerPage() && hasZoneConstraint(r)
+}
+
 // maxOpsPerPage is the number of records that one page may write: its own, its team's and
 // its job's.
 const maxOpsPerPage = 3
@@ -96,6 +108,9 @@
 		if denied[class] || p.inFlight || !w.dirtyPages[p] { // written with another page's transaction
 			continue
 		}
+		if c.writeBlocksOthers(p.job) {
+			continue
+		}
 		if !c.state.Reserve(class, maxOpsPerPage) {
 			denied[class] = true
 			w.needsTick = true
--- a/internal/coordination/sim_gang_test.go
+++ b/internal/coordination/sim_gang_test.go
@@ -12,7 +12,6 @@
 type gangRun struct {
 	u       *simUser
 	attempt int
-	started bool
 }
 
 // joinGang has a gang's task wait for the other tasks of its attempt, and starts the gang once all are there.
--- a/internal/coordination/txn_batch.go
+++ b/internal/coordination/txn_batch.go
@@ -1,9 +1,11 @@
 package coordination
 
 import (
+	"slices"
 	"strings"
 	"time"
 
+	"silvergate/internal/job"
 	"silvergate/internal/losses"
 	"silvergate/internal/protocol"
 	"silvergate/internal/ratelimit"
@@ -23,7 +25,9 @@
 	ops             []protocol.Op
 	size            int // upper bound of the transaction's size, in bytes
 	pages           []pageChanges
-	yieldedMachines []string // machines whose capacity is left to urgent work
+	jobs            map[*jobRecord]bool  // the jobs of these pages
+	tasks           map[*page][]job.Task // of these pages, after the changes
+	yieldedMachines []string             // machines whose capacity is left to urgent work
 	class           ratelimit.Class
 }
 
@@ -45,14 +49,18 @@
 // the state service allows in it.
 const comparesPerOp = 4
 
-// flushPages sends a page's changes. If the team's record changes too, it sends the changes of
-// further pages of the same team and class in the same transaction.
+// flushPages sends a page's changes, with those of further pages in the same transaction: for a gang,
+// the placements on its other pages, and if the team's record changes too, pages of the same team and
+// class.
 func (c *Core) flushPages(first *page, more []*page) {
 	b := c.newTxnBatch(first)
 	if first.tasks != nil && b.chargesQuota && b.team.inFlight {
 		return
 	}
 	c.addPage(b, first)
+	if isGang(first.job) {
+		c.addGangPages(b, first, more)
+	}
 	if b.chargesQuota && len(b.pages) > 0 {
 		c.addFurtherPages(b, first, more)
 	}
@@ -69,6 +77,8 @@
 	b := &txnBatch{
 		team:         c.jobs.teamOf(first.job),
 		comparedKeys: map[string]bool{},
+		jobs:         map[*jobRecord]bool{},
+		tasks:        map[*page][]job.Task{},
 		class:        first.class(),
 	}
 	if b.team != nil {
@@ -78,31 +88,73 @@
 	return b
 }
 
+// reset removes all pages from a batch.
+func (b *txnBatch) reset() {
+	b.compares, b.ops, b.pages = nil, nil, nil
+	b.size = 0
+	clear(b.comparedKeys)
+	clear(b.jobs)
+	clear(b.tasks)
+	if b.team != nil {
+		b.usage = b.team.charged
+	}
+}
+
+// addGangPages adds the other pages of a gang that is being placed to the batch that has its first
+// page, as far as they fit: the gang is placed by as few transactions as possible.
+func (c *Core) addGangPages(b *txnBatch, first *page, more []*page) {
+	for _, p := range more {
+		if p.job != first.job || p.inFlight || !p.queuesOnlyPlacements() {
+			continue
+		}
+		if len(b.pages) == 0 { // the gang was abandoned, or nothing was left of its first page
+			return
+		}
+		if !c.fitsBatch(b, p, minGangPageCompares) || !c.state.CanSend(b.class, len(b.ops)+maxOpsPerPage) {
+			return
+		}
+		c.addPage(b, p)
+	}
+}
+
+// minGangPageCompares is the number of compares that must be left in a transaction for a page of a gang:
+// the page's own, and the claim and the drain of a machine. The placements on further machines may
+// follow in another transaction.
+const minGangPageCompares = 3
+
+// queuesOnlyPlacements reports whether a page has queued transitions, all of which are placements.
+func (p *page) queuesOnlyPlacements() bool {
+	isRelease := func(transition taskTransition) bool { return !transition.placement }
+	return len(p.queue) > 0 && !slices.ContainsFunc(p.queue, isRelease)
+}
+
 // addFurtherPages adds pages of the same team and class as first to a batch, until one does
 // not fit.
 func (c *Core) addFurtherPages(b *txnBatch, first *page, more []*page) {
-	jobs := map[*jobRecord]bool{first.job: true}
 	for _, p := range more {
 		if p.class() != b.class || p.job.spec.Team != first.job.spec.Team || p.tasks == nil || p.inFlight {
 			continue
 		}
 		// One page of a job at a time: the job's zones and its completion
 		// are checked against the mirrored state of its other pages.
-		if jobs[p.job] {
+		if p.job == first.job || b.jobs[p.job] || c.writeBlocksOthers(p.job) {
 			continue
 		}
-		if !c.fitsBatch(b, p) || !c.state.CanSend(b.class, len(b.ops)+maxOpsPerPage) {
+		if isGang(p.job) && p.job.spec.Tasks > c.tasksPerPage() { // it is written with its other pages
+			continue
+		}
+		compares := 2 + 2*len(p.queue) // job and page, and a claim and a drain for each task
+		if !c.fitsBatch(b, p, compares) || !c.state.CanSend(b.class, len(b.ops)+maxOpsPerPage) {
 			return
 		}
-		jobs[p.job] = true
 		c.addPage(b, p)
 	}
 }
 
-// fitsBatch reports whether a page's changes fit into the batch's transaction.
-func (c *Core) fitsBatch(b *txnBatch, p *page) bool {
+// fitsBatch reports whether a page's changes, with a number of compares, fit into the batch's
+// transaction.
+func (c *Core) fitsBatch(b *txnBatch, p *page, compares int) bool {
 	maxOps := c.cfg.Facts.State.TxnOps
-	compares := 2 + 2*len(p.queue) // job and page, and a claim and a drain for each task
 	if len(b.ops)+maxOpsPerPage > maxOps || len(b.compares)+compares+1 > comparesPerOp*maxOps {
 		return false
 	}
@@ -119,6 +171,7 @@
 	}
 	for _, part := range b.pages {
 		part.page.inFlight = true
+		part.page.job.pagesInFlight++
 	}
 	c.state.Txn(b.class, b.compares, b.ops, func(outcome stateclient.TxnOutcome, failed []string, _ uint64) {
 		c.handleBatchOutcome(b, outcome, failed)
@@ -136,6 +189,7 @@
 	}
 	for _, part := range b.pages {
 		part.page.inFlight = false
+		part.page.job.pagesInFlight--
 		if outcome == stateclient.Committed {
 			c.batchCommitted(part)
 		} else {
@@ -206,6 +260,9 @@
 		p.queue = append(retried, p.queue...)
 		c.writer.addDirty(p)
 	}
+	if isGang(p.job) && !onlyQuota {
+		c.dropGangPlacements(p.job)
+	}
 }
 
 // ignoreOutcome is the callback of transactions whose outcome needs no handling: the mirror
