--- a/internal/coordination/bin_packing.go
+++ b/internal/coordination/bin_packing.go
@@ -59,6 +59,7 @@
 	firstOpenSlot  int               // slots before this one have no room for any open job
 	planned        int               // slots of machines that are still to be rented
 	rentalsStopped bool              // no further machines are planned
+	avoided        map[string]bool   // machines that the job being packed is not to use
 	undo           []slotChange      // the slots changed since the last checkpoint, as they were before
 }
 
@@ -115,7 +116,7 @@
 	slotIndex := p.firstOpenSlot // a job's tasks are alike: a slot that does not fit one fits none
 	changed := -1                // the last slot that was recorded for undo
 	for ; n > 0; n-- {
-		for slotIndex < len(p.slots) && !(p.slots[slotIndex].fits(spec) && spreadAllows(spec, tasksByZone, p.slots[slotIndex].offering.zone)) {
+		for slotIndex < len(p.slots) && !p.usable(p.slots[slotIndex], spec, tasksByZone) {
 			slotIndex++
 		}
 		if slotIndex < len(p.slots) {
@@ -142,6 +143,11 @@
 	return 0
 }
 
+// usable reports whether the next task of the job being packed may be put into a slot.
+func (p *binPacking) usable(s *slot, spec *job.Spec, tasksByZone map[string]int) bool {
+	return s.fits(spec) && !p.avoided[s.id] && spreadAllows(spec, tasksByZone, s.offering.zone)
+}
+
 // packingCheckpoint is a state of a packing to which it can be rolled back.
 type packingCheckpoint struct {
 	slots       int
--- a/internal/coordination/failure_history.go
+++ b/internal/coordination/failure_history.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// machinesAvoidedBy returns the machines on which a gang is not to start again as long as there are
+// others: one of its tasks has failed there, and it is not suspected to fail everywhere. A gang always uses
+// many machines, so it would otherwise fail with each attempt on the same one.
+func (c *Core) machinesAvoidedBy(r *jobRecord) map[string]bool {
+	if len(r.failedOn) == 0 || c.failureHistory(r).Suspect() {
+		return nil
+	}
+	return r.failedOn
+}
+
+// rankAvoided orders machines that are avoided behind the others.
+func rankAvoided(avoided map[string]bool, machineID string) int {
+	if avoided[machineID] {
+		return 1
+	}
+	return 0
+}
+
 // paused reports whether no task of a job may be started now. Once a job has failed on several
 // machines, it pauses for a backoff after each failure. A job that is suspected to fail everywhere
 // is tried with one task at a time, so it also pauses while one of its tasks is bound or has room
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -9,6 +9,7 @@
 // gangs release the room that they find unless it is enough for all their tasks.
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -144,7 +145,7 @@
 }
 
 // gangCandidates returns in order the names of the machines that may have room for a gang: our idle
-// machines and those that peers offer.
+// machines and those that peers offer, last those that the gang avoids.
 func (c *Core) gangCandidates(r *jobRecord) []string {
 	ids := make([]string, 0, len(c.scheduler.idle)+len(r.offers))
 	for _, m := range c.scheduler.idle {
@@ -156,7 +157,10 @@
 		}
 	}
 	slices.Sort(ids)
-	return slices.Compact(ids)
+	ids = slices.Compact(ids)
+	avoided := c.machinesAvoidedBy(r)
+	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(rankAvoided(avoided, a), rankAvoided(avoided, b)) })
+	return ids
 }
 
 // gangEpoch returns the agent epoch for which tasks of a gang are bound to a machine.
--- a/internal/coordination/gang_plan.go
+++ b/internal/coordination/gang_plan.go
@@ -49,6 +49,8 @@
 // if any. If the fleet can't hold the gang, it packs none of them.
 func (p *fleetPlan) packGang(r *jobRecord, spec *job.Spec, n int) {
 	c := p.core
+	p.avoided = c.machinesAvoidedBy(r)
+	defer func() { p.avoided = nil }()
 	before := p.checkpoint()
 	if shortage := c.scaler.shortages[r.spec.ID]; shortage != nil && c.now < shortage.attemptAt {
 		p.packOntoFleet(r, spec, n, before)
@@ -124,7 +126,7 @@
 	tasksInZone := map[string]int{}
 	total := 0
 	for _, s := range p.slots {
-		if s.planned {
+		if s.planned || p.avoided[s.id] {
 			continue
 		}
 		zone := s.offering.zone
--- a/internal/coordination/large_gang_test.go
+++ b/internal/coordination/large_gang_test.go
@@ -202,3 +202,20 @@
 	}
 	s.reportViolations(t)
 }
+
+// TestGangAvoidsTheMachineItFailedOn guards against a gang that fails with every attempt on the same faulty
+// machine, which counts as faulty only once several jobs have failed there: the gang must run on other machines.
+func TestGangAvoidsTheMachineItFailedOn(t *testing.T) {
+	s := newGangSim(t, 69_900, 4)
+	s.faults.quickBoots = true
+	u := s.submit(largeGang(128, nil), 5, 0)
+	for s.now < time.Minute && len(s.cloud.machines) < 4 {
+		s.run(s.now + 10*time.Millisecond)
+	}
+	s.cloud.sortedMachines()[1].faulty = true
+	s.run(2 * time.Minute)
+	if done := u.countDone(); done < 128 || u.failures == 0 {
+		t.Errorf("%d of 128 tasks are done, %d failed on the faulty machine", done, u.failures)
+	}
+	s.reportViolations(t)
+}
