coordination: a machine is cleared for as many tasks of a gang as it can hold

What callers saw: a gang of 300 tasks did not start while work of lower priority filled the machines.

Cause: a block is chosen by how many of the gang's tasks each machine holds once cleared, but clearing stopped only what was in the way of one of them; the machine then counted as having room.

Fix: clearMachine makes room for as many of the gang's unplaced tasks as the machine could hold.

TestGangGetsManyTasksOfAMachineCleared.

--- a/internal/coordination/gang_block.go
+++ b/internal/coordination/gang_block.go
@@ -172,17 +172,19 @@
 	return ids, cost, found
 }
 
-// clearMachine holds a machine's room for a gang and stops the tasks that are in the way.
-// requester is the controller that is notified when the room is free.
+// clearMachine holds a machine's room for a gang and stops the tasks that are in the way of as many of
+// the gang's tasks as the machine could hold then. requester is the controller that is notified when
+// room is free.
 func (c *Core) clearMachine(r *jobRecord, m *machine, requester string) {
 	if c.unschedulable(m) || (m.reservedFor != r.spec.ID && c.now < m.reservedUntil) {
 		return
 	}
 	m.reserveRoom(r.spec.ID, c.now+c.holdTime(), requester)
-	if c.fits(r, m) || len(m.stops) > 0 {
+	tasks := c.blockCandidate(r, m, r.unplacedTasks()).tasks
+	if len(m.stops) > 0 || c.tasksThatFit(r.spec, m, tasks) == tasks {
 		return
 	}
-	victims, _, ok := c.pickVictims(r, m, false)
+	victims, _, ok := c.pickVictims(r, m, tasks, false)
 	if !ok {
 		return
 	}
--- a/internal/coordination/large_gang_test.go
+++ b/internal/coordination/large_gang_test.go
@@ -203,6 +203,28 @@
 	s.reportViolations(t)
 }
 
+// fillWithLowArrays submits four arrays of 300 tasks of low priority that run for an hour, and lets them start.
+func (s *sim) fillWithLowArrays(team string, cpus float64) {
+	for i := range 4 {
+		s.submit(&job.Spec{ID: fmt.Sprintf("wk-80000%d", i), Class: "arr", Team: team, Shape: job.Array, Tasks: 300, Priority: job.Low,
+			CPUs: cpus, MemoryGB: 1, Spot: true}, 3600, 0)
+	}
+	s.run(time.Minute)
+}
+
+// TestGangGetsManyTasksOfAMachineCleared guards against a gang that waits for ever while work of lower priority fills
+// the machines, as only room for one of its tasks was made on each: the gang needs many tasks' room on each.
+func TestGangGetsManyTasksOfAMachineCleared(t *testing.T) {
+	s := newGangSim(t, 69_700, 8)
+	s.fillWithLowArrays("blue", 2)
+	u := s.submit(largeGang(300, nil), 5, 0)
+	s.run(s.now + time.Minute)
+	if u.gangsStarted != 1 {
+		t.Errorf("the gang has started %d times within a minute", u.gangsStarted)
+	}
+	s.reportViolations(t)
+}
+
 // TestGangAvoidsTheMachineItFailedOn guards against a gang that fails with every attempt on the same faulty
 // machine, which counts as faulty only once several jobs have failed there: the gang must run on other machines.
 func TestGangAvoidsTheMachineItFailedOn(t *testing.T) {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -39,9 +39,16 @@
 // hasCapacity reports whether a machine of a type has room for a task besides the given
 // resources, which are in use.
 func hasCapacity(t *protocol.MachineType, cpus, gpus, memoryGB float64, s *job.Spec) bool {
-	return cpus+s.CPUs <= t.CPUs+tolerance &&
-		gpus+s.GPUs <= t.GPUs+tolerance &&
-		memoryGB+s.MemoryGB <= t.MemoryGB+tolerance
+	return hasCapacityForTasks(t, cpus, gpus, memoryGB, s, 1)
+}
+
+// hasCapacityForTasks reports whether a machine of a type has room for a number of tasks besides the
+// given resources, which are in use.
+func hasCapacityForTasks(t *protocol.MachineType, cpus, gpus, memoryGB float64, s *job.Spec, tasks int) bool {
+	n := float64(tasks)
+	return cpus+n*s.CPUs <= t.CPUs+tolerance &&
+		gpus+n*s.GPUs <= t.GPUs+tolerance &&
+		memoryGB+n*s.MemoryGB <= t.MemoryGB+tolerance
 }
 
 // zoneAllowed reports whether a task may go to a zone, given the zones of the job's other tasks.
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -157,7 +157,7 @@
 		if warm && c.fetchTime(r.spec, m) > 0 {
 			continue
 		}
-		victims, cost, ok := c.pickVictims(r, m, false)
+		victims, cost, ok := c.pickVictims(r, m, 1, false)
 		if !ok {
 			continue
 		}
@@ -215,7 +215,7 @@
 		if len(m.bound) == m.services || !c.mayPreemptOn(r, m) {
 			continue
 		}
-		victims, cost, ok := c.pickVictims(r, m, true)
+		victims, cost, ok := c.pickVictims(r, m, 1, true)
 		if !ok {
 			continue
 		}
@@ -241,15 +241,15 @@
 	return false
 }
 
-// pickVictims picks the tasks to stop on a machine to make room for a task of a job, and returns
-// them with the work lost, in seconds of task time. If gangs is set, tasks of gangs may be among
+// pickVictims picks the tasks to stop on a machine to make room for a number of tasks of a job, and
+// returns them with the work lost, in seconds of task time. If gangs is set, tasks of gangs may be among
 // them. ok is false if nothing has to be stopped, or if stopping every evictable task would not
 // make enough room.
-func (c *Core) pickVictims(r *jobRecord, m *machine, gangs bool) (victims []taskKey, cost float64, ok bool) {
+func (c *Core) pickVictims(r *jobRecord, m *machine, tasks int, gangs bool) (victims []taskKey, cost float64, ok bool) {
 	machineType := c.machineTypeOf(m)
 	cpus, gpus, memoryGB := m.cpus, m.gpus, m.memoryGB
 	for _, v := range c.evictionCandidates(r, m, gangs) {
-		if hasCapacity(machineType, cpus, gpus, memoryGB, r.spec) {
+		if hasCapacityForTasks(machineType, cpus, gpus, memoryGB, r.spec, tasks) {
 			break
 		}
 		cpus -= v.job.spec.CPUs
@@ -258,7 +258,7 @@
 		victims = append(victims, v.key)
 		cost += v.cost
 	}
-	ok = len(victims) > 0 && hasCapacity(machineType, cpus, gpus, memoryGB, r.spec)
+	ok = len(victims) > 0 && hasCapacityForTasks(machineType, cpus, gpus, memoryGB, r.spec, tasks)
 	return victims, cost, ok
 }
 
