coordination: a team's limit is made free for a large gang

What callers saw: a gang of 800 tasks never started while lower work of its own team used the team's limit.

Cause: each controller stopped one task at a time. What one spell of saving made free was not enough, and was used again when the limit was not saved any more, which was as soon as the gang had room reserved.

Fix: each controller stops its share of what the gang lacks, at least one task, those that lose the least work first; the limit stays saved until the gang is placed. Where less than a task for each controller is lacking, all is as before.

TestLargeGangGetsItsTeamsLimit.

--- a/internal/coordination/job_order.go
+++ b/internal/coordination/job_order.go
@@ -153,7 +153,7 @@
 		if team == nil || team.savingFor != nil || !team.hasLimit() {
 			continue
 		}
-		if !isGang(r) || r.bound > 0 || len(r.reservations) > 0 || c.paused(r) {
+		if !isGang(r) || r.bound > 0 && !r.partlyPlaced() || c.paused(r) {
 			continue
 		}
 		if !c.quotaSavingDue(r, now) {
@@ -161,7 +161,7 @@
 		}
 		// Once the limit is saved for a gang, it stays so also when the gang fits: otherwise,
 		// other tasks were placed at the moment at which the gang could begin.
-		n := float64(r.spec.Tasks)
+		n := float64(r.unplacedTasks())
 		hindered := wasSavedFor[r] || !team.withinLimit(team.charged.plus(r.spec, n))
 		if hindered && team.withinLimit(byServices[team].plus(r.spec, n)) {
 			team.savingFor = r
@@ -196,7 +196,7 @@
 // the team's limit, together with the quota that is saved for a more urgent gang.
 func (t *team) leavesQuotaFor(r *jobRecord, u usage) bool {
 	if gang := t.savingFor; gang != nil && gang != r && compareUrgency(gang, r) < 0 {
-		u = u.plus(gang.spec, float64(gang.spec.Tasks))
+		u = u.plus(gang.spec, float64(gang.unplacedTasks()))
 	}
 	return t.withinLimit(u)
 }
--- a/internal/coordination/large_gang_test.go
+++ b/internal/coordination/large_gang_test.go
@@ -225,6 +225,21 @@
 	s.reportViolations(t)
 }
 
+// TestLargeGangGetsItsTeamsLimit guards against a gang of hundreds of tasks that never starts while work of lower
+// priority uses its team's limit, as one task of it was stopped at a time: what was stopped while the limit was saved for
+// the gang was not enough, and was started again afterwards.
+func TestLargeGangGetsItsTeamsLimit(t *testing.T) {
+	s := newGangSim(t, 69_800, 12)
+	s.facts.Teams[0].CPUsMax = 700
+	s.fillWithLowArrays("red", 0.7)
+	u := s.submit(largeGang(800, func(spec *job.Spec) { spec.CPUs = 0.7 }), 5, 0)
+	s.run(s.now + 5*time.Minute)
+	if u.gangsStarted != 1 {
+		t.Errorf("the gang has started %d times within five minutes", u.gangsStarted)
+	}
+	s.reportViolations(t)
+}
+
 // TestGangAvoidsTheMachineItFailedOn guards against a gang that fails with every attempt on the same faulty
 // machine, which counts as faulty only once several jobs have failed there: the gang must run on other machines.
 func TestGangAvoidsTheMachineItFailedOn(t *testing.T) {
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -45,25 +45,42 @@
 // preemptedForQuota is the reason for stopping a task whose team's limit is saved for a gang.
 const preemptedForQuota = "preempted for its team's limit"
 
-// preemptForQuota stops one task of a team whose limit is saved for a gang (see
-// saveQuotaForGangs): of the tasks of lower priority than the gang, the one that loses the least
-// work. It stops only one at a time,
-// because every controller does so and learns only from the records what the others have
-// stopped.
+// preemptForQuota stops tasks of a team whose limit is saved for a gang (see saveQuotaForGangs): of the
+// tasks of lower priority than the gang, those that lose the least work. In each round, a controller
+// stops its share of what the gang lacks, and at least one task, because every controller does so and
+// learns only from the records what the others have stopped.
 func (c *Core) preemptForQuota(team *team) {
 	r := team.savingFor
-	if r == nil || team.withinLimit(team.charged.plus(r.spec, float64(r.spec.Tasks))) {
+	if r == nil {
 		return
 	}
-	var best *machine
-	var victim taskKey
-	bestLoss, seen := 0.0, 0
+	lacking := team.excess(team.charged.plus(r.spec, float64(r.unplacedTasks())))
+	if lacking == (usage{}) {
+		return
+	}
+	share := 1 / float64(1+len(c.cfg.Peers))
+	lacking = usage{CPUs: lacking.CPUs * share, GPUs: lacking.GPUs * share}
+	for _, v := range c.quotaVictims(r) {
+		c.stopTask(v.machine, v.key, preemptedForQuota)
+		c.Stats.Preemptions++
+		lacking = lacking.plus(v.job.spec, -1)
+		if lacking.CPUs <= quotaTolerance && lacking.GPUs <= quotaTolerance {
+			return
+		}
+	}
+}
+
+// quotaVictims returns the tasks of a gang's team that may be stopped for the gang, by ascending loss of
+// work. It looks at the first maxCandidates suitable machines, and returns none while tasks of the team
+// are being stopped on one of them for its limit.
+func (c *Core) quotaVictims(r *jobRecord) (victims []victim) {
+	seen := 0
 	for m := range c.fromRandomStart(c.machines.own) {
 		if seen == maxCandidates {
 			break
 		}
 		if isPreemptingForQuota(m, r.spec.Team) {
-			return
+			return nil
 		}
 		if len(m.bound) == m.services || len(m.stops) > 0 || !m.tokenSeen || m.leaseExpired {
 			continue
@@ -74,15 +91,11 @@
 			if v.spec.Team != r.spec.Team || v.spec.Priority >= r.spec.Priority || isGang(v) || v.final() || m.vacated[k] != nil {
 				continue
 			}
-			if loss := c.lostWork(m, k, v); best == nil || loss < bestLoss {
-				best, victim, bestLoss = m, k, loss
-			}
+			victims = append(victims, victim{key: k, job: v, machine: m, cost: c.lostWork(m, k, v)})
 		}
 	}
-	if best != nil {
-		c.stopTask(best, victim, preemptedForQuota)
-		c.Stats.Preemptions++
-	}
+	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	return victims
 }
 
 // isPreemptingForQuota reports whether a task of a team is being stopped on a machine because of
@@ -264,9 +277,10 @@
 
 // victim is a task that may be stopped, and the work that is lost with it.
 type victim struct {
-	key  taskKey
-	job  *jobRecord
-	cost float64 // seconds of task time
+	key     taskKey
+	job     *jobRecord
+	machine *machine
+	cost    float64 // seconds of task time
 }
 
 // evictionCandidates lists the tasks on a machine that may be stopped for a job's task, by
@@ -281,7 +295,7 @@
 		if isGang(v) {
 			cost *= float64(v.spec.Tasks)
 		}
-		candidates = append(candidates, victim{k, v, cost})
+		candidates = append(candidates, victim{key: k, job: v, machine: m, cost: cost})
 	}
 	slices.SortFunc(candidates, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.job.spec.Priority, b.job.spec.Priority), cmp.Compare(a.cost, b.cost), a.key.compare(b.key))
--- a/internal/coordination/quota.go
+++ b/internal/coordination/quota.go
@@ -38,11 +38,17 @@
 func (t *team) hasLimit() bool { return t.cfg.CPUsMax > 0 || t.cfg.GPUsMax > 0 }
 
 // withinLimit reports whether u is within the team's limits; a limit of 0 means none.
-func (t *team) withinLimit(u usage) bool {
+func (t *team) withinLimit(u usage) bool { return t.excess(u) == usage{} }
+
+// excess returns by how much u exceeds the team's limits; it is zero if u is within them.
+func (t *team) excess(u usage) (excess usage) {
 	if t.cfg.CPUsMax != 0 && u.CPUs > t.cfg.CPUsMax+quotaTolerance {
-		return false
+		excess.CPUs = u.CPUs - t.cfg.CPUsMax
+	}
+	if t.cfg.GPUsMax != 0 && u.GPUs > t.cfg.GPUsMax+quotaTolerance {
+		excess.GPUs = u.GPUs - t.cfg.GPUsMax
 	}
-	return t.cfg.GPUsMax == 0 || u.GPUs <= t.cfg.GPUsMax+quotaTolerance
+	return excess
 }
 
 // withinGuarantee reports whether u is within the team's guarantee. A resource for which the team
