coordination: a machine gets no more tasks than its heartbeats hold

Tasks without any amounts all went to one machine, and what they take in the controllers' memory had no bound.

Cause: only processors, accelerators and memory bounded what is bound to a machine.

Fix: at most 341 tasks are bound to a machine or have room reserved there, half of what a heartbeat lists, as tasks that have ended stay in it until a command removes them. Placement, gangs, preemption, consolidation and the plan keep to it. So what is placed, and the memory for it, follows the machines that are paid for, and the commands in one answer stay within a line of 64 KiB.

--- a/internal/coordination/bin_packing.go
+++ b/internal/coordination/bin_packing.go
@@ -16,6 +16,7 @@
 	cpus     float64
 	gpus     float64
 	memoryGB float64
+	tasks    int  // on it, with those that the packing has put there
 	bound    bool // tasks are bound to it
 	used     bool // the packing has put tasks onto it
 	planned  bool // the machine is still to be rented
@@ -34,7 +35,7 @@
 
 // hasRoomFor reports whether the remaining resources of the slot hold a task.
 func (s *slot) hasRoomFor(spec *job.Spec) bool {
-	return spec.CPUs <= s.cpus+tolerance && spec.GPUs <= s.gpus+tolerance && spec.MemoryGB <= s.memoryGB+tolerance
+	return s.tasks < maxTasksPerMachine && spec.CPUs <= s.cpus+tolerance && spec.GPUs <= s.gpus+tolerance && spec.MemoryGB <= s.memoryGB+tolerance
 }
 
 // add subtracts a task's resources from those that remain in the slot.
@@ -42,6 +43,7 @@
 	s.cpus -= spec.CPUs
 	s.gpus -= spec.GPUs
 	s.memoryGB -= spec.MemoryGB
+	s.tasks++
 	s.used = true
 }
 
@@ -186,7 +188,7 @@
 func (p *binPacking) skipFullSlots() {
 	for p.firstOpenSlot < len(p.slots) {
 		s := p.slots[p.firstOpenSlot]
-		if s.cpus >= tolerance && s.memoryGB >= tolerance && (p.cpuOnlyWork || s.gpus >= tolerance) {
+		if s.tasks < maxTasksPerMachine && s.cpus >= tolerance && s.memoryGB >= tolerance && (p.cpuOnlyWork || s.gpus >= tolerance) {
 			return
 		}
 		p.firstOpenSlot++
@@ -253,7 +255,7 @@
 
 // tasksPerMachine returns how many tasks of a job a machine of a type holds, at least one.
 func tasksPerMachine(t *protocol.MachineType, s *job.Spec) float64 {
-	fit := 1e9 // for a job that requests no resources
+	fit := float64(maxTasksPerMachine)
 	for _, d := range [][2]float64{{t.CPUs, s.CPUs}, {t.GPUs, s.GPUs}, {t.MemoryGB, s.MemoryGB}} {
 		if d[1] > 0 {
 			fit = min(fit, float64(int(d[0]/d[1]+tolerance)))
--- a/internal/coordination/fleet_plan.go
+++ b/internal/coordination/fleet_plan.go
@@ -85,6 +85,7 @@
 			s.cpus -= m.cpus
 			s.gpus -= m.gpus
 			s.memoryGB -= m.memoryGB
+			s.tasks = m.taskCount()
 			s.bound = len(m.bound) > 0
 		}
 	}
--- a/internal/coordination/gang_plan.go
+++ b/internal/coordination/gang_plan.go
@@ -149,6 +149,7 @@
 func (p *fleetPlan) tasksWhenCleared(s *slot, spec *job.Spec, limit int) (tasks int) {
 	machineType := p.types[s.offering.machineType]
 	cleared := *s
+	cleared.tasks = 0
 	cleared.cpus, cleared.gpus, cleared.memoryGB = machineType.CPUs, machineType.GPUs, machineType.MemoryGB
 	if m := p.core.machines.byID[s.id]; m != nil && m.services > 0 {
 		for _, key := range m.boundTasks() {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -11,6 +11,17 @@
 // tolerance is the rounding error allowed in sums of resources: far less than any task requests.
 const tolerance = 1e-6
 
+// taskStatusBytes is more than a task takes in a heartbeat.
+const taskStatusBytes = 96
+
+// maxTasksPerMachine is the most tasks that may be bound to a machine: half of what a heartbeat has
+// room for, as tasks that have ended stay in the heartbeats until a command removes them. It also
+// bounds the commands in an answer, and the memory that the tasks of a machine take.
+const maxTasksPerMachine = protocol.MaxBody / 2 / taskStatusBytes
+
+// taskCount returns how many tasks are bound to the machine or have room reserved there.
+func (m *machine) taskCount() int { return len(m.bound) + m.reserved }
+
 // maxCandidates is how many suitable machines a decision compares, starting at a random
 // machine, so that its cost does not grow with the fleet.
 const maxCandidates = 64
@@ -24,6 +35,9 @@
 	if m.reservedFor != r.spec.ID && c.now < m.reservedUntil {
 		return false
 	}
+	if m.taskCount() >= maxTasksPerMachine {
+		return false
+	}
 	return hasCapacity(machineType, m.cpus, m.gpus, m.memoryGB, r.spec) && c.zoneAllowed(r, m.claim.Zone)
 }
 
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -261,8 +261,11 @@
 func (c *Core) pickVictims(r *jobRecord, m *machine, tasks int, gangs bool) (victims []taskKey, cost float64, ok bool) {
 	machineType := c.machineTypeOf(m)
 	cpus, gpus, memoryGB := m.cpus, m.gpus, m.memoryGB
+	hasRoom := func(stopped int) bool {
+		return m.taskCount()-stopped+tasks <= maxTasksPerMachine && hasCapacityForTasks(machineType, cpus, gpus, memoryGB, r.spec, tasks)
+	}
 	for _, v := range c.evictionCandidates(r, m, gangs) {
-		if hasCapacityForTasks(machineType, cpus, gpus, memoryGB, r.spec, tasks) {
+		if hasRoom(len(victims)) {
 			break
 		}
 		cpus -= v.job.spec.CPUs
@@ -271,7 +274,7 @@
 		victims = append(victims, v.key)
 		cost += v.cost
 	}
-	ok = len(victims) > 0 && hasCapacityForTasks(machineType, cpus, gpus, memoryGB, r.spec, tasks)
+	ok = len(victims) > 0 && hasRoom(len(victims))
 	return victims, cost, ok
 }
 
--- a/internal/coordination/scheduler.go
+++ b/internal/coordination/scheduler.go
@@ -100,6 +100,9 @@
 
 // hasRoom reports whether any task could use the free resources of a machine.
 func (c *Core) hasRoom(m *machine) bool {
+	if m.taskCount() >= maxTasksPerMachine {
+		return false
+	}
 	machineType := c.machineTypeOf(m)
 	if machineType.GPUs > 0 && c.jobs.openCPUOnly == 0 && machineType.GPUs-m.gpus < tolerance {
 		return false
