coordination: new jobs are refused before they take all memory

From four fifths of ram_mb on, by an estimate from counts of jobs, pages and bound tasks, a new job gets 503 with a time to retry; known jobs are answered, cancelled and run as before.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -272,6 +272,7 @@
 	c.checkSilentMachines()
 	c.scheduler.expireEarlyHandoffs(c.now, c.cfg.Operator.PublishInterval)
 	c.updateJobOrder()
+	c.updateMemoryEstimate()
 	c.schedule()
 	c.preempt()
 	c.consolidate()
--- a/internal/coordination/job_table.go
+++ b/internal/coordination/job_table.go
@@ -24,6 +24,7 @@
 	addedSinceSweep []*jobRecord
 	orphanPages     map[string][]orphanPage // by job: pages that were read before the job
 	teams           map[string]*team
+	estimatedBytes  int // that the records take in memory, as of the last sweep
 }
 
 func newJobTable() jobTable {
--- a/internal/coordination/submission.go
+++ b/internal/coordination/submission.go
@@ -32,6 +32,8 @@
 	}
 	spec, extra, refusal := c.parseSubmission(body)
 	switch {
+	case refusal == nil && c.memoryExhausted():
+		c.refuse(id, http.StatusServiceUnavailable, "there is no memory for further jobs")
 	case refusal == nil:
 		c.commitSubmission(id, jobID, spec, extra)
 	case refusal.status == http.StatusServiceUnavailable:
