protocol: the list of a large gang's machines has lines within 64 KiB

What callers saw: for gangs of some 700 tasks and more the list that their agents ask for was one line of more than 64 KiB, which a response must not contain (PROTOCOL).

Fix: a new line after every 256 machines; JSON as before, and lists of up to 256 machines byte by byte as before.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -287,6 +287,11 @@
 	c.effects.Responses = append(c.effects.Responses, response)
 }
 
+// respondEncoded answers request id with a body that is JSON already.
+func (c *Core) respondEncoded(id uint64, status int, body []byte) {
+	c.effects.Responses = append(c.effects.Responses, Response{ID: id, Status: status, Body: body})
+}
+
 // retryAfter returns after how many seconds a refused request may succeed: when the queued
 // requests to the state service will have been sent, and at least one second. It can't
 // predict when an unreachable service will be back.
--- a/internal/coordination/operator_queries.go
+++ b/internal/coordination/operator_queries.go
@@ -93,7 +93,8 @@
 	}
 	v.withJob(id, jobID, func(r *jobRecord) {
 		if attempt, err := strconv.Atoi(attemptText); isGang && err == nil {
-			c.respond(id, http.StatusOK, v.gangMembers(r, attempt), 0)
+			members := v.gangMembers(r, attempt)
+			c.respondEncoded(id, http.StatusOK, members.Encode())
 			return
 		}
 		v.describe(id, r)
--- a/internal/protocol/description.go
+++ b/internal/protocol/description.go
@@ -1,6 +1,10 @@
 package protocol
 
-import "silvergate/internal/job"
+import (
+	"bytes"
+
+	"silvergate/internal/job"
+)
 
 // Paths for workers that are appended to a job's path. They are extensions.
 const (
@@ -44,6 +48,28 @@
 	Members []GangMember `json:"loads"`
 }
 
+// membersPerLine is how many members are encoded into a line: a response must contain no line
+// longer than 64 KiB.
+const membersPerLine = 256
+
+// Encode encodes the list as JSON.
+func (g *GangMembers) Encode() []byte {
+	var b bytes.Buffer
+	b.WriteString(`{"loads":[`)
+	for i := range g.Members {
+		switch {
+		case i == 0:
+		case i%membersPerLine == 0:
+			b.WriteString(",\n")
+		default:
+			b.WriteByte(',')
+		}
+		b.Write(Encode(&g.Members[i]))
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
 // GangMember is one task's machine.
 type GangMember struct {
 	Index   int    `json:"index"` // of the task
