coordination: gangs yield room to production work, as arrays do

What callers saw: after a controller was cut off from the state service, a gang was launched on room that production work had waited for for twelve seconds.

Cause: placements that wait for their transaction leave their room to production work that has been queued meanwhile, except those of gangs.

Fix: gangs do so too; all of the gang is given up then, and tried again.

--- a/internal/coordination/page_draft.go
+++ b/internal/coordination/page_draft.go
@@ -204,7 +204,7 @@
 // under heavy load its commit may wait for seconds, and urgent work cannot preempt capacity
 // that is only reserved.
 func (c *Core) yieldsToUrgentWork(r *jobRecord, m *machine) bool {
-	if r.spec.Priority == job.Production || !c.isOwn(m) || isGang(r) {
+	if r.spec.Priority == job.Production || !c.isOwn(m) {
 		return false
 	}
 	m.addUsage(r.spec, -1)
