coordination: an overdue lease is not renewed before the state service answers again

Cause: a controller that is cut off went on renewing its lease; renewals were carried out though their answers were lost. It did nothing under the lease, but its records stayed and no other controller led.

Fix: once the lease is overdue, it is renewed only after the service has answered something since the last attempt.

--- a/internal/coordination/membership.go
+++ b/internal/coordination/membership.go
@@ -26,6 +26,7 @@
 	members        map[string]*member
 	formats        map[string]int // the newest record format that each controller reads, as last published
 	lease          uint64         // ID of our lease; 0: we have none
+	renewalSentAt  time.Duration  // when the last renewal was asked for
 	leaseTTL       time.Duration
 	leaseRenewedAt time.Duration
 	leaseInFlight  bool   // a lease is being granted or renewed
@@ -119,7 +120,7 @@
 		c.acquireLease()
 		return
 	}
-	if c.now-c.membership.leaseRenewedAt > c.membership.leaseTTL/3 {
+	if c.now-c.membership.leaseRenewedAt > c.membership.leaseTTL/3 && c.mayRenewLease() {
 		c.renewLease()
 	}
 	c.publishMember()
@@ -139,10 +140,22 @@
 	})
 }
 
+// mayRenewLease reports whether our lease may be renewed: it is not overdue, or the state service has
+// answered since the last attempt.
+//
+// Guards against a controller that is cut off, and whose renewals are carried out though their answers
+// are lost: it does nothing under its lease any more, but its records stayed, and for many seconds no
+// other controller led the fleet.
+func (c *Core) mayRenewLease() bool {
+	overdue := c.now-c.membership.leaseRenewedAt > c.membership.leaseTTL
+	return !overdue || c.state.ContactAt() > c.membership.renewalSentAt
+}
+
 // renewLease renews our lease, or drops it if it has expired.
 func (c *Core) renewLease() {
 	c.membership.leaseInFlight = true
 	askedAt := c.now
+	c.membership.renewalSentAt = askedAt
 	c.state.KeepAlive(c.membership.lease, func(renewed, expired bool) {
 		c.membership.leaseInFlight = false
 		if renewed {
