coordination: a machine's tasks that have ended count until they are out of its heartbeats

Cause: half of a heartbeat was left for tasks that have ended, as these were not counted.

Fix: they are counted, by the commands that remove them, so a machine gets all that a heartbeat lists, 640.

--- a/internal/coordination/consolidation.go
+++ b/internal/coordination/consolidation.go
@@ -148,7 +148,7 @@
 		}
 		machineType := c.machineTypeOf(target)
 		taken := reserved[target]
-		if target.taskCount() < maxTasksPerMachine && hasCapacity(machineType, target.cpus+taken.CPUs, target.gpus+taken.GPUs, target.memoryGB, r.spec) {
+		if c.taskCount(target) < maxTasksPerMachine && hasCapacity(machineType, target.cpus+taken.CPUs, target.gpus+taken.GPUs, target.memoryGB, r.spec) {
 			return target
 		}
 	}
--- a/internal/coordination/fleet_plan.go
+++ b/internal/coordination/fleet_plan.go
@@ -85,7 +85,7 @@
 			s.cpus -= m.cpus
 			s.gpus -= m.gpus
 			s.memoryGB -= m.memoryGB
-			s.tasks = m.taskCount()
+			s.tasks = c.taskCount(m)
 			s.bound = len(m.bound) > 0
 		}
 	}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -175,7 +175,7 @@
 func (c *Core) tasksThatFit(spec *job.Spec, m *machine, limit int) (tasks int) {
 	machineType := c.machineTypeOf(m)
 	cpus, gpus, memoryGB := m.cpus, m.gpus, m.memoryGB
-	limit = min(limit, maxTasksPerMachine-m.taskCount())
+	limit = min(limit, maxTasksPerMachine-c.taskCount(m))
 	for tasks < limit && hasCapacity(machineType, cpus, gpus, memoryGB, spec) {
 		cpus += spec.CPUs
 		gpus += spec.GPUs
--- a/internal/coordination/gang_block.go
+++ b/internal/coordination/gang_block.go
@@ -128,7 +128,7 @@
 // work of lower priority there is stopped, and what that costs.
 func (c *Core) blockCandidate(r *jobRecord, m *machine, need int) blockCandidate {
 	machineType := c.machineTypeOf(m)
-	room := slot{tasks: m.taskCount(), cpus: machineType.CPUs - m.cpus, gpus: machineType.GPUs - m.gpus, memoryGB: machineType.MemoryGB - m.memoryGB}
+	room := slot{tasks: c.taskCount(m), cpus: machineType.CPUs - m.cpus, gpus: machineType.GPUs - m.gpus, memoryGB: machineType.MemoryGB - m.memoryGB}
 	cost := c.fetchTime(r.spec, m)
 	for k, v := range m.bound {
 		if v.spec.Priority < r.spec.Priority && !isGang(v) && m.vacated[k] == nil {
--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -114,6 +114,7 @@
 	response := protocol.HeartbeatResponse{Commands: []protocol.Command{}}
 	if verdict == fencing.Trust {
 		response.Commands = c.reconcile(m, heartbeat)
+		m.unforgotten = countForgets(response.Commands)
 		m.leaseExpired = false
 		if m.preempted {
 			c.drainMachine(m, drainPreempted)
@@ -130,6 +131,16 @@
 	c.effects.Responses = append(c.effects.Responses, Response{ID: id, Status: http.StatusOK, Body: encode(response), Urgent: m.urgent()})
 }
 
+// countForgets counts the commands that remove ended tasks from the worker's heartbeats.
+func countForgets(commands []protocol.Command) (count int) {
+	for i := range commands {
+		if commands[i].Verb == protocol.VerbForget {
+			count++
+		}
+	}
+	return count
+}
+
 // recordHeartbeat updates the machine's state from a heartbeat that arrives while we own the
 // machine.
 func (c *Core) recordHeartbeat(m *machine, heartbeat *protocol.Heartbeat) {
--- a/internal/coordination/machine_table.go
+++ b/internal/coordination/machine_table.go
@@ -103,6 +103,7 @@
 	boundAt         map[taskKey]binding     // when each task was bound
 	vacated         map[taskKey]*jobRecord  // still bound in the records, but known to have ended: their room is free
 	reserved        int                     // number of tasks for which room is reserved
+	unforgotten     int                     // tasks that are not bound any more, but may still be listed by our worker
 	services        int                     // number of bound service tasks
 	boundByPriority [job.Production + 1]int // number of bound tasks that can be stopped individually, by priority
 	cpus            float64                 // processors in use or reserved
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -11,16 +11,26 @@
 // tolerance is the rounding error allowed in sums of resources: far less than any task requests.
 const tolerance = 1e-6
 
-// taskStatusBytes is more than a task takes in a heartbeat.
-const taskStatusBytes = 96
+// Sizes of a heartbeat, in bytes.
+const (
+	taskStatusBytes    = 96   // more than a task takes
+	heartbeatHeadBytes = 4096 // left for everything else
+)
 
-// maxTasksPerMachine is the most tasks that may be bound to a machine: half of what a heartbeat has
-// room for, as tasks that have ended stay in the heartbeats until a command removes them. It also
-// bounds the commands in an answer, and the memory that the tasks of a machine take.
-const maxTasksPerMachine = protocol.MaxBody / 2 / taskStatusBytes
+// maxTasksPerMachine is the most tasks that a heartbeat has room for, and so the most that a machine may
+// have. It also bounds the commands in an answer, and the memory that the tasks of a machine take.
+const maxTasksPerMachine = (protocol.MaxBody - heartbeatHeadBytes) / taskStatusBytes
 
-// taskCount returns how many tasks are bound to the machine or have room reserved there.
-func (m *machine) taskCount() int { return len(m.bound) + m.reserved }
+// taskCount returns how many tasks a machine has, as far as they may be in its heartbeats: those that are
+// bound to it, have room reserved there or, if it is ours, have ended and have not been removed from the
+// heartbeats.
+func (c *Core) taskCount(m *machine) int {
+	tasks := len(m.bound) + m.reserved
+	if c.isOwn(m) {
+		tasks += m.unforgotten
+	}
+	return tasks
+}
 
 // maxCandidates is how many suitable machines a decision compares, starting at a random
 // machine, so that its cost does not grow with the fleet.
@@ -35,7 +45,7 @@
 	if m.reservedFor != r.spec.ID && c.now < m.reservedUntil {
 		return false
 	}
-	if m.taskCount() >= maxTasksPerMachine {
+	if c.taskCount(m) >= maxTasksPerMachine {
 		return false
 	}
 	return hasCapacity(machineType, m.cpus, m.gpus, m.memoryGB, r.spec) && c.zoneAllowed(r, m.claim.Zone)
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -262,7 +262,7 @@
 	machineType := c.machineTypeOf(m)
 	cpus, gpus, memoryGB := m.cpus, m.gpus, m.memoryGB
 	hasRoom := func(stopped int) bool {
-		return m.taskCount()-stopped+tasks <= maxTasksPerMachine && hasCapacityForTasks(machineType, cpus, gpus, memoryGB, r.spec, tasks)
+		return c.taskCount(m)-stopped+tasks <= maxTasksPerMachine && hasCapacityForTasks(machineType, cpus, gpus, memoryGB, r.spec, tasks)
 	}
 	for _, v := range c.evictionCandidates(r, m, gangs) {
 		if hasRoom(len(victims)) {
--- a/internal/coordination/scheduler.go
+++ b/internal/coordination/scheduler.go
@@ -100,7 +100,7 @@
 
 // hasRoom reports whether any task could use the free resources of a machine.
 func (c *Core) hasRoom(m *machine) bool {
-	if m.taskCount() >= maxTasksPerMachine {
+	if c.taskCount(m) >= maxTasksPerMachine {
 		return false
 	}
 	machineType := c.machineTypeOf(m)
--- a/internal/coordination/task_index.go
+++ b/internal/coordination/task_index.go
@@ -68,6 +68,9 @@
 		m.services--
 	}
 	delete(m.bound, k)
+	if c.isOwn(m) {
+		m.unforgotten++
+	}
 	if len(m.bound) == 0 {
 		m.emptySince = c.now
 	}
--- a/internal/coordination/tasks_per_machine_test.go
+++ b/internal/coordination/tasks_per_machine_test.go
@@ -12,8 +12,8 @@
 // heartbeats exceed the size of a request, are refused, and their leases end: tasks without amounts must complete, spread
 // over machines.
 func TestMachineGetsNoMoreTasksThanHeartbeatsHold(t *testing.T) {
-	s := newGangSim(t, 70_100, 4)
-	array := s.submit(&job.Spec{ID: "wk-700000", Class: "arr", Team: "blue", Shape: job.Array, Tasks: 3000, Priority: job.Low, Spot: true}, 20, 0)
+	s := newGangSim(t, 70_100, 2)
+	array := s.submit(&job.Spec{ID: "wk-700000", Class: "arr", Team: "blue", Shape: job.Array, Tasks: 6000, Priority: job.Low, Spot: true}, 20, 0)
 	gang := s.submit(&job.Spec{ID: "wk-700001", Class: "gng", Team: "blue", Shape: job.Gang, Tasks: 700, Priority: job.High, Spot: true}, 5, 0)
 	largest := 0
 	for s.now < 4*time.Minute {
@@ -25,8 +25,8 @@
 	if largest > protocol.MaxBody {
 		t.Errorf("a heartbeat has %d bytes", largest)
 	}
-	if done := array.countDone(); done < 3000 || gang.countDone() < 700 {
-		t.Errorf("%d of 3000 tasks of the array and %d of 700 of the gang are done", done, gang.countDone())
+	if done := array.countDone(); done < 6000 || gang.countDone() < 700 {
+		t.Errorf("%d of 6000 tasks of the array and %d of 700 of the gang are done", done, gang.countDone())
 	}
 	s.reportViolations(t)
 }
