coordination: a gang of which a task has completed is done

Cause, as the incident inferred: a task that is done can't be asked any more and counts as lost, and the controllers then start the rest of a gang that has completed ('when one task is done, all are', PROTOCOL).

Fix: once a task of a gang is on record as done, none of the others is started again. A release of one of them completes it, whatever its proof; pending ones are completed by the controller responsible for the job. Nothing is rented, reserved or cleared for such a gang.

--- a/internal/coordination/fleet_plan.go
+++ b/internal/coordination/fleet_plan.go
@@ -156,7 +156,7 @@
 func (p *fleetPlan) tasksToPack(r *jobRecord, usageByTeam map[string]usage) (n int) {
 	c := p.core
 	team := c.jobs.teamOf(r)
-	if team == nil || c.paused(r) { // a paused job is not retried now and needs no machines
+	if team == nil || c.paused(r) || r.gangCompleted() { // a paused job is not retried now and needs no machines
 		return 0
 	}
 	used, ok := usageByTeam[r.spec.Team]
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"silvergate/internal/fencing"
 	"silvergate/internal/job"
 )
 
@@ -56,7 +57,7 @@
 // awaitsRoom reports whether a gang, none of whose tasks is being placed, may be started or its start
 // completed once there is room: all tasks of earlier attempts have ended.
 func (r *jobRecord) awaitsRoom() bool {
-	return len(r.reservations) == 0 && (r.bound == 0 || r.partlyPlaced())
+	return len(r.reservations) == 0 && !r.gangCompleted() && (r.bound == 0 || r.partlyPlaced())
 }
 
 // gangZones returns the zones in which a gang may start, each of which has to hold all its tasks; "" is
@@ -73,6 +74,23 @@
 	return c.cfg.Facts.Zones
 }
 
+// gangCompleted reports whether the job is a gang of which a task has completed. The tasks of a gang
+// complete together, so the others have completed too, whatever their workers report or fail to.
+func (r *jobRecord) gangCompleted() bool { return isGang(r) && r.finished > 0 }
+
+// completeGang proposes the completion of a gang's pending tasks, once another of its tasks has completed.
+// Those that are bound are completed when they are released.
+//
+// Guards against a gang that is never done: a task whose completion was committed does not start again, so
+// the others waited for it in vain, attempt after attempt.
+func (c *Core) completeGang(r *jobRecord) {
+	for index := range r.pendingTasks() {
+		if !c.releasePending(r, index) {
+			c.propose(r, index, taskTransition{withGang: true, done: true, proof: fencing.Ended})
+		}
+	}
+}
+
 // startGang starts a gang if there is room for all its tasks and none of them is still bound
 // from an earlier attempt or being placed.
 func (c *Core) startGang(r *jobRecord) {
--- a/internal/coordination/page_draft.go
+++ b/internal/coordination/page_draft.go
@@ -52,9 +52,12 @@
 	}
 	d := c.newPageDraft(b, p)
 	for _, transition := range p.queue {
-		if transition.placement {
+		switch {
+		case transition.placement:
 			d.applyPlacement(transition)
-		} else {
+		case transition.withGang:
+			d.applyGangCompletion(transition)
+		default:
 			d.applyRelease(transition)
 		}
 	}
@@ -248,10 +251,23 @@
 	}
 	d.usage = d.usage.plus(d.page.job.spec, -1)
 	*task = releasedTask(transition, task)
+	if d.page.job.gangCompleted() {
+		*task = completedTask(task)
+	}
 	d.adjustBoundByZone(m, -1)
 	d.included = append(d.included, transition)
 }
 
+// applyGangCompletion completes a pending task of a gang, another task of which has completed.
+func (d *pageDraft) applyGangCompletion(transition taskTransition) {
+	task := &d.tasks[transition.index]
+	if task.Phase != job.Pending || !d.page.job.gangCompleted() {
+		return
+	}
+	*task = completedTask(task)
+	d.included = append(d.included, transition)
+}
+
 // releases reports whether a release is for the attempt that the task is bound to. If not,
 // another change has overtaken it.
 func releases(transition taskTransition, task *job.Task) bool {
--- a/internal/coordination/scheduler.go
+++ b/internal/coordination/scheduler.go
@@ -41,6 +41,10 @@
 		switch {
 		case r.finished == r.spec.Tasks:
 			c.completeJob(r)
+		case r.gangCompleted():
+			if c.isResponsibleFor(r) {
+				c.completeGang(r)
+			}
 		case r.bound+r.finished+len(r.reservations) < r.spec.Tasks && c.isResponsibleFor(r):
 			c.dispatchJob(r)
 		}
--- a/internal/coordination/transitions.go
+++ b/internal/coordination/transitions.go
@@ -9,11 +9,12 @@
 	"silvergate/internal/protocol"
 )
 
-// taskTransition is a proposed change of one task: its placement on a machine, or its release
-// from the machine that it is bound to.
+// taskTransition is a proposed change of one task: its placement on a machine, its release from the
+// machine that it is bound to, or its completion with its gang.
 type taskTransition struct {
 	index      int // in the page
 	placement  bool
+	withGang   bool // it is pending and counts as completed, because another task of its gang has completed
 	machine    string
 	epoch      uint64 // of the machine's agent
 	attempt    int
