sim: tasks are counted, ended and completed in one place each

The loops over a user's tasks in four tests and in the simulated user call countDone; a simulated task that ends by itself goes through endTask, a gang that completes through completeAll.

--- a/internal/coordination/large_deployment_test.go
+++ b/internal/coordination/large_deployment_test.go
@@ -105,12 +105,8 @@
 	done := 0
 	tasks := 0
 	for _, u := range s.users {
-		for _, d := range u.done {
-			tasks++
-			if d {
-				done++
-			}
-		}
+		tasks += len(u.done)
+		done += u.countDone()
 	}
 	var total Stats
 	for _, n := range s.controllers {
--- a/internal/coordination/large_gang_test.go
+++ b/internal/coordination/large_gang_test.go
@@ -32,16 +32,6 @@
 	return spec
 }
 
-// countDone returns the number of a job's tasks that are done.
-func (u *simUser) countDone() (done int) {
-	for _, d := range u.done {
-		if d {
-			done++
-		}
-	}
-	return done
-}
-
 // TestGangOfSeveralPagesStarts guards against a gang of more than 256 tasks that never starts, as machines
 // were rented for two pages of its tasks at most: it is the only job, and must run on a fleet that holds it.
 func TestGangOfSeveralPagesStarts(t *testing.T) {
--- a/internal/coordination/largest_job_test.go
+++ b/internal/coordination/largest_job_test.go
@@ -18,13 +18,7 @@
 	s.run(30 * time.Second)
 	s.submitMixedJobs(time.Minute)
 	s.run(90 * time.Second)
-	done := 0
-	for _, d := range big.done {
-		if d {
-			done++
-		}
-	}
-	if done < 100 {
+	if done := big.countDone(); done < 100 {
 		t.Errorf("only %d tasks of the largest job are done", done)
 	}
 	for _, id := range sortedKeys(s.users) {
--- a/internal/coordination/sim_gang_test.go
+++ b/internal/coordination/sim_gang_test.go
@@ -21,7 +21,7 @@
 	generation := task.generation
 	s.after(seconds(s.facts.Workers.GangWait), func() {
 		if task.generation == generation && task.status == protocol.TaskWaiting && !w.dead {
-			w.endGangTask(task, protocol.CauseGangTimeout)
+			w.endTask(task, protocol.CauseGangTimeout)
 		}
 	})
 	run := gangRun{u: u, attempt: task.attempt}
@@ -30,12 +30,6 @@
 	}
 }
 
-// endGangTask ends a task of a gang by itself.
-func (w *simWorker) endGangTask(task *simTask, cause string) {
-	w.attemptEnds(task)
-	task.status, task.cause = protocol.TaskEnded, cause
-}
-
 // forEachTask calls do for each task of the run that has a status, on machines that are not gone.
 func (g *gangRun) forEachTask(status protocol.TaskState, do func(*simWorker, *simTask)) {
 	for _, w := range g.u.s.cloud.sortedMachines() {
@@ -70,14 +64,12 @@
 		cause = protocol.CauseGangMemberLost
 	case s.now >= completeAt:
 		cause = protocol.CauseDone
-		for i := range g.u.done {
-			g.u.done[i] = true
-		}
+		g.u.completeAll()
 	default:
 		s.after(500*time.Millisecond, func() { g.watch(completeAt) })
 		return
 	}
-	g.forEachTask(protocol.TaskRunning, func(w *simWorker, task *simTask) { w.endGangTask(task, cause) })
+	g.forEachTask(protocol.TaskRunning, func(w *simWorker, task *simTask) { w.endTask(task, cause) })
 	if cause == protocol.CauseDone {
 		g.u.taskEnded()
 	}
--- a/internal/coordination/sim_user_test.go
+++ b/internal/coordination/sim_user_test.go
@@ -133,10 +133,7 @@
 		u.s.addViolation("format", "%s: %q", u.spec.ID, body)
 		return
 	}
-	allDone := true
-	for _, done := range u.done {
-		allDone = allDone && done
-	}
+	allDone := u.countDone() == len(u.done)
 	if before.final != "" && state.Status != before.final || u.finalStatus != "" && state.Status != u.finalStatus && (state.Status == "done" || state.Status == "cancelled") {
 		u.s.addViolation("went_back", "%s was %s, is %s", u.spec.ID, cmp.Or(before.final, u.finalStatus), state.Status)
 	}
@@ -238,14 +235,29 @@
 	}
 }
 
+// countDone returns the number of a job's tasks that are done.
+func (u *simUser) countDone() (done int) {
+	for _, d := range u.done {
+		if d {
+			done++
+		}
+	}
+	return done
+}
+
+// completeAll marks all tasks of a gang as done: they complete together.
+func (u *simUser) completeAll() {
+	for i := range u.done {
+		u.done[i] = true
+	}
+}
+
 // taskEnded is called when a task completes. When the last task of a job completes, some users cancel, query or
 // resubmit the job.
 func (u *simUser) taskEnded() {
 	s := u.s
-	for _, done := range u.done {
-		if !done {
-			return
-		}
+	if u.countDone() < len(u.done) {
+		return
 	}
 	if s.faults.cancelAtEnd == 0 || s.random.Float64() >= s.faults.cancelAtEnd {
 		return
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -448,8 +448,7 @@
 	}
 	if w.faulty || u.failsEverywhere {
 		u.failures++
-		w.attemptEnds(task)
-		task.status, task.cause = protocol.TaskEnded, protocol.CauseError
+		w.endTask(task, protocol.CauseError)
 		return
 	}
 	if u.spec.Shape == job.Service {
@@ -462,6 +461,12 @@
 	s.after(seconds(u.runtimeS+u.runtimeStepS*float64(task.index)), func() { w.finishTask(u, task, task.generation) })
 }
 
+// endTask ends a task by itself.
+func (w *simWorker) endTask(task *simTask, cause string) {
+	w.attemptEnds(task)
+	task.status, task.cause = protocol.TaskEnded, cause
+}
+
 // finishTask completes a task.
 func (w *simWorker) finishTask(u *simUser, task *simTask, generation int) {
 	if w.dead || task.generation != generation || task.status != protocol.TaskRunning {
@@ -471,12 +476,9 @@
 		w.s.after(w.hungUntil-w.s.now+time.Millisecond, func() { w.finishTask(u, task, generation) })
 		return
 	}
-	w.attemptEnds(task)
-	task.status, task.cause = protocol.TaskEnded, protocol.CauseDone
-	if u.spec.Shape == job.Gang { // the tasks of a gang complete together
-		for i := range u.done {
-			u.done[i] = true
-		}
+	w.endTask(task, protocol.CauseDone)
+	if u.spec.Shape == job.Gang {
+		u.completeAll()
 	}
 	u.done[task.index] = true
 	u.taskEnded()
