coordination: free room, usable offerings and dropped placements are reckoned in one place each

- How many tasks fit stood in four loops (gangs, blocks, the planner's zones, cleared machines) and the limit of tasks a machine in five checks beside hasCapacity.
A machine's free room is a slot now, as in the planner, and slot.hasRoomFor, remove and tasksThatFit serve all; hasCapacity and its variant are gone.
- The planner's two loops over offerings share usableOfferings; empty slots are made by newSlot.
Changes of slots are recorded for a rollback only while a gang is packed, not for every job of every plan.
- A batch's maps of jobs and tasks said what its pages say.
The loop that cancels queued reservations, the check of who may be stopped, and whether a gang has not started stand once.
Finished pages are dropped by dropTasks.
- A gang's candidates are listed once, not once a zone, and sorted by avoidance only if it avoids a machine.

--- a/internal/coordination/bin_packing.go
+++ b/internal/coordination/bin_packing.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"sort"
@@ -22,17 +23,22 @@
 	planned  bool // the machine is still to be rented
 }
 
-// fits reports whether a task is allowed in the slot and has room there.
-func (s *slot) fits(spec *job.Spec) bool {
+// newSlot returns an empty machine of a type as a slot.
+func newSlot(offer offering, t *protocol.MachineType) *slot {
+	return &slot{offering: offer, cpus: t.CPUs, gpus: t.GPUs, memoryGB: t.MemoryGB}
+}
+
+// allows reports whether a job may use the machine, by its type, its zone, and whether it is a spot machine.
+func (s *slot) allows(spec *job.Spec) bool {
 	if !spec.AllowsMachineType(s.offering.machineType) || s.offering.spot && !spec.Spot {
 		return false
 	}
-	if spec.Zone != "" && spec.Zone != s.offering.zone {
-		return false
-	}
-	return s.hasRoomFor(spec)
+	return spec.Zone == "" || spec.Zone == s.offering.zone
 }
 
+// fits reports whether a task is allowed in the slot and has room there.
+func (s *slot) fits(spec *job.Spec) bool { return s.allows(spec) && s.hasRoomFor(spec) }
+
 // hasRoomFor reports whether the remaining resources of the slot hold a task.
 func (s *slot) hasRoomFor(spec *job.Spec) bool {
 	return s.tasks < maxTasksPerMachine && spec.CPUs <= s.cpus+tolerance && spec.GPUs <= s.gpus+tolerance && spec.MemoryGB <= s.memoryGB+tolerance
@@ -47,6 +53,24 @@
 	s.used = true
 }
 
+// remove adds the resources of a task that leaves the slot to those that remain.
+func (s *slot) remove(spec *job.Spec) {
+	s.cpus += spec.CPUs
+	s.gpus += spec.GPUs
+	s.memoryGB += spec.MemoryGB
+	s.tasks--
+}
+
+// tasksThatFit returns how many tasks of a job, at most limit, the remaining resources of the slot hold.
+func (s *slot) tasksThatFit(spec *job.Spec, limit int) (tasks int) {
+	room := *s
+	for tasks < limit && room.hasRoomFor(spec) {
+		room.add(spec)
+		tasks++
+	}
+	return tasks
+}
+
 // binPacking packs tasks onto slots: first fit, in the order of the slots. For tasks that fit
 // no slot it chooses the cheapest machines to rent. It does not depend on Core.
 type binPacking struct {
@@ -62,7 +86,8 @@
 	planned        int               // slots of machines that are still to be rented
 	rentalsStopped bool              // no further machines are planned
 	avoided        map[string]bool   // machines that the job being packed is not to use
-	undo           []slotChange      // the slots changed since the last checkpoint, as they were before
+	recordsUndo    bool              // changes of slots are recorded in undo
+	undo           []slotChange      // the slots changed since the checkpoint, as they were before
 }
 
 // slotChange is a slot and its state before tasks were added to it.
@@ -88,7 +113,8 @@
 	if !ok {
 		return nil
 	}
-	s := &slot{id: id, offering: offer, cpus: machineType.CPUs, gpus: machineType.GPUs, memoryGB: machineType.MemoryGB}
+	s := newSlot(offer, machineType)
+	s.id = id
 	p.slots = append(p.slots, s)
 	return s
 }
@@ -116,16 +142,12 @@
 func (p *binPacking) packTasks(spec *job.Spec, n int, tasksByZone map[string]int) (left int) {
 	p.skipFullSlots()
 	slotIndex := p.firstOpenSlot // a job's tasks are alike: a slot that does not fit one fits none
-	changed := -1                // the last slot that was recorded for undo
 	for ; n > 0; n-- {
 		for slotIndex < len(p.slots) && !p.usable(p.slots[slotIndex], spec, tasksByZone) {
 			slotIndex++
 		}
 		if slotIndex < len(p.slots) {
-			if changed != slotIndex {
-				changed = slotIndex
-				p.undo = append(p.undo, slotChange{p.slots[slotIndex], *p.slots[slotIndex]})
-			}
+			p.recordUndo(p.slots[slotIndex])
 			p.slots[slotIndex].add(spec)
 			if tasksByZone != nil {
 				tasksByZone[p.slots[slotIndex].offering.zone]++
@@ -159,18 +181,32 @@
 	urgent      map[offering]bool
 }
 
-// checkpoint returns the present state of the packing. A checkpoint is void once another one is made.
+// checkpoint returns the present state of the packing, and records what is packed from now on, until
+// endCheckpoint is called.
 func (p *binPacking) checkpoint() packingCheckpoint {
-	p.undo = p.undo[:0]
+	p.recordsUndo = true
 	return packingCheckpoint{len(p.slots), p.planned, p.unplaceable, maps.Clone(p.toRent), maps.Clone(p.urgent)}
 }
 
-// rollBack undoes what was packed since the last checkpoint.
+// endCheckpoint ends the recording of changes. The last checkpoint is void then.
+func (p *binPacking) endCheckpoint() {
+	p.recordsUndo = false
+	p.undo = p.undo[:0]
+}
+
+// recordUndo records a slot before tasks of a job are added to it one after the other.
+func (p *binPacking) recordUndo(s *slot) {
+	n := len(p.undo)
+	if p.recordsUndo && (n == 0 || p.undo[n-1].slot != s) {
+		p.undo = append(p.undo, slotChange{s, *s})
+	}
+}
+
+// rollBack undoes what was packed since the checkpoint.
 func (p *binPacking) rollBack(to packingCheckpoint) {
 	for _, change := range slices.Backward(p.undo) {
 		*change.slot = change.before
 	}
-	p.undo = p.undo[:0]
 	p.slots = p.slots[:to.slots]
 	p.planned = to.planned
 	p.unplaceable = to.unplaceable
@@ -197,8 +233,8 @@
 
 // planMachine adds a machine that is to be rented, with one task of a job on it.
 func (p *binPacking) planMachine(offer offering, spec *job.Spec) {
-	machineType := p.types[offer.machineType]
-	s := &slot{offering: offer, cpus: machineType.CPUs, gpus: machineType.GPUs, memoryGB: machineType.MemoryGB, planned: true}
+	s := newSlot(offer, p.types[offer.machineType])
+	s.planned = true
 	s.add(spec)
 	p.slots = append(p.slots, s)
 	p.planned++
@@ -213,26 +249,37 @@
 func (p *binPacking) cheapestOffering(spec *job.Spec, tasksByZone map[string]int) (offering, bool) {
 	var best offering
 	bestCost, bestLoad, found := 0.0, 0, false
-	for _, typeName := range sortedKeys(p.types) {
-		machineType := p.types[typeName]
-		if !spec.AllowsMachineType(typeName) || !typeHolds(machineType, spec) {
+	for offer, machineType := range p.usableOfferings(spec, tasksByZone) {
+		if p.refused(offer) {
 			continue
 		}
-		perMachine := tasksPerMachine(machineType, spec)
-		for _, offer := range offeringsFor(typeName, machineType, spec) {
-			if p.refused(offer) || !spreadAllows(spec, tasksByZone, offer.zone) {
+		cost := offer.price(machineType) / tasksPerMachine(machineType, spec)
+		load := p.toRent[offer] + p.machinesByZone[offer.zone]
+		cheaper := cost < bestCost*(1-priceTolerance)
+		alike := cost < bestCost*(1+priceTolerance)
+		if !found || cheaper || alike && load < bestLoad {
+			best, bestCost, bestLoad, found = offer, cost, load, true
+		}
+	}
+	return best, found
+}
+
+// usableOfferings yields, in a fixed order, the offerings that the next task of a job may use, with their
+// machine types.
+func (p *binPacking) usableOfferings(spec *job.Spec, tasksByZone map[string]int) iter.Seq2[offering, *protocol.MachineType] {
+	return func(yield func(offering, *protocol.MachineType) bool) {
+		for _, typeName := range sortedKeys(p.types) {
+			machineType := p.types[typeName]
+			if !spec.AllowsMachineType(typeName) || !typeHolds(machineType, spec) {
 				continue
 			}
-			cost := offer.price(machineType) / perMachine
-			load := p.toRent[offer] + p.machinesByZone[offer.zone]
-			cheaper := cost < bestCost*(1-priceTolerance)
-			alike := cost < bestCost*(1+priceTolerance)
-			if !found || cheaper || alike && load < bestLoad {
-				best, bestCost, bestLoad, found = offer, cost, load, true
+			for _, offer := range offeringsFor(typeName, machineType, spec) {
+				if spreadAllows(spec, tasksByZone, offer.zone) && !yield(offer, machineType) {
+					return
+				}
 			}
 		}
 	}
-	return best, found
 }
 
 // priceTolerance is the relative difference up to which costs count as equal.
@@ -278,8 +325,8 @@
 		}
 		fit := 0
 		for _, s := range p.slots {
-			for room := *s; fit < n && room.fits(&pinned); fit++ {
-				room.add(&pinned)
+			if s.allows(&pinned) {
+				fit += s.tasksThatFit(&pinned, n-fit)
 			}
 		}
 		_, rentable := p.cheapestOffering(&pinned, nil)
--- a/internal/coordination/consolidation.go
+++ b/internal/coordination/consolidation.go
@@ -146,9 +146,10 @@
 		if c.fetchTime(r.spec, target) > 0 || !c.couldHold(r, target) || hasZoneConstraint(r) && target.claim.Zone != m.claim.Zone {
 			continue
 		}
-		machineType := c.machineTypeOf(target)
-		taken := reserved[target]
-		if c.taskCount(target) < maxTasksPerMachine && hasCapacity(machineType, target.cpus+taken.CPUs, target.gpus+taken.GPUs, target.memoryGB, r.spec) {
+		room := c.freeRoom(target)
+		room.cpus -= reserved[target].CPUs
+		room.gpus -= reserved[target].GPUs
+		if room.hasRoomFor(r.spec) {
 			return target
 		}
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -283,13 +283,13 @@
 
 // respond answers request id with v as JSON. retryAfter is in seconds; 0 means none.
 func (c *Core) respond(id uint64, status int, v any, retryAfter int) {
-	response := Response{ID: id, Status: status, Body: encode(v), RetryAfter: retryAfter}
-	c.effects.Responses = append(c.effects.Responses, response)
+	c.respondEncoded(id, status, encode(v), retryAfter)
 }
 
-// respondEncoded answers request id with a body that is JSON already.
-func (c *Core) respondEncoded(id uint64, status int, body []byte) {
-	c.effects.Responses = append(c.effects.Responses, Response{ID: id, Status: status, Body: body})
+// respondEncoded is like respond, with a body that is JSON already.
+func (c *Core) respondEncoded(id uint64, status int, body []byte, retryAfter int) {
+	response := Response{ID: id, Status: status, Body: body, RetryAfter: retryAfter}
+	c.effects.Responses = append(c.effects.Responses, response)
 }
 
 // retryAfter returns after how many seconds a refused request may succeed: when the queued
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -40,7 +40,7 @@
 // never placed in it. A gang may need several transactions, of which some may fail. It can't have
 // started then, so the others are placed with the same attempt number.
 func (r *jobRecord) partlyPlaced() bool {
-	if !isGang(r) || r.bound == 0 || r.bound+r.finished >= r.spec.Tasks {
+	if !isGang(r) || r.bound == 0 || r.unplacedTasks() <= 0 {
 		return false
 	}
 	for _, p := range r.pages {
@@ -54,10 +54,14 @@
 	return true
 }
 
+// notStarted reports whether a gang's latest attempt has not started, and all tasks of earlier ones have
+// ended.
+func (r *jobRecord) notStarted() bool { return r.bound == 0 || r.partlyPlaced() }
+
 // awaitsRoom reports whether a gang, none of whose tasks is being placed, may be started or its start
-// completed once there is room: all tasks of earlier attempts have ended.
+// completed once there is room.
 func (r *jobRecord) awaitsRoom() bool {
-	return len(r.reservations) == 0 && !r.gangCompleted() && (r.bound == 0 || r.partlyPlaced())
+	return len(r.reservations) == 0 && !r.gangCompleted() && r.notStarted()
 }
 
 // gangZones returns the zones in which a gang may start, each of which has to hold all its tasks; "" is
@@ -91,8 +95,8 @@
 	}
 }
 
-// startGang starts a gang if there is room for all its tasks and none of them is still bound
-// from an earlier attempt or being placed.
+// startGang starts a gang, or completes its start, if it awaits room and there is room for all its
+// unplaced tasks.
 func (c *Core) startGang(r *jobRecord) {
 	if c.now < r.retryAt || !r.awaitsRoom() {
 		return
@@ -103,9 +107,10 @@
 		return
 	}
 	zones := c.gangZones(r)
+	candidates := c.gangCandidates(r)
 	var best gangRoom
 	for _, zone := range zones {
-		room := c.findGangRoom(r, zone, need)
+		room := c.findGangRoom(r, candidates, zone, need)
 		if room.tasks == need {
 			c.placeGang(r, room)
 			return
@@ -135,11 +140,11 @@
 	tasks   int
 }
 
-// findGangRoom finds room for up to need tasks of a gang in a zone, or in all zones together if zone is
-// empty, on our idle machines and on those that peers offer.
-func (c *Core) findGangRoom(r *jobRecord, zone string, need int) (room gangRoom) {
+// findGangRoom finds room for up to need tasks of a gang on the machines among the candidates that are in
+// a zone, or on all of them if zone is empty.
+func (c *Core) findGangRoom(r *jobRecord, candidates []string, zone string, need int) (room gangRoom) {
 	tasksByZone := maps.Clone(r.tasksByZone)
-	for _, id := range c.gangCandidates(r) {
+	for _, id := range candidates {
 		if room.tasks == need {
 			break
 		}
@@ -151,8 +156,9 @@
 		if r.spec.Spread {
 			limit = min(limit, r.spec.SpreadLimit()-tasksByZone[m.claim.Zone])
 		}
-		tasks := c.tasksThatFit(r.spec, m, limit)
-		if tasks <= 0 {
+		free := c.freeRoom(m)
+		tasks := free.tasksThatFit(r.spec, limit)
+		if tasks == 0 {
 			continue
 		}
 		tasksByZone[m.claim.Zone] += tasks
@@ -176,8 +182,9 @@
 	}
 	slices.Sort(ids)
 	ids = slices.Compact(ids)
-	avoided := c.machinesAvoidedBy(r)
-	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(rankAvoided(avoided, a), rankAvoided(avoided, b)) })
+	if avoided := c.machinesAvoidedBy(r); len(avoided) > 0 {
+		slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(rankAvoided(avoided, a), rankAvoided(avoided, b)) })
+	}
 	return ids
 }
 
@@ -189,20 +196,6 @@
 	return r.offers[m.id].epoch
 }
 
-// tasksThatFit returns how many tasks of a job the free resources of a machine hold, at most limit.
-func (c *Core) tasksThatFit(spec *job.Spec, m *machine, limit int) (tasks int) {
-	machineType := c.machineTypeOf(m)
-	cpus, gpus, memoryGB := m.cpus, m.gpus, m.memoryGB
-	limit = min(limit, maxTasksPerMachine-c.taskCount(m))
-	for tasks < limit && hasCapacity(machineType, cpus, gpus, memoryGB, spec) {
-		cpus += spec.CPUs
-		gpus += spec.GPUs
-		memoryGB += spec.MemoryGB
-		tasks++
-	}
-	return tasks
-}
-
 // placeGang reserves room for all unplaced tasks of a gang and proposes their placements, all with the
 // same attempt number.
 func (c *Core) placeGang(r *jobRecord, room gangRoom) {
--- a/internal/coordination/gang_block.go
+++ b/internal/coordination/gang_block.go
@@ -127,24 +127,15 @@
 // blockCandidate computes how many of a gang's tasks, need at most, a machine holds once the
 // work of lower priority there is stopped, and what that costs.
 func (c *Core) blockCandidate(r *jobRecord, m *machine, need int) blockCandidate {
-	machineType := c.machineTypeOf(m)
-	room := slot{tasks: c.taskCount(m), cpus: machineType.CPUs - m.cpus, gpus: machineType.GPUs - m.gpus, memoryGB: machineType.MemoryGB - m.memoryGB}
+	room := c.freeRoom(m)
 	cost := c.fetchTime(r.spec, m)
 	for k, v := range m.bound {
 		if v.spec.Priority < r.spec.Priority && !isGang(v) && m.vacated[k] == nil {
-			room.tasks--
-			room.cpus += v.spec.CPUs
-			room.gpus += v.spec.GPUs
-			room.memoryGB += v.spec.MemoryGB
+			room.remove(v.spec)
 			cost += (c.now - m.boundAt[k].boundAt).Seconds()
 		}
 	}
-	tasks := 0
-	for tasks < need && room.hasRoomFor(r.spec) {
-		room.add(r.spec)
-		tasks++
-	}
-	return blockCandidate{m.id, m.claim.Zone, tasks, cost}
+	return blockCandidate{m.id, m.claim.Zone, room.tasksThatFit(r.spec, need), cost}
 }
 
 // cheapestCandidates picks the candidates with the least cost per task until they hold the
@@ -182,7 +173,8 @@
 	}
 	m.reserveRoom(r.spec.ID, c.now+c.holdTime(), requester)
 	tasks := c.blockCandidate(r, m, r.unplacedTasks()).tasks
-	if len(m.stops) > 0 || c.tasksThatFit(r.spec, m, tasks) == tasks {
+	free := c.freeRoom(m)
+	if len(m.stops) > 0 || free.tasksThatFit(r.spec, tasks) == tasks {
 		return
 	}
 	victims, _, ok := c.pickVictims(r, m, tasks, false)
--- a/internal/coordination/gang_plan.go
+++ b/internal/coordination/gang_plan.go
@@ -52,6 +52,7 @@
 	p.avoided = c.machinesAvoidedBy(r)
 	defer func() { p.avoided = nil }()
 	before := p.checkpoint()
+	defer p.endCheckpoint()
 	if shortage := c.scaler.shortages[r.spec.ID]; shortage != nil && c.now < shortage.attemptAt {
 		p.packOntoFleet(r, spec, n, before)
 		return
@@ -77,7 +78,7 @@
 	p.rentalsStopped = true
 	left := p.packTasks(spec, n, tasksByZone(r))
 	p.rentalsStopped = false
-	if left > 0 || p.planned > before.planned {
+	if left > 0 {
 		p.rollBack(before)
 	}
 }
@@ -103,18 +104,10 @@
 func (p *fleetPlan) cloudExhausted(spec *job.Spec, tasksByZone map[string]int, since time.Duration) bool {
 	f := &p.core.scaler
 	unanswered := f.unansweredOfferings()
-	for typeName, machineType := range p.types {
-		if !spec.AllowsMachineType(typeName) || !typeHolds(machineType, spec) {
-			continue
-		}
-		for _, offer := range offeringsFor(typeName, machineType, spec) {
-			if !spreadAllows(spec, tasksByZone, offer.zone) {
-				continue
-			}
-			refusedAt, refused := f.refusedAt[offer]
-			if !refused || refusedAt < since || unanswered[offer] || f.recordingAt(offer, p.core.now) {
-				return false
-			}
+	for offer := range p.usableOfferings(spec, tasksByZone) {
+		refusedAt, refused := f.refusedAt[offer]
+		if !refused || refusedAt < since || unanswered[offer] || f.recordingAt(offer, p.core.now) {
+			return false
 		}
 	}
 	return true
@@ -146,11 +139,11 @@
 
 // tasksWhenCleared returns how many tasks of a job, at most limit, a machine would hold with its services
 // alone.
-func (p *fleetPlan) tasksWhenCleared(s *slot, spec *job.Spec, limit int) (tasks int) {
-	machineType := p.types[s.offering.machineType]
-	cleared := *s
-	cleared.tasks = 0
-	cleared.cpus, cleared.gpus, cleared.memoryGB = machineType.CPUs, machineType.GPUs, machineType.MemoryGB
+func (p *fleetPlan) tasksWhenCleared(s *slot, spec *job.Spec, limit int) int {
+	if !s.allows(spec) {
+		return 0
+	}
+	cleared := newSlot(s.offering, p.types[s.offering.machineType])
 	if m := p.core.machines.byID[s.id]; m != nil && m.services > 0 {
 		for _, key := range m.boundTasks() {
 			if r := m.bound[key]; r.spec.Shape == job.Service {
@@ -158,9 +151,5 @@
 			}
 		}
 	}
-	for tasks < limit && cleared.fits(spec) {
-		cleared.add(spec)
-		tasks++
-	}
-	return tasks
+	return cleared.tasksThatFit(spec, limit)
 }
--- a/internal/coordination/gang_reservation.go
+++ b/internal/coordination/gang_reservation.go
@@ -82,7 +82,7 @@
 		c.nextWaitingGang(open, func(other *jobRecord) bool { return other != r }) != nil
 	// A gang that has found no room for a long time leaves the reservation to others.
 	timedOut := noBlock || c.now-c.gangs.reservedAt > seconds(2*c.cfg.Facts.Workers.GangWait)
-	waiting := r != nil && !r.final() && (r.bound == 0 || r.partlyPlaced())
+	waiting := r != nil && !r.final() && r.notStarted()
 	// Guards against a reservation that no controller acts on: a controller that stood in
 	// for the job's owner releases it when the owner returns.
 	if ofThisIncarnation && waiting && !timedOut && c.isResponsibleFor(r) {
--- a/internal/coordination/job_order.go
+++ b/internal/coordination/job_order.go
@@ -153,7 +153,7 @@
 		if team == nil || team.savingFor != nil || !team.hasLimit() {
 			continue
 		}
-		if !isGang(r) || r.gangCompleted() || r.bound > 0 && !r.partlyPlaced() || c.paused(r) {
+		if !isGang(r) || r.gangCompleted() || !r.notStarted() || c.paused(r) {
 			continue
 		}
 		if !c.quotaSavingDue(r, now) {
--- a/internal/coordination/operator_queries.go
+++ b/internal/coordination/operator_queries.go
@@ -94,7 +94,7 @@
 	v.withJob(id, jobID, func(r *jobRecord) {
 		if attempt, err := strconv.Atoi(attemptText); isGang && err == nil {
 			members := v.gangMembers(r, attempt)
-			c.respondEncoded(id, http.StatusOK, members.Encode())
+			c.respondEncoded(id, http.StatusOK, members.Encode(), 0)
 			return
 		}
 		v.describe(id, r)
@@ -324,7 +324,7 @@
 	c := v.core
 	t := c.jobs.teamOf(r)
 	switch {
-	case r.final() || r.bound+r.finished >= r.spec.Tasks:
+	case r.final() || r.unplacedTasks() <= 0:
 		return ""
 	case c.paused(r):
 		return "a pause after failures, or the one task that is tried again"
--- a/internal/coordination/page.go
+++ b/internal/coordination/page.go
@@ -83,19 +83,14 @@
 // finished: they never change again, and the record is read anew should it do so.
 func (c *Core) dropFinishedTasks(p *page) {
 	unfinished := func(t job.Task) bool { return t.Phase != job.Finished }
-	if p.pending > 0 || len(p.queue) > 0 || slices.ContainsFunc(p.tasks, unfinished) {
-		return
-	}
-	if c.writer.completions.hasCompletionFor(p) {
-		return
+	if p.pending == 0 && len(p.queue) == 0 && !slices.ContainsFunc(p.tasks, unfinished) {
+		c.dropTasks(p)
 	}
-	p.tasks = nil
-	p.done = p.size
 }
 
-// dropTasks frees the memory of the tasks of a page whose job is final, unless one of them is
-// bound or has an open completion in the log: memory must not grow with the number of tasks
-// ever submitted. Answers to users need only the counts.
+// dropTasks frees the memory of the tasks of a page whose job is final or whose tasks have all
+// finished, unless one of them is bound or has an open completion in the log: memory must not grow
+// with the number of tasks ever submitted. Answers to users need only the counts.
 func (c *Core) dropTasks(p *page) {
 	switch {
 	case c.jobs.allTasksCompleted(p.job):
--- a/internal/coordination/page_draft.go
+++ b/internal/coordination/page_draft.go
@@ -37,7 +37,7 @@
 
 		compareBudget: comparesPerOp*c.cfg.Facts.State.TxnOps - compareReserve - len(b.compares),
 	}
-	if !b.jobs[p.job] {
+	if !b.hasJob(p.job) {
 		d.compares = append(d.compares, protocol.Compare{Key: keyJob + p.jobID, ModRevision: p.job.revision})
 	}
 	d.compares = append(d.compares, protocol.Compare{Key: p.key(), ModRevision: p.revision})
@@ -46,7 +46,7 @@
 
 // addPage adds the transitions of a page's queue to a batch, as far as they are valid and fit.
 func (c *Core) addPage(b *txnBatch, p *page) {
-	if p.tasks == nil { // the job is final, and no task of the page is bound
+	if p.tasks == nil { // no task of the page is bound or may be placed any more
 		c.dropQueue(p)
 		return
 	}
@@ -179,11 +179,9 @@
 func (d *pageDraft) countBoundByZone() {
 	d.boundByZone = map[string]int{}
 	for _, p := range d.page.job.pages {
-		tasks := p.tasks
+		tasks := d.batch.tasksOf(p)
 		if p == d.page {
 			tasks = d.tasks
-		} else if changed, ok := d.batch.tasks[p]; ok {
-			tasks = changed
 		}
 		for i := range tasks {
 			if tasks[i].Phase == job.Bound {
@@ -289,11 +287,8 @@
 // releases for the next flush: a gang starts all of its tasks or none. If the batch has other pages of
 // the gang, it has no others.
 func (c *Core) abandonGang(b *txnBatch, r *jobRecord) {
-	if b.jobs[r] {
-		for _, part := range b.pages {
-			part.page.queue = append(part.included, part.page.queue...)
-		}
-		b.reset()
+	if b.hasJob(r) {
+		c.emptyBatch(b)
 	}
 	c.dropGangPlacements(r)
 }
@@ -305,11 +300,7 @@
 		if p.inFlight || len(p.queue) == 0 {
 			continue
 		}
-		for _, transition := range p.queue {
-			if transition.placement {
-				c.unreserve(r, p.firstTask+transition.index)
-			}
-		}
+		c.unreserveQueued(p)
 		p.queue = withoutPlacements(p.queue)
 		if len(p.queue) == 0 {
 			c.writer.removeDirty(p)
@@ -326,7 +317,7 @@
 	r := p.job
 	batch.ops = append(batch.ops, protocol.Op{Put: p.key(), Value: d.core.encodePage(d.tasks)})
 	switch {
-	case batch.jobs[r]:
+	case batch.hasJob(r):
 		// Another page of the gang is in the batch, which has the job's record already.
 	case d.finishedTasks() == r.spec.Tasks && r.status == job.Open:
 		// Finished tasks stay finished, so the other pages need no condition.
@@ -337,9 +328,7 @@
 	batch.compares = append(batch.compares, d.compares...)
 	batch.size += len(d.tasks)*taskBytes + jobBytes + len(d.compares)*compareBytes
 	batch.usage = d.usage
-	batch.pages = append(batch.pages, pageChanges{page: p, included: d.included})
-	batch.jobs[r] = true
-	batch.tasks[p] = d.tasks
+	batch.pages = append(batch.pages, pageChanges{page: p, included: d.included, tasks: d.tasks})
 	p.foldRequested = false
 }
 
--- a/internal/coordination/page_writer.go
+++ b/internal/coordination/page_writer.go
@@ -123,13 +123,18 @@
 	}
 }
 
-// dropQueue discards the queued transitions of a page whose job is final.
-func (c *Core) dropQueue(p *page) {
+// unreserveQueued cancels the reservations of the placements that are queued for a page.
+func (c *Core) unreserveQueued(p *page) {
 	for _, transition := range p.queue {
 		if transition.placement {
 			c.unreserve(p.job, p.firstTask+transition.index)
 		}
 	}
+}
+
+// dropQueue discards the queued transitions of a page whose tasks were dropped from memory.
+func (c *Core) dropQueue(p *page) {
+	c.unreserveQueued(p)
 	p.queue = nil
 	c.writer.removeDirty(p)
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -45,10 +45,8 @@
 	if m.reservedFor != r.spec.ID && c.now < m.reservedUntil {
 		return false
 	}
-	if c.taskCount(m) >= maxTasksPerMachine {
-		return false
-	}
-	return hasCapacity(machineType, m.cpus, m.gpus, m.memoryGB, r.spec) && c.zoneAllowed(r, m.claim.Zone)
+	room := c.freeRoom(m)
+	return room.hasRoomFor(r.spec) && c.zoneAllowed(r, m.claim.Zone)
 }
 
 // allowsMachine reports whether a job may run on a machine, by its type, its zone, and whether
@@ -60,19 +58,11 @@
 	return (s.Zone == "" || s.Zone == m.claim.Zone) && (!m.claim.Spot || s.Spot)
 }
 
-// hasCapacity reports whether a machine of a type has room for a task besides the given
-// resources, which are in use.
-func hasCapacity(t *protocol.MachineType, cpus, gpus, memoryGB float64, s *job.Spec) bool {
-	return hasCapacityForTasks(t, cpus, gpus, memoryGB, s, 1)
-}
-
-// hasCapacityForTasks reports whether a machine of a type has room for a number of tasks besides the
-// given resources, which are in use.
-func hasCapacityForTasks(t *protocol.MachineType, cpus, gpus, memoryGB float64, s *job.Spec, tasks int) bool {
-	n := float64(tasks)
-	return cpus+n*s.CPUs <= t.CPUs+tolerance &&
-		gpus+n*s.GPUs <= t.GPUs+tolerance &&
-		memoryGB+n*s.MemoryGB <= t.MemoryGB+tolerance
+// freeRoom returns the resources of a machine that are neither in use nor reserved, as a slot without
+// a name and an offering.
+func (c *Core) freeRoom(m *machine) slot {
+	t := c.machineTypeOf(m)
+	return slot{tasks: c.taskCount(m), cpus: t.CPUs - m.cpus, gpus: t.GPUs - m.gpus, memoryGB: t.MemoryGB - m.memoryGB}
 }
 
 // zoneAllowed reports whether a task may go to a zone, given the zones of the job's other tasks.
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -88,7 +88,7 @@
 		seen++
 		for _, k := range m.boundTasks() {
 			v := m.bound[k]
-			if v.spec.Team != r.spec.Team || v.spec.Priority >= r.spec.Priority || isGang(v) || v.final() || m.vacated[k] != nil {
+			if v.spec.Team != r.spec.Team || !mayBeStopped(r, m, k, false) {
 				continue
 			}
 			victims = append(victims, victim{key: k, job: v, machine: m, cost: c.lostWork(m, k, v)})
@@ -259,22 +259,16 @@
 // them. ok is false if nothing has to be stopped, or if stopping every evictable task would not
 // make enough room.
 func (c *Core) pickVictims(r *jobRecord, m *machine, tasks int, gangs bool) (victims []taskKey, cost float64, ok bool) {
-	machineType := c.machineTypeOf(m)
-	cpus, gpus, memoryGB := m.cpus, m.gpus, m.memoryGB
-	hasRoom := func(stopped int) bool {
-		return c.taskCount(m)-stopped+tasks <= maxTasksPerMachine && hasCapacityForTasks(machineType, cpus, gpus, memoryGB, r.spec, tasks)
-	}
+	room := c.freeRoom(m)
 	for _, v := range c.evictionCandidates(r, m, gangs) {
-		if hasRoom(len(victims)) {
+		if room.tasksThatFit(r.spec, tasks) == tasks {
 			break
 		}
-		cpus -= v.job.spec.CPUs
-		gpus -= v.job.spec.GPUs
-		memoryGB -= v.job.spec.MemoryGB
+		room.remove(v.job.spec)
 		victims = append(victims, v.key)
 		cost += v.cost
 	}
-	ok = len(victims) > 0 && hasRoom(len(victims))
+	ok = len(victims) > 0 && room.tasksThatFit(r.spec, tasks) == tasks
 	return victims, cost, ok
 }
 
@@ -286,12 +280,19 @@
 	cost    float64 // seconds of task time
 }
 
+// mayBeStopped reports whether a task that is bound to a machine may be stopped for a job's task: it has
+// a lower priority and has not ended. Tasks of gangs may be stopped only if gangs is set.
+func mayBeStopped(r *jobRecord, m *machine, k taskKey, gangs bool) bool {
+	v := m.bound[k]
+	return v.spec.Priority < r.spec.Priority && (gangs || !isGang(v)) && !v.final() && m.vacated[k] == nil
+}
+
 // evictionCandidates lists the tasks on a machine that may be stopped for a job's task, by
 // ascending priority, and those of equal priority by ascending cost.
 func (c *Core) evictionCandidates(r *jobRecord, m *machine, gangs bool) []victim {
 	var candidates []victim
 	for k, v := range m.bound {
-		if v.spec.Priority >= r.spec.Priority || isGang(v) && !gangs || v.final() || m.vacated[k] != nil {
+		if !mayBeStopped(r, m, k, gangs) {
 			continue
 		}
 		cost := c.lostWork(m, k, v)
--- a/internal/coordination/scheduler.go
+++ b/internal/coordination/scheduler.go
@@ -45,7 +45,7 @@
 			if c.isResponsibleFor(r) {
 				c.completeGang(r)
 			}
-		case r.bound+r.finished+len(r.reservations) < r.spec.Tasks && c.isResponsibleFor(r):
+		case r.unplacedTasks() > len(r.reservations) && c.isResponsibleFor(r):
 			c.dispatchJob(r)
 		}
 	}
--- a/internal/coordination/staging.go
+++ b/internal/coordination/staging.go
@@ -246,7 +246,7 @@
 func (d *stagingCoordinator) stageQueuedJobs() {
 	jobs := 0
 	for _, r := range d.core.jobs.openByUrgency {
-		if len(r.spec.Inputs) == 0 || r.bound+r.finished >= r.spec.Tasks {
+		if len(r.spec.Inputs) == 0 || r.unplacedTasks() <= 0 {
 			continue
 		}
 		if jobs++; jobs > maxStagedJobs {
@@ -282,7 +282,7 @@
 			continue
 		}
 		r := c.jobs.byID[d.prefetchJobs[fetch]]
-		if r != nil && !r.final() && r.bound+r.finished < r.spec.Tasks {
+		if r != nil && !r.final() && r.unplacedTasks() > 0 {
 			continue
 		}
 		delete(d.prefetchJobs, fetch)
--- a/internal/coordination/txn_batch.go
+++ b/internal/coordination/txn_batch.go
@@ -25,9 +25,7 @@
 	ops             []protocol.Op
 	size            int // upper bound of the transaction's size, in bytes
 	pages           []pageChanges
-	jobs            map[*jobRecord]bool  // the jobs of these pages
-	tasks           map[*page][]job.Task // of these pages, after the changes
-	yieldedMachines []string             // machines whose capacity is left to urgent work
+	yieldedMachines []string // machines whose capacity is left to urgent work
 	class           ratelimit.Class
 }
 
@@ -35,6 +33,22 @@
 type pageChanges struct {
 	page     *page
 	included []taskTransition
+	tasks    []job.Task // of the page, after the changes
+}
+
+// hasJob reports whether the batch has a page of a job.
+func (b *txnBatch) hasJob(r *jobRecord) bool {
+	return slices.ContainsFunc(b.pages, func(part pageChanges) bool { return part.page.job == r })
+}
+
+// tasksOf returns the tasks of a page after the batch's changes.
+func (b *txnBatch) tasksOf(p *page) []job.Task {
+	for _, part := range b.pages {
+		if part.page == p {
+			return part.tasks
+		}
+	}
+	return p.tasks
 }
 
 // Approximate upper bounds of the sizes of a transaction and its parts, in bytes.
@@ -77,8 +91,6 @@
 	b := &txnBatch{
 		team:         c.jobs.teamOf(first.job),
 		comparedKeys: map[string]bool{},
-		jobs:         map[*jobRecord]bool{},
-		tasks:        map[*page][]job.Task{},
 		class:        first.class(),
 	}
 	if b.team != nil {
@@ -88,16 +100,14 @@
 	return b
 }
 
-// reset removes all pages from a batch.
-func (b *txnBatch) reset() {
-	b.compares, b.ops, b.pages = nil, nil, nil
-	b.size = 0
-	clear(b.comparedKeys)
-	clear(b.jobs)
-	clear(b.tasks)
-	if b.team != nil {
-		b.usage = b.team.charged
+// emptyBatch removes all pages from a batch, and leaves their changes in the pages' queues.
+func (c *Core) emptyBatch(b *txnBatch) {
+	for _, part := range b.pages {
+		part.page.queue = append(part.included, part.page.queue...)
 	}
+	yielded := b.yieldedMachines
+	*b = *c.newTxnBatch(b.pages[0].page)
+	b.yieldedMachines = yielded
 }
 
 // addGangPages adds the other pages of a gang that is being placed to the batch that has its first
@@ -137,7 +147,7 @@
 		}
 		// One page of a job at a time: the job's zones and its completion
 		// are checked against the mirrored state of its other pages.
-		if p.job == first.job || b.jobs[p.job] || c.writeBlocksOthers(p.job) {
+		if p.job == first.job || b.hasJob(p.job) || c.writeBlocksOthers(p.job) {
 			continue
 		}
 		if isGang(p.job) && p.job.spec.Tasks > c.tasksPerPage() { // it is written with its other pages
